Lay out the project: build, style, agreed headers, contracts

The frame that the parts are written against side by side: layers as libraries, header per decision, wire messages, the API towards callers and the protocols of the outside systems.

--- /dev/null
+++ b/src/cmake/Dependencies.cmake
@@ -0,0 +1,11 @@
+# Libraries, all from the distribution's packages (scripts/packages names them).
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(GRPCPP REQUIRED IMPORTED_TARGET grpc++)
+pkg_check_modules(LOG4CPLUS REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
+find_package(CLI11 REQUIRED)
+find_package(benchmark QUIET)
--- /dev/null
+++ b/src/cmake/RillwallLibrary.cmake
@@ -0,0 +1,19 @@
+# rillwall_library(NAME LINK ...): one library of the folder's sources and its
+# one test program NAME_test of the folder's *_test.cpp files.
+function(rillwall_library name)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS *.cpp *.cc)
+  set(tests ${sources})
+  list(FILTER sources EXCLUDE REGEX "_(test|bench|fuzz)\\.cpp$")
+  list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+  add_library(${name} STATIC ${sources})
+  target_include_directories(${name} PUBLIC ${CMAKE_SOURCE_DIR}/src/include
+                             PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  target_link_libraries(${name} PUBLIC ${ARG_LINK})
+  if(tests)
+    add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/src/cmake/test_main.cpp)
+    target_include_directories(${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+    target_link_libraries(${name}_test ${name} PkgConfig::CPPUNIT)
+    add_test(NAME ${name} COMMAND ${name}_test)
+  endif()
+endfunction()
--- /dev/null
+++ b/src/include/rillwall/error.h
@@ -0,0 +1,97 @@
+/// \file
+/// Typed errors whose messages name the remedy, and the Result of a call.
+///
+/// Errors are reported through Result and never thrown across a library's
+/// boundary. Every kind is a std::error_code of one category; its message says
+/// what is wrong and what to do. RunState says whether a refused or failed
+/// request was run by an upstream.
+
+#pragma once
+
+#include <boost/system/result.hpp>
+#include <string>
+#include <system_error>
+
+namespace rillwall {
+
+/// What went wrong, by kind. The kind decides the HTTP status.
+enum class ErrorKind {
+  BadRequest = 1,    ///< the request cannot be read or is not valid
+  Unauthorized,      ///< no token, or one that is not known
+  Forbidden,         ///< the token's scope does not allow it
+  NotFound,          ///< no such route, model, trainer, step or policy
+  Conflict,          ///< another writer won, or the state does not allow it
+  Superseded,        ///< a newer request of the same kind took over
+  TooLarge,          ///< a body, header or value is over its limit
+  Timeout,           ///< the deadline passed
+  Overloaded,        ///< refused to protect others; come back later
+  Unavailable,       ///< no upstream or no node can serve this now
+  Draining,          ///< this node is shutting down
+  ConnectionLost,    ///< the peer closed or reset the connection
+  UpstreamRefused,   ///< the upstream refused before running anything
+  UpstreamFailed,    ///< the upstream failed while running
+  Stale,             ///< older than a bound, a fence or a revision allows
+  KvUnavailable,     ///< the key-value service did not take the call
+  KvUncertain,       ///< the key-value service may have taken the call
+  OutcomeUnknown,    ///< a non-idempotent call may have run
+  PolicyInvalid,     ///< a policy program is wrong or contradicts another
+  Internal,          ///< a defect of rillwall
+};
+
+/// Whether an upstream ran the request, as told to the caller.
+enum class RunState { NotRun, Run, Unknown };
+
+/// \return the category of all error codes of rillwall
+const std::error_category& ErrorCategory();
+
+/// Makes an ErrorKind usable as a std::error_code.
+std::error_code make_error_code(ErrorKind aKind);
+
+/// \return the kind's stable name as used in JSON, such as "bad-request"
+const char* ErrorName(ErrorKind aKind);
+/// \return what to do about an error of this kind, one sentence
+const char* ErrorRemedy(ErrorKind aKind);
+/// \return the HTTP status that stands for this kind
+int ErrorStatus(ErrorKind aKind);
+/// \return "run", "not-run" or "unknown", as in the Rillwall-Run header
+const char* RunStateName(RunState aState);
+
+/// An error with what is particular to this case.
+class Error {
+ public:
+  /// \param aKind what went wrong
+  /// \param aDetail the particulars, one sentence, no secrets
+  /// \param aRun whether an upstream ran the request
+  Error(ErrorKind aKind, std::string aDetail, RunState aRun = RunState::NotRun)
+      : mKind(aKind), mDetail(std::move(aDetail)), mRun(aRun) {}
+
+  ErrorKind Kind() const { return mKind; }
+  const std::string& Detail() const { return mDetail; }
+  RunState Run() const { return mRun; }
+  std::error_code Code() const { return make_error_code(mKind); }
+  /// \return detail and remedy in one line
+  std::string Message() const;
+  /// \return the same error with another run state
+  Error With(RunState aRun) const { return Error(mKind, mDetail, aRun); }
+
+  bool operator==(const Error&) const = default;
+
+ private:
+  ErrorKind mKind;
+  std::string mDetail;
+  RunState mRun;
+};
+
+/// Called by Result::value() on an error; throws std::system_error. Production
+/// code checks has_value() first, so that this is reached in tests only.
+[[noreturn]] void throw_exception_from_error(
+    const Error& aError, const boost::source_location& aWhere);
+
+/// A value or an Error.
+template <class Value>
+using Result = boost::system::result<Value, Error>;
+
+}  // namespace rillwall
+
+template <>
+struct std::is_error_code_enum<rillwall::ErrorKind> : std::true_type {};
--- /dev/null
+++ b/src/librillwall_state/millis.cpp
@@ -0,0 +1,15 @@
+#include "rillwall/millis.h"
+
+#include <ctime>
+
+namespace rillwall {
+
+Millis SteadyClock::Now() const {
+  constexpr int64_t kPerSecond = 1000;
+  constexpr int64_t kNanosPerMilli = 1000000;
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Millis(now.tv_sec * kPerSecond + now.tv_nsec / kNanosPerMilli);
+}
+
+}  // namespace rillwall
