--- a/src/include/rillwall/error.h
+++ b/src/include/rillwall/error.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <system_error>
 
+#include "rillwall/millis.h"
+
 namespace rillwall {
 
 /// What went wrong, by kind. The kind decides the HTTP status.
@@ -59,6 +61,8 @@
 /// An error with what is particular to this case.
 class Error {
  public:
+  /// An internal error; boost::system::result asks for a default.
+  Error() : Error(ErrorKind::Internal, "") {}
   /// \param aKind what went wrong
   /// \param aDetail the particulars, one sentence, no secrets
   /// \param aRun whether an upstream ran the request
@@ -74,12 +78,22 @@
   /// \return the same error with another run state
   Error With(RunState aRun) const { return Error(mKind, mDetail, aRun); }
 
+  /// \return when to come back; 0 if the kind does not say
+  Millis RetryAfter() const { return mRetryAfter; }
+  /// \return the same error with a time to come back
+  Error After(Millis aSpan) const {
+    Error error = *this;
+    error.mRetryAfter = aSpan;
+    return error;
+  }
+
   bool operator==(const Error&) const = default;
 
  private:
   ErrorKind mKind;
   std::string mDetail;
   RunState mRun;
+  Millis mRetryAfter;
 };
 
 /// Called by Result::value() on an error; throws std::system_error. Production
