--- a/src/standin/control.h
+++ b/src/standin/control.h
@@ -66,6 +66,8 @@
   /// Waits while the process is frozen. Exchanges of a wrapped handler do so
   /// by themselves; work in the background must call it.
   asio::awaitable<void> Thawed() const;
+  /// Waits as long as slow_ms says.
+  asio::awaitable<void> Slowed() const;
 
   /// \return a handler that serves /control and carries out the common faults
   /// around aHandler
--- /dev/null
+++ b/src/standin/weights.cpp
@@ -0,0 +1,186 @@
+/// \file
+/// The weight store: byte ranges of made-up files at one total rate.
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+#include "control_serve.h"
+#include "verbs.h"
+#include "weights_rate.h"
+
+namespace rillwall::standin {
+
+namespace {
+
+constexpr char kPrefix[] = "/weights/";
+constexpr int64_t kMaxChunk = 256 * 1024;
+constexpr int64_t kMinChunk = 4 * 1024;
+constexpr double kBytesPerMilliOfMBps = 1000;
+/// A chunk holds the line for about this long, so that readers take turns.
+constexpr double kChunkMillis = 10;
+
+/// What was read so far.
+struct WeightCounts {
+  int64_t mReads = 0;
+  int64_t mBytes = 0;
+  int64_t mWaits = 0;  ///< chunks that the rate held back
+  int64_t mReaders = 0;
+  int64_t mPeakReaders = 0;
+};
+
+class WeightStore {
+ public:
+  WeightStore() : mBlock(kMaxChunk, 'w') {}
+  void Run(const ServeOptions& aOptions);
+
+ private:
+  asio::awaitable<void> Handle(const HttpRequest& aRequest,
+                               HttpExchange& aExchange);
+  asio::awaitable<void> Read(const HttpRequest& aRequest, int64_t aSize,
+                             HttpExchange& aExchange);
+  asio::awaitable<void> Stream(ByteRange aRange, HttpExchange& aExchange);
+  HttpResponse Make(const HttpRequest& aRequest, const std::string& aName);
+  HttpResponse Stats() const;
+  int64_t ChunkSize(double aBytesPerMilli) const;
+
+  Control mControl{{"/stats"}};
+  Fault& mRate = mControl.Add("rate_mbps");
+  Fault& mCutAfter = mControl.Add("cut_after_bytes");
+  std::map<std::string, int64_t> mSizes;
+  RateLimit mLimit;
+  WeightCounts mCounts;
+  std::string mBlock;
+};
+
+void WeightStore::Run(const ServeOptions& aOptions) {
+  Serve(aOptions, mControl,
+        [this](const HttpRequest& aRequest, HttpExchange& aExchange) {
+          return Handle(aRequest, aExchange);
+        });
+}
+
+asio::awaitable<void> WeightStore::Handle(const HttpRequest& aRequest,
+                                          HttpExchange& aExchange) {
+  if (aRequest.Path() == "/stats") {
+    co_await aExchange.Respond(Stats());
+    co_return;
+  }
+  if (!aRequest.Path().starts_with(kPrefix)) {
+    co_await aExchange.Respond(
+        ErrorAnswer(404, "not-found", "Known: /weights/{name}, /stats."));
+    co_return;
+  }
+  const std::string name(aRequest.Path().substr(sizeof(kPrefix) - 1));
+  if (aRequest.mMethod == "PUT") {
+    co_await aExchange.Respond(Make(aRequest, name));
+    co_return;
+  }
+  const auto found = mSizes.find(name);
+  if (found == mSizes.end()) {
+    co_await aExchange.Respond(
+        ErrorAnswer(404, "not-found", "No such weights; PUT them first."));
+    co_return;
+  }
+  co_await Read(aRequest, found->second, aExchange);
+}
+
+HttpResponse WeightStore::Make(const HttpRequest& aRequest,
+                               const std::string& aName) {
+  const json::object query{{"bytes", aRequest.Query("bytes")}};
+  const int64_t bytes = NumberOf(query, "bytes");
+  if (bytes <= 0) {
+    return ErrorAnswer(400, "bad-request", "Send ?bytes=N, above zero.");
+  }
+  mSizes[aName] = bytes;
+  return JsonAnswer(201, json::object{{"name", aName}, {"bytes", bytes}});
+}
+
+asio::awaitable<void> WeightStore::Read(const HttpRequest& aRequest,
+                                        int64_t aSize,
+                                        HttpExchange& aExchange) {
+  ByteRange range{0, aSize};
+  HttpResponse head;
+  head.mHeaders.push_back({"Content-Type", "application/octet-stream"});
+  head.mHeaders.push_back({"Accept-Ranges", "bytes"});
+  if (const std::string* header = aRequest.Find("Range")) {
+    const Result<ByteRange> wanted = ParseRange(*header, aSize);
+    if (!wanted.has_value()) {
+      co_await aExchange.Respond(
+          ErrorAnswer(416, "bad-request", wanted.error().Detail()));
+      co_return;
+    }
+    range = wanted.value();
+    head.mStatus = 206;
+    head.mHeaders.push_back(
+        {"Content-Range", "bytes " + std::to_string(range.mBegin) + "-" +
+                              std::to_string(range.mEnd - 1) + "/" +
+                              std::to_string(aSize)});
+  }
+  if (co_await aExchange.Begin(std::move(head))) {
+    co_return;
+  }
+  ++mCounts.mReads;
+  ++mCounts.mReaders;
+  mCounts.mPeakReaders = std::max(mCounts.mPeakReaders, mCounts.mReaders);
+  co_await Stream(range, aExchange);
+  --mCounts.mReaders;
+}
+
+int64_t WeightStore::ChunkSize(double aBytesPerMilli) const {
+  if (aBytesPerMilli <= 0) {
+    return kMaxChunk;
+  }
+  const auto fair = static_cast<int64_t>(aBytesPerMilli * kChunkMillis);
+  return std::clamp(fair, kMinChunk, kMaxChunk);
+}
+
+asio::awaitable<void> WeightStore::Stream(ByteRange aRange,
+                                          HttpExchange& aExchange) {
+  const int64_t cutAt = mCutAfter.On() ? aRange.mBegin + mCutAfter.Count() : -1;
+  for (int64_t at = aRange.mBegin; at < aRange.mEnd;) {
+    const double rate = mRate.Value() * kBytesPerMilliOfMBps;
+    const int64_t size = std::min(ChunkSize(rate), aRange.mEnd - at);
+    const Millis wait = mLimit.Reserve(size, rate, Now());
+    if (wait > Millis()) {
+      ++mCounts.mWaits;
+      co_await Sleep(wait);
+    }
+    if (co_await aExchange.Write(mBlock.substr(0, size))) {
+      co_return;
+    }
+    mCounts.mBytes += size;
+    at += size;
+    if (cutAt >= 0 && at >= cutAt) {
+      co_return;
+    }
+  }
+  co_await aExchange.End();
+}
+
+HttpResponse WeightStore::Stats() const {
+  json::array files;
+  for (const auto& [name, bytes] : mSizes) {
+    files.push_back(json::object{{"name", name}, {"bytes", bytes}});
+  }
+  json::object stats;
+  stats["rate_mbps"] = mRate.Value();
+  stats["reads"] = mCounts.mReads;
+  stats["bytes_served"] = mCounts.mBytes;
+  stats["waits"] = mCounts.mWaits;
+  stats["readers"] = mCounts.mReaders;
+  stats["peak_readers"] = mCounts.mPeakReaders;
+  stats["weights"] = std::move(files);
+  return JsonAnswer(200, stats);
+}
+
+}  // namespace
+
+void AddWeightsVerb(CLI::App& aApp) {
+  CLI::App* verb = aApp.add_subcommand("weights", "The weight store");
+  auto options = std::make_shared<ServeOptions>();
+  AddServeOptions(*verb, *options);
+  verb->callback([options] { WeightStore().Run(*options); });
+}
+
+}  // namespace rillwall::standin
