--- a/src/standin/scorer.cpp
+++ b/src/standin/scorer.cpp
@@ -1,9 +1,7 @@
 /// \file
 /// A service that scores rollouts, always the same for the same text.
 
-#ifndef XXH_INLINE_ALL
 #define XXH_INLINE_ALL
-#endif
 #include <xxhash.h>
 
 #include "control_serve.h"
--- a/src/standin/service.cpp
+++ b/src/standin/service.cpp
@@ -17,6 +17,17 @@
   Millis mAt;
 };
 
+HttpResponse Receipt(const ChargeRun& aRun, size_t aNumber) {
+  return JsonAnswer(201,
+                    json::object{{"id", "charge-" + std::to_string(aNumber)},
+                                 {"account", aRun.mAccount},
+                                 {"amount", aRun.mAmount}});
+}
+
+HttpResponse Status(std::string_view aPath) {
+  return JsonAnswer(200, json::object{{"path", aPath}, {"status", "open"}});
+}
+
 class PlainService {
  public:
   void Run(const ServeOptions& aOptions);
@@ -68,8 +79,7 @@
   if (path == "/charges" && aRequest.mMethod == "POST") {
     co_await Charge(aRequest, aExchange);
   } else if (path.starts_with("/status/")) {
-    co_await aExchange.Respond(
-        JsonAnswer(200, json::object{{"path", path}, {"status", "open"}}));
+    co_await aExchange.Respond(Status(path));
   } else {
     co_await aExchange.Respond(ErrorAnswer(
         404, "not-found", "Known: POST /charges, GET /status/{x}, /journal."));
@@ -99,10 +109,7 @@
         ErrorAnswer(500, "failed", "Failed on command, after the run."));
     co_return;
   }
-  co_await aExchange.Respond(
-      JsonAnswer(201, json::object{{"id", "charge-" + std::to_string(number)},
-                                   {"account", run.mAccount},
-                                   {"amount", run.mAmount}}));
+  co_await aExchange.Respond(Receipt(run, number));
 }
 
 HttpResponse PlainService::Load() const {
