membership: failure detector, news, facts and duty owners

Cause: coordination needs to know who is live without a heartbeat per node in the key-value service. Change: SWIM with suspicion, refutation, indirect probes and local health; news bounded in bytes and sends; facts as max-registers; duties by rendezvous hashing. Two limits (mSpreadPeriod, mSpreadFanout) and Digest() are added to the agreed header; an Ack of sequence 0 carries news only, so that the codec stays as it is.

--- a/src/include/rillwall/membership.h
+++ b/src/include/rillwall/membership.h
@@ -31,11 +31,11 @@
 
 /// One node as its peers know it.
 struct Member {
-  std::string mId;     ///< unique and kept over the process's life
-  std::string mZone;   ///< availability zone
-  std::string mGossip; ///< "ip:port" for datagrams
-  std::string mRpc;    ///< "ip:port" for calls between nodes
-  std::string mHttp;   ///< "ip:port" for callers
+  std::string mId;      ///< unique and kept over the process's life
+  std::string mZone;    ///< availability zone
+  std::string mGossip;  ///< "ip:port" for datagrams
+  std::string mRpc;     ///< "ip:port" for calls between nodes
+  std::string mHttp;    ///< "ip:port" for callers
   uint64_t mIncarnation = 0;
   MemberState mState = MemberState::Alive;
   bool operator==(const Member&) const = default;
@@ -49,6 +49,7 @@
   bool operator==(const Fact&) const = default;
 };
 
+/// An Ack of sequence 0 answers nothing; it only carries news.
 enum class GossipKind { Ping, PingRequest, Ack, Nack };
 
 /// What one datagram says.
@@ -83,11 +84,13 @@
 
 struct GossipLimits {
   Millis mProbePeriod{500};
-  Millis mProbeTimeout{200};      ///< until indirect probes are asked for
-  Millis mSuspicion{2500};        ///< least time from suspect to dead
-  Millis mForgetDead{60000};      ///< how long a dead member is remembered
+  Millis mProbeTimeout{200};  ///< until indirect probes are asked for
+  Millis mSuspicion{2500};    ///< least time from suspect to dead
+  Millis mForgetDead{60000};  ///< how long a dead member is remembered
   size_t mIndirectProbes = 3;
-  size_t mMaxNewsBytes = 1000;    ///< estimated bytes of news in a datagram
+  size_t mMaxNewsBytes = 1000;  ///< estimated bytes of news in a datagram
+  Millis mSpreadPeriod{250};    ///< between rounds of news, if there is any
+  size_t mSpreadFanout = 2;     ///< members told in a round
 };
 
 class Membership {
@@ -108,6 +111,9 @@
   /// A peer's full state has arrived.
   GossipActions Merge(const GossipState& aState, Millis aNow);
   GossipState Snapshot() const;
+  /// \return a digest of the members not dead and the facts. Nodes that know
+  /// the same have the same one, so that they can omit a full exchange.
+  uint64_t Digest() const;
   /// Publishes a fact; ignored unless newer than the one known.
   GossipActions SetFact(Fact aFact, Millis aNow);
   /// Says that this node is leaving; its duties go to others at once.
--- /dev/null
+++ b/src/librillwall_coordination/fact_table.cpp
@@ -0,0 +1,61 @@
+#include "fact_table.h"
+
+#include <tuple>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace rillwall {
+
+namespace {
+
+bool Greater(const Fact& aLeft, const Fact& aRight) {
+  return std::tie(aLeft.mRevision, aLeft.mValue) >
+         std::tie(aRight.mRevision, aRight.mValue);
+}
+
+uint64_t FactDigest(const Fact& aFact) {
+  const uint64_t key = XXH3_64bits(aFact.mKey.data(), aFact.mKey.size());
+  const uint64_t value = XXH3_64bits_withSeed(
+      aFact.mValue.data(), aFact.mValue.size(), aFact.mRevision);
+  return XXH3_64bits_withSeed(&value, sizeof(value), key);
+}
+
+}  // namespace
+
+FactVerdict FactTable::Take(const Fact& aFact) {
+  const auto [place, isNew] = mFacts.try_emplace(aFact.mKey, aFact);
+  if (isNew) {
+    return FactVerdict::Newer;
+  }
+  Fact& known = place->second;
+  if (Greater(aFact, known)) {
+    known = aFact;
+    return FactVerdict::Newer;
+  }
+  return known == aFact ? FactVerdict::Same : FactVerdict::Older;
+}
+
+const Fact* FactTable::Find(std::string_view aKey) const {
+  const auto place = mFacts.find(aKey);
+  return place == mFacts.end() ? nullptr : &place->second;
+}
+
+std::vector<Fact> FactTable::Under(std::string_view aPrefix) const {
+  std::vector<Fact> facts;
+  for (auto place = mFacts.lower_bound(aPrefix);
+       place != mFacts.end() && place->first.starts_with(aPrefix); ++place) {
+    facts.push_back(place->second);
+  }
+  return facts;
+}
+
+uint64_t FactTable::Digest() const {
+  uint64_t digest = 0;
+  for (const auto& [key, fact] : mFacts) {
+    digest ^= FactDigest(fact);
+  }
+  return digest;
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/membership_table.cpp
@@ -0,0 +1,207 @@
+#include "membership_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace rillwall {
+
+namespace {
+
+constexpr size_t kMaxText = 255;
+// Above it an incarnation could not be raised further for long.
+constexpr uint64_t kMaxIncarnation = uint64_t{1} << 62;
+
+auto Rank(const Member& aMember) {
+  return std::tie(aMember.mIncarnation, aMember.mState, aMember.mZone,
+                  aMember.mGossip, aMember.mRpc, aMember.mHttp);
+}
+
+bool SameButIncarnation(const Member& aLeft, const Member& aRight) {
+  Member left = aLeft;
+  left.mIncarnation = aRight.mIncarnation;
+  return left == aRight;
+}
+
+bool IsDead(const Member& aMember) {
+  return aMember.mState == MemberState::Dead;
+}
+
+}  // namespace
+
+bool Overrides(const Member& aLeft, const Member& aRight) {
+  return Rank(aLeft) > Rank(aRight);
+}
+
+bool IsValid(const Member& aMember) {
+  const size_t longest = std::max({aMember.mId.size(), aMember.mZone.size(),
+                                   aMember.mGossip.size(), aMember.mRpc.size(),
+                                   aMember.mHttp.size()});
+  return !aMember.mId.empty() && !aMember.mGossip.empty() &&
+         longest <= kMaxText && aMember.mIncarnation < kMaxIncarnation;
+}
+
+bool HoldsDuties(MemberState aState) {
+  return aState == MemberState::Alive || aState == MemberState::Suspect;
+}
+
+MemberTable::MemberTable(const Member& aSelf) : mSelfId(aSelf.mId) {
+  mEntries[mSelfId].mMember = aSelf;
+}
+
+MemberVerdict MemberTable::Take(const Member& aRecord, Millis aNow) {
+  const auto [place, isNew] = mEntries.try_emplace(aRecord.mId);
+  MemberEntry& entry = place->second;
+  if (isNew) {
+    Replace(entry, aRecord, aNow);
+    return MemberVerdict::Changed;
+  }
+  if (entry.mMember == aRecord) {
+    entry.mUnconfirmed = false;
+    return MemberVerdict::Same;
+  }
+  if (!Overrides(aRecord, entry.mMember)) {
+    return MemberVerdict::Older;
+  }
+  const bool isChange = !SameButIncarnation(aRecord, entry.mMember);
+  Replace(entry, aRecord, aNow);
+  return isChange ? MemberVerdict::Changed : MemberVerdict::Newer;
+}
+
+void MemberTable::Replace(MemberEntry& aEntry, const Member& aRecord,
+                          Millis aNow) {
+  const bool wasDead = IsDead(aEntry.mMember);
+  const bool isDead = IsDead(aRecord);
+  mDead += static_cast<size_t>(isDead) - static_cast<size_t>(wasDead);
+  if (isDead && !wasDead) {
+    aEntry.mDeadSince = aNow;
+  }
+  aEntry.mMember = aRecord;
+  aEntry.mUnconfirmed = false;
+  aEntry.mTimed = aRecord.mState == MemberState::Suspect;
+  aEntry.mTimedSince = aNow;
+}
+
+void MemberTable::SetSelf(uint64_t aIncarnation, MemberState aState) {
+  Member& self = mEntries.at(mSelfId).mMember;
+  self.mIncarnation = aIncarnation;
+  self.mState = aState;
+}
+
+MemberEntry* MemberTable::Find(std::string_view aId) {
+  const auto place = mEntries.find(aId);
+  return place == mEntries.end() ? nullptr : &place->second;
+}
+
+const MemberEntry* MemberTable::Find(std::string_view aId) const {
+  const auto place = mEntries.find(aId);
+  return place == mEntries.end() ? nullptr : &place->second;
+}
+
+void MemberTable::ForgetDead(Millis aBefore) {
+  if (mDead == 0) {
+    return;
+  }
+  mDead -= std::erase_if(mEntries, [aBefore](const auto& aItem) {
+    const MemberEntry& entry = aItem.second;
+    return IsDead(entry.mMember) && entry.mDeadSince < aBefore;
+  });
+}
+
+void MemberTable::RestartTimers(Millis aNow) {
+  for (auto& [id, entry] : mEntries) {
+    entry.mTimedSince = aNow;
+  }
+}
+
+void MemberTable::MarkUnconfirmed() {
+  for (auto& [id, entry] : mEntries) {
+    entry.mUnconfirmed = !IsSelf(id);
+  }
+}
+
+void MemberTable::NoteContact(std::string_view aId, Millis aNow) {
+  MemberEntry* entry = Find(aId);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->mLastContact = aNow;
+  entry->mUnconfirmed = false;
+  // A suspicion ends by a refutation only; a leaving member has no such state.
+  if (entry->mMember.mState == MemberState::Leaving) {
+    entry->mTimed = false;
+  }
+}
+
+std::vector<std::string> MemberTable::TimedSince(Millis aInstant) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mTimed && entry.mTimedSince <= aInstant) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+std::vector<Member> MemberTable::Sample(size_t aCount, std::mt19937_64& aRandom,
+                                        const Filter& aFilter) const {
+  std::vector<const Member*> chosen;
+  size_t seen = 0;
+  for (const auto& [id, entry] : mEntries) {
+    if (IsSelf(id) || !aFilter(entry)) {
+      continue;
+    }
+    ++seen;
+    if (chosen.size() < aCount) {
+      chosen.push_back(&entry.mMember);
+      continue;
+    }
+    const size_t place = aRandom() % seen;
+    if (place < aCount) {
+      chosen[place] = &entry.mMember;
+    }
+  }
+  std::vector<Member> members;
+  members.reserve(chosen.size());
+  for (const Member* member : chosen) {
+    members.push_back(*member);
+  }
+  return members;
+}
+
+bool MemberTable::HasPresentAt(std::string_view aGossip) const {
+  return std::any_of(mEntries.begin(), mEntries.end(), [&](const auto& aItem) {
+    const Member& member = aItem.second.mMember;
+    return member.mGossip == aGossip && !IsDead(member);
+  });
+}
+
+std::vector<Member> MemberTable::Select(const Filter& aFilter) const {
+  std::vector<Member> members;
+  members.reserve(mEntries.size());
+  for (const auto& [id, entry] : mEntries) {
+    if (aFilter(entry)) {
+      members.push_back(entry.mMember);
+    }
+  }
+  return members;
+}
+
+uint64_t MemberTable::Digest() const {
+  uint64_t digest = 0;
+  for (const auto& [id, entry] : mEntries) {
+    const Member& member = entry.mMember;
+    if (IsDead(member)) {
+      continue;
+    }
+    // A suspicion is passing news, no lasting difference.
+    const bool isLeaving = member.mState == MemberState::Leaving;
+    const uint64_t version = member.mIncarnation * 2 + (isLeaving ? 1 : 0);
+    digest ^= XXH3_64bits_withSeed(id.data(), id.size(), version);
+  }
+  return digest;
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/membership_test_network.h
@@ -0,0 +1,197 @@
+/// \file
+/// A deterministic network of Membership objects, for tests and benchmarks.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "rillwall/membership.h"
+
+namespace rillwall {
+
+/// Nodes that exchange datagrams with a seeded latency and loss. Nodes can be
+/// crashed, frozen (what arrives meanwhile waits) and put in partitions.
+class TestNetwork {
+ public:
+  static constexpr Millis kStep{10};
+  static constexpr Millis kTick{50};
+
+  TestNetwork(size_t aCount, GossipLimits aLimits, uint64_t aSeed)
+      : mRandom(aSeed), mLimits(aLimits) {
+    for (size_t index = 0; index < aCount; ++index) {
+      Add(index, 1);
+    }
+  }
+
+  static std::string Id(size_t aIndex) { return "n" + std::to_string(aIndex); }
+  static std::string Address(size_t aIndex) {
+    return "10.0.0.1:" + std::to_string(aIndex + 1);
+  }
+
+  Membership& At(size_t aIndex) { return *mNodes[aIndex].mMembership; }
+  Millis Now() const { return mNow; }
+  size_t Size() const { return mNodes.size(); }
+  /// \return how often a node took one for dead whose process runs on
+  size_t FalseDeaths() const { return mFalseDeaths; }
+  void SetLoss(double aLoss) { mLoss = aLoss; }
+  void SetExchange(Millis aPeriod) { mExchange = aPeriod; }
+  void Crash(size_t aIndex) { mNodes[aIndex].mCrashed = true; }
+  void Freeze(size_t aIndex, Millis aSpan) {
+    mNodes[aIndex].mFrozenUntil = mNow + aSpan;
+  }
+  bool IsFrozen(size_t aIndex) const {
+    return mNodes[aIndex].mFrozenUntil > mNow;
+  }
+  /// Nodes hear only those with the same side.
+  void SetSide(size_t aIndex, int aSide) { mNodes[aIndex].mSide = aSide; }
+  /// Watches every step's actions.
+  void Watch(std::function<void(size_t, const GossipActions&)> aWatcher) {
+    mWatcher = std::move(aWatcher);
+  }
+  /// Carries out what a call into a node's membership asked for.
+  void Carry(size_t aFrom, const GossipActions& aActions) {
+    if (mWatcher) {
+      mWatcher(aFrom, aActions);
+    }
+    for (const Member& member : aActions.mChanged) {
+      const size_t index = std::stoul(member.mId.substr(1));
+      const bool isFalse =
+          !mNodes[index].mCrashed && member.mState == MemberState::Dead;
+      mFalseDeaths += isFalse ? 1 : 0;
+    }
+    for (const GossipSend& send : aActions.mSends) {
+      const size_t to = std::stoul(send.mTo.substr(send.mTo.find(':') + 1)) - 1;
+      const bool isLost = std::bernoulli_distribution(mLoss)(mRandom);
+      if (!isLost && Hears(aFrom, to)) {
+        const Millis due =
+            mNow + kStep * (1 + static_cast<int64_t>(mRandom() % 2));
+        mWire.emplace(due, Flight{aFrom, to, send.mMessage});
+      }
+    }
+  }
+
+  void Run(Millis aSpan) {
+    for (const Millis end = mNow + aSpan; mNow < end;) {
+      Step();
+    }
+  }
+  /// Runs until a condition holds.
+  /// \return the time it took, or aLimit if it never held
+  Millis RunUntil(Millis aLimit, const std::function<bool()>& aCondition) {
+    const Millis start = mNow;
+    while (mNow - start < aLimit && !aCondition()) {
+      Step();
+    }
+    return mNow - start;
+  }
+  /// \return whether every running node counts aCount live members
+  bool AllSee(size_t aCount) {
+    for (const Node& node : mNodes) {
+      if (!node.mCrashed && node.mMembership->Live().size() != aCount) {
+        return false;
+      }
+    }
+    return true;
+  }
+  /// Ends a process, as a replacement with a greater incarnation starts.
+  void Restart(size_t aIndex, uint64_t aIncarnation) {
+    mNodes[aIndex] = Node{};
+    mNodes[aIndex].mMembership = Make(aIndex, aIncarnation);
+  }
+
+ private:
+  struct Flight {
+    size_t mFrom = 0;
+    size_t mTo = 0;
+    GossipMessage mMessage;
+  };
+  struct Node {
+    std::unique_ptr<Membership> mMembership;
+    Millis mFrozenUntil;
+    std::vector<Flight> mWaiting;
+    bool mCrashed = false;
+    int mSide = 0;
+  };
+
+  std::unique_ptr<Membership> Make(size_t aIndex, uint64_t aIncarnation) {
+    const std::string address = Address(aIndex);
+    return std::make_unique<Membership>(
+        Member{Id(aIndex), "zone", address, address, address, aIncarnation},
+        std::vector<std::string>{Address(0), Address(1), Address(2)}, mLimits,
+        mRandom());
+  }
+  void Add(size_t aIndex, uint64_t aIncarnation) {
+    mNodes.emplace_back().mMembership = Make(aIndex, aIncarnation);
+  }
+  bool Hears(size_t aFrom, size_t aTo) const {
+    return aTo < mNodes.size() && !mNodes[aTo].mCrashed &&
+           mNodes[aFrom].mSide == mNodes[aTo].mSide;
+  }
+  void Deliver(const Flight& aFlight) {
+    Node& node = mNodes[aFlight.mTo];
+    if (IsFrozen(aFlight.mTo)) {
+      node.mWaiting.push_back(aFlight);
+    } else if (!node.mCrashed) {
+      Carry(aFlight.mTo, node.mMembership->Receive(
+                             aFlight.mMessage, Address(aFlight.mFrom), mNow));
+    }
+  }
+  void Exchange(size_t aIndex) {
+    const std::vector<Member> live = At(aIndex).Live();
+    const Member& peer = live[mRandom() % live.size()];
+    const size_t other = std::stoul(peer.mId.substr(1));
+    if (other == aIndex || !Hears(aIndex, other) || IsFrozen(other)) {
+      return;
+    }
+    const GossipState state = At(aIndex).Snapshot();
+    Carry(aIndex, At(aIndex).Merge(At(other).Snapshot(), mNow));
+    Carry(other, At(other).Merge(state, mNow));
+  }
+  void Step() {
+    mNow += kStep;
+    while (!mWire.empty() && mWire.begin()->first <= mNow) {
+      const Flight flight = std::move(mWire.begin()->second);
+      mWire.erase(mWire.begin());
+      Deliver(flight);
+    }
+    for (size_t index = 0; index < mNodes.size(); ++index) {
+      StepNode(index);
+    }
+  }
+  void StepNode(size_t aIndex) {
+    Node& node = mNodes[aIndex];
+    if (node.mCrashed || IsFrozen(aIndex)) {
+      return;
+    }
+    const std::vector<Flight> waiting = std::move(node.mWaiting);
+    node.mWaiting.clear();
+    for (const Flight& flight : waiting) {
+      Deliver(flight);
+    }
+    const Millis turn =
+        mNow + kStep * static_cast<int64_t>(aIndex * 7);  // not all at once
+    if (turn.Count() % kTick.Count() == 0) {
+      Carry(aIndex, node.mMembership->Tick(mNow));
+    }
+    if (turn.Count() % mExchange.Count() == 0) {
+      Exchange(aIndex);
+    }
+  }
+
+  std::mt19937_64 mRandom;
+  GossipLimits mLimits;
+  std::vector<Node> mNodes;
+  std::multimap<Millis, Flight> mWire;
+  std::function<void(size_t, const GossipActions&)> mWatcher;
+  Millis mNow{100000};
+  Millis mExchange{5000};
+  double mLoss = 0;
+  size_t mFalseDeaths = 0;
+};
+
+}  // namespace rillwall
