dispatcher: a first working version

Implements rillwall/dispatcher.h: two random choices per zone by own calls and reported load, a limit by reported slots with headroom for interactive calls, start-time fair queueing between tenants, deadlines and refusals with a time to come back, leaving upstreams, breaker with slow start, retry budget, preemption. Nothing is measured yet; 9 tests pass.

--- /dev/null
+++ b/src/librillwall_coordination/breaker.cpp
@@ -0,0 +1,98 @@
+#include "breaker.h"
+
+#include <algorithm>
+
+namespace rillwall {
+
+namespace {
+constexpr double kLeastShare = 0.1;
+}  // namespace
+
+const char* BreakerStateName(BreakerState aState) {
+  switch (aState) {
+    case BreakerState::Closed:
+      return "closed";
+    case BreakerState::Open:
+      return "open";
+    default:
+      return "probing";
+  }
+}
+
+bool Breaker::Allows(Millis aNow) const {
+  if (mState == BreakerState::Closed) {
+    return true;
+  }
+  return mState == BreakerState::Open && aNow >= mNextProbe;
+}
+
+void Breaker::Started(uint64_t aTicket, Millis aNow) {
+  if (mState == BreakerState::Open && aNow >= mNextProbe) {
+    mState = BreakerState::Probing;
+    mProbe = aTicket;
+  }
+}
+
+void Breaker::Succeeded(uint64_t aTicket, Millis aNow) {
+  mFailures = 0;
+  mRefusals = 0;
+  // Late news of calls started before the breaker opened does not close it.
+  if (mState == BreakerState::Probing && aTicket == mProbe) {
+    Close(aNow);
+  }
+}
+
+void Breaker::Failed(uint64_t aTicket, Millis aNow) {
+  if (mState == BreakerState::Probing && aTicket == mProbe) {
+    Open(aNow);
+    return;
+  }
+  ++mFailures;
+  if (mState == BreakerState::Closed && mFailures >= mLimits.mFailures) {
+    Open(aNow);
+  }
+}
+
+void Breaker::Refused(uint64_t aTicket, Millis aNow) {
+  if (mState == BreakerState::Probing && aTicket == mProbe) {
+    Open(aNow);
+    return;
+  }
+  ++mRefusals;
+  if (mState == BreakerState::Closed && mRefusals >= mLimits.mRefusals) {
+    Open(aNow);
+  }
+}
+
+void Breaker::Cancelled(uint64_t aTicket, Millis aNow) {
+  if (mState == BreakerState::Probing && aTicket == mProbe) {
+    mState = BreakerState::Open;
+    mNextProbe = aNow;
+  }
+}
+
+double Breaker::Share(Millis aNow) const {
+  if (!mSlowStart) {
+    return 1.0;
+  }
+  const double passed = static_cast<double>((aNow - mClosedAt).Count());
+  const double span = static_cast<double>(mLimits.mSlowStart.Count());
+  return std::clamp(passed / span, kLeastShare, 1.0);
+}
+
+void Breaker::Open(Millis aNow) {
+  const bool again = mState == BreakerState::Probing;
+  mWait = again ? std::min(mWait * 2, mLimits.mMaxOpen) : mLimits.mOpen;
+  mState = BreakerState::Open;
+  mNextProbe = aNow + mWait;
+  mFailures = 0;
+  mRefusals = 0;
+}
+
+void Breaker::Close(Millis aNow) {
+  mState = BreakerState::Closed;
+  mClosedAt = aNow;
+  mSlowStart = true;
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/dispatcher.cpp
@@ -0,0 +1,202 @@
+#include "rillwall/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dispatcher_impl.h"
+
+namespace rillwall {
+
+namespace {
+constexpr Millis kRefreshPeriod{100};
+constexpr Millis kRememberLeaving{60000};
+
+BreakerLimits BreakerLimitsOf(const DispatcherLimits& aLimits) {
+  return {.mFailures = aLimits.mBreakerFailures, .mOpen = aLimits.mBreakerOpen};
+}
+}  // namespace
+
+Dispatcher::Impl::Impl(std::string aZone, DispatcherLimits aLimits,
+                       uint64_t aSeed)
+    : mZone(std::move(aZone)),
+      mLimits(aLimits),
+      mRandom(aSeed),
+      mBudget(aLimits.mRetryRatio) {}
+
+void Dispatcher::Impl::Configure(std::vector<Upstream> aEngines,
+                                 const PolicyRules& aRules, Millis aNow) {
+  for (auto& [id, engine] : mEngines) {
+    engine->Unlist();
+  }
+  for (Upstream& upstream : aEngines) {
+    TakeEngine(std::move(upstream), aNow);
+  }
+  std::erase_if(mEngines, [](const auto& aEntry) {
+    return !aEntry.second->Listed() && aEntry.second->Own() == 0;
+  });
+  mRules = aRules;
+  RebuildPools(aNow);
+  ApplyRules(aRules);
+}
+
+void Dispatcher::Impl::TakeEngine(Upstream aUpstream, Millis aNow) {
+  if (aUpstream.mKind != UpstreamKind::Engine) {
+    return;
+  }
+  const std::string id = aUpstream.mId;
+  const auto found = mEngines.find(id);
+  if (found != mEngines.end()) {
+    found->second->Update(std::move(aUpstream));
+    return;
+  }
+  auto engine = std::make_unique<EngineState>(std::move(aUpstream),
+                                              BreakerLimitsOf(mLimits));
+  const auto leaving = mLeavingUnknown.find(id);
+  if (leaving != mLeavingUnknown.end() &&
+      aNow - leaving->second < kRememberLeaving) {
+    engine->MarkLeaving();
+  }
+  mEngines.emplace(id, std::move(engine));
+}
+
+void Dispatcher::Impl::RebuildPools(Millis aNow) {
+  std::map<std::string, std::vector<EngineState*>> byModel;
+  for (const auto& [name, model] : mModels) {
+    byModel[name];
+  }
+  for (const auto& [id, engine] : mEngines) {
+    if (engine->Listed()) {
+      byModel[engine->Info().mName].push_back(engine.get());
+    }
+  }
+  for (auto& [name, engines] : byModel) {
+    Model(name).mPool.SetEngines(std::move(engines), aNow);
+  }
+}
+
+void Dispatcher::Impl::ApplyRules(const PolicyRules& aRules) {
+  for (auto& [id, engine] : mEngines) {
+    const ModelRule* rule = aRules.Model(engine->Info().mName);
+    engine->SetHeadroom((rule ? *rule : ModelRule()).mInteractiveHeadroom);
+  }
+  for (auto& [name, model] : mModels) {
+    for (const HouseRule& house : aRules.mHouses) {
+      FairQueue& queue = model->mInteractive;
+      queue.SetShare(queue.Find(house.mName), house.mShare);
+    }
+    for (const TrainerRule& trainer : aRules.mTrainers) {
+      FairQueue& queue = model->mTraining;
+      queue.SetShare(queue.Find(trainer.mName), trainer.mShare);
+    }
+  }
+}
+
+void Dispatcher::Impl::MarkLeaving(std::string_view aUpstream, Millis aNow) {
+  const auto found = mEngines.find(aUpstream);
+  if (found == mEngines.end()) {
+    std::erase_if(mLeavingUnknown, [aNow](const auto& aEntry) {
+      return aNow - aEntry.second >= kRememberLeaving;
+    });
+    mLeavingUnknown.insert_or_assign(std::string(aUpstream), aNow);
+    return;
+  }
+  EngineState& engine = *found->second;
+  engine.MarkLeaving();
+  Model(engine.Info().mName).mPool.RefreshAll(aNow);
+}
+
+ModelQueue& Dispatcher::Impl::Model(const std::string& aName) {
+  std::unique_ptr<ModelQueue>& model = mModels[aName];
+  if (!model) {
+    model = std::make_unique<ModelQueue>(mZone);
+  }
+  return *model;
+}
+
+CallDecisions Dispatcher::Impl::Tick(Millis aNow) {
+  CallDecisions out;
+  mNow = aNow;
+  Expire(out, aNow);
+  const bool refresh = aNow - mRefreshedAt >= kRefreshPeriod;
+  if (refresh) {
+    mRefreshedAt = aNow;
+  }
+  for (auto& [name, model] : mModels) {
+    if (refresh) {
+      model->mPool.RefreshAll(aNow);
+    }
+    Pump(*model, out, aNow);
+    Preempt(*model, out, aNow);
+  }
+  return out;
+}
+
+Dispatcher::Dispatcher(std::string aZone, DispatcherLimits aLimits,
+                       uint64_t aSeed)
+    : mImpl(std::make_unique<Impl>(std::move(aZone), aLimits, aSeed)) {}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::Configure(std::vector<Upstream> aEngines,
+                           const PolicyRules& aRules, Millis aNow) {
+  mImpl->Configure(std::move(aEngines), aRules, aNow);
+}
+
+void Dispatcher::MarkLeaving(std::string_view aUpstream, Millis aNow) {
+  mImpl->MarkLeaving(aUpstream, aNow);
+}
+
+void Dispatcher::Report(std::string_view aUpstream, const LoadReport& aReport) {
+  const auto found = mImpl->mEngines.find(aUpstream);
+  if (found == mImpl->mEngines.end()) {
+    return;
+  }
+  EngineState& engine = *found->second;
+  engine.Report(aReport);
+  mImpl->Model(engine.Info().mName).mPool.Refresh(engine, aReport.mAt);
+}
+
+CallDecisions Dispatcher::Submit(CallSpec aSpec, Millis aNow) {
+  return mImpl->Submit(std::move(aSpec), aNow);
+}
+
+void Dispatcher::FirstToken(uint64_t aTicket, Millis aNow) {
+  Progress(aTicket, 0, aNow);
+}
+
+void Dispatcher::Progress(uint64_t aTicket, int64_t aTokens, Millis aNow) {
+  const auto found = mImpl->mCalls.find(aTicket);
+  if (found == mImpl->mCalls.end() || !found->second.mEngine) {
+    return;
+  }
+  DispatchedCall& call = found->second;
+  call.mTokens += aTokens;
+  call.mEngine->Progress(aTicket, aTokens, aNow);
+}
+
+CallDecisions Dispatcher::Finish(uint64_t aTicket, CallOutcome aOutcome,
+                                 Millis aNow) {
+  return mImpl->Finish(aTicket, aOutcome, aNow);
+}
+
+CallDecisions Dispatcher::Withdraw(uint64_t aTicket, Millis aNow) {
+  return mImpl->Finish(aTicket, CallOutcome::Cancelled, aNow);
+}
+
+CallDecisions Dispatcher::Tick(Millis aNow) { return mImpl->Tick(aNow); }
+
+int64_t Dispatcher::TrainingRoom(std::string_view aModel) const {
+  const auto found = mImpl->mModels.find(std::string(aModel));
+  if (found == mImpl->mModels.end()) {
+    return 0;
+  }
+  const ModelQueue& model = *found->second;
+  const auto queued =
+      static_cast<int64_t>(model.mTraining.Size() + model.mInteractive.Size());
+  const int64_t room = model.mPool.TrainingRoom(mImpl->mNow);
+  return std::max<int64_t>(room - queued, 0);
+}
+
+std::string Dispatcher::Dump() const { return mImpl->Dump(); }
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/dispatcher_impl.h
@@ -0,0 +1,140 @@
+/// \file
+/// The dispatcher's state and its steps; see rillwall/dispatcher.h.
+
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "engine_state.h"
+#include "fair_queue.h"
+#include "retry_budget.h"
+#include "rillwall/dispatcher.h"
+#include "router.h"
+#include "wait_estimate.h"
+
+namespace rillwall {
+
+using CallDecisions = std::vector<CallDecision>;
+
+enum class CallStage { Queued, Started, Preempting };
+
+struct ModelQueue;
+
+/// A call from Submit() until its refusal or end.
+struct DispatchedCall {
+  CallSpec mSpec;
+  CallStage mStage = CallStage::Queued;
+  ModelQueue* mModel = nullptr;
+  FairQueue::Tenant mTenant = 0;
+  FairQueue::Position mPosition;  ///< while queued
+  Millis mQueuedAt;
+  Millis mExpires;  ///< when a queued call is refused
+  EngineState* mEngine = nullptr;
+  uint64_t mGeneration = 0;  ///< of the engine when started
+  std::list<uint64_t>::iterator mTrainingPosition;  ///< while started
+  int64_t mTokens = 0;
+};
+
+/// Queues and engines of one model.
+struct ModelQueue {
+  explicit ModelQueue(const std::string& aZone) : mPool(aZone) {}
+
+  FairQueue& Queue(CallClass aClass) {
+    return aClass == CallClass::Interactive ? mInteractive : mTraining;
+  }
+  const FairQueue& Queue(CallClass aClass) const {
+    return aClass == CallClass::Interactive ? mInteractive : mTraining;
+  }
+  WaitEstimate& Wait(CallClass aClass) {
+    return aClass == CallClass::Interactive ? mInteractiveWait : mTrainingWait;
+  }
+
+  EnginePool mPool;
+  FairQueue mInteractive;
+  FairQueue mTraining;
+  WaitEstimate mInteractiveWait;
+  WaitEstimate mTrainingWait;
+  std::list<uint64_t> mTrainingCalls;  ///< started, oldest first
+  size_t mPreempting = 0;
+};
+
+/// When a queued call is to be refused.
+struct Expiry {
+  Millis mAt;
+  uint64_t mTicket = 0;
+  auto operator<=>(const Expiry&) const = default;
+};
+
+/// Counts for the dump.
+struct DispatchCounts {
+  uint64_t mStarted = 0;
+  uint64_t mQueued = 0;
+  uint64_t mRefused = 0;
+  uint64_t mPreempted = 0;
+  uint64_t mRetries = 0;
+};
+
+struct Dispatcher::Impl {
+  Impl(std::string aZone, DispatcherLimits aLimits, uint64_t aSeed);
+
+  // Engines and rules.
+  void Configure(std::vector<Upstream> aEngines, const PolicyRules& aRules,
+                 Millis aNow);
+  void ApplyRules(const PolicyRules& aRules);
+  void TakeEngine(Upstream aUpstream, Millis aNow);
+  void RebuildPools(Millis aNow);
+  void MarkLeaving(std::string_view aUpstream, Millis aNow);
+  ModelQueue& Model(const std::string& aName);
+
+  // Admission.
+  CallDecisions Submit(CallSpec aSpec, Millis aNow);
+  std::optional<CallDecision> Admit(const CallSpec& aSpec, ModelQueue* aModel,
+                                    Millis aNow);
+  bool HasRoomInQueue(CallClass aClass, CallDecisions& aOut, Millis aNow);
+  void Enqueue(DispatchedCall aCall, CallDecisions& aOut, Millis aNow);
+  Millis LongestWait(const CallSpec& aSpec, Millis aNow) const;
+
+  // Starts and ends.
+  bool TryStart(uint64_t aTicket, DispatchedCall& aCall, CallDecisions& aOut,
+                Millis aNow);
+  void Pump(ModelQueue& aModel, CallDecisions& aOut, Millis aNow);
+  CallDecisions Finish(uint64_t aTicket, CallOutcome aOutcome, Millis aNow);
+  void Leave(uint64_t aTicket, DispatchedCall& aCall);
+  void Refuse(uint64_t aTicket, ErrorKind aReason, Millis aRetryAfter,
+              CallDecisions& aOut);
+  Millis Jitter(Millis aSpan);
+
+  // Time.
+  CallDecisions Tick(Millis aNow);
+  void Expire(CallDecisions& aOut, Millis aNow);
+  void Preempt(ModelQueue& aModel, CallDecisions& aOut, Millis aNow);
+
+  std::string Dump() const;
+
+  const std::string mZone;
+  const DispatcherLimits mLimits;
+  std::mt19937_64 mRandom;
+  PolicyRules mRules;
+  std::map<std::string, std::unique_ptr<EngineState>, std::less<>> mEngines;
+  std::map<std::string, Millis, std::less<>> mLeavingUnknown;
+  std::unordered_map<std::string, std::unique_ptr<ModelQueue>> mModels;
+  std::unordered_map<uint64_t, DispatchedCall> mCalls;
+  std::priority_queue<Expiry, std::vector<Expiry>, std::greater<>> mExpiries;
+  size_t mQueuedCalls = 0;
+  RetryBudget mBudget;
+  DispatchCounts mCounts;
+  Millis mRefreshedAt;
+  Millis mNow;
+};
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/dispatcher_test.cpp
@@ -0,0 +1,184 @@
+#include "rillwall/dispatcher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <string>
+
+namespace rillwall {
+
+namespace {
+
+constexpr const char* kModel = "letters";
+
+Upstream Engine(const std::string& aId, const std::string& aZone = "a") {
+  return {.mId = aId, .mName = kModel, .mZone = aZone, .mGeneration = 1};
+}
+
+CallSpec Call(uint64_t aTicket, CallClass aClass = CallClass::Interactive,
+              const std::string& aTenant = "house") {
+  return {.mTicket = aTicket,
+          .mClass = aClass,
+          .mTenant = aTenant,
+          .mModel = kModel,
+          .mExpectedTokens = 100};
+}
+
+LoadReport Slots(int64_t aSlots, Millis aNow, int64_t aRunning = 0) {
+  return {.mRunning = aRunning, .mSlots = aSlots, .mAt = aNow};
+}
+
+class DispatcherTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DispatcherTest);
+  CPPUNIT_TEST(StartsAtTheLeastLoaded);
+  CPPUNIT_TEST(KeepsHeadroomForInteractive);
+  CPPUNIT_TEST(InteractiveGoesFirst);
+  CPPUNIT_TEST(PreemptsTrainingWhenFull);
+  CPPUNIT_TEST(LeavingGetsNothingNew);
+  CPPUNIT_TEST(RefusesAtOnceWhenNothingIsUsable);
+  CPPUNIT_TEST(RefusesWhatWaitedTooLong);
+  CPPUNIT_TEST(OpensAndProbes);
+  CPPUNIT_TEST(ShedsTrainingFirst);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    mNow = Millis(1000);
+    mLimits = DispatcherLimits();
+    Make();
+  }
+
+  void Make() { mDispatcher = std::make_unique<Dispatcher>("a", mLimits, 1); }
+
+  void Configure(std::vector<Upstream> aEngines, int64_t aSlots) {
+    mDispatcher->Configure(aEngines, PolicyRules(), mNow);
+    for (const Upstream& engine : aEngines) {
+      mDispatcher->Report(engine.mId, Slots(aSlots, mNow));
+    }
+  }
+
+  /// \return how many of a number of calls are started at once
+  int Fill(CallClass aClass, int aCalls, uint64_t aFirst) {
+    int started = 0;
+    for (int call = 0; call < aCalls; ++call) {
+      const auto out = mDispatcher->Submit(Call(aFirst + call, aClass), mNow);
+      started += !out.empty() && out[0].mVerdict == CallVerdict::Start;
+    }
+    return started;
+  }
+
+  void StartsAtTheLeastLoaded() {
+    Configure({Engine("e1"), Engine("e2")}, 8);
+    std::map<std::string, int> calls;
+    for (uint64_t ticket = 1; ticket <= 8; ++ticket) {
+      const auto out = mDispatcher->Submit(Call(ticket), mNow);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, out.size());
+      ++calls[out[0].mUpstream];
+    }
+    CPPUNIT_ASSERT(calls["e1"] >= 3 && calls["e2"] >= 3);
+  }
+
+  void KeepsHeadroomForInteractive() {
+    Configure({Engine("e1")}, 20);
+    CPPUNIT_ASSERT_EQUAL(int64_t{17}, mDispatcher->TrainingRoom(kModel));
+    CPPUNIT_ASSERT_EQUAL(17, Fill(CallClass::Training, 20, 1));
+    CPPUNIT_ASSERT_EQUAL(3, Fill(CallClass::Interactive, 5, 100));
+  }
+
+  void InteractiveGoesFirst() {
+    Configure({Engine("e1")}, 1);
+    Fill(CallClass::Interactive, 1, 1);
+    Fill(CallClass::Training, 1, 2);
+    Fill(CallClass::Interactive, 1, 3);
+    const auto out = mDispatcher->Finish(1, CallOutcome::Done, mNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, out.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, out[0].mTicket);
+  }
+
+  void PreemptsTrainingWhenFull() {
+    Configure({Engine("e1")}, 1);
+    CPPUNIT_ASSERT_EQUAL(1, Fill(CallClass::Training, 1, 1));
+    Fill(CallClass::Interactive, 1, 2);
+    mNow += Millis(100);
+    auto out = mDispatcher->Tick(mNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, out.size());
+    CPPUNIT_ASSERT(out[0].mVerdict == CallVerdict::Preempt);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, out[0].mTicket);
+    CPPUNIT_ASSERT(mDispatcher->Tick(mNow).empty());
+    out = mDispatcher->Finish(1, CallOutcome::Cancelled, mNow);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, out.at(0).mTicket);
+    CPPUNIT_ASSERT(out[0].mVerdict == CallVerdict::Start);
+  }
+
+  void LeavingGetsNothingNew() {
+    Configure({Engine("e1"), Engine("e2")}, 64);
+    mDispatcher->MarkLeaving("e1", mNow);
+    // A list that lags does not bring it back; a new process does.
+    mDispatcher->Configure({Engine("e1"), Engine("e2")}, PolicyRules(), mNow);
+    for (uint64_t ticket = 1; ticket <= 20; ++ticket) {
+      const auto out = mDispatcher->Submit(Call(ticket), mNow);
+      CPPUNIT_ASSERT_EQUAL(std::string("e2"), out.at(0).mUpstream);
+    }
+    Upstream restarted = Engine("e1");
+    restarted.mGeneration = 2;
+    mDispatcher->Configure({restarted}, PolicyRules(), mNow);
+    CPPUNIT_ASSERT_EQUAL(1, Fill(CallClass::Interactive, 1, 100));
+  }
+
+  void RefusesAtOnceWhenNothingIsUsable() {
+    Configure({Engine("e1")}, 4);
+    mDispatcher->MarkLeaving("e1", mNow);
+    const auto out = mDispatcher->Submit(Call(1), mNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, out.size());
+    CPPUNIT_ASSERT(out[0].mVerdict == CallVerdict::Refuse);
+    CPPUNIT_ASSERT(out[0].mReason == ErrorKind::Unavailable);
+    CPPUNIT_ASSERT(out[0].mRetryAfter > Millis(0));
+  }
+
+  void RefusesWhatWaitedTooLong() {
+    Configure({Engine("e1")}, 1);
+    Fill(CallClass::Interactive, 2, 1);
+    mNow += mLimits.mInteractiveQueue;
+    const auto out = mDispatcher->Tick(mNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, out.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, out[0].mTicket);
+    CPPUNIT_ASSERT(out[0].mReason == ErrorKind::Overloaded);
+  }
+
+  void OpensAndProbes() {
+    Configure({Engine("e1")}, 8);
+    for (uint64_t ticket = 1; ticket <= 3; ++ticket) {
+      Fill(CallClass::Interactive, 1, ticket);
+      mDispatcher->Finish(ticket, CallOutcome::Failed, mNow);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, Fill(CallClass::Interactive, 1, 10));
+    mNow += mLimits.mBreakerOpen;
+    mDispatcher->Tick(mNow);
+    CPPUNIT_ASSERT_EQUAL(1, Fill(CallClass::Interactive, 2, 20));
+    mDispatcher->Finish(20, CallOutcome::Done, mNow);
+    CPPUNIT_ASSERT_EQUAL(1, Fill(CallClass::Interactive, 1, 30));
+  }
+
+  void ShedsTrainingFirst() {
+    mLimits.mMaxQueued = 2;
+    Make();
+    Configure({Engine("e1")}, 1);
+    Fill(CallClass::Interactive, 1, 1);
+    Fill(CallClass::Training, 2, 2);
+    const auto out = mDispatcher->Submit(Call(4), mNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, out.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, out[0].mTicket);
+    CPPUNIT_ASSERT(out[0].mVerdict == CallVerdict::Refuse);
+  }
+
+ private:
+  Millis mNow;
+  DispatcherLimits mLimits;
+  std::unique_ptr<Dispatcher> mDispatcher;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
+
+}  // namespace
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/router.cpp
@@ -0,0 +1,234 @@
+#include "router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rillwall {
+
+namespace {
+constexpr int kChoices = 2;
+constexpr int kDraws = 6;
+constexpr double kZonePenalty = 0.1;
+
+size_t ClassIndex(CallClass aClass) {
+  return aClass == CallClass::Interactive ? 0 : 1;
+}
+
+bool Contains(const std::vector<std::string>& aList, std::string_view aItem) {
+  return std::find(aList.begin(), aList.end(), aItem) != aList.end();
+}
+}  // namespace
+
+void IndexSet::Resize(size_t aCount) {
+  mMembers.clear();
+  mPlaces.assign(aCount, kAbsent);
+}
+
+void IndexSet::Set(uint32_t aIndex, bool aMember) {
+  const uint32_t place = mPlaces[aIndex];
+  if (aMember == (place != kAbsent)) {
+    return;
+  }
+  if (aMember) {
+    mPlaces[aIndex] = static_cast<uint32_t>(mMembers.size());
+    mMembers.push_back(aIndex);
+    return;
+  }
+  mMembers[place] = mMembers.back();
+  mPlaces[mMembers[place]] = place;
+  mMembers.pop_back();
+  mPlaces[aIndex] = kAbsent;
+}
+
+void EnginePool::SetEngines(std::vector<EngineState*> aEngines, Millis aNow) {
+  mEngines = std::move(aEngines);
+  mZones.clear();
+  mZoneOf.clear();
+  for (const EngineState* engine : mEngines) {
+    const std::string& name = engine->Info().mZone;
+    auto zone = std::find_if(
+        mZones.begin(), mZones.end(),
+        [&name](const ZoneGroup& aZone) { return aZone.mName == name; });
+    if (zone == mZones.end()) {
+      zone = mZones.insert(mZones.end(), ZoneGroup{.mName = name});
+    }
+    mZoneOf.push_back(static_cast<uint32_t>(zone - mZones.begin()));
+  }
+  for (ZoneGroup& zone : mZones) {
+    for (IndexSet& roomy : zone.mRoomy) {
+      roomy.Resize(mEngines.size());
+    }
+  }
+  for (uint32_t index = 0; index < mEngines.size(); ++index) {
+    mEngines[index]->SetIndex(index);
+  }
+  RefreshAll(aNow);
+}
+
+void EnginePool::Refresh(const EngineState& aEngine, Millis aNow) {
+  const uint32_t index = aEngine.Index();
+  if (index >= mEngines.size() || mEngines[index] != &aEngine) {
+    return;
+  }
+  ZoneGroup& zone = mZones[mZoneOf[index]];
+  for (const CallClass kind : {CallClass::Interactive, CallClass::Training}) {
+    zone.mRoomy[ClassIndex(kind)].Set(index,
+                                      aEngine.Room(kind, mPrior, aNow) > 0);
+  }
+}
+
+void EnginePool::RefreshAll(Millis aNow) {
+  double others = 0;
+  double reported = 0;
+  for (ZoneGroup& zone : mZones) {
+    zone.mNewest = 0;
+  }
+  for (uint32_t index = 0; index < mEngines.size(); ++index) {
+    const EngineState& engine = *mEngines[index];
+    if (engine.HasReport()) {
+      others += engine.Others(0, aNow);
+      ++reported;
+    }
+    if (engine.Usable(aNow)) {
+      int64_t& newest = mZones[mZoneOf[index]].mNewest;
+      newest = std::max(newest, engine.Reported().mVersion);
+    }
+  }
+  mPrior = reported > 0 ? others / reported : 0;
+  for (const EngineState* engine : mEngines) {
+    Refresh(*engine, aNow);
+  }
+}
+
+bool EnginePool::ZoneAllowed(const CallSpec& aSpec,
+                             const ZoneGroup& aZone) const {
+  return aSpec.mZones.empty() || Contains(aSpec.mZones, aZone.mName);
+}
+
+int64_t EnginePool::RequiredVersion(const CallSpec& aSpec) const {
+  if (aSpec.mMinVersion <= 0) {
+    return 0;
+  }
+  for (const ZoneGroup& zone : mZones) {
+    if (zone.mNewest >= aSpec.mMinVersion && ZoneAllowed(aSpec, zone)) {
+      return aSpec.mMinVersion;
+    }
+  }
+  return 0;
+}
+
+bool EnginePool::Eligible(const CallSpec& aSpec, int64_t aVersion,
+                          const EngineState& aEngine) const {
+  if (aEngine.Reported().mVersion < aVersion) {
+    return false;
+  }
+  return aSpec.mAvoid.empty() || !Contains(aSpec.mAvoid, aEngine.Info().mId);
+}
+
+bool EnginePool::Allowed(const CallSpec& aSpec,
+                         const EngineState& aEngine) const {
+  const bool zone =
+      aSpec.mZones.empty() || Contains(aSpec.mZones, aEngine.Info().mZone);
+  return zone && Eligible(aSpec, RequiredVersion(aSpec), aEngine);
+}
+
+double EnginePool::Score(const EngineState& aEngine, Millis aNow) const {
+  const double load = aEngine.Load(mPrior, aNow) + 1;
+  const double used = load / aEngine.Limit(CallClass::Interactive, aNow);
+  return aEngine.Info().mZone == mZone ? used : used + kZonePenalty;
+}
+
+EngineState* EnginePool::Choose(const CallSpec& aSpec, std::mt19937_64& aRandom,
+                                Millis aNow) const {
+  if (!AnyRoom(aSpec.mClass)) {
+    return nullptr;
+  }
+  const int64_t version = RequiredVersion(aSpec);
+  EngineState* sampled = Sample(aSpec, version, aRandom, aNow);
+  return sampled ? sampled : Scan(aSpec, version, aNow);
+}
+
+EngineState* EnginePool::Sample(const CallSpec& aSpec, int64_t aVersion,
+                                std::mt19937_64& aRandom, Millis aNow) const {
+  EngineState* best = nullptr;
+  double bestScore = 0;
+  for (const ZoneGroup& zone : mZones) {
+    const auto& members = zone.mRoomy[ClassIndex(aSpec.mClass)].Members();
+    if (members.empty() || !ZoneAllowed(aSpec, zone)) {
+      continue;
+    }
+    int found = 0;
+    for (int draw = 0; draw < kDraws && found < kChoices; ++draw) {
+      EngineState* engine = mEngines[members[aRandom() % members.size()]];
+      if (!engine->Usable(aNow) || !Eligible(aSpec, aVersion, *engine)) {
+        continue;
+      }
+      ++found;
+      const double score = Score(*engine, aNow);
+      if (!best || score < bestScore) {
+        best = engine;
+        bestScore = score;
+      }
+    }
+  }
+  return best;
+}
+
+EngineState* EnginePool::Scan(const CallSpec& aSpec, int64_t aVersion,
+                              Millis aNow) const {
+  EngineState* best = nullptr;
+  double bestScore = 0;
+  for (const ZoneGroup& zone : mZones) {
+    if (!ZoneAllowed(aSpec, zone)) {
+      continue;
+    }
+    const auto& members = zone.mRoomy[ClassIndex(aSpec.mClass)].Members();
+    for (const uint32_t index : members) {
+      EngineState* engine = mEngines[index];
+      if (!engine->Usable(aNow) || !Eligible(aSpec, aVersion, *engine)) {
+        continue;
+      }
+      const double score = Score(*engine, aNow);
+      if (!best || score < bestScore) {
+        best = engine;
+        bestScore = score;
+      }
+    }
+  }
+  return best;
+}
+
+bool EnginePool::AnyUsable(const CallSpec& aSpec, Millis aNow) const {
+  return std::any_of(mEngines.begin(), mEngines.end(),
+                     [&](const EngineState* aEngine) {
+                       return aEngine->Usable(aNow) && Allowed(aSpec, *aEngine);
+                     });
+}
+
+bool EnginePool::AnyRoom(CallClass aClass) const {
+  return std::any_of(mZones.begin(), mZones.end(),
+                     [aClass](const ZoneGroup& aZone) {
+                       const IndexSet& roomy = aZone.mRoomy[ClassIndex(aClass)];
+                       return !roomy.Members().empty();
+                     });
+}
+
+Millis EnginePool::NextProbe(Millis aNow) const {
+  Millis next(INT64_MAX);
+  for (const EngineState* engine : mEngines) {
+    if (engine->Circuit().State() == BreakerState::Open) {
+      next = std::min(next, std::max(engine->Circuit().NextProbe(), aNow));
+    }
+  }
+  return next;
+}
+
+int64_t EnginePool::TrainingRoom(Millis aNow) const {
+  int64_t room = 0;
+  for (const EngineState* engine : mEngines) {
+    room += engine->Room(CallClass::Training, mPrior, aNow);
+  }
+  return room;
+}
+
+}  // namespace rillwall
