--- /dev/null
+++ b/src/librillwall_coordination/step_runners.cpp
@@ -0,0 +1,95 @@
+#include "step_runners.h"
+
+#include <algorithm>
+
+namespace rillwall {
+
+namespace {
+
+constexpr Millis kRunnerPause{250};
+constexpr Millis kRunnerLongestPause{15000};
+constexpr int kMostDoublings = 20;
+
+}  // namespace
+
+Millis FailurePause(int aFailures, Millis aBase, Millis aMost) {
+  const int doublings = std::clamp(aFailures - 1, 0, kMostDoublings);
+  return std::min(aBase * (int64_t{1} << doublings), aMost);
+}
+
+void RunnerHealth::Failed(std::string_view aRunner, Millis aNow) {
+  Record& record = mRecords[std::string(aRunner)];
+  // Groups given before the first failure fail together; they count once.
+  if (aNow < record.mNotBefore) {
+    return;
+  }
+  ++record.mFailures;
+  record.mNotBefore =
+      aNow + FailurePause(record.mFailures, kRunnerPause, kRunnerLongestPause);
+}
+
+void RunnerHealth::Succeeded(std::string_view aRunner) { Forget(aRunner); }
+
+void RunnerHealth::Forget(std::string_view aRunner) {
+  const auto at = mRecords.find(aRunner);
+  if (at != mRecords.end()) {
+    mRecords.erase(at);
+  }
+}
+
+bool RunnerHealth::Suspect(std::string_view aRunner) const {
+  return mRecords.find(aRunner) != mRecords.end();
+}
+
+int64_t RunnerHealth::Allowed(std::string_view aRunner, int64_t aRoom,
+                              int64_t aRunning, Millis aNow) const {
+  const auto at = mRecords.find(aRunner);
+  if (at == mRecords.end()) {
+    return aRoom;
+  }
+  const bool paused = aNow < at->second.mNotBefore;
+  return paused || aRunning > 0 ? 0 : std::min<int64_t>(aRoom, 1);
+}
+
+RoomPool::RoomPool(std::vector<RunnerRoom> aRunners) {
+  for (RunnerRoom& runner : aRunners) {
+    mTotal += std::max<int64_t>(runner.mRoom, 0);
+    Push(std::move(runner));
+  }
+}
+
+std::string RoomPool::Take(std::string_view aAvoid, bool aStrict) {
+  if (mRunners.empty()) {
+    return "";
+  }
+  RunnerRoom best = Pop();
+  const bool avoided = !aAvoid.empty() && best.mNode == aAvoid;
+  if (avoided && mRunners.empty() && aStrict) {
+    Push(std::move(best));
+    return "";
+  }
+  if (avoided && !mRunners.empty()) {
+    RunnerRoom next = Pop();
+    Push(std::move(best));
+    best = std::move(next);
+  }
+  std::string node = best.mNode;
+  --best.mRoom;
+  --mTotal;
+  Push(std::move(best));
+  return node;
+}
+
+RunnerRoom RoomPool::Pop() {
+  RunnerRoom runner = mRunners.top();
+  mRunners.pop();
+  return runner;
+}
+
+void RoomPool::Push(RunnerRoom aRunner) {
+  if (aRunner.mRoom > 0) {
+    mRunners.push(std::move(aRunner));
+  }
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/step_runners.h
@@ -0,0 +1,67 @@
+/// \file
+/// The runners of a step: which failed lately, and which takes the next group.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <queue>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rillwall/millis.h"
+#include "rillwall/step.h"
+
+namespace rillwall {
+
+/// \return the pause after this many failures in a row
+Millis FailurePause(int aFailures, Millis aBase, Millis aMost);
+
+/// Remembers failures. A runner that failed is left alone for a pause that
+/// doubles, and then tried with one group until one finishes there.
+class RunnerHealth {
+ public:
+  void Failed(std::string_view aRunner, Millis aNow);
+  void Succeeded(std::string_view aRunner);
+  void Forget(std::string_view aRunner);
+  /// \return whether the runner failed since a group last finished there
+  bool Suspect(std::string_view aRunner) const;
+  /// \return how many of aRoom groups the runner may be given now
+  int64_t Allowed(std::string_view aRunner, int64_t aRoom, int64_t aRunning,
+                  Millis aNow) const;
+
+ private:
+  struct Record {
+    int mFailures = 0;
+    Millis mNotBefore;
+  };
+  std::map<std::string, Record, std::less<>> mRecords;
+};
+
+/// Hands out room during one tick, the runner with most room left first.
+class RoomPool {
+ public:
+  explicit RoomPool(std::vector<RunnerRoom> aRunners);
+  int64_t Total() const { return mTotal; }
+  /// Takes room for one group.
+  /// \param aAvoid a runner taken only if aStrict is false and no other has
+  /// room; empty: none
+  /// \return the runner; empty if there is none
+  std::string Take(std::string_view aAvoid, bool aStrict);
+
+ private:
+  struct LessRoom {
+    bool operator()(const RunnerRoom& aLeft, const RunnerRoom& aRight) const {
+      return aLeft.mRoom != aRight.mRoom ? aLeft.mRoom < aRight.mRoom
+                                         : aLeft.mNode > aRight.mNode;
+    }
+  };
+  RunnerRoom Pop();
+  void Push(RunnerRoom aRunner);
+
+  std::priority_queue<RunnerRoom, std::vector<RunnerRoom>, LessRoom> mRunners;
+  int64_t mTotal = 0;
+};
+
+}  // namespace rillwall
