--- a/src/include/rillwall/settings.h
+++ b/src/include/rillwall/settings.h
@@ -38,10 +38,10 @@
   std::optional<Endpoint> mAdvertiseRpc;
   std::optional<Endpoint> mAdvertiseGossip;
 
-  std::vector<Endpoint> mSeeds;       ///< gossip addresses to join through
-  std::vector<Endpoint> mKv;          ///< the key-value service
-  std::optional<Endpoint> mHostList;  ///< the platform's list of hosts
-  std::string mDataFolder;            ///< for bulk data; empty: none
+  std::vector<Endpoint> mSeeds;  ///< gossip addresses to join through
+  std::vector<Endpoint> mKv;     ///< the key-value service
+  Endpoint mHostList;            ///< the platform's list of hosts
+  std::string mDataFolder;       ///< for bulk data; empty: none
 
   int64_t mThreads = 2;
   LogOptions mLog;
