--- a/src/include/rillwall/token.h
+++ b/src/include/rillwall/token.h
@@ -14,7 +14,8 @@
 
 namespace rillwall {
 
-/// \return SHA-256 of salt and token, 64 lower-case hexadecimal digits
+/// \return SHA-256 of the salt followed by the token, 64 lower-case
+/// hexadecimal digits
 std::string TokenHash(std::string_view aSalt, std::string_view aToken);
 
 /// Compares in a time that does not depend on where the hashes differ.
