Add the HTTP server and client

Cause: every part needs HTTP/1.1 towards callers, upstreams and the platform. Ways ruled out: Beast's async_read/async_write (composed operations a call, and no read is pending while a handler runs, so that a peer that leaves isn't seen); a timer operation a request (the deadline is moved under a small lock, the timer stays armed). Change: server connections on a strand of their own with one read always pending; a client with a pool per endpoint, where a connection returns only after its answer's proper end.

--- /dev/null
+++ b/src/librillwall_protocol/boost_json.cpp
@@ -0,0 +1,4 @@
+/// \file
+/// Compiles Boost.JSON, once for the whole program.
+
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/librillwall_transport/http_client.cpp
@@ -0,0 +1,200 @@
+#include <atomic>
+#include <boost/asio/ip/address.hpp>
+#include <map>
+#include <mutex>
+
+#include "http_client_connection.h"
+#include "rillwall/http.h"
+
+namespace rillwall {
+
+namespace {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+constexpr size_t kMaxIdlePerEndpoint = 256;
+/// Less than what servers allow, so that they rarely close first.
+constexpr std::chrono::seconds kMaxIdleTime{20};
+constexpr std::chrono::seconds kSweepInterval{5};
+
+Millis Until(TimePoint aDue) {
+  const auto left = aDue - std::chrono::steady_clock::now();
+  const auto count = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+  return Millis(std::max<int64_t>(count, 0));
+}
+
+Error CannotConnect(const Endpoint& aEndpoint, const error_code& aCode,
+                    bool aLate) {
+  return {aLate ? ErrorKind::Timeout : ErrorKind::ConnectionLost,
+          "Can't connect to " + aEndpoint.Text() + ": " +
+              (aLate ? "no answer in time" : aCode.message()) + ".",
+          RunState::NotRun};
+}
+
+using Connection = std::unique_ptr<HttpClientConnection>;
+
+}  // namespace
+
+struct HttpClient::Impl final : HttpConnectionSink,
+                                std::enable_shared_from_this<HttpClient::Impl> {
+  explicit Impl(asio::io_context& aContext) : mContext(aContext) {}
+
+  void Release(Connection aConnection) override;
+  /// \return an idle connection that looks healthy, or nullptr
+  Connection Reuse(const Endpoint& aEndpoint);
+  asio::awaitable<Result<Connection>> Connect(Endpoint aEndpoint,
+                                              TimePoint aDue);
+  asio::awaitable<Result<std::unique_ptr<HttpClientCall>>> Begin(
+      const Endpoint& aEndpoint, const HttpRequest& aRequest, Millis aTimeout);
+  asio::awaitable<Result<HttpResponse>> Send(Endpoint aEndpoint,
+                                             HttpRequest aRequest,
+                                             Millis aTimeout);
+  asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
+      Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout);
+  /// Closes connections that were idle for too long; under the lock.
+  void Sweep(TimePoint aNow);
+
+  asio::io_context& mContext;
+  const HttpClientConnection::Counter mOpen =
+      std::make_shared<std::atomic<size_t>>(0);
+  std::mutex mMutex;  ///< of what follows
+  std::map<Endpoint, std::vector<Connection>> mIdle;
+  TimePoint mSweptAt;
+};
+
+void HttpClient::Impl::Release(Connection aConnection) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  aConnection->mIdleSince = now;
+  const std::lock_guard lock(mMutex);
+  std::vector<Connection>& idle = mIdle[aConnection->mEndpoint];
+  if (idle.size() < kMaxIdlePerEndpoint) {
+    idle.push_back(std::move(aConnection));
+  }
+  if (now - mSweptAt > kSweepInterval) {
+    mSweptAt = now;
+    Sweep(now);
+  }
+}
+
+void HttpClient::Impl::Sweep(TimePoint aNow) {
+  const auto outdated = [aNow](const Connection& aConnection) {
+    return aNow - aConnection->mIdleSince > kMaxIdleTime;
+  };
+  for (auto& [endpoint, idle] : mIdle) {
+    std::erase_if(idle, outdated);
+  }
+  std::erase_if(mIdle,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
+Connection HttpClient::Impl::Reuse(const Endpoint& aEndpoint) {
+  while (true) {
+    Connection connection;
+    {
+      const std::lock_guard lock(mMutex);
+      const auto found = mIdle.find(aEndpoint);
+      if (found == mIdle.end() || found->second.empty()) {
+        return nullptr;
+      }
+      connection = std::move(found->second.back());
+      found->second.pop_back();
+    }
+    if (!connection->mSocket.Stale()) {
+      return connection;
+    }
+  }
+}
+
+asio::awaitable<Result<Connection>> HttpClient::Impl::Connect(
+    Endpoint aEndpoint, TimePoint aDue) {
+  error_code code;
+  const asio::ip::address address =
+      asio::ip::make_address(aEndpoint.mHost, code);
+  if (code) {
+    co_return CannotConnect(aEndpoint, code, false);
+  }
+  auto connection =
+      std::make_unique<HttpClientConnection>(mContext, aEndpoint, mOpen);
+  HttpSocket& socket = connection->mSocket;
+  socket.Deadline().Set(Until(aDue));
+  const asio::ip::tcp::endpoint remote(address, aEndpoint.mPort);
+  code = co_await socket.Connect(remote);
+  const bool late = socket.Deadline().Expired();
+  if (code || late) {
+    co_return CannotConnect(aEndpoint, code, late);
+  }
+  co_return connection;
+}
+
+asio::awaitable<Result<std::unique_ptr<HttpClientCall>>>
+HttpClient::Impl::Begin(const Endpoint& aEndpoint, const HttpRequest& aRequest,
+                        Millis aTimeout) {
+  if (!ValidRequestLine(aRequest)) {
+    co_return Error(ErrorKind::BadRequest,
+                    "The request's method or target is not valid.");
+  }
+  const TimePoint due = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(aTimeout.Count());
+  Connection connection = Reuse(aEndpoint);
+  if (connection) {
+    connection->mSocket.Deadline().Set(aTimeout);
+  } else {
+    Result<Connection> made = co_await Connect(aEndpoint, due);
+    if (!made) {
+      co_return made.error();
+    }
+    connection = std::move(*made);
+  }
+  auto call = std::make_unique<HttpClientCall>(shared_from_this(),
+                                               std::move(connection));
+  std::optional<Error> error = co_await call->WriteRequest(aRequest);
+  if (!error) {
+    error = co_await call->ReadHead();
+  }
+  if (error) {
+    co_return std::move(*error);
+  }
+  co_return call;
+}
+
+asio::awaitable<Result<HttpResponse>> HttpClient::Impl::Send(
+    Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout) {
+  const std::shared_ptr<Impl> self = shared_from_this();
+  Result<std::unique_ptr<HttpClientCall>> call =
+      co_await Begin(aEndpoint, aRequest, aTimeout);
+  if (!call) {
+    co_return call.error();
+  }
+  co_return co_await (*call)->ReadAll();
+}
+
+asio::awaitable<Result<std::unique_ptr<HttpStream>>> HttpClient::Impl::Open(
+    Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout) {
+  const std::shared_ptr<Impl> self = shared_from_this();
+  Result<std::unique_ptr<HttpClientCall>> call =
+      co_await Begin(aEndpoint, aRequest, aTimeout);
+  if (!call) {
+    co_return call.error();
+  }
+  (*call)->Pause();
+  co_return std::unique_ptr<HttpStream>(std::move(*call));
+}
+
+HttpClient::HttpClient(asio::io_context& aContext)
+    : mImpl(std::make_shared<Impl>(aContext)) {}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<Result<HttpResponse>> HttpClient::Send(
+    const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout) {
+  return mImpl->Send(aEndpoint, std::move(aRequest), aTimeout);
+}
+
+asio::awaitable<Result<std::unique_ptr<HttpStream>>> HttpClient::Open(
+    const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout) {
+  return mImpl->Open(aEndpoint, std::move(aRequest), aTimeout);
+}
+
+size_t HttpClient::Connections() const { return mImpl->mOpen->load(); }
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_transport/http_server.cpp
@@ -0,0 +1,138 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "http_server_connection.h"
+#include "rillwall/http.h"
+
+namespace rillwall {
+
+namespace {
+
+using Acceptor =
+    asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
+
+/// Pause after a failed accept, such as one for want of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(asio::io_context& aContext, HttpLimits aLimits, HttpHandler aHandler)
+      : mShared(std::make_shared<HttpServerShared>(aContext, aLimits,
+                                                   std::move(aHandler))),
+        mStrand(asio::make_strand(aContext)),
+        mAcceptor(aContext) {}
+
+  Result<Endpoint> Listen(const Endpoint& aEndpoint);
+  asio::awaitable<void> Accept();
+  void Take(TcpSocket aSocket);
+  void CloseAcceptor();
+  void ForEach(void (HttpServerConnection::*aAction)());
+
+  const std::shared_ptr<HttpServerShared> mShared;
+  const asio::strand<asio::io_context::executor_type> mStrand;
+  Acceptor mAcceptor;
+};
+
+Result<Endpoint> HttpServer::Impl::Listen(const Endpoint& aEndpoint) {
+  error_code code;
+  const asio::ip::address address =
+      asio::ip::make_address(aEndpoint.mHost, code);
+  const asio::ip::tcp::endpoint local(address, aEndpoint.mPort);
+  if (!code) {
+    mAcceptor.open(local.protocol(), code);
+  }
+  if (!code) {
+    mAcceptor.set_option(asio::socket_base::reuse_address(true), code);
+  }
+  if (!code) {
+    mAcceptor.bind(local, code);
+  }
+  if (!code) {
+    mAcceptor.listen(kBacklog, code);
+  }
+  if (code) {
+    error_code ignored;
+    mAcceptor.close(ignored);
+    return Error(ErrorKind::Unavailable, "Can't listen on " + aEndpoint.Text() +
+                                             ": " + code.message() + ".");
+  }
+  asio::co_spawn(
+      mStrand,
+      [](std::shared_ptr<Impl> aSelf) -> asio::awaitable<void> {
+        co_await aSelf->Accept();
+      }(shared_from_this()),
+      asio::detached);
+  return Endpoint{aEndpoint.mHost, mAcceptor.local_endpoint(code).port()};
+}
+
+asio::awaitable<void> HttpServer::Impl::Accept() {
+  asio::steady_timer pause(mShared->mContext);
+  while (mAcceptor.is_open()) {
+    auto [code, socket] = co_await mAcceptor.async_accept(
+        mShared->mContext, asio::as_tuple(asio::use_awaitable));
+    if (!code) {
+      Take(std::move(socket));
+    } else if (mAcceptor.is_open()) {
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+}
+
+void HttpServer::Impl::Take(TcpSocket aSocket) {
+  error_code code;
+  const asio::ip::tcp::endpoint peer = aSocket.remote_endpoint(code);
+  {
+    const std::lock_guard lock(mShared->mMutex);
+    const size_t open = mShared->mConnections.size();
+    if (code || open >= mShared->mLimits.mMaxConnections) {
+      return;
+    }
+  }
+  const Endpoint name{peer.address().to_string(), peer.port()};
+  HttpServerConnection::Start(std::make_shared<HttpServerConnection>(
+      mShared, std::move(aSocket), name.Text()));
+}
+
+void HttpServer::Impl::CloseAcceptor() {
+  asio::post(mStrand, [self = shared_from_this()] {
+    error_code ignored;
+    self->mAcceptor.close(ignored);
+  });
+}
+
+void HttpServer::Impl::ForEach(void (HttpServerConnection::*aAction)()) {
+  const std::lock_guard lock(mShared->mMutex);
+  for (HttpServerConnection* connection : mShared->mConnections) {
+    (connection->*aAction)();
+  }
+}
+
+HttpServer::HttpServer(asio::io_context& aContext, HttpLimits aLimits,
+                       HttpHandler aHandler)
+    : mImpl(std::make_shared<Impl>(aContext, aLimits, std::move(aHandler))) {}
+
+HttpServer::~HttpServer() { Stop(); }
+
+Result<Endpoint> HttpServer::Listen(const Endpoint& aEndpoint) {
+  return mImpl->Listen(aEndpoint);
+}
+
+void HttpServer::Drain() {
+  mImpl->mShared->mDraining.store(true);
+  mImpl->CloseAcceptor();
+  mImpl->ForEach(&HttpServerConnection::Drain);
+}
+
+size_t HttpServer::Active() const { return mImpl->mShared->mActive.load(); }
+
+void HttpServer::Stop() {
+  mImpl->mShared->mDraining.store(true);
+  mImpl->CloseAcceptor();
+  mImpl->ForEach(&HttpServerConnection::Stop);
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_transport/http_test.cpp
@@ -0,0 +1,114 @@
+/// \file
+/// The HTTP server and client together.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "http_test_support.h"
+
+namespace rillwall {
+
+namespace {
+
+/// Streams, echoes, cuts or stays silent, as the path says.
+asio::awaitable<void> Handle(const HttpRequest& aRequest,
+                             HttpExchange& aExchange) {
+  HttpResponse response;
+  if (aRequest.Path() == "/echo") {
+    response.mHeaders.push_back({"X-Query", aRequest.Query("q")});
+    response.mBody = aRequest.mMethod + " " + aRequest.mBody;
+    co_await aExchange.Respond(std::move(response));
+    co_return;
+  }
+  co_await aExchange.Begin(std::move(response));
+  std::string part = "one ";
+  co_await aExchange.Write(std::move(part));
+  co_await Sleep(Millis(20));
+  part = "two";
+  co_await aExchange.Write(std::move(part));
+  if (aRequest.Path() == "/stream") {
+    co_await aExchange.End();
+  }
+}
+
+class HttpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpTest);
+  CPPUNIT_TEST(testRequestAndAnswer);
+  CPPUNIT_TEST(testStreamedAnswer);
+  CPPUNIT_TEST(testCutStreamIsAnError);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    mServer.emplace(mThreads.Context(), HttpLimits(), Handle);
+    mWhere = mServer->Listen({"127.0.0.1", 0}).value();
+  }
+  void tearDown() override { mServer.reset(); }
+
+  void testRequestAndAnswer() {
+    for (int i = 0; i < 3; ++i) {
+      HttpRequest request;
+      request.mMethod = "POST";
+      request.mTarget = "/echo?q=a%20b";
+      request.mBody = "body" + std::to_string(i);
+      const HttpResponse answer =
+          mThreads.Await(mClient.Send(mWhere, request, kGenerous)).value();
+      CPPUNIT_ASSERT_EQUAL(200, answer.mStatus);
+      CPPUNIT_ASSERT_EQUAL("POST " + request.mBody, answer.mBody);
+      CPPUNIT_ASSERT_EQUAL(std::string("a b"), *answer.Find("x-query"));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mClient.Connections());
+  }
+
+  void testStreamedAnswer() {
+    HttpRequest request;
+    request.mTarget = "/stream";
+    auto stream =
+        mThreads.Await(mClient.Open(mWhere, request, kGenerous)).value();
+    CPPUNIT_ASSERT_EQUAL(200, stream->Head().mStatus);
+    std::string text;
+    while (true) {
+      const std::string part = mThreads.Await(stream->Read(kGenerous)).value();
+      if (part.empty()) {
+        break;
+      }
+      text += part;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("one two"), text);
+    const HttpResponse whole =
+        mThreads.Await(mClient.Send(mWhere, request, kGenerous)).value();
+    CPPUNIT_ASSERT_EQUAL(text, whole.mBody);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mClient.Connections());
+  }
+
+  void testCutStreamIsAnError() {
+    HttpRequest request;
+    request.mTarget = "/cut";
+    auto stream =
+        mThreads.Await(mClient.Open(mWhere, request, kGenerous)).value();
+    Result<std::string> part = mThreads.Await(stream->Read(kGenerous));
+    std::string text;
+    while (part && !part->empty()) {
+      text += *part;
+      part = mThreads.Await(stream->Read(kGenerous));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("one two"), text);
+    CPPUNIT_ASSERT(part.has_error());
+    CPPUNIT_ASSERT(part.error().Kind() == ErrorKind::ConnectionLost);
+    CPPUNIT_ASSERT(part.error().Run() == RunState::Run);
+    const auto whole = mThreads.Await(mClient.Send(mWhere, request, kGenerous));
+    CPPUNIT_ASSERT(whole.has_error());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
+  }
+
+ private:
+  ThreadedContext mThreads;
+  HttpClient mClient{mThreads.Context()};
+  std::optional<HttpServer> mServer;
+  Endpoint mWhere;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
+
+}  // namespace
+
+}  // namespace rillwall
