--- a/src/cmake/RillwallLibrary.cmake
+++ b/src/cmake/RillwallLibrary.cmake
@@ -13,6 +13,8 @@
   if(tests)
     add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/src/cmake/test_main.cpp)
     target_include_directories(${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+    # Tests read examples of docs/ and testsuite/ by this path.
+    target_compile_definitions(${name}_test PRIVATE RILLWALL_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(${name}_test ${name} PkgConfig::CPPUNIT)
     add_test(NAME ${name} COMMAND ${name}_test)
   endif()
