--- /dev/null
+++ b/src/librillwall_protocol/json.cpp
@@ -0,0 +1,225 @@
+#include "rillwall/json.h"
+
+#include <charconv>
+
+namespace rillwall {
+
+namespace {
+
+constexpr std::string_view kString = "has to be a string";
+constexpr std::string_view kInt = "has to be an integer";
+constexpr std::string_view kUint = "has to be an integer of at least 0";
+constexpr std::string_view kDouble = "has to be a number";
+constexpr std::string_view kBool = "has to be true or false";
+constexpr std::string_view kStrings = "has to be an array of strings";
+constexpr std::string_view kObject = "has to be an object";
+constexpr std::string_view kArray = "has to be an array";
+
+/// \return the number if it is one without loss
+template <class Number>
+std::optional<Number> Exact(const json::value& aValue) {
+  json::error_code code;
+  const Number number = aValue.to_number<Number>(code);
+  return code ? std::nullopt : std::optional<Number>(number);
+}
+
+std::optional<int64_t> FromDecimal(std::string_view aText) {
+  int64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [last, code] = std::from_chars(aText.data(), end, number);
+  const bool whole = !aText.empty() && last == end && code == std::errc();
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+}  // namespace
+
+Result<json::value> ParseJson(std::string_view aText,
+                              const JsonLimits& aLimits) {
+  if (aText.size() > aLimits.mMaxBytes) {
+    return Error(ErrorKind::TooLarge,
+                 "The JSON text has " + std::to_string(aText.size()) +
+                     " bytes; " + std::to_string(aLimits.mMaxBytes) +
+                     " are allowed.");
+  }
+  json::parse_options options;
+  options.max_depth = aLimits.mMaxDepth;
+  json::error_code code;
+  json::value value = json::parse(aText, code, {}, options);
+  if (code) {
+    return Error(ErrorKind::BadRequest,
+                 "The body is not valid JSON: " + code.message() + ".");
+  }
+  return value;
+}
+
+Result<json::object> ParseJsonObject(std::string_view aText,
+                                     const JsonLimits& aLimits) {
+  Result<json::value> value = ParseJson(aText, aLimits);
+  if (!value) {
+    return value.error();
+  }
+  if (!value->is_object()) {
+    return Error(ErrorKind::BadRequest, "The body has to be a JSON object.");
+  }
+  return std::move(value->get_object());
+}
+
+JsonReader::JsonReader(const json::object& aObject, std::string aPath)
+    : mObject(aObject), mPath(std::move(aPath)) {}
+
+void JsonReader::Fail(std::string_view aName, std::string_view aWhat) {
+  if (mFailure) {
+    return;
+  }
+  std::string field = mPath.empty() ? "" : mPath + ".";
+  field += aName;
+  mFailure.emplace(ErrorKind::BadRequest,
+                   "Field '" + field + "' " + std::string(aWhat) + ".");
+}
+
+const json::value* JsonReader::Find(std::string_view aName) const {
+  const json::value* found = mObject.if_contains(aName);
+  return found != nullptr && !found->is_null() ? found : nullptr;
+}
+
+const json::value* JsonReader::Need(std::string_view aName,
+                                    std::string_view aWhat) {
+  const json::value* found = Find(aName);
+  if (found == nullptr) {
+    Fail(aName, "is missing; it " + std::string(aWhat));
+  }
+  return found;
+}
+
+std::string JsonReader::String(std::string_view aName) {
+  const json::value* found = Need(aName, kString);
+  return found != nullptr ? String(aName, "") : std::string();
+}
+
+std::string JsonReader::String(std::string_view aName,
+                               std::string_view aDefault) {
+  const json::value* found = Find(aName);
+  if (found == nullptr) {
+    return std::string(aDefault);
+  }
+  const json::string* text = found->if_string();
+  if (text == nullptr) {
+    Fail(aName, kString);
+    return {};
+  }
+  return std::string(*text);
+}
+
+int64_t JsonReader::Int(std::string_view aName) {
+  return Need(aName, kInt) != nullptr ? Int(aName, 0) : 0;
+}
+
+int64_t JsonReader::Int(std::string_view aName, int64_t aDefault) {
+  const json::value* found = Find(aName);
+  if (found == nullptr) {
+    return aDefault;
+  }
+  const std::optional<int64_t> number = Exact<int64_t>(*found);
+  if (!number) {
+    Fail(aName, kInt);
+  }
+  return number.value_or(0);
+}
+
+uint64_t JsonReader::Uint(std::string_view aName) {
+  return Need(aName, kUint) != nullptr ? Uint(aName, 0) : 0;
+}
+
+uint64_t JsonReader::Uint(std::string_view aName, uint64_t aDefault) {
+  const json::value* found = Find(aName);
+  if (found == nullptr) {
+    return aDefault;
+  }
+  const std::optional<uint64_t> number = Exact<uint64_t>(*found);
+  if (!number) {
+    Fail(aName, kUint);
+  }
+  return number.value_or(0);
+}
+
+double JsonReader::Double(std::string_view aName) {
+  return Need(aName, kDouble) != nullptr ? Double(aName, 0) : 0;
+}
+
+double JsonReader::Double(std::string_view aName, double aDefault) {
+  const json::value* found = Find(aName);
+  if (found == nullptr) {
+    return aDefault;
+  }
+  if (!found->is_number()) {
+    Fail(aName, kDouble);
+    return 0;
+  }
+  return found->to_number<double>();
+}
+
+bool JsonReader::Bool(std::string_view aName) {
+  return Need(aName, kBool) != nullptr && Bool(aName, false);
+}
+
+bool JsonReader::Bool(std::string_view aName, bool aDefault) {
+  const json::value* found = Find(aName);
+  if (found == nullptr) {
+    return aDefault;
+  }
+  if (!found->is_bool()) {
+    Fail(aName, kBool);
+    return false;
+  }
+  return found->get_bool();
+}
+
+std::vector<std::string> JsonReader::Strings(std::string_view aName) {
+  const json::value* found = Need(aName, kStrings);
+  std::vector<std::string> strings;
+  if (found == nullptr || !found->is_array()) {
+    Fail(aName, kStrings);
+    return strings;
+  }
+  strings.reserve(found->get_array().size());
+  for (const json::value& item : found->get_array()) {
+    if (!item.is_string()) {
+      Fail(aName, kStrings);
+      return {};
+    }
+    strings.emplace_back(item.get_string());
+  }
+  return strings;
+}
+
+int64_t JsonReader::DecimalInt(std::string_view aName) {
+  const json::value* found = Find(aName);
+  if (found == nullptr || !found->is_string()) {
+    return Int(aName, 0);
+  }
+  const std::optional<int64_t> number = FromDecimal(found->get_string());
+  if (!number) {
+    Fail(aName, kInt);
+  }
+  return number.value_or(0);
+}
+
+const json::object* JsonReader::Object(std::string_view aName) {
+  const json::value* found = Find(aName);
+  const json::object* object = found != nullptr ? found->if_object() : nullptr;
+  if (found != nullptr && object == nullptr) {
+    Fail(aName, kObject);
+  }
+  return object;
+}
+
+const json::array* JsonReader::Array(std::string_view aName) {
+  const json::value* found = Find(aName);
+  const json::array* array = found != nullptr ? found->if_array() : nullptr;
+  if (found != nullptr && array == nullptr) {
+    Fail(aName, kArray);
+  }
+  return array;
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_transport/kv_client.cpp
@@ -0,0 +1,307 @@
+#include "rillwall/kv_client.h"
+
+#include <atomic>
+
+#include "kv_codec.h"
+#include "rillwall/json.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr size_t kMaxValue = 1024 * 1024;
+/// A line of a watch holds the changes of one revision.
+constexpr size_t kMaxWatchLine = 64 * 1024 * 1024;
+/// The gateway's code for a call that may or may not have been taken.
+constexpr int64_t kGrpcUnavailable = 14;
+
+enum class CallKind { Read, Write };
+
+Error Unavailable(const std::string& aDetail) {
+  return {ErrorKind::KvUnavailable, aDetail};
+}
+
+Error Uncertain(const std::string& aDetail) {
+  return {ErrorKind::KvUncertain, aDetail};
+}
+
+/// Whether a 503 comes from the gateway's own store and so leaves open whether
+/// a write was taken, as after "request timed out".
+bool OpenOutcome(const std::string& aBody) {
+  const Result<json::object> body = ParseJsonObject(aBody);
+  if (!body) {
+    return false;
+  }
+  JsonReader reader(*body);
+  const bool unavailable = reader.Int("code", 0) == kGrpcUnavailable;
+  const std::string message = reader.String("message", "");
+  return unavailable && message.find("no leader") == std::string::npos;
+}
+
+/// The error of a call that was answered with another status than 200.
+Error RefusalOf(CallKind aKind, const HttpResponse& aResponse) {
+  const std::string detail = "The key-value service answered with status " +
+                             std::to_string(aResponse.mStatus) + ": " +
+                             aResponse.mBody.substr(0, 200) + ".";
+  if (aResponse.mStatus == 400) {
+    return {ErrorKind::BadRequest, detail};
+  }
+  const bool open = aResponse.mStatus == 503 ? OpenOutcome(aResponse.mBody)
+                                             : aResponse.mStatus >= 500;
+  return aKind == CallKind::Write && open ? Uncertain(detail)
+                                          : Unavailable(detail);
+}
+
+/// The error of a call that was not answered.
+Error LossOf(CallKind aKind, const Error& aError) {
+  const bool open =
+      aKind == CallKind::Write && aError.Run() != RunState::NotRun;
+  return open ? Uncertain(aError.Detail()) : Unavailable(aError.Detail());
+}
+
+HttpRequest Post(const char* aTarget, std::string aBody) {
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = aTarget;
+  request.mHeaders.push_back({"Content-Type", "application/json"});
+  request.mBody = std::move(aBody);
+  return request;
+}
+
+}  // namespace
+
+struct KvClient::Impl {
+  Impl(HttpClient& aClient, KvSettings aSettings)
+      : mClient(aClient), mSettings(std::move(aSettings)) {}
+
+  /// Posts to the endpoint in use and reads the answer with aRead.
+  template <class Value>
+  asio::awaitable<Result<Value>> Call(CallKind aKind, const char* aTarget,
+                                      std::string aBody,
+                                      Result<Value> (*aRead)(std::string_view));
+  /// \return the lease's id; 0 if none is wanted
+  asio::awaitable<Result<int64_t>> Grant(int64_t aSeconds);
+  asio::awaitable<Result<KvSwap>> Swap(kv::SwapRequest aRequest,
+                                       int64_t aLeaseSeconds);
+  asio::awaitable<Error> Watch(
+      HttpStream& aStream,
+      const std::function<void(const std::vector<KvEvent>&)>& aOnEvents);
+  std::optional<Error> HandOn(
+      std::string& aText,
+      const std::function<void(const std::vector<KvEvent>&)>& aOnEvents);
+  /// Makes later calls use another endpoint if this error speaks against the
+  /// one that was used.
+  Error Rotate(size_t aUsed, Error aError);
+
+  HttpClient& mClient;
+  const KvSettings mSettings;
+  std::atomic<size_t> mEndpoint{0};
+  std::atomic<uint64_t> mReads{0};
+  std::atomic<uint64_t> mWrites{0};
+  std::atomic<uint64_t> mWatches{0};
+  std::atomic<uint64_t> mErrors{0};
+};
+
+Error KvClient::Impl::Rotate(size_t aUsed, Error aError) {
+  const bool answered = aError.Kind() == ErrorKind::BadRequest ||
+                        aError.Kind() == ErrorKind::Stale ||
+                        aError.Kind() == ErrorKind::Timeout;
+  if (!answered) {
+    mErrors.fetch_add(1);
+    const size_t next = (aUsed + 1) % mSettings.mEndpoints.size();
+    mEndpoint.compare_exchange_strong(aUsed, next);
+  }
+  return aError;
+}
+
+template <class Value>
+asio::awaitable<Result<Value>> KvClient::Impl::Call(
+    CallKind aKind, const char* aTarget, std::string aBody,
+    Result<Value> (*aRead)(std::string_view)) {
+  (aKind == CallKind::Read ? mReads : mWrites).fetch_add(1);
+  if (mSettings.mEndpoints.empty()) {
+    mErrors.fetch_add(1);
+    co_return Unavailable("No endpoint of the key-value service is set.");
+  }
+  const size_t used = mEndpoint.load();
+  HttpRequest request = Post(aTarget, std::move(aBody));
+  const Result<HttpResponse> answer = co_await mClient.Send(
+      mSettings.mEndpoints[used], std::move(request), mSettings.mTimeout);
+  if (!answer) {
+    co_return Rotate(used, LossOf(aKind, answer.error()));
+  }
+  if (answer->mStatus != 200) {
+    co_return Rotate(used, RefusalOf(aKind, *answer));
+  }
+  Result<Value> value = aRead(answer->mBody);
+  if (!value) {
+    const Error lost = value.error().With(RunState::Unknown);
+    co_return Rotate(used, LossOf(aKind, lost));
+  }
+  co_return value;
+}
+
+asio::awaitable<Result<int64_t>> KvClient::Impl::Grant(int64_t aSeconds) {
+  if (aSeconds <= 0) {
+    co_return 0;
+  }
+  std::string body = kv::GrantBody(aSeconds);
+  Result<int64_t> lease = co_await Call<int64_t>(
+      CallKind::Write, "/v3/lease/grant", std::move(body), &kv::ReadLease);
+  if (!lease && lease.error().Kind() == ErrorKind::KvUncertain) {
+    // A lease without a key lapses unseen, so nothing was written.
+    co_return Unavailable(lease.error().Detail());
+  }
+  co_return lease;
+}
+
+asio::awaitable<Result<KvSwap>> KvClient::Impl::Swap(kv::SwapRequest aRequest,
+                                                     int64_t aLeaseSeconds) {
+  if (aRequest.mValue && aRequest.mValue->size() > kMaxValue) {
+    co_return Error(ErrorKind::TooLarge,
+                    "The value of '" + aRequest.mKey + "' is over 1 MB.");
+  }
+  const Result<int64_t> lease = co_await Grant(aLeaseSeconds);
+  if (!lease) {
+    co_return lease.error();
+  }
+  aRequest.mLease = *lease;
+  std::string body = kv::SwapBody(aRequest);
+  co_return co_await Call<KvSwap>(CallKind::Write, "/v3/kv/txn",
+                                  std::move(body), &kv::ReadSwap);
+}
+
+std::optional<Error> KvClient::Impl::HandOn(
+    std::string& aText,
+    const std::function<void(const std::vector<KvEvent>&)>& aOnEvents) {
+  size_t begin = 0;
+  size_t end = aText.find('\n');
+  while (end != std::string::npos) {
+    const auto line = std::string_view(aText).substr(begin, end - begin);
+    const Result<std::vector<KvEvent>> events = kv::ReadWatchLine(line);
+    if (!events) {
+      return events.error();
+    }
+    if (!events->empty()) {
+      aOnEvents(*events);
+    }
+    begin = end + 1;
+    end = aText.find('\n', begin);
+  }
+  aText.erase(0, begin);
+  if (aText.size() > kMaxWatchLine) {
+    return Unavailable("The key-value service sent too long a watch line.");
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<Error> KvClient::Impl::Watch(
+    HttpStream& aStream,
+    const std::function<void(const std::vector<KvEvent>&)>& aOnEvents) {
+  std::string text;
+  while (true) {
+    const Result<std::string> part =
+        co_await aStream.Read(mSettings.mWatchSilence);
+    if (!part && part.error().Kind() == ErrorKind::Timeout) {
+      co_return Error(ErrorKind::Timeout, "The watch saw nothing for long.");
+    }
+    if (!part) {
+      co_return Unavailable(part.error().Detail());
+    }
+    if (part->empty()) {
+      co_return Unavailable("The key-value service ended the watch.");
+    }
+    text += *part;
+    const std::optional<Error> end = HandOn(text, aOnEvents);
+    if (end) {
+      co_return *end;
+    }
+  }
+}
+
+KvClient::KvClient(HttpClient& aClient, KvSettings aSettings)
+    : mImpl(std::make_shared<Impl>(aClient, std::move(aSettings))) {}
+
+KvClient::~KvClient() = default;
+
+asio::awaitable<Result<KvRange>> KvClient::Range(std::string aKey,
+                                                 bool aPrefix) {
+  const std::shared_ptr<Impl> impl = mImpl;
+  std::string body = kv::RangeBody(aKey, aPrefix);
+  co_return co_await impl->Call<KvRange>(CallKind::Read, "/v3/kv/range",
+                                         std::move(body), &kv::ReadRange);
+}
+
+asio::awaitable<Result<int64_t>> KvClient::Put(std::string aKey,
+                                               std::string aValue,
+                                               int64_t aLeaseSeconds) {
+  const std::shared_ptr<Impl> impl = mImpl;
+  if (aValue.size() > kMaxValue) {
+    co_return Error(ErrorKind::TooLarge,
+                    "The value of '" + aKey + "' is over 1 MB.");
+  }
+  const Result<int64_t> lease = co_await impl->Grant(aLeaseSeconds);
+  if (!lease) {
+    co_return lease.error();
+  }
+  std::string body = kv::PutBody(aKey, aValue, *lease);
+  co_return co_await impl->Call<int64_t>(CallKind::Write, "/v3/kv/put",
+                                         std::move(body), &kv::ReadRevision);
+}
+
+asio::awaitable<Result<KvSwap>> KvClient::CompareAndSwap(
+    std::string aKey, int64_t aModRevision, std::string aValue,
+    int64_t aLeaseSeconds) {
+  const std::shared_ptr<Impl> impl = mImpl;
+  kv::SwapRequest request;
+  request.mKey = std::move(aKey);
+  request.mModRevision = aModRevision;
+  request.mValue = std::move(aValue);
+  co_return co_await impl->Swap(std::move(request), aLeaseSeconds);
+}
+
+asio::awaitable<Result<KvSwap>> KvClient::CompareAndDelete(
+    std::string aKey, int64_t aModRevision) {
+  const std::shared_ptr<Impl> impl = mImpl;
+  kv::SwapRequest request;
+  request.mKey = std::move(aKey);
+  request.mModRevision = aModRevision;
+  co_return co_await impl->Swap(std::move(request), 0);
+}
+
+asio::awaitable<Error> KvClient::Watch(
+    std::string aPrefix, int64_t aFromRevision,
+    std::function<void(const std::vector<KvEvent>&)> aOnEvents) {
+  const std::shared_ptr<Impl> impl = mImpl;
+  impl->mWatches.fetch_add(1);
+  if (impl->mSettings.mEndpoints.empty()) {
+    co_return Unavailable("No endpoint of the key-value service is set.");
+  }
+  const size_t used = impl->mEndpoint.load();
+  HttpRequest request =
+      Post("/v3/watch", kv::WatchBody(aPrefix, aFromRevision));
+  Result<std::unique_ptr<HttpStream>> stream =
+      co_await impl->mClient.Open(impl->mSettings.mEndpoints[used],
+                                  std::move(request), impl->mSettings.mTimeout);
+  if (!stream) {
+    const Error lost = LossOf(CallKind::Read, stream.error());
+    co_return impl->Rotate(used, lost);
+  }
+  if ((*stream)->Head().mStatus != 200) {
+    const Error refused = RefusalOf(CallKind::Read, (*stream)->Head());
+    co_return impl->Rotate(used, refused);
+  }
+  const Error end = co_await impl->Watch(**stream, aOnEvents);
+  co_return impl->Rotate(used, end);
+}
+
+KvCounts KvClient::Counts() const {
+  KvCounts counts;
+  counts.mReads = mImpl->mReads.load();
+  counts.mWrites = mImpl->mWrites.load();
+  counts.mWatches = mImpl->mWatches.load();
+  counts.mErrors = mImpl->mErrors.load();
+  return counts;
+}
+
+}  // namespace rillwall
