--- /dev/null
+++ b/src/standin/driver_nodes.cpp
@@ -0,0 +1,120 @@
+#include "driver_nodes.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "control.h"
+
+namespace rillwall::standin {
+
+namespace {
+
+constexpr Millis kRetryPause{100};
+constexpr Millis kLongestRetryAfter{5000};
+constexpr int kTooMany = 429;
+constexpr int kServerError = 500;
+constexpr int64_t kMillisPerSecond = 1000;
+
+/// \return the header's whole number, or -1
+int64_t NumberIn(const HttpResponse& aResponse, std::string_view aName) {
+  const std::string* text = aResponse.Find(aName);
+  int64_t number = -1;
+  if (text) {
+    std::from_chars(text->data(), text->data() + text->size(), number);
+  }
+  return number;
+}
+
+bool MustRepeat(int aStatus) {
+  return aStatus == kTooMany || aStatus >= kServerError;
+}
+
+}  // namespace
+
+Millis RetryAfterOf(const HttpResponse& aResponse) {
+  int64_t wait = NumberIn(aResponse, "Retry-After-Ms");
+  const int64_t seconds = NumberIn(aResponse, "Retry-After");
+  if (wait < 0 && seconds >= 0) {
+    wait = seconds * kMillisPerSecond;
+  }
+  return wait < 0 ? kRetryPause : std::min(Millis(wait), kLongestRetryAfter);
+}
+
+HttpRequest JsonRequest(std::string aMethod, std::string aTarget,
+                        std::string aBody) {
+  HttpRequest request;
+  request.mMethod = std::move(aMethod);
+  request.mTarget = std::move(aTarget);
+  request.mHeaders.push_back({"Content-Type", "application/json"});
+  request.mBody = std::move(aBody);
+  return request;
+}
+
+int64_t Quantile(std::vector<int64_t> aValues, double aShare) {
+  if (aValues.empty()) {
+    return 0;
+  }
+  const auto last = static_cast<double>(aValues.size() - 1);
+  const auto place = static_cast<std::ptrdiff_t>(last * aShare);
+  std::nth_element(aValues.begin(), aValues.begin() + place, aValues.end());
+  return aValues[static_cast<size_t>(place)];
+}
+
+NodeSet::NodeSet(HttpClient& aClient, std::vector<Endpoint> aNodes,
+                 std::string aToken, Millis aPatience, uint64_t aSeed)
+    : mClient(aClient),
+      mNodes(std::move(aNodes)),
+      mToken(std::move(aToken)),
+      mPatience(aPatience),
+      mRandom(aSeed) {}
+
+Result<std::vector<Endpoint>> NodeSet::Parse(
+    const std::vector<std::string>& aTexts) {
+  std::vector<Endpoint> nodes;
+  for (const std::string& text : aTexts) {
+    const auto endpoint = Endpoint::Parse(text);
+    if (!endpoint.has_value()) {
+      return endpoint.error();
+    }
+    nodes.push_back(endpoint.value());
+  }
+  return nodes;
+}
+
+const Endpoint& NodeSet::Pick() { return mNodes[mRandom() % mNodes.size()]; }
+
+void NodeSet::Authorize(HttpRequest& aRequest) const {
+  if (!mToken.empty()) {
+    aRequest.mHeaders.push_back({"Authorization", "Bearer " + mToken});
+  }
+}
+
+asio::awaitable<Result<NodeAnswer>> NodeSet::Ask(HttpRequest aRequest,
+                                                 Millis aTimeout) {
+  Authorize(aRequest);
+  const Millis end = Now() + mPatience;
+  NodeAnswer answer;
+  while (true) {
+    const Endpoint node = Pick();
+    auto sent = co_await mClient.Send(node, aRequest, aTimeout);
+    Millis pause = kRetryPause;
+    if (!sent.has_value()) {
+      ++mRepeats.mLost;
+      answer.mRepeated |= sent.error().Run() != RunState::NotRun;
+    } else if (!MustRepeat(sent.value().mStatus)) {
+      answer.mResponse = std::move(sent.value());
+      co_return answer;
+    } else {
+      ++mRepeats.mRefused;
+      answer.mRepeated |= sent.value().mStatus != kTooMany;
+      pause = RetryAfterOf(sent.value());
+    }
+    if (Now() > end) {
+      co_return Error(ErrorKind::Timeout, "No node took " + aRequest.mMethod +
+                                              " " + aRequest.mTarget + ".");
+    }
+    co_await Sleep(pause);
+  }
+}
+
+}  // namespace rillwall::standin
