cli: verbs for policies, the fleet, draining and tokens

Each verb asks one node through the admin API, shows a table or JSON, and exits with a code of its own per kind of failure; a lost answer to a change is told apart from a change that was not made. 12 tests against a node with fixed answers pass.

--- /dev/null
+++ b/src/rillwall/cli_test.cpp
@@ -0,0 +1,319 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/json.hpp>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <sstream>
+#include <thread>
+
+#include "cli_diff.h"
+#include "cli_verb.h"
+
+namespace rillwall {
+
+namespace {
+
+/// A node's API with fixed answers, on a port of its own.
+class FakeNode {
+ public:
+  FakeNode()
+      : mServer(mContext, HttpLimits(),
+                [this](const HttpRequest& aRequest, HttpExchange& aExchange) {
+                  return Answer(aRequest, aExchange);
+                }),
+        mAddress(mServer.Listen({"127.0.0.1", 0})->Text()),
+        mThread([this] { mContext.run(); }) {}
+  ~FakeNode() {
+    mContext.stop();
+    mThread.join();
+  }
+
+  const std::string& Address() const { return mAddress; }
+
+  /// Sets the answers to "METHOD target"; the last one is given again and
+  /// again, and with none the answer is cut.
+  void Set(const std::string& aRequest, std::vector<HttpResponse> aAnswers) {
+    const std::lock_guard lock(mMutex);
+    mAnswers[aRequest] = std::move(aAnswers);
+  }
+  HttpRequest First() {
+    const std::lock_guard lock(mMutex);
+    return mRequests.front();
+  }
+
+ private:
+  std::optional<HttpResponse> Next(const HttpRequest& aRequest) {
+    const std::lock_guard lock(mMutex);
+    mRequests.push_back(aRequest);
+    auto& answers = mAnswers[aRequest.mMethod + " " + aRequest.mTarget];
+    if (answers.empty()) {
+      return std::nullopt;
+    }
+    HttpResponse response = answers.front();
+    if (answers.size() > 1) {
+      answers.erase(answers.begin());
+    }
+    return response;
+  }
+  asio::awaitable<void> Answer(const HttpRequest& aRequest,
+                               HttpExchange& aExchange) {
+    const std::optional<HttpResponse> response = Next(aRequest);
+    if (response) {
+      co_await aExchange.Respond(*response);
+      co_return;
+    }
+    // An answer that is begun and not ended is cut.
+    HttpResponse head;
+    co_await aExchange.Begin(std::move(head));
+  }
+
+  std::mutex mMutex;
+  std::map<std::string, std::vector<HttpResponse>> mAnswers;
+  std::vector<HttpRequest> mRequests;
+  asio::io_context mContext;
+  asio::executor_work_guard<asio::io_context::executor_type> mWork{
+      mContext.get_executor()};
+  HttpServer mServer;
+  std::string mAddress;
+  std::thread mThread;
+};
+
+/// What one command line does.
+struct Outcome {
+  int mExit = 0;
+  std::string mOut;
+  std::string mError;
+};
+
+Outcome RunLine(const std::string& aLine) {
+  Outcome outcome;
+  std::ostringstream out;
+  std::ostringstream error;
+  CLI::App app;
+  const CliContext context{out, error, outcome.mExit};
+  AddPolicyVerbs(app, context);
+  AddFleetVerbs(app, context);
+  AddDrainVerb(app, context);
+  AddLocalVerbs(app, context);
+  try {
+    app.parse(aLine);
+  } catch (const CLI::ParseError& failed) {
+    outcome.mExit = app.exit(failed, out, error);
+  }
+  outcome.mOut = out.str();
+  outcome.mError = error.str();
+  return outcome;
+}
+
+bool Contains(const std::string& aText, std::string_view aPart) {
+  return aText.find(aPart) != std::string::npos;
+}
+
+std::string ErrorBody(const char* aKind) {
+  return std::string(R"({"error":{"kind":")") + aKind +
+         R"(","message":"The cause.","remedy":"The remedy.","run":"not-run"}})";
+}
+
+constexpr char kProgram[] = RILLWALL_SOURCE_DIR "/src/CMakeLists.txt";
+
+}  // namespace
+
+class CliTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CliTest);
+  CPPUNIT_TEST(TestPut);
+  CPPUNIT_TEST(TestPartial);
+  CPPUNIT_TEST(TestErrors);
+  CPPUNIT_TEST(TestUnreachable);
+  CPPUNIT_TEST(TestLostAnswer);
+  CPPUNIT_TEST(TestTables);
+  CPPUNIT_TEST(TestGetAndDiff);
+  CPPUNIT_TEST(TestCheck);
+  CPPUNIT_TEST(TestHealth);
+  CPPUNIT_TEST(TestDrain);
+  CPPUNIT_TEST(TestTokenMake);
+  CPPUNIT_TEST(TestHelp);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { mNode = std::make_unique<FakeNode>(); }
+  void tearDown() override { mNode.reset(); }
+
+  void TestPut() {
+    Reply("PUT /admin/policies/a?revision=4", 200,
+          R"({"revision":5,"accepted":true,"in_force":3,"nodes":3,)"
+          R"("missing":[]})");
+    const Outcome put = Ask(std::string("policy put a ") + kProgram +
+                            " --revision 4 --token secret");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(put.mError, 0, put.mExit);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("Accepted as revision 5, in force on 3 of 3 nodes.\n"),
+        put.mOut);
+    const HttpRequest sent = mNode->First();
+    CPPUNIT_ASSERT(Contains(sent.mBody, "add_subdirectory"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Bearer secret"),
+                         *sent.Find("Authorization"));
+  }
+
+  void TestPartial() {
+    Reply("DELETE /admin/policies/a", 200,
+          R"({"revision":5,"accepted":true,"in_force":2,"nodes":3,)"
+          R"("missing":["n3"]})");
+    const Outcome removed = Ask("policy delete a");
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::Partial), removed.mExit);
+    CPPUNIT_ASSERT(Contains(removed.mError, "Not yet confirmed by: n3."));
+  }
+
+  void TestErrors() {
+    const std::map<const char*, ExitCode> codes = {
+        {"bad-request", ExitCode::BadRequest},
+        {"forbidden", ExitCode::Refused},
+        {"not-found", ExitCode::NotFound},
+        {"conflict", ExitCode::Conflict},
+        {"policy-invalid", ExitCode::Invalid},
+        {"kv-unavailable", ExitCode::Unavailable},
+        {"kv-uncertain", ExitCode::Unknown},
+        {"internal", ExitCode::Failed}};
+    for (const auto& [kind, code] : codes) {
+      Reply("GET /admin/policies/a", 409, ErrorBody(kind));
+      const Outcome got = Ask("policy get a");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(kind, static_cast<int>(code), got.mExit);
+      CPPUNIT_ASSERT_EQUAL(std::string("rillwall: The cause. The remedy.\n"),
+                           got.mError);
+    }
+    Reply("GET /admin/policies/a", 404, "<html>");
+    CPPUNIT_ASSERT(Contains(Ask("policy get a").mError, "Check --node"));
+    const int bad = static_cast<int>(ExitCode::BadRequest);
+    CPPUNIT_ASSERT_EQUAL(bad, Ask("policy get a/../b").mExit);
+    CPPUNIT_ASSERT_EQUAL(bad, Ask("policy put a /nowhere").mExit);
+    CPPUNIT_ASSERT_EQUAL(bad, RunLine("hosts --node localhost").mExit);
+  }
+
+  void TestUnreachable() {
+    const std::string address = mNode->Address();
+    mNode.reset();
+    const Outcome hosts = RunLine("hosts --node " + address);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::Unreachable), hosts.mExit);
+    CPPUNIT_ASSERT(Contains(hosts.mError, "does not answer"));
+  }
+
+  void TestLostAnswer() {
+    const Outcome removed = Ask("policy delete a");
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::Unknown), removed.mExit);
+    CPPUNIT_ASSERT(Contains(removed.mError, "Read back"));
+  }
+
+  void TestTables() {
+    const std::string body =
+        R"({"hosts":[{"id":"n1","zone":"maslak","state":"alive"},)"
+        R"({"id":"node-2","zone":"z","state":"dead","incarnation":7}]})";
+    Reply("GET /admin/hosts", 200, body);
+    const Outcome table = Ask("hosts");
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("NODE    ZONE    STATE  HTTP  RPC  INCARNATION\n"
+                    "n1      maslak  alive  -     -    -\n"
+                    "node-2  z       dead   -     -    7\n"),
+        table.mOut);
+    CPPUNIT_ASSERT_EQUAL(body + "\n", Ask("hosts --json").mOut);
+    Reply("GET /admin/dump", 200, R"({"a":[1,{"b":""}],"c":{}})");
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("{\n  \"a\": [\n    1,\n    {\n      \"b\":"
+                    " \"\"\n    }\n  ],\n  \"c\": {}\n}\n"),
+        Ask("dump").mOut);
+  }
+
+  void TestGetAndDiff() {
+    std::ifstream file(kProgram);
+    std::ostringstream text;
+    text << file.rdbuf();
+    const boost::json::object same = {{"program", text.str()}};
+    Reply("GET /admin/policies/a", 200, boost::json::serialize(same));
+    CPPUNIT_ASSERT_EQUAL(text.str(), Ask("policy get a").mOut);
+    const std::string line = std::string("policy diff a ") + kProgram;
+    CPPUNIT_ASSERT_EQUAL(0, Ask(line).mExit);
+    Reply("GET /admin/policies/a", 200, R"({"program":"other\n"})");
+    const Outcome diff = Ask(line);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::Different), diff.mExit);
+    CPPUNIT_ASSERT(diff.mOut.starts_with("- other\n+ add_sub"));
+    CPPUNIT_ASSERT_EQUAL(std::string("  a\n- b\n+ x\n  c\n+ d\n"),
+                         DiffLines("a\nb\nc", "a\nx\nc\nd\n"));
+  }
+
+  void TestCheck() {
+    Reply("POST /admin/policies/a/check", 200,
+          R"({"revision":4,"changes":[{"kind":"house","name":"b",)"
+          R"("change":"added"}]})");
+    const Outcome check = Ask(std::string("policy check a ") + kProgram);
+    CPPUNIT_ASSERT_EQUAL(std::string("Valid; over revision 4 it would change:\n"
+                                     "CHANGE  KIND   NAME\n"
+                                     "added   house  b\n"),
+                         check.mOut);
+  }
+
+  void TestHealth() {
+    Reply("GET /health", 200, R"({"alive":true})");
+    Reply("GET /ready", 503, R"({"phase":"draining"})");
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::Unavailable),
+                         Ask("health").mExit);
+    Reply("GET /ready", 200, R"({"phase":"ready"})");
+    CPPUNIT_ASSERT_EQUAL(0, Ask("health").mExit);
+  }
+
+  void TestDrain() {
+    Reply("POST /admin/drain", 200,
+          R"({"phase":"draining","groups_running":2})");
+    mNode->Set(
+        "GET /admin/drain",
+        {HttpResponse::Json(200, R"({"phase":"draining","groups_running":2})"),
+         HttpResponse::Json(200, R"({"phase":"draining","groups_running":1})"),
+         HttpResponse::Json(404, ErrorBody("not-found"))});
+    const Outcome drain = Ask("drain");
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::NotFound), drain.mExit);
+    CPPUNIT_ASSERT_EQUAL(std::string("draining, groups running 2\n"
+                                     "draining, groups running 1\n"),
+                         drain.mOut);
+    mNode->Set("GET /admin/drain", {});
+    const Outcome ended = Ask("drain");
+    CPPUNIT_ASSERT_EQUAL(0, ended.mExit);
+    CPPUNIT_ASSERT(Contains(ended.mOut, "takes no more requests"));
+    CPPUNIT_ASSERT_EQUAL(0, Ask("drain --no-wait").mExit);
+  }
+
+  void TestTokenMake() {
+    const Outcome made = RunLine("token make operator ayse");
+    CPPUNIT_ASSERT_EQUAL(0, made.mExit);
+    CPPUNIT_ASSERT(made.mOut.starts_with("rw_"));
+    CPPUNIT_ASSERT(Contains(made.mError, "token{ scope=\"operator\""));
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ExitCode::BadRequest),
+                         RunLine("token make root ayse").mExit);
+  }
+
+  void TestHelp() {
+    for (const char* verb :
+         {"policy put", "policy get", "policy list", "policy delete",
+          "policy check", "policy diff", "policy history", "hosts", "upstreams",
+          "trainers", "steps", "dump", "drain", "health", "token make"}) {
+      const Outcome help = RunLine(std::string(verb) + " --help");
+      CPPUNIT_ASSERT_MESSAGE(
+          verb, Contains(help.mOut, std::string("Example: rillwall ") + verb));
+    }
+    CPPUNIT_ASSERT(RunLine("policy put").mExit >= 100);
+    CPPUNIT_ASSERT(RunLine("policy delete a --revision x").mExit >= 100);
+  }
+
+ private:
+  void Reply(const char* aRequest, int aStatus, std::string aBody) {
+    mNode->Set(aRequest, {HttpResponse::Json(aStatus, std::move(aBody))});
+  }
+  Outcome Ask(const std::string& aLine) {
+    return RunLine(aLine + " --node " + mNode->Address());
+  }
+
+  std::unique_ptr<FakeNode> mNode;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CliTest);
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/rillwall/cli_verbs.cpp
@@ -0,0 +1,98 @@
+#include "cli_verbs.h"
+
+#include <boost/json.hpp>
+#include <iostream>
+
+#include "cli_verb.h"
+
+namespace rillwall {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr char kExitCodes[] =
+    "Exit codes of the verbs that ask a node: 0 done; 1 failed; 2 an argument "
+    "or file is not valid; 3 the node does not answer; 4 the token is missing "
+    "or not allowed this; 5 not found; 6 another change came first; 7 the "
+    "policy is not valid; 8 not available now, nothing was changed; 9 it may "
+    "have been done, read back; 10 accepted, but not yet in force on every "
+    "node; 11 `policy diff` found differences; 100 and above: the command line "
+    "is not valid.";
+
+const json::value* Field(const json::value& aValue, const char* aField) {
+  const json::object* object = aValue.if_object();
+  return object ? object->if_contains(aField) : nullptr;
+}
+
+}  // namespace
+
+Verb AddVerb(CLI::App& aParent, const CliContext& aContext, const char* aName,
+             const char* aHelp, const char* aExample, RunVerb aRun) {
+  Verb verb;
+  verb.mApp = aParent.add_subcommand(aName, aHelp);
+  verb.mArguments = std::make_shared<VerbArguments>();
+  verb.mApp->footer(std::string("Example: ") + aExample);
+  verb.mApp->callback([arguments = verb.mArguments, aContext, aRun] {
+    aContext.mExitCode = static_cast<int>(aRun(aContext, *arguments));
+  });
+  return verb;
+}
+
+Verb AddNodeVerb(CLI::App& aParent, const CliContext& aContext,
+                 const char* aName, const char* aHelp, const char* aExample,
+                 RunVerb aRun) {
+  constexpr int64_t kMaxTimeoutSeconds = 3600;
+  Verb verb = AddVerb(aParent, aContext, aName, aHelp, aExample, aRun);
+  NodeOptions& node = verb.mArguments->mNode;
+  verb.mApp->add_option("--node", node.mNode, "The node to ask, ip:port")
+      ->envname("RILLWALL_NODE")
+      ->capture_default_str();
+  verb.mApp
+      ->add_option("--token", node.mToken,
+                   "Token of an operator; others on this host can see a flag, "
+                   "so the variable is better")
+      ->envname("RILLWALL_TOKEN");
+  verb.mApp
+      ->add_option("--timeout-seconds", node.mTimeoutSeconds,
+                   "Longest wait for one answer")
+      ->check(CLI::Range(int64_t{1}, kMaxTimeoutSeconds))
+      ->capture_default_str();
+  verb.mApp->add_flag("--json", node.mJson, "Print the answer as JSON");
+  return verb;
+}
+
+ExitCode Tell(const CliContext& aContext, const CliFailure& aFailure) {
+  aContext.mError << "rillwall: " << aFailure.mText << "\n";
+  return aFailure.mCode;
+}
+
+const json::array& ArrayOf(const CliAnswer& aAnswer, const char* aField) {
+  static const json::array sEmpty;
+  const json::value* value = Field(aAnswer.mValue, aField);
+  const json::array* array = value ? value->if_array() : nullptr;
+  return array ? *array : sEmpty;
+}
+
+int64_t NumberOf(const json::value& aValue, const char* aField) {
+  const json::value* value = Field(aValue, aField);
+  json::error_code failed;
+  return value && value->is_number() ? value->to_number<int64_t>(failed) : 0;
+}
+
+std::string TextOf(const json::value& aValue, const char* aField) {
+  const json::value* value = Field(aValue, aField);
+  const json::string* text = value ? value->if_string() : nullptr;
+  return text ? std::string(*text) : std::string();
+}
+
+void AddClientVerbs(CLI::App& aApp, int& aExitCode) {
+  const CliContext context{std::cout, std::cerr, aExitCode};
+  AddPolicyVerbs(aApp, context);
+  AddFleetVerbs(aApp, context);
+  AddDrainVerb(aApp, context);
+  AddLocalVerbs(aApp, context);
+  aApp.footer(kExitCodes);
+}
+
+}  // namespace rillwall
