HTTP: tests of limits, cut and crossed answers; Cut() for a handler

Cause: the promises of whole and own answers rest on what the server and client do with bad input, so it is provoked. Found and mended: an answer that ends with the connection was pooled again (Beast's message knows only its Connection header; the parser knows the framing); a drain could set its short deadline on a connection whose request had just begun (now on the connection's strand). Change: HttpExchange::Cut() ends without an answer, as the stand-ins need it.

--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -91,6 +91,10 @@
   /// Ends a streamed answer. Without it the connection is cut, so that the
   /// peer sees that the answer is not whole.
   virtual asio::awaitable<std::error_code> End() = 0;
+  /// Gives no answer, or not the rest of it: the connection is cut when the
+  /// handler returns. A handler that returns without this and without an
+  /// answer is answered for with status 500.
+  virtual void Cut() = 0;
   /// \return the peer's address, for logs
   virtual std::string Peer() const = 0;
   /// \return whether the peer is known to have closed the connection. While a
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -12,8 +12,11 @@
 /// The longest body that Send() takes in.
 constexpr uint64_t kMaxBody = 256ull * 1024 * 1024;
 
+/// The status after which a connection no longer speaks HTTP.
+constexpr unsigned kSwitching = 101;
+
 constexpr bool Informational(unsigned aStatus) {
-  return aStatus >= 100 && aStatus < 200 && aStatus != 101;
+  return aStatus >= 100 && aStatus < 200 && aStatus != kSwitching;
 }
 
 }  // namespace
@@ -185,8 +188,10 @@
     return;
   }
   std::unique_ptr<HttpClientConnection> connection = std::move(mConnection);
-  const bool reusable = !mWriteFailed && mParser->get().keep_alive() &&
-                        connection->mInput.size() == 0;
+  // Bytes after the answer's end could be taken for the next call's answer.
+  const bool reusable = !mWriteFailed &&
+                        mParser->get().result_int() != kSwitching &&
+                        mParser->keep_alive() && connection->mInput.size() == 0;
   if (connection->mSocket.Deadline().Clear() && reusable) {
     mSink->Release(std::move(connection));
   }
--- /dev/null
+++ b/src/librillwall_transport/http_client_test.cpp
@@ -0,0 +1,225 @@
+/// \file
+/// What the HTTP client makes of late, crossed, cut and refused answers.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <random>
+
+#include "http_test_support.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr const char* kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+class HttpClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpClientTest);
+  CPPUNIT_TEST(testRunStates);
+  CPPUNIT_TEST(testCutAnswers);
+  CPPUNIT_TEST(testAnswerUntilClose);
+  CPPUNIT_TEST(testStalePooledConnection);
+  CPPUNIT_TEST(testBytesAfterTheAnswer);
+  CPPUNIT_TEST(testInformational);
+  CPPUNIT_TEST(testHeaderInjection);
+  CPPUNIT_TEST(testEarlyRefusalOfLargeBody);
+  CPPUNIT_TEST(testOwnAnswersUnderTimeouts);
+  CPPUNIT_TEST(testEarlyRelease);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void testRunStates() {
+    Endpoint closed;
+    {
+      RawUpstream gone({});
+      closed = gone.Where();
+    }
+    const Error refused = Failure(closed);
+    CPPUNIT_ASSERT(ErrorKind::ConnectionLost == refused.Kind());
+    CPPUNIT_ASSERT(RunState::NotRun == refused.Run());
+    RawUpstream silent({""});
+    const Error lost = Failure(silent.Where());
+    CPPUNIT_ASSERT(ErrorKind::ConnectionLost == lost.Kind());
+    CPPUNIT_ASSERT(RunState::Unknown == lost.Run());
+    HttpRequest request;
+    request.mTarget = "/a b";
+    const Error bad = Await(mClient.Send(closed, request, kGenerous)).error();
+    CPPUNIT_ASSERT(ErrorKind::BadRequest == bad.Kind());
+    CPPUNIT_ASSERT(RunState::NotRun == bad.Run());
+  }
+
+  void testCutAnswers() {
+    const std::vector<std::string> cuts = {
+        "HTTP/1.1 200", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nshor",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nshor",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nshor\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"};
+    RawUpstream upstream(cuts);
+    for (size_t i = 0; i < cuts.size(); ++i) {
+      const Error error = Failure(upstream.Where());
+      CPPUNIT_ASSERT(ErrorKind::ConnectionLost == error.Kind());
+      CPPUNIT_ASSERT(RunState::NotRun != error.Run());
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
+  }
+
+  void testAnswerUntilClose() {
+    RawUpstream upstream({"HTTP/1.1 200 OK\r\n\r\nall of it"});
+    CPPUNIT_ASSERT_EQUAL(std::string("all of it"), Body(upstream.Where()));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
+  }
+
+  void testStalePooledConnection() {
+    // Each connection is closed after its answer, without saying so.
+    RawUpstream upstream({kWhole, kWhole});
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mClient.Connections());
+    Await(Sleep(Millis(50)));
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
+  }
+
+  void testBytesAfterTheAnswer() {
+    RawUpstream upstream(
+        {std::string(kWhole) +
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+         kWhole});
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
+  }
+
+  void testInformational() {
+    RawUpstream upstream({std::string("HTTP/1.1 100 Continue\r\n\r\n"
+                                      "HTTP/1.1 103 Early Hints\r\n\r\n") +
+                          kWhole});
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
+  }
+
+  void testHeaderInjection() {
+    std::atomic<bool> injected{false};
+    HttpServer server(mThreads.Context(), HttpLimits(),
+                      [&](const HttpRequest& aRequest,
+                          HttpExchange& aExchange) -> asio::awaitable<void> {
+                        injected = aRequest.Find("X-Evil") != nullptr;
+                        HttpResponse response;
+                        response.mBody = *aRequest.Find("X-A");
+                        co_await aExchange.Respond(std::move(response));
+                      });
+    const Endpoint where = server.Listen({"127.0.0.1", 0}).value();
+    HttpRequest request;
+    request.mHeaders = {{"X-A", "1\r\nX-Evil: 2"},
+                        {"Content-Length", "5"},
+                        {"Bad\r\nX-Evil", "3"}};
+    const HttpResponse answer =
+        Await(mClient.Send(where, request, kGenerous)).value();
+    CPPUNIT_ASSERT_EQUAL(std::string("1  X-Evil: 2"), answer.mBody);
+    CPPUNIT_ASSERT(!injected);
+  }
+
+  void testEarlyRefusalOfLargeBody() {
+    HttpLimits limits;
+    limits.mMaxBody = 1000;
+    HttpServer server(mThreads.Context(), limits, nullptr);
+    const Endpoint where = server.Listen({"127.0.0.1", 0}).value();
+    HttpRequest request;
+    request.mMethod = "POST";
+    request.mBody = std::string(4 * 1024 * 1024, 'x');
+    const HttpResponse answer =
+        Await(mClient.Send(where, request, kGenerous)).value();
+    CPPUNIT_ASSERT_EQUAL(413, answer.mStatus);
+  }
+
+  /// Many calls at once, some slower than their timeout: each gets its own
+  /// answer or none.
+  void testOwnAnswersUnderTimeouts() {
+    constexpr int kCallers = 24;
+    constexpr int kCalls = 40;
+    HttpServer server(mThreads.Context(), HttpLimits(),
+                      [](const HttpRequest& aRequest,
+                         HttpExchange& aExchange) -> asio::awaitable<void> {
+                        if (aRequest.mTarget.ends_with("slow")) {
+                          co_await Sleep(Millis(60));
+                        }
+                        HttpResponse response;
+                        response.mBody = aRequest.mTarget + aRequest.mBody;
+                        co_await aExchange.Respond(std::move(response));
+                      });
+    const Endpoint where = server.Listen({"127.0.0.1", 0}).value();
+    std::atomic<int> late{0};
+    std::atomic<int> wrong{0};
+    const auto caller = [&](int aCaller) -> asio::awaitable<void> {
+      std::mt19937 random(aCaller);
+      for (int i = 0; i < kCalls; ++i) {
+        const bool slow = random() % 4 == 0;
+        HttpRequest request;
+        request.mMethod = "POST";
+        request.mTarget = "/" + std::to_string(aCaller) + "/" +
+                          std::to_string(i) + (slow ? "slow" : "");
+        request.mBody = std::string(random() % 20000, 'x');
+        const std::string expected = request.mTarget + request.mBody;
+        const Millis timeout = slow ? Millis(20) : kGenerous;
+        const Result<HttpResponse> answer =
+            co_await mClient.Send(where, std::move(request), timeout);
+        late += !answer && answer.error().Kind() == ErrorKind::Timeout;
+        wrong += answer ? answer->mBody != expected : !slow;
+      }
+    };
+    std::vector<std::future<void>> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(
+          asio::co_spawn(mThreads.Context(), caller(i), asio::use_future));
+    }
+    for (std::future<void>& done : callers) {
+      done.get();
+    }
+    CPPUNIT_ASSERT_EQUAL(0, wrong.load());
+    CPPUNIT_ASSERT(late > 0);
+  }
+
+  void testEarlyRelease() {
+    std::atomic<bool> cancelled{false};
+    HttpServer server(mThreads.Context(), HttpLimits(),
+                      [&](const HttpRequest&,
+                          HttpExchange& aExchange) -> asio::awaitable<void> {
+                        HttpResponse head;
+                        co_await aExchange.Begin(std::move(head));
+                        std::error_code code;
+                        while (!code) {
+                          std::string part = "more ";
+                          code = co_await aExchange.Write(std::move(part));
+                          co_await Sleep(Millis(5));
+                        }
+                        cancelled = true;
+                      });
+    const Endpoint where = server.Listen({"127.0.0.1", 0}).value();
+    HttpRequest request;
+    auto stream = Await(mClient.Open(where, request, kGenerous)).value();
+    CPPUNIT_ASSERT(Await(stream->Read(kGenerous)).has_value());
+    CPPUNIT_ASSERT(!cancelled);
+    stream.reset();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
+    WaitFor([&] { return cancelled.load(); });
+  }
+
+ private:
+  template <class Value>
+  Value Await(asio::awaitable<Value> aWork) {
+    return mThreads.Await(std::move(aWork));
+  }
+  Error Failure(const Endpoint& aWhere) {
+    return Await(mClient.Send(aWhere, {}, kGenerous)).error();
+  }
+  std::string Body(const Endpoint& aWhere) {
+    return Await(mClient.Send(aWhere, {}, kGenerous)).value().mBody;
+  }
+
+  ThreadedContext mThreads{4};
+  HttpClient mClient{mThreads.Context()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
+
+}  // namespace
+
+}  // namespace rillwall
--- a/src/librillwall_transport/http_server.cpp
+++ b/src/librillwall_transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "http_server_connection.h"
--- a/src/librillwall_transport/http_server_connection.cpp
+++ b/src/librillwall_transport/http_server_connection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
 
@@ -103,9 +104,13 @@
 }
 
 void HttpServerConnection::Drain() {
-  if (mIdle.load()) {
-    mSocket.Deadline().Set(kDrainIdleTime, DeadlineEffect::StopReading);
-  }
+  // On the strand, so that a request that arrives now is not cut off.
+  asio::post(mStrand, [weak = weak_from_this()] {
+    const std::shared_ptr<HttpServerConnection> self = weak.lock();
+    if (self && self->mIdle) {
+      self->mSocket.Deadline().Set(kDrainIdleTime, DeadlineEffect::StopReading);
+    }
+  });
 }
 
 void HttpServerConnection::Stop() { mSocket.Deadline().Shutdown(); }
@@ -130,6 +135,7 @@
   mParser->header_limit(mShared->mLimits.mMaxHeader);
   mParser->body_limit(mShared->mLimits.mMaxBody);
   mAnswer = AnswerState::None;
+  mChunked = false;
   const int status = co_await ReadRequest();
   if (status == kClose) {
     co_return false;
@@ -150,12 +156,12 @@
 asio::awaitable<int> HttpServerConnection::ReadRequest() {
   const HttpLimits& limits = mShared->mLimits;
   if (mInput.size() == 0) {
-    mIdle.store(true);
+    mIdle = true;
     const bool draining = mShared->mDraining.load();
     mSocket.Deadline().Set(draining ? kDrainIdleTime : limits.mIdleTimeout,
                            DeadlineEffect::StopReading);
     const bool some = co_await MoreInput();
-    mIdle.store(false);
+    mIdle = false;
     if (!some) {
       co_return kClose;
     }
@@ -414,4 +420,10 @@
   co_return code;
 }
 
+void HttpServerConnection::Cut() {
+  if (mAnswer != AnswerState::Done) {
+    mAnswer = AnswerState::Cut;
+  }
+}
+
 }  // namespace rillwall
--- a/src/librillwall_transport/http_server_connection.h
+++ b/src/librillwall_transport/http_server_connection.h
@@ -58,6 +58,7 @@
   asio::awaitable<std::error_code> Begin(HttpResponse aHead) override;
   asio::awaitable<std::error_code> Write(std::string aChunk) override;
   asio::awaitable<std::error_code> End() override;
+  void Cut() override;
   std::string Peer() const override { return mPeer; }
   bool PeerGone() const override {
     return mPeerGone.load(std::memory_order_relaxed);
@@ -99,7 +100,7 @@
   bool mHandling = false;
   bool mInputEnded = false;
   std::atomic<bool> mPeerGone{false};
-  std::atomic<bool> mIdle{false};
+  bool mIdle = false;  ///< between two requests
 
   AnswerState mAnswer = AnswerState::None;
   bool mKeepAlive = false;
--- a/src/librillwall_transport/http_test.cpp
+++ b/src/librillwall_transport/http_test.cpp
@@ -19,6 +19,10 @@
     co_await aExchange.Respond(std::move(response));
     co_return;
   }
+  if (aRequest.Path() == "/no-answer") {
+    aExchange.Cut();
+    co_return;
+  }
   co_await aExchange.Begin(std::move(response));
   std::string part = "one ";
   co_await aExchange.Write(std::move(part));
@@ -35,6 +39,7 @@
   CPPUNIT_TEST(testRequestAndAnswer);
   CPPUNIT_TEST(testStreamedAnswer);
   CPPUNIT_TEST(testCutStreamIsAnError);
+  CPPUNIT_TEST(testCutBeforeTheAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -100,6 +105,16 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
   }
 
+  void testCutBeforeTheAnswer() {
+    HttpRequest request;
+    request.mTarget = "/no-answer";
+    const auto answer =
+        mThreads.Await(mClient.Send(mWhere, request, kGenerous));
+    CPPUNIT_ASSERT(answer.has_error());
+    CPPUNIT_ASSERT(answer.error().Kind() == ErrorKind::ConnectionLost);
+    CPPUNIT_ASSERT(answer.error().Run() == RunState::Unknown);
+  }
+
  private:
   ThreadedContext mThreads;
   HttpClient mClient{mThreads.Context()};
--- a/src/librillwall_transport/http_test_support.h
+++ b/src/librillwall_transport/http_test_support.h
@@ -4,6 +4,9 @@
 
 #pragma once
 
+#include <cppunit/TestAssert.h>
+#include <sys/socket.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -60,6 +63,16 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+/// Waits on the test's thread until something holds; fails after long.
+template <class Condition>
+void WaitFor(Condition aCondition) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!aCondition()) {
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() < end);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 /// A peer that writes and reads raw bytes, blocking.
 class RawPeer {
  public:
@@ -76,6 +89,12 @@
     asio::read(mSocket, asio::dynamic_buffer(bytes), code);
     return bytes;
   }
+  /// \return the bytes up to an empty line
+  std::string ReadHead() {
+    std::string bytes;
+    asio::read_until(mSocket, asio::dynamic_buffer(bytes), "\r\n\r\n");
+    return bytes;
+  }
   void Close() { mSocket.close(); }
 
  private:
@@ -83,15 +102,19 @@
   asio::ip::tcp::socket mSocket;
 };
 
-/// An upstream that reads one request head a connection and answers with raw
-/// bytes, then closes.
+/// An upstream that answers each connection with raw bytes after one request's
+/// head, and closes it.
 class RawUpstream {
  public:
   /// \param aAnswers one for each connection, in order
   explicit RawUpstream(std::vector<std::string> aAnswers)
       : mAcceptor(mContext, {asio::ip::address_v4::loopback(), 0}),
         mThread([this, answers = std::move(aAnswers)] { Serve(answers); }) {}
-  ~RawUpstream() { mThread.join(); }
+  ~RawUpstream() {
+    // Wakes a pending accept.
+    ::shutdown(mAcceptor.native_handle(), SHUT_RD);
+    mThread.join();
+  }
   Endpoint Where() const {
     return {"127.0.0.1", mAcceptor.local_endpoint().port()};
   }
@@ -100,10 +123,11 @@
   void Serve(const std::vector<std::string>& aAnswers) {
     for (const std::string& answer : aAnswers) {
       asio::ip::tcp::socket socket(mContext);
-      mAcceptor.accept(socket);
+      boost::system::error_code code;
+      mAcceptor.accept(socket, code);
       std::string head;
-      asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n");
-      asio::write(socket, asio::buffer(answer));
+      asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", code);
+      asio::write(socket, asio::buffer(answer), code);
     }
   }
 
