node: wire the whole path

One process serves callers, trainers and operators: membership, policies by one compare-and-swap, upstream table, weight orders, model calls with resume, group runners, step owners, at-most-once charges. It links; nothing is measured yet.

--- /dev/null
+++ b/src/rillwall/main.cpp
@@ -0,0 +1,39 @@
+/// \file
+/// The one binary: `rillwall serve` runs a node, the other verbs talk to one.
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "cli_verbs.h"
+#include "rillwall/log.h"
+#include "rillwall/settings.h"
+#include "serve.h"
+
+int main(int aCount, char** aArgs) {
+  CLI::App app("Rollout service for reinforcement learning");
+  app.require_subcommand(1);
+  app.set_help_all_flag("--help-all", "Help of all verbs");
+  int exitCode = 0;
+  CLI::App* serve = app.add_subcommand("serve", "Run a node");
+  rillwall::SettingsReader reader;
+  reader.AddTo(*serve);
+  bool check = false;
+  serve->add_flag("--check", check, "Check the settings and end");
+  serve->callback([&] {
+    const rillwall::Result<rillwall::NodeSettings> settings = reader.Read();
+    if (!settings) {
+      std::cerr << settings.error().Detail() << '\n';
+      exitCode = 2;
+      return;
+    }
+    if (check) {
+      std::cout << "The settings are valid.\n";
+      return;
+    }
+    rillwall::StartLog(settings->mLog);
+    exitCode = rillwall::Serve(*settings);
+  });
+  rillwall::AddClientVerbs(app, exitCode);
+  CLI11_PARSE(app, aCount, aArgs);
+  return exitCode;
+}
--- /dev/null
+++ b/src/rillwall/node.cpp
@@ -0,0 +1,112 @@
+#include "node.h"
+
+#include <chrono>
+#include <cstdlib>
+
+#include "rillwall/kv_client.h"
+#include "rillwall/log.h"
+#include "tasks.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr Millis kConfirmWithin{10000};
+constexpr Millis kKvTimeout{2000};
+
+// Later lives of a node must have a higher incarnation than earlier ones; the
+// wall clock is good enough, since a wrong one is refuted and raised.
+uint64_t FirstIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+Member MakeSelf(const NodeSettings& aSettings) {
+  Member self;
+  self.mId = aSettings.mNodeId;
+  self.mZone = aSettings.mZone;
+  self.mGossip = aSettings.AdvertisedGossip().Text();
+  self.mRpc = aSettings.AdvertisedRpc().Text();
+  self.mHttp = aSettings.AdvertisedHttp().Text();
+  self.mIncarnation = FirstIncarnation();
+  return self;
+}
+
+std::vector<std::string> SeedTexts(const NodeSettings& aSettings) {
+  std::vector<std::string> seeds;
+  for (const Endpoint& seed : aSettings.mSeeds) {
+    seeds.push_back(seed.Text());
+  }
+  return seeds;
+}
+
+KvSettings MakeKvSettings(const NodeSettings& aSettings) {
+  KvSettings settings;
+  settings.mEndpoints = aSettings.mKv;
+  settings.mTimeout = kKvTimeout;
+  return settings;
+}
+
+uint64_t SeedOf(const NodeSettings& aSettings) {
+  return std::hash<std::string>()(aSettings.mNodeId) ^ FirstIncarnation();
+}
+
+}  // namespace
+
+Node::Node(asio::io_context& aContext, NodeSettings aSettings)
+    : mContext(aContext),
+      mSettings(std::move(aSettings)),
+      mControl(asio::make_strand(aContext)),
+      mHttp(aContext),
+      mPeers(aContext),
+      mKv(std::make_unique<KvClient>(mHttp, MakeKvSettings(mSettings))),
+      mMembership(MakeSelf(mSettings), SeedTexts(mSettings), GossipLimits(),
+                  SeedOf(mSettings)),
+      mDispatcher(mSettings.mZone, DispatcherLimits(), SeedOf(mSettings)),
+      mLife(kConfirmWithin) {
+  mPolicies.Publish(std::make_shared<const PolicySet>());
+  mUpstreams.Publish(std::make_shared<const UpstreamTable>());
+}
+
+Node::~Node() = default;
+
+void Node::PublishPhase() {
+  mPhase.store(mLife.Phase(), std::memory_order_release);
+}
+
+void Node::SpawnControl(asio::awaitable<void> aRun) {
+  SpawnDetached(mControl, std::move(aRun));
+}
+
+void Node::Spawn(asio::awaitable<void> aRun) {
+  SpawnDetached(asio::make_strand(mContext), std::move(aRun));
+}
+
+asio::awaitable<void> Node::Sleep(Millis aSpan) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(std::chrono::milliseconds(aSpan.Count()));
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<Result<wire::PeerReply>> Node::CallPeer(
+    std::string aId, std::string aRpc, wire::PeerRequest aRequest,
+    Millis aTimeout) {
+  mMetrics.Add(Counter::PeerCalls);
+  aRequest.set_from(mSettings.mNodeId);
+  if (aId == mSettings.mNodeId) {
+    co_return co_await mPeerHandler(std::move(aRequest));
+  }
+  co_return co_await mPeers.Call(std::move(aRpc), std::move(aRequest),
+                                 aTimeout);
+}
+
+void Node::BrokenInvariant(const std::string& aWhat) {
+  mMetrics.Add(Counter::BrokenInvariants);
+  Log(Part::Node).Error("Invariant broken: " + aWhat);
+#ifdef RILLWALL_FATAL_INVARIANTS
+  std::abort();
+#endif
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/rillwall/step_owner.cpp
@@ -0,0 +1,472 @@
+#include "step_owner.h"
+
+#include <algorithm>
+
+#include "rillwall/log.h"
+#include "rillwall/wire_convert.h"
+#include "tasks.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr Millis kTick{50};
+constexpr Millis kRoomPeriod{200};
+constexpr Millis kAskTimeout{1000};
+constexpr Millis kGroupTimeout{900000};
+constexpr Millis kForgetClosed{600000};
+constexpr Millis kMaxPullWait{30000};
+constexpr size_t kSpecCopies = 3;
+constexpr size_t kMaxRunners = 32;
+constexpr uint32_t kMaxGroupsPerPull = 64;
+
+}  // namespace
+
+StepOwner::StepOwner(Node& aNode, GossipLoop& aGossip)
+    : mNode(aNode), mGossip(aGossip) {}
+
+void StepOwner::Start() {
+  mGossip.OnMember([this](const Member& aMember) {
+    if (aMember.mState == MemberState::Dead) {
+      for (auto& [id, step] : mBooks) {
+        step.mBook->RunnerLost(aMember.mId, mNode.Now());
+      }
+    }
+    ReviewDuties();
+  });
+  mNode.SpawnControl(TickLoop());
+}
+
+const TrainerRule* StepOwner::Rule(const std::string& aTrainer) const {
+  return mNode.Policies().Read()->Rules().Trainer(aTrainer);
+}
+
+int64_t StepOwner::NewestVersion(const std::string& aTrainer) const {
+  const TrainerRule* rule = Rule(aTrainer);
+  if (rule == nullptr) {
+    return 0;
+  }
+  const Fact* fact = mNode.Members().FindFact("version/" + rule->mModel);
+  return fact == nullptr ? 0 : static_cast<int64_t>(fact->mRevision);
+}
+
+bool StepOwner::IsOwner(const StepId& aId) const {
+  const std::vector<Member> owners =
+      DutyOwners(mNode.Members().Live(), aId.Duty(), 1);
+  return !owners.empty() && owners[0].mId == mNode.Settings().mNodeId;
+}
+
+std::string StepOwner::RpcOf(const std::string& aNode) const {
+  for (const Member& member : mNode.Members().All()) {
+    if (member.mId == aNode) {
+      return member.mRpc;
+    }
+  }
+  return {};
+}
+
+// With many nodes a step's groups go to a part of them, so that an owner asks
+// few for room.
+std::vector<Member> StepOwner::Runners(const StepId& aId) const {
+  return DutyOwners(mNode.Members().Live(), aId.Duty() + "/run", kMaxRunners);
+}
+
+void StepOwner::TakeUp(const StepSpec& aSpec, bool aRebuilding) {
+  const TrainerRule* rule = Rule(aSpec.mId.mTrainer);
+  if (rule == nullptr || mBooks.contains(aSpec.mId)) {
+    return;
+  }
+  OwnedStep step;
+  step.mBook =
+      std::make_unique<StepBook>(aSpec, *rule, aRebuilding, mNode.Now());
+  step.mChanged = std::make_shared<asio::steady_timer>(mNode.Control());
+  step.mChanged->expires_at(asio::steady_timer::time_point::max());
+  mBooks[aSpec.mId] = std::move(step);
+  if (aRebuilding) {
+    mNode.Meter().Add(Counter::Takeovers);
+    Log(Part::Step).Info("Takes over " + aSpec.mId.Duty() + ".");
+    mNode.SpawnControl(Rebuild(aSpec.mId));
+  }
+}
+
+// After a change of membership: give up steps that others own now, take up
+// those whose owner has gone.
+void StepOwner::ReviewDuties() {
+  for (auto it = mBooks.begin(); it != mBooks.end();) {
+    if (IsOwner(it->first)) {
+      ++it;
+      continue;
+    }
+    Log(Part::Step).Info("Gives up " + it->first.Duty() + ".");
+    // The new owner may have joined after the step was opened.
+    mNode.SpawnControl(Replicate(it->second.mBook->Spec()));
+    Wake(it->second);
+    it = mBooks.erase(it);
+  }
+  for (const auto& [id, spec] : mSpecs) {
+    if (IsOwner(id) && !mBooks.contains(id)) {
+      TakeUp(spec, true);
+    }
+  }
+}
+
+asio::awaitable<void> StepOwner::Rebuild(StepId aStep) {
+  std::vector<asio::awaitable<Result<wire::PeerReply>>> asks;
+  std::vector<Member> asked;
+  for (const Member& member : mNode.Members().All()) {
+    if (member.mState == MemberState::Dead) {
+      continue;
+    }
+    wire::PeerRequest request;
+    *request.mutable_ask_inventory()->mutable_id() = ToWire(aStep);
+    asks.push_back(mNode.CallPeer(member.mId, member.mRpc, std::move(request),
+                                  kAskTimeout));
+    asked.push_back(member);
+  }
+  const std::vector<Result<wire::PeerReply>> replies =
+      co_await RunAll(mNode.Control(), std::move(asks));
+  const auto found = mBooks.find(aStep);
+  if (found == mBooks.end()) {
+    co_return;
+  }
+  for (size_t i = 0; i < replies.size(); ++i) {
+    if (!replies[i]) {
+      continue;
+    }
+    const wire::Inventory& inventory = replies[i]->inventory();
+    std::vector<GroupSummary> held;
+    for (const wire::GroupSummary& summary : inventory.held()) {
+      const Result<GroupSummary> group = FromWire(summary, asked[i].mId);
+      if (group) {
+        held.push_back(*group);
+      }
+    }
+    std::vector<GroupOrder> running;
+    for (const wire::GroupSummary& summary : inventory.running()) {
+      running.push_back({summary.group(), asked[i].mId, summary.attempt()});
+    }
+    found->second.mBook->Inventory(asked[i].mId, held, running, mNode.Now());
+  }
+  found->second.mBook->Rebuilt(mNode.Now());
+  Wake(found->second);
+}
+
+asio::awaitable<void> StepOwner::TickLoop() {
+  while (true) {
+    for (auto& [id, step] : mBooks) {
+      TickStep(id, step);
+    }
+    std::erase_if(mClosed, [this](const auto& aEntry) {
+      return mNode.Now() - aEntry.second > kForgetClosed;
+    });
+    co_await Node::Sleep(kTick);
+  }
+}
+
+void StepOwner::TickStep(const StepId& aId, OwnedStep& aStep) {
+  const TrainerRule* rule = Rule(aId.mTrainer);
+  if (rule != nullptr) {
+    aStep.mBook->SetRule(*rule);
+  }
+  const bool due = mNode.Now() - aStep.mRoomsAt >= kRoomPeriod;
+  if (due && !aStep.mAsking) {
+    aStep.mAsking = true;
+    mNode.SpawnControl(AskRooms(aId));
+  }
+  const int64_t newest = NewestVersion(aId.mTrainer);
+  const StepActions actions =
+      aStep.mBook->Tick(aStep.mRooms, newest, mNode.Now());
+  // Room is used up by what was ordered, until it is asked for again.
+  for (const GroupOrder& order : actions.mRun) {
+    for (RunnerRoom& room : aStep.mRooms) {
+      room.mRoom -= room.mNode == order.mRunner ? 1 : 0;
+    }
+  }
+  CarryOut(aId, actions);
+}
+
+asio::awaitable<void> StepOwner::AskRooms(StepId aStep) {
+  const std::vector<Member> runners = Runners(aStep);
+  std::vector<asio::awaitable<Result<wire::PeerReply>>> asks;
+  for (const Member& member : runners) {
+    wire::PeerRequest request;
+    request.mutable_ask_room()->set_trainer(aStep.mTrainer);
+    asks.push_back(mNode.CallPeer(member.mId, member.mRpc, std::move(request),
+                                  kAskTimeout));
+  }
+  const std::vector<Result<wire::PeerReply>> replies =
+      co_await RunAll(mNode.Control(), std::move(asks));
+  const auto found = mBooks.find(aStep);
+  if (found == mBooks.end()) {
+    co_return;
+  }
+  OwnedStep& step = found->second;
+  step.mRooms.clear();
+  for (size_t i = 0; i < replies.size(); ++i) {
+    if (replies[i]) {
+      const int64_t size = step.mBook->Spec().mGroupSize;
+      const int64_t samples = replies[i]->room().samples();
+      step.mRooms.push_back({runners[i].mId, (samples + size - 1) / size});
+    }
+  }
+  step.mRoomsAt = mNode.Now();
+  step.mAsking = false;
+}
+
+asio::awaitable<void> StepOwner::Tell(std::string aNode,
+                                      wire::PeerRequest aRequest) {
+  co_await mNode.CallPeer(aNode, RpcOf(aNode), std::move(aRequest),
+                          kAskTimeout);
+}
+
+void StepOwner::CarryOut(const StepId& aId, const StepActions& aActions) {
+  for (const GroupOrder& order : aActions.mRun) {
+    mNode.SpawnControl(RunOne(aId, order));
+  }
+  for (const GroupOrder& order : aActions.mCancel) {
+    wire::PeerRequest request;
+    wire::CancelGroup& cancel = *request.mutable_cancel_group();
+    *cancel.mutable_id() = ToWire(aId);
+    cancel.set_group(static_cast<uint32_t>(order.mGroup));
+    cancel.set_attempt(order.mAttempt);
+    mNode.SpawnControl(Tell(order.mRunner, std::move(request)));
+  }
+  std::map<std::string, wire::PeerRequest> releases;
+  for (const GroupOrder& order : aActions.mRelease) {
+    wire::ReleaseGroups& release =
+        *releases[order.mRunner].mutable_release_groups();
+    *release.mutable_id() = ToWire(aId);
+    release.add_groups(static_cast<uint32_t>(order.mGroup));
+  }
+  for (auto& [runner, request] : releases) {
+    mNode.SpawnControl(Tell(runner, std::move(request)));
+  }
+}
+
+asio::awaitable<void> StepOwner::RunOne(StepId aStep, GroupOrder aOrder) {
+  const auto spec = mSpecs.find(aStep);
+  if (spec == mSpecs.end()) {
+    co_return;
+  }
+  wire::PeerRequest request;
+  wire::RunGroup& run = *request.mutable_run_group();
+  *run.mutable_id() = ToWire(aStep);
+  run.set_group(static_cast<uint32_t>(aOrder.mGroup));
+  run.set_attempt(aOrder.mAttempt);
+  run.set_prompt(spec->second.mPrompts[aOrder.mGroup]);
+  run.set_group_size(spec->second.mGroupSize);
+  run.set_max_tokens(spec->second.mMaxTokens);
+  run.set_seed(spec->second.mSeed);
+  const TrainerRule* rule = Rule(aStep.mTrainer);
+  const int64_t bound = rule == nullptr ? -1 : rule->mStaleness.mVersions;
+  const int64_t newest = NewestVersion(aStep.mTrainer);
+  run.set_min_version(bound < 0 ? 0 : std::max<int64_t>(0, newest - bound));
+  const Result<wire::PeerReply> reply =
+      co_await mNode.CallPeer(aOrder.mRunner, RpcOf(aOrder.mRunner),
+                              std::move(request), kGroupTimeout);
+  const auto found = mBooks.find(aStep);
+  if (found == mBooks.end()) {
+    co_return;
+  }
+  StepBook& book = *found->second.mBook;
+  const Result<GroupSummary> summary =
+      reply ? FromWire(reply->finished(), aOrder.mRunner) : reply.error();
+  if (!summary) {
+    Log(Part::Step).Info("Group " + std::to_string(aOrder.mGroup) + " of " +
+                         aStep.Duty() + " failed on " + aOrder.mRunner + ": " +
+                         summary.error().Detail());
+    book.Failed(aOrder.mGroup, aOrder.mRunner, aOrder.mAttempt, mNode.Now());
+    co_return;
+  }
+  CarryOut(aStep, book.Finished(*summary, mNode.Now()));
+  Wake(found->second);
+}
+
+void StepOwner::Wake(OwnedStep& aStep) {
+  aStep.mChanged->expires_at(asio::steady_timer::time_point::max());
+}
+
+asio::awaitable<void> StepOwner::Replicate(StepSpec aSpec) {
+  const std::vector<Member> owners =
+      DutyOwners(mNode.Members().Live(), aSpec.mId.Duty(), kSpecCopies);
+  std::vector<asio::awaitable<Result<wire::PeerReply>>> sends;
+  for (const Member& member : owners) {
+    if (member.mId == mNode.Settings().mNodeId) {
+      continue;
+    }
+    wire::PeerRequest request;
+    *request.mutable_open_step()->mutable_spec() = ToWire(aSpec);
+    request.mutable_open_step()->set_replica(true);
+    sends.push_back(mNode.CallPeer(member.mId, member.mRpc,
+                                   std::move(request), kAskTimeout));
+  }
+  if (!sends.empty()) {
+    co_await RunAll(mNode.Control(), std::move(sends));
+  }
+}
+
+asio::awaitable<Result<wire::StepState>> StepOwner::Open(
+    wire::OpenStep aOpen) {
+  const Result<StepSpec> parsed = FromWire(aOpen.spec());
+  if (!parsed) {
+    co_return parsed.error();
+  }
+  const StepSpec& spec = *parsed;
+  if (Rule(spec.mId.mTrainer) == nullptr) {
+    co_return Error(ErrorKind::NotFound, "No policy names the trainer '" +
+                                             spec.mId.mTrainer + "'.");
+  }
+  const auto known = mSpecs.find(spec.mId);
+  if (known != mSpecs.end() && known->second != spec) {
+    co_return Error(ErrorKind::Conflict,
+                    "The step is open with other contents; close it first or "
+                    "take a new step number.");
+  }
+  mClosed.erase(spec.mId);
+  mSpecs[spec.mId] = spec;
+  if (aOpen.replica()) {
+    if (IsOwner(spec.mId)) {
+      TakeUp(spec, true);
+    }
+    co_return State(spec.mId);
+  }
+  if (!mBooks.contains(spec.mId)) {
+    // Opened again after an owner was lost: others may hold some groups.
+    TakeUp(spec, true);
+    co_await Replicate(spec);
+  }
+  co_return State(spec.mId);
+}
+
+wire::StepState StepOwner::State(const StepId& aId) const {
+  wire::StepState state;
+  const auto spec = mSpecs.find(aId);
+  if (spec == mSpecs.end()) {
+    return state;
+  }
+  state.set_known(true);
+  state.set_groups(spec->second.mPrompts.size());
+  state.set_digest(spec->second.Digest());
+  const auto owned = mBooks.find(aId);
+  if (owned != mBooks.end()) {
+    const StepBook& book = *owned->second.mBook;
+    state.set_delivered(book.Delivered());
+    state.set_held(book.Held());
+    state.set_running(book.Running());
+    state.set_waiting(book.Waiting());
+  }
+  return state;
+}
+
+Result<StepOwner::OwnedStep*> StepOwner::Owned(const StepId& aId) {
+  const auto found = mBooks.find(aId);
+  if (found != mBooks.end()) {
+    return &found->second;
+  }
+  if (!IsOwner(aId)) {
+    return Error(ErrorKind::Unavailable, "Another node owns the step now.");
+  }
+  const auto spec = mSpecs.find(aId);
+  if (spec != mSpecs.end()) {
+    TakeUp(spec->second, true);
+    const auto taken = mBooks.find(aId);
+    if (taken != mBooks.end()) {
+      return &taken->second;
+    }
+  }
+  return Error(ErrorKind::NotFound,
+               "The step " + std::to_string(aId.mStep) + " of '" +
+                   aId.mTrainer +
+                   "' is not open; open it (again) with its contents.");
+}
+
+asio::awaitable<Result<wire::PullPlan>> StepOwner::Plan(wire::PlanPull aPull) {
+  const StepId id = FromWire(aPull.id()).value();
+  Result<OwnedStep*> step = Owned(id);
+  if (!step) {
+    co_return step.error();
+  }
+  const size_t groups = (*step)->mBook->Spec().mPrompts.size();
+  const Result<Receipt> receipt = Receipt::Parse(aPull.receipt(), id, groups);
+  if (!receipt) {
+    co_return receipt.error();
+  }
+  const uint64_t pull = ++(*step)->mPull;
+  Wake(**step);
+  for (const wire::HeldGroup& lost : aPull.lost()) {
+    (*step)->mBook->Failed(lost.group(), lost.runner(), lost.attempt(),
+                           mNode.Now());
+  }
+  const size_t most = std::clamp<uint32_t>(aPull.max_groups(), 1,
+                                           kMaxGroupsPerPull);
+  const Millis wait =
+      std::clamp(Millis(aPull.wait_ms()), Millis(0), kMaxPullWait);
+  const Millis end = mNode.Now() + wait;
+  while (true) {
+    step = Owned(id);
+    if (!step) {
+      co_return step.error();
+    }
+    if ((*step)->mPull != pull) {
+      co_return Error(ErrorKind::Superseded,
+                      "A newer pull of this step has come.");
+    }
+    const int64_t newest =
+        std::max(NewestVersion(id.mTrainer), aPull.newest_version());
+    StepActions actions;
+    const PullPlan plan = (*step)->mBook->Plan(*receipt, newest, most,
+                                               mNode.Now(), actions);
+    CarryOut(id, actions);
+    const bool done = !plan.mGroups.empty() || plan.mComplete;
+    if (done || mNode.Now() >= end) {
+      wire::PullPlan reply;
+      reply.set_complete(plan.mComplete);
+      reply.set_total(groups);
+      for (const GroupSummary& summary : plan.mGroups) {
+        wire::HeldGroup* held = reply.add_groups();
+        held->set_group(static_cast<uint32_t>(summary.mGroup));
+        held->set_attempt(summary.mAttempt);
+        held->set_runner(summary.mRunner);
+        held->set_runner_rpc(RpcOf(summary.mRunner));
+      }
+      co_return reply;
+    }
+    const std::shared_ptr<asio::steady_timer> changed = (*step)->mChanged;
+    changed->expires_after(std::chrono::milliseconds(
+        std::min((end - mNode.Now()).Count(), kMaxPullWait.Count())));
+    boost::system::error_code ignored;
+    co_await changed->async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+asio::awaitable<Result<wire::StepState>> StepOwner::Close(StepId aStep) {
+  const wire::StepState state = State(aStep);
+  mClosed[aStep] = mNode.Now();
+  mSpecs.erase(aStep);
+  const auto found = mBooks.find(aStep);
+  if (found != mBooks.end()) {
+    Wake(found->second);
+    mBooks.erase(found);
+  }
+  co_return state;
+}
+
+void StepOwner::Inventory(const StepId& aStep,
+                          wire::Inventory& aInventory) const {
+  const auto spec = mSpecs.find(aStep);
+  if (spec != mSpecs.end()) {
+    *aInventory.mutable_spec() = ToWire(spec->second);
+  }
+}
+
+std::string StepOwner::Dump() const {
+  std::string text = "[";
+  for (const auto& [id, step] : mBooks) {
+    text += text.size() > 1 ? "," : "";
+    text += step.mBook->Dump();
+  }
+  return text + "]";
+}
+
+}  // namespace rillwall
