--- a/src/include/rillwall/dispatcher.h
+++ b/src/include/rillwall/dispatcher.h
@@ -30,17 +30,17 @@
 
 /// What a model call asks for.
 struct CallSpec {
-  uint64_t mTicket = 0;       ///< chosen by the owner, unique
+  uint64_t mTicket = 0;  ///< chosen by the owner, unique
   CallClass mClass = CallClass::Interactive;
-  std::string mTenant;        ///< house or trainer
+  std::string mTenant;  ///< house or trainer
   std::string mModel;
-  uint64_t mPrefixHash = 0;   ///< of the prompt's first part; 0: none
+  uint64_t mPrefixHash = 0;  ///< of the prompt's first part; 0: none
   int64_t mExpectedTokens = 0;
-  int64_t mMinVersion = 0;    ///< least weight version wanted; 0: any
-  std::vector<std::string> mZones;    ///< allowed; empty: all
-  std::vector<std::string> mAvoid;    ///< upstream ids that failed this call
-  Millis mDeadline;           ///< instant after which it is of no use
-  bool mRetry = false;        ///< a repeat; drawn from the retry budget
+  int64_t mMinVersion = 0;          ///< least weight version wanted; 0: any
+  std::vector<std::string> mZones;  ///< allowed; empty: all
+  std::vector<std::string> mAvoid;  ///< upstream ids that failed this call
+  Millis mDeadline;                 ///< instant after which it is of no use
+  bool mRetry = false;              ///< a repeat; drawn from the retry budget
 };
 
 enum class CallVerdict { Start, Refuse, Preempt };
@@ -49,25 +49,30 @@
 struct CallDecision {
   uint64_t mTicket = 0;
   CallVerdict mVerdict = CallVerdict::Start;
-  std::string mUpstream;   ///< id, for Start
+  std::string mUpstream;                      ///< id, for Start
   ErrorKind mReason = ErrorKind::Overloaded;  ///< for Refuse
-  Millis mRetryAfter;      ///< for Refuse: when to come back
+  Millis mRetryAfter;                         ///< for Refuse: when to come back
 };
 
 /// How a call ended at its upstream.
 enum class CallOutcome { Done, Refused, Failed, TimedOut, Cancelled };
 
 struct DispatcherLimits {
-  Millis mInteractiveQueue{2000};   ///< longest wait of an interactive call
+  Millis mInteractiveQueue{2000};  ///< longest wait of an interactive call
   size_t mMaxQueued = 20000;
-  double mRetryRatio = 0.1;         ///< retries per first call
-  int mBreakerFailures = 3;         ///< in a row, to open
-  Millis mBreakerOpen{2000};        ///< until a probe is let through
+  double mRetryRatio = 0.1;   ///< retries per first call
+  int mBreakerFailures = 3;   ///< in a row, to open
+  Millis mBreakerOpen{2000};  ///< until a probe is let through
 };
 
+struct DispatchTuning;
+
 class Dispatcher {
  public:
   Dispatcher(std::string aZone, DispatcherLimits aLimits, uint64_t aSeed);
+  /// As above, with other constants than the usual ones, for benchmarks.
+  Dispatcher(std::string aZone, DispatcherLimits aLimits, uint64_t aSeed,
+             const DispatchTuning& aTuning);
   ~Dispatcher();
 
   /// Takes the engines to route to (the node's subset) and the rules.
--- a/src/librillwall_coordination/dispatcher.cpp
+++ b/src/librillwall_coordination/dispatcher.cpp
@@ -11,15 +11,19 @@
 constexpr Millis kRefreshPeriod{100};
 constexpr Millis kRememberLeaving{60000};
 
-BreakerLimits BreakerLimitsOf(const DispatcherLimits& aLimits) {
-  return {.mFailures = aLimits.mBreakerFailures, .mOpen = aLimits.mBreakerOpen};
+BreakerLimits BreakerLimitsOf(const DispatcherLimits& aLimits,
+                              const DispatchTuning& aTuning) {
+  return {.mFailures = aLimits.mBreakerFailures,
+          .mOpen = aLimits.mBreakerOpen,
+          .mSlowStart = aTuning.mSlowStart};
 }
 }  // namespace
 
 Dispatcher::Impl::Impl(std::string aZone, DispatcherLimits aLimits,
-                       uint64_t aSeed)
+                       uint64_t aSeed, const DispatchTuning& aTuning)
     : mZone(std::move(aZone)),
       mLimits(aLimits),
+      mTuning(aTuning),
       mRandom(aSeed),
       mBudget(aLimits.mRetryRatio) {}
 
@@ -49,8 +53,8 @@
     found->second->Update(std::move(aUpstream));
     return;
   }
-  auto engine = std::make_unique<EngineState>(std::move(aUpstream),
-                                              BreakerLimitsOf(mLimits));
+  auto engine = std::make_unique<EngineState>(
+      std::move(aUpstream), BreakerLimitsOf(mLimits, mTuning), mTuning);
   const auto leaving = mLeavingUnknown.find(id);
   if (leaving != mLeavingUnknown.end() &&
       aNow - leaving->second < kRememberLeaving) {
@@ -108,11 +112,29 @@
 ModelQueue& Dispatcher::Impl::Model(const std::string& aName) {
   std::unique_ptr<ModelQueue>& model = mModels[aName];
   if (!model) {
-    model = std::make_unique<ModelQueue>(mZone);
+    model = std::make_unique<ModelQueue>(mZone, mTuning);
   }
   return *model;
 }
 
+void Dispatcher::Impl::FindOverdue(ModelQueue& aModel, Millis aNow) {
+  std::vector<int64_t> overdue(aModel.mPool.Engines().size(), 0);
+  for (const uint64_t ticket : aModel.mAwaiting) {
+    const DispatchedCall& call = mCalls.at(ticket);
+    const EngineState& engine = *call.mEngine;
+    if (engine.Listed() &&
+        engine.Overdue(call.mSpec.mClass, call.mStartedAt, aNow)) {
+      ++overdue[engine.Index()];
+    }
+  }
+  for (size_t index = 0; index < overdue.size(); ++index) {
+    if (overdue[index] > 0) {
+      aModel.mPool.Engines()[index]->LowerLimit(overdue[index],
+                                                aModel.mPool.Prior(), aNow);
+    }
+  }
+}
+
 CallDecisions Dispatcher::Impl::Tick(Millis aNow) {
   CallDecisions out;
   mNow = aNow;
@@ -123,17 +145,26 @@
   }
   for (auto& [name, model] : mModels) {
     if (refresh) {
+      FindOverdue(*model, aNow);
       model->mPool.RefreshAll(aNow);
     }
     Pump(*model, out, aNow);
     Preempt(*model, out, aNow);
+    if (refresh) {
+      MoveTraining(*model, out, aNow);
+    }
   }
   return out;
 }
 
 Dispatcher::Dispatcher(std::string aZone, DispatcherLimits aLimits,
                        uint64_t aSeed)
-    : mImpl(std::make_unique<Impl>(std::move(aZone), aLimits, aSeed)) {}
+    : Dispatcher(std::move(aZone), aLimits, aSeed, DispatchTuning()) {}
+
+Dispatcher::Dispatcher(std::string aZone, DispatcherLimits aLimits,
+                       uint64_t aSeed, const DispatchTuning& aTuning)
+    : mImpl(std::make_unique<Impl>(std::move(aZone), aLimits, aSeed, aTuning)) {
+}
 
 Dispatcher::~Dispatcher() = default;
 
@@ -152,7 +183,8 @@
     return;
   }
   EngineState& engine = *found->second;
-  engine.Report(aReport);
+  std::uniform_real_distribution<double> random(0, 1);
+  engine.Report(aReport, random(mImpl->mRandom));
   mImpl->Model(engine.Info().mName).mPool.Refresh(engine, aReport.mAt);
 }
 
@@ -161,17 +193,11 @@
 }
 
 void Dispatcher::FirstToken(uint64_t aTicket, Millis aNow) {
-  Progress(aTicket, 0, aNow);
+  mImpl->Progress(aTicket, 0, aNow);
 }
 
 void Dispatcher::Progress(uint64_t aTicket, int64_t aTokens, Millis aNow) {
-  const auto found = mImpl->mCalls.find(aTicket);
-  if (found == mImpl->mCalls.end() || !found->second.mEngine) {
-    return;
-  }
-  DispatchedCall& call = found->second;
-  call.mTokens += aTokens;
-  call.mEngine->Progress(aTicket, aTokens, aNow);
+  mImpl->Progress(aTicket, aTokens, aNow);
 }
 
 CallDecisions Dispatcher::Finish(uint64_t aTicket, CallOutcome aOutcome,
--- /dev/null
+++ b/src/librillwall_coordination/dispatcher_fakes.h
@@ -0,0 +1,549 @@
+/// \file
+/// Small fakes of engines and of calls' owners, for measuring the dispatcher's
+/// decisions in one process: no network, no threads, simulated time.
+
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dispatch_tuning.h"
+#include "rillwall/dispatcher.h"
+
+namespace rillwall::fakes {
+
+inline constexpr Millis kStep{10};
+inline constexpr const char* kModel = "model";
+
+/// One call at an engine.
+struct FakeStream {
+  uint64_t mTicket = 0;
+  size_t mNode = 0;
+  CallClass mClass = CallClass::Interactive;
+  uint64_t mPrefix = 0;
+  double mPrefillMs = 0;
+  double mTokensLeft = 0;
+  double mUnsent = 0;
+};
+
+/// What an engine did for a stream in a step.
+struct FakeEvent {
+  uint64_t mTicket = 0;
+  size_t mNode = 0;
+  int64_t mTokens = 0;
+  bool mDone = false;
+};
+
+/// Batches continuously; calls over its slots wait, interactive ones first.
+class FakeEngine {
+ public:
+  std::string mId;
+  std::string mZone;
+  int64_t mSlots = 16;      ///< as reported
+  int64_t mRealSlots = 16;  ///< as its memory allows
+  double mSpeed = 1;
+  bool mHidesWaiting = false;  ///< reports no calls waiting
+  bool mDead = false;          ///< fails every call
+  bool mFrozen = false;        ///< takes calls and does nothing
+  uint64_t mHits = 0;
+  uint64_t mMisses = 0;
+
+  bool Add(FakeStream aStream) {
+    constexpr size_t kMaxWaiting = 128;
+    if (mDead || mWaiting.size() >= kMaxWaiting) {
+      return false;
+    }
+    const bool first = aStream.mClass == CallClass::Interactive;
+    const auto behind = [](const FakeStream& aOther) {
+      return aOther.mClass == CallClass::Training;
+    };
+    const auto place =
+        first ? std::find_if(mWaiting.begin(), mWaiting.end(), behind)
+              : mWaiting.end();
+    mWaiting.insert(place, aStream);
+    return true;
+  }
+
+  bool Remove(uint64_t aTicket) {
+    const auto same = [aTicket](const FakeStream& aStream) {
+      return aStream.mTicket == aTicket;
+    };
+    return std::erase_if(mRunning, same) + std::erase_if(mWaiting, same) > 0;
+  }
+
+  /// Fails: \return the streams cut
+  std::vector<FakeStream> Crash() {
+    std::vector<FakeStream> cut = mRunning;
+    cut.insert(cut.end(), mWaiting.begin(), mWaiting.end());
+    mRunning.clear();
+    mWaiting.clear();
+    mDead = true;
+    return cut;
+  }
+
+  void Step(std::vector<FakeEvent>& aEvents) {
+    if (mFrozen) {
+      return;
+    }
+    const auto limit = static_cast<size_t>(std::max<int64_t>(mRealSlots, 1));
+    while (mRunning.size() < limit && !mWaiting.empty()) {
+      mRunning.push_back(Begin(mWaiting.front()));
+      mWaiting.pop_front();
+    }
+    const double perStream = TokensPerStep();
+    for (FakeStream& stream : mRunning) {
+      Advance(stream, perStream, aEvents);
+    }
+    std::erase_if(mRunning, [](const FakeStream& aStream) {
+      return aStream.mTokensLeft <= 0;
+    });
+  }
+
+  LoadReport Load() const {
+    return {
+        .mRunning = static_cast<int64_t>(mRunning.size()),
+        .mWaiting = mHidesWaiting ? 0 : static_cast<int64_t>(mWaiting.size()),
+        .mSlots = mSlots};
+  }
+
+ private:
+  static constexpr size_t kCachedPrefixes = 24;
+  static constexpr int64_t kChunkTokens = 4;
+
+  FakeStream Begin(FakeStream aStream) {
+    if (aStream.mPrefix == 0) {
+      return aStream;
+    }
+    const auto found = std::find(mCache.begin(), mCache.end(), aStream.mPrefix);
+    ++(found == mCache.end() ? mMisses : mHits);
+    if (found != mCache.end()) {
+      mCache.erase(found);
+      aStream.mPrefillMs *= 0.2;
+    }
+    mCache.push_front(aStream.mPrefix);
+    if (mCache.size() > kCachedPrefixes) {
+      mCache.pop_back();
+    }
+    return aStream;
+  }
+
+  double TokensPerStep() const {
+    // A full batch of 16 runs each stream at about half the single speed.
+    const double batch = static_cast<double>(mRunning.size());
+    return mSpeed * 0.5 / (1 + batch / 16.0);
+  }
+
+  void Advance(FakeStream& aStream, double aTokens,
+               std::vector<FakeEvent>& aEvents) const {
+    if (aStream.mPrefillMs > 0) {
+      aStream.mPrefillMs -= static_cast<double>(kStep.Count()) * mSpeed;
+      return;
+    }
+    aStream.mUnsent += std::min(aTokens, aStream.mTokensLeft);
+    aStream.mTokensLeft -= aTokens;
+    const auto whole = static_cast<int64_t>(aStream.mUnsent);
+    const bool done = aStream.mTokensLeft <= 0;
+    if (done || whole >= kChunkTokens) {
+      aStream.mUnsent -= static_cast<double>(whole);
+      aEvents.push_back({aStream.mTicket, aStream.mNode, whole, done});
+    }
+  }
+
+  std::vector<FakeStream> mRunning;
+  std::deque<FakeStream> mWaiting;
+  std::list<uint64_t> mCache;
+};
+
+enum class Routing { Product, Random };
+
+/// What to simulate.
+struct Scenario {
+  Routing mRouting = Routing::Product;
+  DispatchTuning mTuning;
+  DispatcherLimits mLimits;
+  size_t mNodes = 10;
+  size_t mEngines = 20;
+  size_t mZones = 1;
+  size_t mSubset = 0;  ///< engines that a node knows; 0: all
+  Millis mDuration{60000};
+  Millis mWarmUp{15000};
+  double mCallsPerSecond = 40;  ///< interactive, all nodes together
+  double mTokensPerCall = 100;
+  double mTrainingTokens = 400;  ///< per sample; 0: no training
+  size_t mPrefixes = 0;
+  double mPrefillMs = 150;
+  Millis mReportPeriod{1000};
+  Millis mReportLag{500};
+  bool mResubmit = true;  ///< owners retry failed calls
+  uint64_t mSeed = 1;
+  /// Brings about faults, or looks on; called every step.
+  std::function<void(std::vector<FakeEngine>&, Millis)> mFaults;
+};
+
+/// What came of it, after the warm-up.
+struct Outcome {
+  std::vector<double> mFirstTokenMs;  ///< of interactive calls, sorted
+  uint64_t mCalls = 0;
+  uint64_t mRefused = 0;
+  uint64_t mRefusedLate = 0;  ///< of these, held for over 100 ms
+  uint64_t mAttempts = 0;     ///< calls put to an engine, of both classes
+  uint64_t mFirstAttempts = 0;
+  uint64_t mFailedAttempts = 0;
+  uint64_t mPreempted = 0;
+  int64_t mTrainingTokens = 0;
+  int64_t mInteractiveTokens = 0;
+  double mEngineWaiting = 0;  ///< mean of calls waiting at an engine
+  double mHitRatio = 0;
+
+  double Percentile(double aShare) const {
+    if (mFirstTokenMs.empty()) {
+      return 0;
+    }
+    const auto last = static_cast<double>(mFirstTokenMs.size() - 1);
+    return mFirstTokenMs[static_cast<size_t>(aShare * last)];
+  }
+};
+
+/// Nodes with their owners' calls, before one set of fake engines.
+class Simulation {
+ public:
+  explicit Simulation(Scenario aScenario)
+      : mScenario(std::move(aScenario)), mRandom(mScenario.mSeed) {
+    std::vector<Upstream> upstreams;
+    for (size_t index = 0; index < mScenario.mEngines; ++index) {
+      FakeEngine engine;
+      engine.mId = "e" + std::to_string(index);
+      engine.mZone = Zone(index);
+      upstreams.push_back({.mId = engine.mId,
+                           .mName = kModel,
+                           .mZone = engine.mZone,
+                           .mGeneration = 1});
+      mByName[engine.mId] = index;
+      mEngines.push_back(std::move(engine));
+    }
+    for (size_t index = 0; index < mScenario.mNodes; ++index) {
+      mNodes.push_back(std::make_unique<Dispatcher>(
+          Zone(index), mScenario.mLimits, mScenario.mSeed * 1000 + index,
+          mScenario.mTuning));
+      std::vector<Upstream> known = upstreams;
+      if (mScenario.mSubset > 0) {
+        std::shuffle(known.begin(), known.end(), mRandom);
+        known.resize(std::min(known.size(), mScenario.mSubset));
+      }
+      mNodes.back()->Configure(known, PolicyRules(), mNow);
+    }
+  }
+
+  Outcome Run() {
+    while (mNow < mScenario.mDuration) {
+      Step();
+    }
+    std::sort(mOutcome.mFirstTokenMs.begin(), mOutcome.mFirstTokenMs.end());
+    double hits = 0;
+    double all = 1e-9;
+    for (const FakeEngine& engine : mEngines) {
+      hits += static_cast<double>(engine.mHits);
+      all += static_cast<double>(engine.mHits + engine.mMisses);
+    }
+    mOutcome.mHitRatio = hits / all;
+    mOutcome.mEngineWaiting /= static_cast<double>(std::max(mSteps, 1L));
+    return mOutcome;
+  }
+
+ private:
+  struct Owned {
+    CallSpec mSpec;
+    size_t mNode = 0;
+    size_t mEngine = 0;
+    double mTokensLeft = 0;
+    Millis mArrived;
+    bool mFirstToken = false;
+  };
+
+  std::string Zone(size_t aIndex) const {
+    return "z" + std::to_string(aIndex % mScenario.mZones);
+  }
+  bool Counting() const { return mNow >= mScenario.mWarmUp; }
+
+  void Step() {
+    mNow += kStep;
+    if (mScenario.mFaults) {
+      mScenario.mFaults(mEngines, mNow);
+    }
+    CutDead();
+    SendReports();
+    Arrivals();
+    std::vector<FakeEvent> events;
+    for (FakeEngine& engine : mEngines) {
+      engine.Step(events);
+    }
+    for (const FakeEvent& event : events) {
+      Handle(event);
+    }
+    if (mNow.Count() % 20 == 0) {
+      for (size_t node = 0; node < mNodes.size(); ++node) {
+        Carry(node, mNodes[node]->Tick(mNow));
+      }
+    }
+    if (Counting()) {
+      ++mSteps;
+      double waiting = 0;
+      for (const FakeEngine& engine : mEngines) {
+        waiting += static_cast<double>(engine.Load().mWaiting);
+      }
+      mOutcome.mEngineWaiting += waiting / static_cast<double>(mEngines.size());
+    }
+  }
+
+  void CutDead() {
+    for (FakeEngine& engine : mEngines) {
+      if (!engine.mDead) {
+        continue;
+      }
+      for (const FakeStream& stream : engine.Crash()) {
+        End(stream.mTicket, CallOutcome::Failed);
+      }
+    }
+  }
+
+  void SendReports() {
+    const int64_t period = mScenario.mReportPeriod.Count();
+    for (size_t index = 0; index < mEngines.size(); ++index) {
+      const auto phase = static_cast<int64_t>(index) * period /
+                         static_cast<int64_t>(mEngines.size());
+      const bool due =
+          (mNow.Count() / kStep.Count()) % (period / kStep.Count()) ==
+          phase / kStep.Count();
+      if (due && !mEngines[index].mDead && !mEngines[index].mFrozen) {
+        mReports.push_back(
+            {mNow + mScenario.mReportLag, index, mEngines[index].Load()});
+      }
+    }
+    while (!mReports.empty() && mReports.front().mAt <= mNow) {
+      Pending& report = mReports.front();
+      report.mReport.mAt = mNow;
+      for (const auto& node : mNodes) {
+        node->Report(mEngines[report.mEngine].mId, report.mReport);
+      }
+      mReports.pop_front();
+    }
+  }
+
+  void Arrivals() {
+    const double seconds = static_cast<double>(kStep.Count()) / 1000;
+    std::poisson_distribution<int> calls(mScenario.mCallsPerSecond * seconds);
+    for (int left = calls(mRandom); left > 0; --left) {
+      std::exponential_distribution<double> tokens(1 /
+                                                   mScenario.mTokensPerCall);
+      Open(mRandom() % mNodes.size(), CallClass::Interactive,
+           1 + tokens(mRandom));
+    }
+    if (mScenario.mTrainingTokens <= 0 || mNow.Count() % 50 != 0) {
+      return;
+    }
+    for (size_t node = 0; node < mNodes.size(); ++node) {
+      std::exponential_distribution<double> tokens(1 /
+                                                   mScenario.mTrainingTokens);
+      for (int64_t room = TrainingRoom(node); room > 0; --room) {
+        Open(node, CallClass::Training, 1 + tokens(mRandom));
+      }
+    }
+  }
+
+  int64_t TrainingRoom(size_t aNode) const {
+    if (mScenario.mRouting == Routing::Product) {
+      return mNodes[aNode]->TrainingRoom(kModel);
+    }
+    // Without reports: each node its part of 85 % of the slots.
+    const auto slots = static_cast<double>(mEngines.size()) * 16;
+    const double part = slots * 0.85 / static_cast<double>(mNodes.size());
+    const auto found = mTrainingOf.find(aNode);
+    const int64_t running = found == mTrainingOf.end() ? 0 : found->second;
+    return static_cast<int64_t>(part) - running;
+  }
+
+  void Open(size_t aNode, CallClass aClass, double aTokens) {
+    Owned call;
+    call.mNode = aNode;
+    call.mTokensLeft = aTokens;
+    call.mArrived = mNow;
+    call.mSpec.mTicket = ++mLastTicket;
+    call.mSpec.mClass = aClass;
+    call.mSpec.mTenant = aClass == CallClass::Training ? "trainer" : "house";
+    call.mSpec.mModel = kModel;
+    call.mSpec.mExpectedTokens = static_cast<int64_t>(aTokens);
+    call.mSpec.mDeadline = mNow + Millis(600000);
+    if (mScenario.mPrefixes > 0) {
+      // Popularity falls off as 1/rank.
+      std::uniform_real_distribution<double> draw(0, 1);
+      const double count = static_cast<double>(mScenario.mPrefixes);
+      call.mSpec.mPrefixHash =
+          static_cast<uint64_t>(std::pow(count, draw(mRandom)));
+    }
+    if (aClass == CallClass::Training) {
+      ++mTrainingOf[aNode];
+    } else if (Counting()) {
+      ++mOutcome.mCalls;
+    }
+    Submit(std::move(call));
+  }
+
+  void Submit(Owned aCall) {
+    const uint64_t ticket = aCall.mSpec.mTicket;
+    const size_t node = aCall.mNode;
+    const CallSpec spec = aCall.mSpec;
+    mOwned.insert_or_assign(ticket, std::move(aCall));
+    if (mScenario.mRouting == Routing::Random) {
+      Start(ticket, mRandom() % mEngines.size());
+      return;
+    }
+    Carry(node, mNodes[node]->Submit(spec, mNow));
+  }
+
+  void Carry(size_t aNode, const std::vector<CallDecision>& aDecisions) {
+    for (const CallDecision& decision : aDecisions) {
+      switch (decision.mVerdict) {
+        case CallVerdict::Start:
+          Start(decision.mTicket, mByName.at(decision.mUpstream));
+          break;
+        case CallVerdict::Refuse:
+          Refused(decision.mTicket);
+          break;
+        case CallVerdict::Preempt:
+          Preempt(aNode, decision.mTicket);
+          break;
+      }
+    }
+  }
+
+  void Start(uint64_t aTicket, size_t aEngine) {
+    Owned& call = mOwned.at(aTicket);
+    call.mEngine = aEngine;
+    if (Counting()) {
+      ++mOutcome.mAttempts;
+      mOutcome.mFirstAttempts += !call.mSpec.mRetry;
+    }
+    const FakeStream stream{.mTicket = aTicket,
+                            .mNode = call.mNode,
+                            .mClass = call.mSpec.mClass,
+                            .mPrefix = call.mSpec.mPrefixHash,
+                            .mPrefillMs = mScenario.mPrefillMs,
+                            .mTokensLeft = call.mTokensLeft};
+    FakeEngine& engine = mEngines[aEngine];
+    if (!engine.Add(stream)) {
+      End(aTicket, engine.mDead ? CallOutcome::Failed : CallOutcome::Refused);
+    }
+  }
+
+  void Refused(uint64_t aTicket) {
+    const Owned& call = mOwned.at(aTicket);
+    if (call.mSpec.mClass == CallClass::Interactive && Counting()) {
+      ++mOutcome.mRefused;
+      mOutcome.mRefusedLate += mNow - call.mArrived > Millis(100);
+    }
+    Forget(aTicket);
+  }
+
+  void Forget(uint64_t aTicket) {
+    const Owned& call = mOwned.at(aTicket);
+    if (call.mSpec.mClass == CallClass::Training) {
+      --mTrainingOf[call.mNode];
+    }
+    mOwned.erase(aTicket);
+  }
+
+  void Preempt(size_t aNode, uint64_t aTicket) {
+    mOutcome.mPreempted += Counting();
+    Owned call = mOwned.at(aTicket);
+    mEngines[call.mEngine].Remove(aTicket);
+    mOwned.erase(aTicket);
+    Carry(aNode, mNodes[aNode]->Finish(aTicket, CallOutcome::Cancelled, mNow));
+    call.mSpec.mTicket = ++mLastTicket;
+    Submit(std::move(call));
+  }
+
+  /// An attempt ended early.
+  void End(uint64_t aTicket, CallOutcome aOutcome) {
+    Owned call = mOwned.at(aTicket);
+    mOutcome.mFailedAttempts += Counting();
+    const size_t node = call.mNode;
+    const std::string engine = mEngines[call.mEngine].mId;
+    if (mScenario.mRouting == Routing::Product) {
+      Carry(node, mNodes[node]->Finish(aTicket, aOutcome, mNow));
+    }
+    constexpr size_t kMaxAttempts = 4;
+    if (!mScenario.mResubmit || call.mSpec.mAvoid.size() + 1 >= kMaxAttempts) {
+      Refused(aTicket);
+      return;
+    }
+    mOwned.erase(aTicket);
+    call.mSpec.mTicket = ++mLastTicket;
+    call.mSpec.mRetry = true;
+    call.mSpec.mAvoid.push_back(engine);
+    Submit(std::move(call));
+  }
+
+  void Handle(const FakeEvent& aEvent) {
+    const auto found = mOwned.find(aEvent.mTicket);
+    if (found == mOwned.end()) {
+      return;
+    }
+    Owned& call = found->second;
+    call.mTokensLeft -= static_cast<double>(aEvent.mTokens);
+    const bool interactive = call.mSpec.mClass == CallClass::Interactive;
+    if (Counting()) {
+      (interactive ? mOutcome.mInteractiveTokens : mOutcome.mTrainingTokens) +=
+          aEvent.mTokens;
+    }
+    if (!call.mFirstToken) {
+      call.mFirstToken = true;
+      if (interactive && Counting()) {
+        const Millis wait = mNow - call.mArrived;
+        mOutcome.mFirstTokenMs.push_back(static_cast<double>(wait.Count()));
+      }
+    }
+    const size_t node = call.mNode;
+    if (mScenario.mRouting == Routing::Product) {
+      mNodes[node]->Progress(aEvent.mTicket, aEvent.mTokens, mNow);
+    }
+    if (!aEvent.mDone) {
+      return;
+    }
+    Forget(aEvent.mTicket);
+    if (mScenario.mRouting == Routing::Product) {
+      Carry(node,
+            mNodes[node]->Finish(aEvent.mTicket, CallOutcome::Done, mNow));
+    }
+  }
+
+  struct Pending {
+    Millis mAt;
+    size_t mEngine = 0;
+    LoadReport mReport;
+  };
+
+  Scenario mScenario;
+  std::mt19937_64 mRandom;
+  Millis mNow;
+  std::vector<FakeEngine> mEngines;
+  std::map<std::string, size_t> mByName;
+  std::vector<std::unique_ptr<Dispatcher>> mNodes;
+  std::unordered_map<uint64_t, Owned> mOwned;
+  std::map<size_t, int64_t> mTrainingOf;
+  std::deque<Pending> mReports;
+  uint64_t mLastTicket = 0;
+  long mSteps = 0;
+  Outcome mOutcome;
+};
+
+}  // namespace rillwall::fakes
--- a/src/librillwall_coordination/dispatcher_impl.h
+++ b/src/librillwall_coordination/dispatcher_impl.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dispatch_tuning.h"
 #include "engine_state.h"
 #include "fair_queue.h"
 #include "retry_budget.h"
@@ -26,7 +27,7 @@
 
 using CallDecisions = std::vector<CallDecision>;
 
-enum class CallStage { Queued, Started, Preempting };
+enum class CallStage { Queued, Started, Preempting, Moving };
 
 struct ModelQueue;
 
@@ -42,12 +43,17 @@
   EngineState* mEngine = nullptr;
   uint64_t mGeneration = 0;  ///< of the engine when started
   std::list<uint64_t>::iterator mTrainingPosition;  ///< while started
+  std::list<uint64_t>::iterator mAwaitingPosition;  ///< until its first token
   int64_t mTokens = 0;
+  Millis mStartedAt;
+  Millis mLastTokenAt;
+  bool mStreaming = false;  ///< the first token has come
 };
 
 /// Queues and engines of one model.
 struct ModelQueue {
-  explicit ModelQueue(const std::string& aZone) : mPool(aZone) {}
+  ModelQueue(const std::string& aZone, const DispatchTuning& aTuning)
+      : mPool(aZone, aTuning) {}
 
   FairQueue& Queue(CallClass aClass) {
     return aClass == CallClass::Interactive ? mInteractive : mTraining;
@@ -59,13 +65,22 @@
     return aClass == CallClass::Interactive ? mInteractiveWait : mTrainingWait;
   }
 
+  /// \return calls of a class that run now
+  int64_t& Running(CallClass aClass) {
+    return aClass == CallClass::Interactive ? mInteractiveRunning
+                                            : mTrainingRunning;
+  }
+
   EnginePool mPool;
   FairQueue mInteractive;
   FairQueue mTraining;
   WaitEstimate mInteractiveWait;
   WaitEstimate mTrainingWait;
+  int64_t mInteractiveRunning = 0;
+  int64_t mTrainingRunning = 0;
   std::list<uint64_t> mTrainingCalls;  ///< started, oldest first
-  size_t mPreempting = 0;
+  std::list<uint64_t> mAwaiting;       ///< started, without a token
+  size_t mPreempting = 0;  ///< recalled for interactive calls, not yet ended
 };
 
 /// When a queued call is to be refused.
@@ -81,11 +96,13 @@
   uint64_t mQueued = 0;
   uint64_t mRefused = 0;
   uint64_t mPreempted = 0;
+  uint64_t mMoved = 0;
   uint64_t mRetries = 0;
 };
 
 struct Dispatcher::Impl {
-  Impl(std::string aZone, DispatcherLimits aLimits, uint64_t aSeed);
+  Impl(std::string aZone, DispatcherLimits aLimits, uint64_t aSeed,
+       const DispatchTuning& aTuning);
 
   // Engines and rules.
   void Configure(std::vector<Upstream> aEngines, const PolicyRules& aRules,
@@ -103,12 +120,17 @@
   bool HasRoomInQueue(CallClass aClass, CallDecisions& aOut, Millis aNow);
   void Enqueue(DispatchedCall aCall, CallDecisions& aOut, Millis aNow);
   Millis LongestWait(const CallSpec& aSpec, Millis aNow) const;
+  Millis ExpectedWait(ModelQueue& aModel, CallClass aClass, double aAhead,
+                      Millis aNow) const;
 
   // Starts and ends.
   bool TryStart(uint64_t aTicket, DispatchedCall& aCall, CallDecisions& aOut,
                 Millis aNow);
+  void StartAt(EngineState& aEngine, uint64_t aTicket, DispatchedCall& aCall,
+               CallDecisions& aOut, Millis aNow);
   void Pump(ModelQueue& aModel, CallDecisions& aOut, Millis aNow);
   CallDecisions Finish(uint64_t aTicket, CallOutcome aOutcome, Millis aNow);
+  void Progress(uint64_t aTicket, int64_t aTokens, Millis aNow);
   void Leave(uint64_t aTicket, DispatchedCall& aCall);
   void Refuse(uint64_t aTicket, ErrorKind aReason, Millis aRetryAfter,
               CallDecisions& aOut);
@@ -117,12 +139,16 @@
   // Time.
   CallDecisions Tick(Millis aNow);
   void Expire(CallDecisions& aOut, Millis aNow);
+  void FindOverdue(ModelQueue& aModel, Millis aNow);
   void Preempt(ModelQueue& aModel, CallDecisions& aOut, Millis aNow);
+  void MoveTraining(ModelQueue& aModel, CallDecisions& aOut, Millis aNow);
+  void Recall(uint64_t aTicket, DispatchedCall& aCall, CallDecisions& aOut);
 
   std::string Dump() const;
 
   const std::string mZone;
   const DispatcherLimits mLimits;
+  const DispatchTuning mTuning;
   std::mt19937_64 mRandom;
   PolicyRules mRules;
   std::map<std::string, std::unique_ptr<EngineState>, std::less<>> mEngines;
--- a/src/librillwall_coordination/dispatcher_queue.cpp
+++ b/src/librillwall_coordination/dispatcher_queue.cpp
@@ -88,6 +88,22 @@
   return out;
 }
 
+Millis Dispatcher::Impl::ExpectedWait(ModelQueue& aModel, CallClass aClass,
+                                      double aAhead, Millis aNow) const {
+  double ahead = aAhead;
+  if (aClass == CallClass::Interactive && mTuning.mPreemptAfter.Count() > 0) {
+    // Training calls can be made to give way at once.
+    ahead -= static_cast<double>(aModel.mTrainingRunning);
+  }
+  if (ahead < 0) {
+    return mTuning.mPreemptAfter;
+  }
+  const Millis wait =
+      aModel.Wait(aClass).Wait(ahead, aModel.Running(aClass), aNow);
+  const double cautious = static_cast<double>(wait.Count());
+  return Millis(static_cast<int64_t>(cautious * mTuning.mWaitMargin));
+}
+
 bool Dispatcher::Impl::HasRoomInQueue(CallClass aClass, CallDecisions& aOut,
                                       Millis) {
   if (mQueuedCalls < mLimits.mMaxQueued) {
@@ -115,8 +131,9 @@
   ModelQueue& model = *aCall.mModel;
   FairQueue& queue = model.Queue(kind);
   const Millis longest = LongestWait(aCall.mSpec, aNow);
-  const Millis wait = model.Wait(kind).Wait(queue.Ahead(aCall.mTenant), aNow);
-  if (wait > longest) {
+  const Millis wait =
+      ExpectedWait(model, kind, queue.Ahead(aCall.mTenant), aNow);
+  if (mTuning.mRefuseEarly && wait > longest) {
     Refuse(ticket, ErrorKind::Overloaded, wait - longest, aOut);
     return;
   }
@@ -140,17 +157,29 @@
   if (!engine) {
     return false;
   }
+  StartAt(*engine, aTicket, aCall, aOut, aNow);
+  return true;
+}
+
+void Dispatcher::Impl::StartAt(EngineState& aEngine, uint64_t aTicket,
+                               DispatchedCall& aCall, CallDecisions& aOut,
+                               Millis aNow) {
+  ModelQueue& model = *aCall.mModel;
   const CallClass kind = aCall.mSpec.mClass;
   aCall.mStage = CallStage::Started;
-  aCall.mEngine = engine;
-  aCall.mGeneration = engine->Info().mGeneration;
-  engine->Started(kind, aTicket, aNow);
-  model.mPool.Refresh(*engine, aNow);
+  aCall.mEngine = &aEngine;
+  aCall.mStartedAt = aNow;
+  aCall.mAwaitingPosition =
+      model.mAwaiting.insert(model.mAwaiting.end(), aTicket);
+  aCall.mGeneration = aEngine.Info().mGeneration;
+  aEngine.Started(kind, aTicket, aNow);
+  model.mPool.Refresh(aEngine, aNow);
   model.Queue(kind).Started(aCall.mTenant, aCall.mSpec.mExpectedTokens);
+  ++model.Running(kind);
+  model.Wait(kind).Started(aNow);
   if (kind == CallClass::Training) {
     aCall.mTrainingPosition =
         model.mTrainingCalls.insert(model.mTrainingCalls.end(), aTicket);
-    model.mTrainingWait.Freed(aNow);
   }
   if (aCall.mSpec.mRetry) {
     ++mCounts.mRetries;
@@ -160,8 +189,7 @@
   ++mCounts.mStarted;
   aOut.push_back(CallDecision{.mTicket = aTicket,
                               .mVerdict = CallVerdict::Start,
-                              .mUpstream = engine->Info().mId});
-  return true;
+                              .mUpstream = aEngine.Info().mId});
 }
 
 void Dispatcher::Impl::Pump(ModelQueue& aModel, CallDecisions& aOut,
@@ -180,6 +208,29 @@
   }
 }
 
+void Dispatcher::Impl::Progress(uint64_t aTicket, int64_t aTokens,
+                                Millis aNow) {
+  const auto found = mCalls.find(aTicket);
+  if (found == mCalls.end() || !found->second.mEngine) {
+    return;
+  }
+  DispatchedCall& call = found->second;
+  EngineState& engine = *call.mEngine;
+  call.mTokens += aTokens;
+  if (call.mGeneration != engine.Info().mGeneration) {
+    call.mLastTokenAt = aNow;
+    return;
+  }
+  if (!call.mStreaming) {
+    call.mStreaming = true;
+    call.mModel->mAwaiting.erase(call.mAwaitingPosition);
+    engine.FirstToken(call.mSpec.mClass, aTicket, aNow - call.mStartedAt, aNow);
+  } else {
+    engine.Progress(aTicket, aTokens, aNow - call.mLastTokenAt, aNow);
+  }
+  call.mLastTokenAt = aNow;
+}
+
 void Dispatcher::Impl::Leave(uint64_t aTicket, DispatchedCall& aCall) {
   aCall.mModel->Queue(aCall.mSpec.mClass)
       .Remove(aCall.mTenant, aCall.mPosition);
@@ -204,10 +255,16 @@
   EngineState& engine = *call.mEngine;
   const CallClass kind = call.mSpec.mClass;
   const bool same = call.mGeneration == engine.Info().mGeneration;
-  engine.Ended(kind, aTicket, aOutcome, same, aNow);
+  engine.Ended(kind, aTicket, aOutcome, call.mStreaming, same, aNow);
   model.Queue(kind).Correct(call.mTenant,
                             call.mTokens - call.mSpec.mExpectedTokens);
-  model.mInteractiveWait.Freed(aNow);
+  --model.Running(kind);
+  if (aOutcome == CallOutcome::Done) {
+    model.Wait(kind).Ended(aNow - call.mStartedAt);
+  }
+  if (!call.mStreaming) {
+    model.mAwaiting.erase(call.mAwaitingPosition);
+  }
   if (kind == CallClass::Training) {
     model.mTrainingCalls.erase(call.mTrainingPosition);
   }
@@ -234,8 +291,8 @@
         call.mSpec.mDeadline.Count() != 0 && aNow >= call.mSpec.mDeadline;
     ModelQueue& model = *call.mModel;
     const CallClass kind = call.mSpec.mClass;
-    const Millis wait = model.Wait(kind).Wait(
-        static_cast<double>(model.Queue(kind).Size()), aNow);
+    const Millis wait = ExpectedWait(
+        model, kind, static_cast<double>(model.Queue(kind).Size()), aNow);
     Leave(expiry.mTicket, call);
     Refuse(expiry.mTicket, late ? ErrorKind::Timeout : ErrorKind::Overloaded,
            wait, aOut);
--- a/src/librillwall_coordination/engine_state.cpp
+++ b/src/librillwall_coordination/engine_state.cpp
@@ -1,5 +1,8 @@
 #include "engine_state.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -7,23 +10,60 @@
 namespace rillwall {
 
 namespace {
-constexpr double kDefaultSlots = 16;
-constexpr double kReportMemoryMs = 4000;
+constexpr Millis kStalledAfter{3000};
+
+LimiterSigns SignsOf(const DispatchTuning& aTuning) {
+  return {.mReports = aTuning.mLimitByReports,
+          .mFirstTokens = aTuning.mLimitByFirstTokens};
+}
+
+/// The same on every node, and spread evenly over engines.
+double RoundingOf(const std::string& aId) {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(XXH3_64bits(aId.data(), aId.size())) / kRange;
+}
+
+// Until the first report; other nodes know as little.
+constexpr int64_t kFirstInteractiveShare = 16;
+constexpr int64_t kFirstTrainingShare = 1;
+
+SlotShare InteractiveShare(const DispatchTuning& aTuning) {
+  return {{.mGain = aTuning.mInteractiveGain,
+           .mEmpty = aTuning.mInteractiveEmpty,
+           .mAtLeastOne = true},
+          kFirstInteractiveShare};
+}
+
+SlotShare TrainingShare(const DispatchTuning& aTuning) {
+  return {{.mGain = aTuning.mTrainingGain, .mEmpty = aTuning.mTrainingEmpty},
+          kFirstTrainingShare};
+}
 }  // namespace
 
-EngineState::EngineState(Upstream aUpstream, const BreakerLimits& aLimits)
+EngineState::EngineState(Upstream aUpstream, const BreakerLimits& aLimits,
+                         const DispatchTuning& aTuning)
     : mUpstream(std::move(aUpstream)),
       mLimits(aLimits),
+      mTuning(&aTuning),
       mBreaker(aLimits),
-      mLeaving(mUpstream.mLeaving) {}
+      mLimiter(SignsOf(aTuning)),
+      mLeaving(mUpstream.mLeaving),
+      mInteractiveShare(InteractiveShare(aTuning)),
+      mTrainingShare(TrainingShare(aTuning)),
+      mRounding(RoundingOf(mUpstream.mId)) {}
 
 void EngineState::Update(Upstream aUpstream) {
   mListed = true;
   if (aUpstream.mGeneration != mUpstream.mGeneration) {
     mBreaker = Breaker(mLimits);
+    mLimiter = Limiter(SignsOf(*mTuning));
+    mSpeed.Clear();
+    mWeight = 1;
     mHasReport = false;
     mReport = LoadReport();
     mOwnAtReport = 0;
+    mInteractiveShare = InteractiveShare(*mTuning);
+    mTrainingShare = TrainingShare(*mTuning);
     mLeaving = false;
   }
   // The list lags: it does not undo what another source said earlier.
@@ -31,25 +71,68 @@
   mUpstream = std::move(aUpstream);
 }
 
-void EngineState::Report(const LoadReport& aReport) {
+void EngineState::Report(const LoadReport& aReport, double aRandom) {
+  SmoothOwn(aReport.mAt);
   mReport = aReport;
   mHasReport = true;
-  mOwnAtReport = Own();
+  mOwnAtReport = mOwnSmooth;
+  mLimiter.Report(aReport);
   mLeaving = mLeaving || aReport.mLeaving;
+  ShareSlots(aRandom);
+}
+
+void EngineState::SmoothOwn(Millis aNow) {
+  const double age = static_cast<double>((aNow - mOwnSmoothAt).Count());
+  const double memory =
+      std::max<double>(static_cast<double>(mTuning->mOwnMemory.Count()), 1e-3);
+  const double weight = std::exp(-std::max(age, 0.0) / memory);
+  mOwnSmooth += (static_cast<double>(Own()) - mOwnSmooth) * (1 - weight);
+  mOwnSmoothAt = aNow;
+}
+
+void EngineState::ShareSlots(double aRandom) {
+  const Millis now = mReport.mAt;
+  const auto total = static_cast<double>(mReport.mRunning + mReport.mWaiting);
+  mInteractiveShare.Report({.mOwn = static_cast<double>(Own()),
+                            .mTotal = total,
+                            .mTarget = Limit(CallClass::Interactive, now),
+                            .mRandom = aRandom});
+  mTrainingShare.Report({.mOwn = static_cast<double>(mTraining),
+                         .mTotal = total,
+                         .mTarget = Limit(CallClass::Training, now),
+                         .mRandom = aRandom});
 }
 
 void EngineState::Started(CallClass aClass, uint64_t aTicket, Millis aNow) {
+  if (Own() == 0) {
+    mQuietSince = aNow;
+  }
+  SmoothOwn(aNow);
   ++(aClass == CallClass::Interactive ? mInteractive : mTraining);
+  ++mAwaiting;
   mBreaker.Started(aTicket, aNow);
 }
 
-void EngineState::Progress(uint64_t aTicket, int64_t, Millis aNow) {
+void EngineState::FirstToken(CallClass aClass, uint64_t aTicket, Millis aTime,
+                             Millis aNow) {
+  --mAwaiting;
+  mLimiter.FirstToken(aClass, aTime);
+  mQuietSince = aNow;
+  mBreaker.Succeeded(aTicket, aNow);
+}
+
+void EngineState::Progress(uint64_t aTicket, int64_t aTokens, Millis aSpan,
+                           Millis aNow) {
+  mSpeed.Add(aTokens, aSpan, aNow);
+  mQuietSince = aNow;
   mBreaker.Succeeded(aTicket, aNow);
 }
 
 void EngineState::Ended(CallClass aClass, uint64_t aTicket,
-                        CallOutcome aOutcome, bool aSameGeneration,
-                        Millis aNow) {
+                        CallOutcome aOutcome, bool aStreaming,
+                        bool aSameGeneration, Millis aNow) {
+  SmoothOwn(aNow);
+  mAwaiting -= aStreaming ? 0 : 1;
   --(aClass == CallClass::Interactive ? mInteractive : mTraining);
   if (!aSameGeneration) {
     return;
@@ -59,6 +142,7 @@
       mBreaker.Succeeded(aTicket, aNow);
       return;
     case CallOutcome::Refused:
+      mLimiter.Refused();
       mBreaker.Refused(aTicket, aNow);
       return;
     case CallOutcome::Failed:
@@ -72,7 +156,16 @@
 }
 
 bool EngineState::Usable(Millis aNow) const {
-  return mListed && !mLeaving && mBreaker.Allows(aNow);
+  return mListed && !mLeaving && mBreaker.Allows(aNow) && !Stalled(aNow);
+}
+
+bool EngineState::Stalled(Millis aNow) const {
+  return Own() > 0 && aNow - mQuietSince > kStalledAfter;
+}
+
+void EngineState::WeighAgainst(double aMedian, Millis aNow) {
+  const bool judged = mTuning->mWeighSpeed && mSpeed.Known(aNow);
+  mWeight = judged ? SpeedWeight(mSpeed.PerSecond(), aMedian) : 1.0;
 }
 
 int64_t EngineState::Own(CallClass aClass) const {
@@ -83,12 +176,15 @@
   if (!mHasReport) {
     return aPrior;
   }
-  const int64_t reported = mReport.mRunning + mReport.mWaiting;
-  const auto others =
-      static_cast<double>(std::max<int64_t>(reported - mOwnAtReport, 0));
+  const double own = mTuning->mOwnCountedOnce ? mOwnAtReport : 0;
+  const auto reported =
+      static_cast<double>(mReport.mRunning + mReport.mWaiting);
+  const double others = std::max(reported - own, 0.0);
   const double age = static_cast<double>((aNow - mReport.mAt).Count());
-  const double weight = std::exp(-std::max(age, 0.0) / kReportMemoryMs);
-  return others * weight + aPrior * (1 - weight);
+  const double memory = static_cast<double>(mTuning->mReportMemory.Count());
+  const double weight = std::exp(-std::max(age, 0.0) / memory);
+  const double prior = mTuning->mDecayToPeers ? aPrior : 0;
+  return others * weight + prior * (1 - weight);
 }
 
 double EngineState::Load(double aPrior, Millis aNow) const {
@@ -96,13 +192,23 @@
 }
 
 double EngineState::Limit(CallClass aClass, Millis aNow) const {
-  const double slots =
-      mHasReport ? static_cast<double>(mReport.mSlots) : kDefaultSlots;
-  const double limit = std::max(slots * mBreaker.Share(aNow), 1.0);
+  const double share = mBreaker.Share(aNow) * mWeight;
+  const double limit = std::max(mLimiter.Limit() * share, 1.0);
   if (aClass == CallClass::Interactive) {
     return limit;
   }
-  return std::max(std::floor(limit * (1 - mHeadroom)), 1.0);
+  // Of few slots the headroom is less than one: some engines keep one free.
+  const double open = std::floor(limit * (1 - mHeadroom) + mRounding);
+  return std::clamp(open, 1.0, limit);
+}
+
+bool EngineState::Overdue(CallClass aClass, Millis aStarted,
+                          Millis aNow) const {
+  return mLimiter.Overdue(aClass, aNow - aStarted);
+}
+
+void EngineState::LowerLimit(int64_t aOverdue, double aPrior, Millis aNow) {
+  mLimiter.Lower(Load(aPrior, aNow) - static_cast<double>(aOverdue));
 }
 
 int64_t EngineState::Room(CallClass aClass, double aPrior, Millis aNow) const {
@@ -112,7 +218,13 @@
   if (mBreaker.State() != BreakerState::Closed) {
     return 1;
   }
-  const double room = Limit(aClass, aNow) - Load(aPrior, aNow);
+  double room = Limit(aClass, aNow) - Load(aPrior, aNow);
+  if (mTuning->mShareSlots) {
+    const bool interactive = aClass == CallClass::Interactive;
+    const int64_t share = interactive ? mInteractiveShare.Allowed() - Own()
+                                      : mTrainingShare.Allowed() - mTraining;
+    room = std::min(room, static_cast<double>(share));
+  }
   return std::max<int64_t>(static_cast<int64_t>(std::floor(room)), 0);
 }
 
--- a/src/librillwall_coordination/engine_state.h
+++ b/src/librillwall_coordination/engine_state.h
@@ -12,15 +12,21 @@
 #include <cstdint>
 
 #include "breaker.h"
+#include "dispatch_tuning.h"
+#include "limiter.h"
+#include "peer_speed.h"
 #include "rillwall/dispatcher.h"
 #include "rillwall/millis.h"
 #include "rillwall/upstream.h"
+#include "slot_share.h"
 
 namespace rillwall {
 
 class EngineState {
  public:
-  EngineState(Upstream aUpstream, const BreakerLimits& aLimits);
+  /// \param aTuning must outlive the state
+  EngineState(Upstream aUpstream, const BreakerLimits& aLimits,
+              const DispatchTuning& aTuning);
 
   const Upstream& Info() const { return mUpstream; }
   const LoadReport& Reported() const { return mReport; }
@@ -34,20 +40,33 @@
   void MarkLeaving() { mLeaving = true; }
   bool Leaving() const { return mLeaving; }
   bool Listed() const { return mListed; }
-  void Report(const LoadReport& aReport);
+  /// \param aRandom in [0, 1), to round shares by
+  void Report(const LoadReport& aReport, double aRandom);
   /// \param aShare share of slots kept for interactive calls
   void SetHeadroom(double aShare) { mHeadroom = aShare; }
 
   void Started(CallClass aClass, uint64_t aTicket, Millis aNow);
+  /// A call's first token came.
+  /// \param aTime since its start
+  void FirstToken(CallClass aClass, uint64_t aTicket, Millis aTime,
+                  Millis aNow);
+  /// \return whether a call's first token is later than is usual here
+  bool Overdue(CallClass aClass, Millis aStarted, Millis aNow) const;
+  /// Own calls are overdue: the engine holds fewer than was thought.
+  void LowerLimit(int64_t aOverdue, double aPrior, Millis aNow);
   /// Tokens came for a call.
-  void Progress(uint64_t aTicket, int64_t aTokens, Millis aNow);
+  /// \param aSpan since the call's tokens before
+  void Progress(uint64_t aTicket, int64_t aTokens, Millis aSpan, Millis aNow);
+  /// \param aStreaming whether its first token had come
   void Ended(CallClass aClass, uint64_t aTicket, CallOutcome aOutcome,
-             bool aSameGeneration, Millis aNow);
+             bool aStreaming, bool aSameGeneration, Millis aNow);
 
   /// \return whether new calls may go there now
   bool Usable(Millis aNow) const;
   int64_t Own() const { return mInteractive + mTraining; }
   int64_t Own(CallClass aClass) const;
+  /// \return own calls whose first token has not come
+  int64_t Awaiting() const { return mAwaiting; }
   /// \return streams at the engine now, estimated
   /// \param aPrior load of others to expect of an engine without a report
   double Load(double aPrior, Millis aNow) const;
@@ -58,23 +77,43 @@
   /// \return calls of this class that could start now
   int64_t Room(CallClass aClass, double aPrior, Millis aNow) const;
   const Breaker& Circuit() const { return mBreaker; }
+  /// \return whether own calls are in flight and no token has come for long
+  bool Stalled(Millis aNow) const;
+  const StreamSpeed& Speed() const { return mSpeed; }
+  double Weight() const { return mWeight; }
+  /// \param aMedian tokens per second and stream of the peers; 0: unknown
+  void WeighAgainst(double aMedian, Millis aNow);
 
   /// The engine's place in its pool.
   uint32_t Index() const { return mIndex; }
   void SetIndex(uint32_t aIndex) { mIndex = aIndex; }
 
  private:
+  void SmoothOwn(Millis aNow);
+  void ShareSlots(double aRandom);
+
   Upstream mUpstream;
   BreakerLimits mLimits;
+  const DispatchTuning* mTuning;
   Breaker mBreaker;
+  Limiter mLimiter;
+  StreamSpeed mSpeed;
+  double mWeight = 1;  ///< by speed
+  Millis mQuietSince;  ///< last token, or start of the first call in flight
   LoadReport mReport;
   bool mHasReport = false;
   bool mLeaving = false;
   bool mListed = true;
-  int64_t mOwnAtReport = 0;
+  double mOwnAtReport = 0;
+  double mOwnSmooth = 0;  ///< own calls of a moment ago
+  Millis mOwnSmoothAt;
+  SlotShare mInteractiveShare;
+  SlotShare mTrainingShare;
   int64_t mInteractive = 0;
   int64_t mTraining = 0;
+  int64_t mAwaiting = 0;
   double mHeadroom = 0;
+  double mRounding = 0;  ///< in [0, 1), of the headroom; by the id
   uint32_t mIndex = 0;
 };
 
--- a/src/librillwall_coordination/router.cpp
+++ b/src/librillwall_coordination/router.cpp
@@ -6,9 +6,8 @@
 namespace rillwall {
 
 namespace {
-constexpr int kChoices = 2;
-constexpr int kDraws = 6;
-constexpr double kZonePenalty = 0.1;
+constexpr int kDrawsPerChoice = 3;
+constexpr int kPrefixHomes = 3;
 
 size_t ClassIndex(CallClass aClass) {
   return aClass == CallClass::Interactive ? 0 : 1;
@@ -59,12 +58,25 @@
       roomy.Resize(mEngines.size());
     }
   }
+  std::vector<std::string> ids;
   for (uint32_t index = 0; index < mEngines.size(); ++index) {
     mEngines[index]->SetIndex(index);
+    ids.push_back(mEngines[index]->Info().mId);
+  }
+  if (ids != mRingIds) {
+    mRing = PrefixRing(ids);
+    mRingIds = std::move(ids);
   }
   RefreshAll(aNow);
 }
 
+void EnginePool::Candidate::Offer(EngineState* aEngine, double aScore) {
+  if (!mEngine || aScore < mScore) {
+    mEngine = aEngine;
+    mScore = aScore;
+  }
+}
+
 void EnginePool::Refresh(const EngineState& aEngine, Millis aNow) {
   const uint32_t index = aEngine.Index();
   if (index >= mEngines.size() || mEngines[index] != &aEngine) {
@@ -77,25 +89,40 @@
   }
 }
 
-void EnginePool::RefreshAll(Millis aNow) {
+void EnginePool::RefreshMeans(Millis aNow) {
   double others = 0;
-  double reported = 0;
-  for (ZoneGroup& zone : mZones) {
-    zone.mNewest = 0;
-  }
-  for (uint32_t index = 0; index < mEngines.size(); ++index) {
-    const EngineState& engine = *mEngines[index];
-    if (engine.HasReport()) {
-      others += engine.Others(0, aNow);
+  double load = 0;
+  size_t reported = 0;
+  std::vector<double> speeds;
+  for (const EngineState* engine : mEngines) {
+    if (engine->HasReport()) {
+      others += engine->Others(mPrior, aNow);
       ++reported;
     }
-    if (engine.Usable(aNow)) {
-      int64_t& newest = mZones[mZoneOf[index]].mNewest;
-      newest = std::max(newest, engine.Reported().mVersion);
+    load += engine->Load(mPrior, aNow);
+    if (engine->Speed().Known(aNow)) {
+      speeds.push_back(engine->Speed().PerSecond());
     }
   }
-  mPrior = reported > 0 ? others / reported : 0;
+  mPrior = reported > 0 ? others / static_cast<double>(reported) : 0;
+  const size_t engines = std::max<size_t>(mEngines.size(), 1);
+  mMeanLoad = load / static_cast<double>(engines);
+  const double median = Median(std::move(speeds));
+  for (EngineState* engine : mEngines) {
+    engine->WeighAgainst(median, aNow);
+  }
+}
+
+void EnginePool::RefreshAll(Millis aNow) {
+  RefreshMeans(aNow);
+  for (ZoneGroup& zone : mZones) {
+    zone.mNewest = 0;
+  }
   for (const EngineState* engine : mEngines) {
+    if (engine->Usable(aNow)) {
+      int64_t& newest = mZones[mZoneOf[engine->Index()]].mNewest;
+      newest = std::max(newest, engine->Reported().mVersion);
+    }
     Refresh(*engine, aNow);
   }
 }
@@ -133,9 +160,12 @@
 }
 
 double EnginePool::Score(const EngineState& aEngine, Millis aNow) const {
-  const double load = aEngine.Load(mPrior, aNow) + 1;
+  const double awaiting =
+      static_cast<double>(aEngine.Awaiting()) * mTuning->mAwaitingWeight;
+  const double load = aEngine.Load(mPrior, aNow) + awaiting + 1;
   const double used = load / aEngine.Limit(CallClass::Interactive, aNow);
-  return aEngine.Info().mZone == mZone ? used : used + kZonePenalty;
+  const bool near = aEngine.Info().mZone == mZone;
+  return near ? used : used + mTuning->mZonePenalty;
 }
 
 EngineState* EnginePool::Choose(const CallSpec& aSpec, std::mt19937_64& aRandom,
@@ -144,40 +174,39 @@
     return nullptr;
   }
   const int64_t version = RequiredVersion(aSpec);
-  EngineState* sampled = Sample(aSpec, version, aRandom, aNow);
-  return sampled ? sampled : Scan(aSpec, version, aNow);
+  Candidate best;
+  Sample(aSpec, version, aRandom, aNow, best);
+  if (!best.mEngine) {
+    Scan(aSpec, version, aNow, best);
+  }
+  if (best.mEngine && aSpec.mPrefixHash != 0) {
+    OfferPrefixHome(aSpec, version, aNow, best);
+  }
+  return best.mEngine;
 }
 
-EngineState* EnginePool::Sample(const CallSpec& aSpec, int64_t aVersion,
-                                std::mt19937_64& aRandom, Millis aNow) const {
-  EngineState* best = nullptr;
-  double bestScore = 0;
+void EnginePool::Sample(const CallSpec& aSpec, int64_t aVersion,
+                        std::mt19937_64& aRandom, Millis aNow,
+                        Candidate& aBest) const {
   for (const ZoneGroup& zone : mZones) {
     const auto& members = zone.mRoomy[ClassIndex(aSpec.mClass)].Members();
     if (members.empty() || !ZoneAllowed(aSpec, zone)) {
       continue;
     }
     int found = 0;
-    for (int draw = 0; draw < kDraws && found < kChoices; ++draw) {
+    int draws = mTuning->mChoices * kDrawsPerChoice;
+    while (found < mTuning->mChoices && draws-- > 0) {
       EngineState* engine = mEngines[members[aRandom() % members.size()]];
-      if (!engine->Usable(aNow) || !Eligible(aSpec, aVersion, *engine)) {
-        continue;
-      }
-      ++found;
-      const double score = Score(*engine, aNow);
-      if (!best || score < bestScore) {
-        best = engine;
-        bestScore = score;
+      if (engine->Usable(aNow) && Eligible(aSpec, aVersion, *engine)) {
+        ++found;
+        aBest.Offer(engine, Score(*engine, aNow));
       }
     }
   }
-  return best;
 }
 
-EngineState* EnginePool::Scan(const CallSpec& aSpec, int64_t aVersion,
-                              Millis aNow) const {
-  EngineState* best = nullptr;
-  double bestScore = 0;
+void EnginePool::Scan(const CallSpec& aSpec, int64_t aVersion, Millis aNow,
+                      Candidate& aBest) const {
   for (const ZoneGroup& zone : mZones) {
     if (!ZoneAllowed(aSpec, zone)) {
       continue;
@@ -185,17 +214,27 @@
     const auto& members = zone.mRoomy[ClassIndex(aSpec.mClass)].Members();
     for (const uint32_t index : members) {
       EngineState* engine = mEngines[index];
-      if (!engine->Usable(aNow) || !Eligible(aSpec, aVersion, *engine)) {
-        continue;
-      }
-      const double score = Score(*engine, aNow);
-      if (!best || score < bestScore) {
-        best = engine;
-        bestScore = score;
+      if (engine->Usable(aNow) && Eligible(aSpec, aVersion, *engine)) {
+        aBest.Offer(engine, Score(*engine, aNow));
       }
     }
   }
-  return best;
+}
+
+void EnginePool::OfferPrefixHome(const CallSpec& aSpec, int64_t aVersion,
+                                 Millis aNow, Candidate& aBest) const {
+  const double bound = mMeanLoad * mTuning->mPrefixBound + 1;
+  mRing.Visit(aSpec.mPrefixHash, kPrefixHomes, [&](uint32_t aIndex) {
+    EngineState* engine = mEngines[aIndex];
+    const bool fits = engine->Room(aSpec.mClass, mPrior, aNow) > 0 &&
+                      engine->Load(mPrior, aNow) <= bound &&
+                      ZoneAllowed(aSpec, mZones[mZoneOf[aIndex]]) &&
+                      Eligible(aSpec, aVersion, *engine);
+    if (fits) {
+      aBest.Offer(engine, Score(*engine, aNow) - mTuning->mPrefixBonus);
+    }
+    return fits;
+  });
 }
 
 bool EnginePool::AnyUsable(const CallSpec& aSpec, Millis aNow) const {
--- a/src/librillwall_coordination/router.h
+++ b/src/librillwall_coordination/router.h
@@ -14,7 +14,9 @@
 #include <string_view>
 #include <vector>
 
+#include "dispatch_tuning.h"
 #include "engine_state.h"
+#include "prefix_affinity.h"
 #include "rillwall/dispatcher.h"
 #include "rillwall/millis.h"
 
@@ -36,7 +38,9 @@
 class EnginePool {
  public:
   /// \param aZone the node's own zone
-  explicit EnginePool(std::string aZone) : mZone(std::move(aZone)) {}
+  /// \param aTuning must outlive the pool
+  EnginePool(std::string aZone, const DispatchTuning& aTuning)
+      : mZone(std::move(aZone)), mTuning(&aTuning) {}
 
   /// Takes the engines; they must outlive the pool or the next call of this.
   void SetEngines(std::vector<EngineState*> aEngines, Millis aNow);
@@ -71,20 +75,35 @@
     int64_t mNewest = 0;  ///< weight version of the usable engines
   };
 
+  /// The best engine found so far.
+  struct Candidate {
+    EngineState* mEngine = nullptr;
+    double mScore = 0;
+    void Offer(EngineState* aEngine, double aScore);
+  };
+
   bool ZoneAllowed(const CallSpec& aSpec, const ZoneGroup& aZone) const;
   int64_t RequiredVersion(const CallSpec& aSpec) const;
   bool Eligible(const CallSpec& aSpec, int64_t aVersion,
                 const EngineState& aEngine) const;
   double Score(const EngineState& aEngine, Millis aNow) const;
-  EngineState* Sample(const CallSpec& aSpec, int64_t aVersion,
-                      std::mt19937_64& aRandom, Millis aNow) const;
-  EngineState* Scan(const CallSpec& aSpec, int64_t aVersion, Millis aNow) const;
+  void Sample(const CallSpec& aSpec, int64_t aVersion, std::mt19937_64& aRandom,
+              Millis aNow, Candidate& aBest) const;
+  void Scan(const CallSpec& aSpec, int64_t aVersion, Millis aNow,
+            Candidate& aBest) const;
+  void OfferPrefixHome(const CallSpec& aSpec, int64_t aVersion, Millis aNow,
+                       Candidate& aBest) const;
+  void RefreshMeans(Millis aNow);
 
   std::string mZone;
   std::vector<EngineState*> mEngines;
   std::vector<uint32_t> mZoneOf;
   std::vector<ZoneGroup> mZones;
+  const DispatchTuning* mTuning;
+  PrefixRing mRing;
+  std::vector<std::string> mRingIds;
   double mPrior = 0;
+  double mMeanLoad = 0;
 };
 
 }  // namespace rillwall
--- a/src/librillwall_coordination/wait_estimate.cpp
+++ b/src/librillwall_coordination/wait_estimate.cpp
@@ -8,37 +8,43 @@
 namespace {
 constexpr double kMemoryMs = 4000;
 constexpr double kLeastAgeMs = 200;
+constexpr double kLeastRate = 1e-9;
 constexpr double kLongestWaitMs = 3600e3;
+constexpr double kSmoothing = 0.05;
 
 double Decay(Millis aSpan) {
   return std::exp(-static_cast<double>(aSpan.Count()) / kMemoryMs);
 }
 }  // namespace
 
-void WaitEstimate::Freed(Millis aNow) {
-  if (!mAny) {
+void WaitEstimate::Started(Millis aNow) {
+  if (mStarts == 0) {
     mFirst = aNow;
-    mAny = true;
   }
-  mCount = mCount * Decay(aNow - mLast) + 1;
+  mStarts = mStarts * Decay(aNow - mLast) + 1;
   mLast = aNow;
 }
 
-double WaitEstimate::Rate(Millis aNow) const {
-  const double decayed = mCount * Decay(aNow - mLast);
+void WaitEstimate::Ended(Millis aSpan) {
+  const auto span = static_cast<double>(aSpan.Count());
+  mUsualMs += (span - mUsualMs) * (mUsualMs == 0 ? 1 : kSmoothing);
+}
+
+double WaitEstimate::StartRate(Millis aNow) const {
   const double age = static_cast<double>((aNow - mFirst).Count());
-  // The memory is not full yet just after the first event.
+  // The memory is not full yet just after the first start.
   const double filled = 1 - std::exp(-std::max(age, kLeastAgeMs) / kMemoryMs);
-  return decayed / (kMemoryMs * filled);
+  return mStarts * Decay(aNow - mLast) / (kMemoryMs * filled);
 }
 
-Millis WaitEstimate::Wait(double aAhead, Millis aNow) const {
-  if (!mAny) {
+Millis WaitEstimate::Wait(double aAhead, int64_t aInFlight, Millis aNow) const {
+  if (mUsualMs == 0) {
     return Millis(0);
   }
-  const double rate = Rate(aNow);
-  const double wait = (aAhead + 1) / std::max(rate, 1e-9);
-  return Millis(static_cast<int64_t>(std::min(wait, kLongestWaitMs)));
+  const double turnover = static_cast<double>(aInFlight) / mUsualMs;
+  const double rate = std::max({StartRate(aNow), turnover, kLeastRate});
+  const double wait = std::min(aAhead / rate, kLongestWaitMs);
+  return Millis(static_cast<int64_t>(wait));
 }
 
 }  // namespace rillwall
