Calls and datagrams between nodes, and their codecs

Nodes need request/reply calls over gRPC and gossip over UDP. Calls use gRPC's callback API and resume coroutines on the io_context; a call is destroyed there and never on a thread of gRPC, since the end of the last channel joins those threads.

--- a/src/include/rillwall/datagram.h
+++ b/src/include/rillwall/datagram.h
@@ -1,5 +1,6 @@
 /// \file
-/// Datagrams between nodes: a UDP socket, and the codec of gossip messages.
+/// Datagrams between nodes: a UDP socket. Their codec is in gossip_codec.h, so
+/// that the protocol library need not include this layer.
 
 #pragma once
 
@@ -10,16 +11,11 @@
 #include <string_view>
 
 #include "rillwall/error.h"
+#include "rillwall/gossip_codec.h"
 #include "rillwall/http.h"
-#include "rillwall/membership.h"
 
 namespace rillwall {
 
-/// \return the datagram's bytes
-std::string EncodeGossip(const GossipMessage& aMessage);
-/// \return the message, or BadRequest for anything not made by EncodeGossip
-Result<GossipMessage> DecodeGossip(std::string_view aBytes);
-
 /// Sends and receives datagrams. Thread-safe; the handler runs on aContext.
 class DatagramSocket {
  public:
--- /dev/null
+++ b/src/librillwall_transport/peer_client.cpp
@@ -0,0 +1,268 @@
+/// \file
+/// The client's side of calls between nodes: one gRPC channel a peer. Calls
+/// end on gRPC's threads and resume their coroutine where it runs.
+
+#include <grpcpp/grpcpp.h>
+
+#include <boost/asio/associated_cancellation_slot.hpp>
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <set>
+
+#include "node.grpc.pb.h"
+#include "peer_limits.h"
+#include "rillwall/peer.h"
+#include "rillwall/wire_convert.h"
+
+namespace rillwall {
+
+namespace {
+
+/// A restarted peer is reached again within the longest of these.
+constexpr int kFirstBackoffMs = 100;
+constexpr int kMaxBackoffMs = 1000;
+/// An attempt to connect is given up after so long.
+constexpr int kConnectTimeoutMs = 1000;
+/// The connection of a channel that is not used for so long is closed; a node
+/// talks to few peers at a time, and each connection costs memory at both ends.
+constexpr int kIdleTimeoutMs = 60000;
+
+/// What one call needs until gRPC is done with it.
+struct ClientCall {
+  grpc::ClientContext mContext;
+  wire::PeerRequest mRequest;
+  wire::PeerReply mReply;
+  std::shared_ptr<wire::Node::Stub> mStub;
+  std::chrono::milliseconds mTimeout{0};
+};
+
+using ClientCallPtr = std::shared_ptr<ClientCall>;
+
+ErrorKind KindOf(grpc::StatusCode aCode) {
+  switch (aCode) {
+    case grpc::StatusCode::DEADLINE_EXCEEDED:
+      return ErrorKind::Timeout;
+    case grpc::StatusCode::UNAVAILABLE:
+    case grpc::StatusCode::CANCELLED:
+      return ErrorKind::ConnectionLost;
+    case grpc::StatusCode::RESOURCE_EXHAUSTED:
+      return ErrorKind::TooLarge;
+    default:
+      return ErrorKind::Internal;
+  }
+}
+
+Result<wire::PeerReply> ResultOf(const grpc::Status& aStatus,
+                                 wire::PeerReply aReply) {
+  if (aStatus.ok()) {
+    return FromWire(std::move(aReply));
+  }
+  return Error(KindOf(aStatus.error_code()),
+               "A call to a peer failed: " + aStatus.error_message() + ".",
+               RunState::Unknown);
+}
+
+grpc::ChannelArguments Arguments() {
+  grpc::ChannelArguments out;
+  out.SetMaxReceiveMessageSize(kMaxPeerMessageBytes);
+  out.SetMaxSendMessageSize(kMaxPeerMessageBytes);
+  out.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kFirstBackoffMs);
+  out.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxBackoffMs);
+  out.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kConnectTimeoutMs);
+  out.SetInt(GRPC_ARG_CLIENT_IDLE_TIMEOUT_MS, kIdleTimeoutMs);
+  out.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kPeerKeepaliveMs);
+  out.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kPeerKeepaliveTimeoutMs);
+  out.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  // A dropped channel closes its connection.
+  out.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  // Callers decide whether to repeat, and peers are reached directly.
+  out.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  out.SetInt(GRPC_ARG_SERVICE_CONFIG_DISABLE_RESOLUTION, 1);
+  out.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  return out;
+}
+
+/// \return the target by IP number, so that no name is looked up
+std::string TargetOf(const std::string& aAddress) {
+  const bool v6 = aAddress.starts_with('[');
+  return (v6 ? "ipv6:" : "ipv4:") + aAddress;
+}
+
+using StubMap = std::map<std::string, std::shared_ptr<wire::Node::Stub>>;
+
+/// A call and the coroutine that waits for it. It is destroyed where the
+/// coroutine runs and never on a thread of gRPC: with the call goes the
+/// channel's last use, and the end of gRPC's last channel joins those threads.
+template <class Handler>
+struct Completion {
+  using Executor =
+      asio::associated_executor_t<Handler, asio::io_context::executor_type>;
+
+  Completion(ClientCallPtr aCall, Handler aHandler, asio::io_context& aContext)
+      : mCall(std::move(aCall)),
+        mHandler(std::move(aHandler)),
+        mWork(
+            asio::get_associated_executor(mHandler, aContext.get_executor())) {}
+
+  ClientCallPtr mCall;
+  Handler mHandler;
+  asio::executor_work_guard<Executor> mWork;
+};
+
+/// Resumes the coroutine.
+template <class Handler>
+void Finish(std::unique_ptr<Completion<Handler>> aCompletion,
+            const grpc::Status& aStatus) {
+  Handler handler = std::move(aCompletion->mHandler);
+  asio::get_associated_cancellation_slot(handler).clear();
+  auto result = ResultOf(aStatus, std::move(aCompletion->mCall->mReply));
+  aCompletion.reset();
+  std::move(handler)(std::move(result));
+}
+
+}  // namespace
+
+struct PeerClient::Impl
+    : public std::enable_shared_from_this<PeerClient::Impl> {
+  explicit Impl(asio::io_context& aContext) : mContext(aContext) {}
+
+  std::shared_ptr<wire::Node::Stub> StubOf(const std::string& aAddress);
+  /// \return false after Close()
+  bool Begin(ClientCall& aCall);
+  void Close();
+  void Retain(const std::set<std::string>& aKept);
+
+  template <class Handler>
+  void Start(ClientCallPtr aCall, Handler aHandler);
+  template <class Handler>
+  void Complete(std::unique_ptr<Completion<Handler>> aCompletion,
+                grpc::Status aStatus);
+
+  asio::io_context& mContext;
+  std::mutex mMutex;
+  std::condition_variable mEnded;
+  bool mClosed = false;
+  StubMap mStubs;
+  std::set<ClientCall*> mCalls;
+};
+
+std::shared_ptr<wire::Node::Stub> PeerClient::Impl::StubOf(
+    const std::string& aAddress) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::shared_ptr<wire::Node::Stub>& stub = mStubs[aAddress];
+  if (!stub) {
+    stub = wire::Node::NewStub(grpc::CreateCustomChannel(
+        TargetOf(aAddress), grpc::InsecureChannelCredentials(), Arguments()));
+  }
+  return stub;
+}
+
+bool PeerClient::Impl::Begin(ClientCall& aCall) {
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return !mClosed && mCalls.insert(&aCall).second;
+}
+
+void PeerClient::Impl::Close() {
+  StubMap dropped;
+  std::unique_lock<std::mutex> lock(mMutex);
+  mClosed = true;
+  for (ClientCall* call : mCalls) {
+    call->mContext.TryCancel();
+  }
+  // Ended calls are posted to the io_context, which must still be there.
+  mEnded.wait(lock, [this] { return mCalls.empty(); });
+  dropped.swap(mStubs);
+  lock.unlock();
+}
+
+void PeerClient::Impl::Retain(const std::set<std::string>& aKept) {
+  // The end of a channel may wait for a thread of gRPC that waits for the
+  // mutex, so that it must come after the unlocking.
+  std::vector<std::shared_ptr<wire::Node::Stub>> dropped;
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::erase_if(mStubs, [&](const StubMap::value_type& aEntry) {
+    const bool drop = !aKept.contains(aEntry.first);
+    if (drop) {
+      dropped.push_back(aEntry.second);
+    }
+    return drop;
+  });
+}
+
+template <class Handler>
+void PeerClient::Impl::Start(ClientCallPtr aCall, Handler aHandler) {
+  auto slot = asio::get_associated_cancellation_slot(aHandler);
+  if (slot.is_connected()) {
+    slot.assign(
+        [call = std::weak_ptr<ClientCall>(aCall)](asio::cancellation_type) {
+          if (const ClientCallPtr live = call.lock()) {
+            live->mContext.TryCancel();
+          }
+        });
+  }
+  ClientCall& call = *aCall;
+  call.mContext.set_deadline(std::chrono::system_clock::now() + call.mTimeout);
+  auto completion = std::make_unique<Completion<Handler>>(
+      std::move(aCall), std::move(aHandler), mContext);
+  if (!Begin(call)) {
+    Complete(std::move(completion), grpc::Status::CANCELLED);
+    return;
+  }
+  // gRPC copies the callback but runs it once; a plain pointer makes sure that
+  // nothing of the call is destroyed together with a copy.
+  call.mStub->async()->Call(&call.mContext, &call.mRequest, &call.mReply,
+                            [self = shared_from_this(),
+                             raw = completion.release()](grpc::Status aStatus) {
+                              self->Complete(
+                                  std::unique_ptr<Completion<Handler>>(raw),
+                                  std::move(aStatus));
+                            });
+}
+
+template <class Handler>
+void PeerClient::Impl::Complete(
+    std::unique_ptr<Completion<Handler>> aCompletion, grpc::Status aStatus) {
+  // Posting under the lock keeps Close() from returning before it is done.
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mCalls.erase(aCompletion->mCall.get());
+  const auto executor = aCompletion->mWork.get_executor();
+  asio::post(executor, [completion = std::move(aCompletion),
+                        status = std::move(aStatus)]() mutable {
+    Finish(std::move(completion), status);
+  });
+  mEnded.notify_all();
+}
+
+PeerClient::PeerClient(asio::io_context& aContext)
+    : mImpl(std::make_shared<Impl>(aContext)) {}
+
+PeerClient::~PeerClient() { mImpl->Close(); }
+
+asio::awaitable<Result<wire::PeerReply>> PeerClient::Call(
+    std::string aAddress, wire::PeerRequest aRequest, Millis aTimeout) {
+  auto call = std::make_shared<ClientCall>();
+  call->mRequest = std::move(aRequest);
+  call->mStub = mImpl->StubOf(aAddress);
+  call->mTimeout = std::chrono::milliseconds(aTimeout.Count());
+  // Not a coroutine itself: GCC 12 destroys twice what a lambda in a co_await
+  // expression captures.
+  return asio::async_initiate<const asio::use_awaitable_t<>,
+                              void(Result<wire::PeerReply>)>(
+      [impl = mImpl, call](auto aHandler) {
+        impl->Start(call, std::move(aHandler));
+      },
+      asio::use_awaitable);
+}
+
+void PeerClient::Retain(const std::vector<std::string>& aAddresses) {
+  mImpl->Retain({aAddresses.begin(), aAddresses.end()});
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_transport/peer_server.cpp
@@ -0,0 +1,193 @@
+/// \file
+/// The server's side of calls between nodes: gRPC's callback service. Each
+/// call's handler runs as a coroutine on the io_context; gRPC's own threads
+/// only move bytes.
+
+#include <grpcpp/grpcpp.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <mutex>
+#include <unordered_set>
+
+#include "node.grpc.pb.h"
+#include "peer_limits.h"
+#include "rillwall/peer.h"
+#include "rillwall/wire_convert.h"
+
+namespace rillwall {
+
+namespace {
+
+/// How long Stop() lets finished calls' answers go out.
+constexpr std::chrono::milliseconds kShutdownGrace{500};
+/// A connection without calls for so long is closed.
+constexpr int kMaxConnectionIdleMs = 300000;
+
+/// One call in flight. gRPC owns the reply until Finish() was called, which
+/// the handler's end and Stop() both want to do: the first one does.
+class PendingCall {
+ public:
+  PendingCall(grpc::ServerUnaryReactor* aReactor, wire::PeerReply* aReply)
+      : mReactor(aReactor), mReply(aReply) {}
+
+  void Answer(wire::PeerReply aReply) {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mReactor == nullptr) {
+      return;
+    }
+    *mReply = std::move(aReply);
+    std::exchange(mReactor, nullptr)->Finish(grpc::Status::OK);
+  }
+
+  void Abort() {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mReactor == nullptr) {
+      return;
+    }
+    std::exchange(mReactor, nullptr)
+        ->Finish(grpc::Status(grpc::StatusCode::UNAVAILABLE,
+                              "The node is shutting down."));
+  }
+
+ private:
+  std::mutex mMutex;
+  grpc::ServerUnaryReactor* mReactor;
+  wire::PeerReply* mReply;
+};
+
+using PendingCallPtr = std::shared_ptr<PendingCall>;
+
+/// The calls in flight, so that Stop() can end them. Coroutines keep it alive
+/// beyond the server's end.
+class PendingCalls {
+ public:
+  explicit PendingCalls(PeerHandler aHandler) : mHandler(std::move(aHandler)) {}
+
+  const PeerHandler& Handler() const { return mHandler; }
+
+  /// \return false after Close()
+  bool Add(const PendingCallPtr& aCall) {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return !mClosed && mCalls.insert(aCall).second;
+  }
+
+  void Remove(const PendingCallPtr& aCall) {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mCalls.erase(aCall);
+  }
+
+  /// Ends every call and takes no more.
+  void Close() {
+    std::unordered_set<PendingCallPtr> calls;
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      mClosed = true;
+      calls.swap(mCalls);
+    }
+    for (const PendingCallPtr& call : calls) {
+      call->Abort();
+    }
+  }
+
+ private:
+  const PeerHandler mHandler;
+  std::mutex mMutex;
+  bool mClosed = false;
+  std::unordered_set<PendingCallPtr> mCalls;
+};
+
+asio::awaitable<wire::PeerReply> Handle(const PeerHandler& aHandler,
+                                        wire::PeerRequest aRequest) {
+  try {
+    Result<wire::PeerReply> reply = co_await aHandler(std::move(aRequest));
+    co_return reply ? std::move(*reply) : ToWire(reply.error());
+  } catch (const std::exception& thrown) {
+    co_return ToWire(Error(ErrorKind::Internal, thrown.what()));
+  }
+}
+
+asio::awaitable<void> Serve(std::shared_ptr<PendingCalls> aCalls,
+                            PendingCallPtr aCall, wire::PeerRequest aRequest) {
+  wire::PeerReply reply =
+      co_await Handle(aCalls->Handler(), std::move(aRequest));
+  aCall->Answer(std::move(reply));
+  aCalls->Remove(aCall);
+}
+
+class NodeService final : public wire::Node::CallbackService {
+ public:
+  NodeService(asio::io_context& aContext, std::shared_ptr<PendingCalls> aCalls)
+      : mContext(aContext), mCalls(std::move(aCalls)) {}
+
+  grpc::ServerUnaryReactor* Call(grpc::CallbackServerContext* aServerContext,
+                                 const wire::PeerRequest* aRequest,
+                                 wire::PeerReply* aReply) override {
+    grpc::ServerUnaryReactor* reactor = aServerContext->DefaultReactor();
+    auto call = std::make_shared<PendingCall>(reactor, aReply);
+    if (mCalls->Add(call)) {
+      asio::co_spawn(mContext, Serve(mCalls, call, *aRequest), asio::detached);
+    } else {
+      call->Abort();
+    }
+    return reactor;
+  }
+
+ private:
+  asio::io_context& mContext;
+  std::shared_ptr<PendingCalls> mCalls;
+};
+
+}  // namespace
+
+struct PeerServer::Impl {
+  Impl(asio::io_context& aContext, PeerHandler aHandler)
+      : mCalls(std::make_shared<PendingCalls>(std::move(aHandler))),
+        mService(aContext, mCalls) {}
+
+  std::shared_ptr<PendingCalls> mCalls;
+  NodeService mService;
+  std::unique_ptr<grpc::Server> mServer;
+};
+
+PeerServer::PeerServer(asio::io_context& aContext, PeerHandler aHandler)
+    : mImpl(std::make_unique<Impl>(aContext, std::move(aHandler))) {}
+
+PeerServer::~PeerServer() { Stop(); }
+
+Result<Endpoint> PeerServer::Listen(const Endpoint& aEndpoint) {
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(aEndpoint.Text(), grpc::InsecureServerCredentials(),
+                           &port);
+  builder.RegisterService(&mImpl->mService);
+  builder.SetMaxReceiveMessageSize(kMaxPeerMessageBytes);
+  builder.SetMaxSendMessageSize(kMaxPeerMessageBytes);
+  // Two processes on one port would each get some of the calls.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS,
+                             kMaxConnectionIdleMs);
+  // Lets clients send their keepalive pings while a long call is in flight.
+  builder.AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+      kPeerKeepaliveMs / 2);
+  mImpl->mServer = builder.BuildAndStart();
+  if (!mImpl->mServer || port == 0) {
+    mImpl->mServer.reset();
+    return Error(ErrorKind::Unavailable,
+                 "Cannot serve peers on " + aEndpoint.Text() +
+                     "; is the port taken, or not an address of this host?");
+  }
+  return Endpoint{aEndpoint.mHost, static_cast<uint16_t>(port)};
+}
+
+void PeerServer::Stop() {
+  mImpl->mCalls->Close();
+  if (mImpl->mServer) {
+    mImpl->mServer->Shutdown(std::chrono::system_clock::now() + kShutdownGrace);
+    mImpl->mServer.reset();
+  }
+}
+
+}  // namespace rillwall
