dispatcher: tests and benchmarks of each mechanism, fairer shares, popular prefixes

Change: larger holders give back more; a prefix that is a large part of the calls has several homes; training calls probe first; preemption per waiting call, of calls whose end frees room first; the headroom of few slots is spread over engines. Every simulated bound is missed when its mechanism is switched off in the same test.

--- a/src/librillwall_coordination/dispatch_tuning.h
+++ b/src/librillwall_coordination/dispatch_tuning.h
@@ -16,17 +16,19 @@
   bool mOwnCountedOnce = true;  ///< take own calls out of the reported load
   bool mDecayToPeers = true;    ///< towards the peers' mean, not to nothing
   double mAwaitingWeight = 2;   ///< extra load of a call without a token yet
-  double mZonePenalty = 0.1;    ///< of another zone, as a share of the slots
-  double mPrefixBonus = 0.3;    ///< of the prefix's engine, likewise
+  double mZonePenalty = 0.3;    ///< of another zone, as a share of the slots
+  bool mPrefixHomes = true;     ///< several for a popular prefix
+  double mPrefixBonus = 0.2;    ///< of the prefix's engine, likewise
   double mPrefixBound = 1.25;   ///< of the mean load, for the prefix's engine
   // Limits.
   bool mShareSlots = true;      ///< claim only a part of reported free slots
   double mInteractiveGain = 1;  ///< part claimed by one report, see SlotShare()
   double mTrainingGain = 0.5;
   double mInteractiveEmpty = 0.5;  ///< part of an empty engine's slots
-  double mTrainingEmpty = 0.25;
-  bool mMoveTraining = true;  ///< off engines that cannot run it now
-  Millis mOwnMemory{500};     ///< for own calls as a lagging report saw them
+  double mTrainingEmpty = 0.1;
+  double mInteractiveBack = 0.5;  ///< evens out the nodes' parts
+  bool mMoveTraining = true;      ///< off engines that cannot run it now
+  Millis mOwnMemory{500};  ///< for own calls as a lagging report saw them
   bool mLimitByReports = true;
   bool mLimitByFirstTokens = true;
   bool mWeighSpeed = true;   ///< weigh engines down that are slower
--- a/src/librillwall_coordination/dispatcher_fakes.h
+++ b/src/librillwall_coordination/dispatcher_fakes.h
@@ -179,6 +179,9 @@
   Millis mWarmUp{15000};
   double mCallsPerSecond = 40;  ///< interactive, all nodes together
   double mTokensPerCall = 100;
+  double mFirstZoneShare = 0;    ///< of the calls that come through zone z0
+  double mModestShare = 0;       ///< of the calls, by a second house
+  bool mOneQueue = false;        ///< both houses use one name
   double mTrainingTokens = 400;  ///< per sample; 0: no training
   size_t mPrefixes = 0;
   double mPrefillMs = 150;
@@ -192,13 +195,19 @@
 
 /// What came of it, after the warm-up.
 struct Outcome {
-  std::vector<double> mFirstTokenMs;  ///< of interactive calls, sorted
+  std::vector<double> mFirstTokenMs;        ///< of interactive calls, sorted
+  std::vector<double> mModestFirstTokenMs;  ///< of the second house's
+  std::vector<double> mCallMs;              ///< whole interactive calls, sorted
+  std::vector<double> mSampleMs;            ///< whole training calls, sorted
+  uint64_t mModestCalls = 0;
+  uint64_t mModestRefused = 0;
   uint64_t mCalls = 0;
   uint64_t mRefused = 0;
   uint64_t mRefusedLate = 0;  ///< of these, held for over 100 ms
   uint64_t mAttempts = 0;     ///< calls put to an engine, of both classes
   uint64_t mFirstAttempts = 0;
   uint64_t mFailedAttempts = 0;
+  uint64_t mRemote = 0;  ///< attempts in another zone than the node's
   uint64_t mPreempted = 0;
   int64_t mTrainingTokens = 0;
   int64_t mInteractiveTokens = 0;
@@ -206,11 +215,26 @@
   double mHitRatio = 0;
 
   double Percentile(double aShare) const {
-    if (mFirstTokenMs.empty()) {
+    return PercentileOf(mFirstTokenMs, aShare);
+  }
+  double CallPercentile(double aShare) const {
+    return PercentileOf(mCallMs, aShare);
+  }
+  double SamplePercentile(double aShare) const {
+    return PercentileOf(mSampleMs, aShare);
+  }
+  double ModestPercentile(double aShare) const {
+    return PercentileOf(mModestFirstTokenMs, aShare);
+  }
+
+ private:
+  static double PercentileOf(const std::vector<double>& aSorted,
+                             double aShare) {
+    if (aSorted.empty()) {
       return 0;
     }
-    const auto last = static_cast<double>(mFirstTokenMs.size() - 1);
-    return mFirstTokenMs[static_cast<size_t>(aShare * last)];
+    const auto last = static_cast<double>(aSorted.size() - 1);
+    return aSorted[static_cast<size_t>(aShare * last)];
   }
 };
 
@@ -249,6 +273,10 @@
       Step();
     }
     std::sort(mOutcome.mFirstTokenMs.begin(), mOutcome.mFirstTokenMs.end());
+    std::sort(mOutcome.mCallMs.begin(), mOutcome.mCallMs.end());
+    std::sort(mOutcome.mSampleMs.begin(), mOutcome.mSampleMs.end());
+    std::sort(mOutcome.mModestFirstTokenMs.begin(),
+              mOutcome.mModestFirstTokenMs.end());
     double hits = 0;
     double all = 1e-9;
     for (const FakeEngine& engine : mEngines) {
@@ -268,6 +296,7 @@
     double mTokensLeft = 0;
     Millis mArrived;
     bool mFirstToken = false;
+    bool mModest = false;
   };
 
   std::string Zone(size_t aIndex) const {
@@ -345,8 +374,10 @@
     for (int left = calls(mRandom); left > 0; --left) {
       std::exponential_distribution<double> tokens(1 /
                                                    mScenario.mTokensPerCall);
-      Open(mRandom() % mNodes.size(), CallClass::Interactive,
-           1 + tokens(mRandom));
+      std::bernoulli_distribution hot(mScenario.mFirstZoneShare);
+      size_t node = mRandom() % mNodes.size();
+      node -= hot(mRandom) ? node % mScenario.mZones : 0;
+      Open(node, CallClass::Interactive, 1 + tokens(mRandom));
     }
     if (mScenario.mTrainingTokens <= 0 || mNow.Count() % 50 != 0) {
       return;
@@ -379,7 +410,11 @@
     call.mArrived = mNow;
     call.mSpec.mTicket = ++mLastTicket;
     call.mSpec.mClass = aClass;
-    call.mSpec.mTenant = aClass == CallClass::Training ? "trainer" : "house";
+    std::bernoulli_distribution modest(mScenario.mModestShare);
+    call.mModest = aClass == CallClass::Interactive && modest(mRandom);
+    const char* house =
+        call.mModest && !mScenario.mOneQueue ? "modest" : "house";
+    call.mSpec.mTenant = aClass == CallClass::Training ? "trainer" : house;
     call.mSpec.mModel = kModel;
     call.mSpec.mExpectedTokens = static_cast<int64_t>(aTokens);
     call.mSpec.mDeadline = mNow + Millis(600000);
@@ -394,6 +429,7 @@
       ++mTrainingOf[aNode];
     } else if (Counting()) {
       ++mOutcome.mCalls;
+      mOutcome.mModestCalls += call.mModest;
     }
     Submit(std::move(call));
   }
@@ -432,6 +468,7 @@
     if (Counting()) {
       ++mOutcome.mAttempts;
       mOutcome.mFirstAttempts += !call.mSpec.mRetry;
+      mOutcome.mRemote += mEngines[aEngine].mZone != Zone(call.mNode);
     }
     const FakeStream stream{.mTicket = aTicket,
                             .mNode = call.mNode,
@@ -449,6 +486,7 @@
     const Owned& call = mOwned.at(aTicket);
     if (call.mSpec.mClass == CallClass::Interactive && Counting()) {
       ++mOutcome.mRefused;
+      mOutcome.mModestRefused += call.mModest;
       mOutcome.mRefusedLate += mNow - call.mArrived > Millis(100);
     }
     Forget(aTicket);
@@ -509,7 +547,11 @@
       call.mFirstToken = true;
       if (interactive && Counting()) {
         const Millis wait = mNow - call.mArrived;
-        mOutcome.mFirstTokenMs.push_back(static_cast<double>(wait.Count()));
+        const auto waitMs = static_cast<double>(wait.Count());
+        mOutcome.mFirstTokenMs.push_back(waitMs);
+        if (call.mModest) {
+          mOutcome.mModestFirstTokenMs.push_back(waitMs);
+        }
       }
     }
     const size_t node = call.mNode;
@@ -519,6 +561,10 @@
     if (!aEvent.mDone) {
       return;
     }
+    if (Counting()) {
+      const auto whole = static_cast<double>((mNow - call.mArrived).Count());
+      (interactive ? mOutcome.mCallMs : mOutcome.mSampleMs).push_back(whole);
+    }
     Forget(aEvent.mTicket);
     if (mScenario.mRouting == Routing::Product) {
       Carry(node,
--- a/src/librillwall_coordination/dispatcher_impl.h
+++ b/src/librillwall_coordination/dispatcher_impl.h
@@ -142,7 +142,9 @@
   void FindOverdue(ModelQueue& aModel, Millis aNow);
   void Preempt(ModelQueue& aModel, CallDecisions& aOut, Millis aNow);
   void MoveTraining(ModelQueue& aModel, CallDecisions& aOut, Millis aNow);
-  void Recall(uint64_t aTicket, DispatchedCall& aCall, CallDecisions& aOut);
+  void Recall(const DispatchedCall& aCall, CallDecisions& aOut);
+  DispatchedCall* FindVictim(ModelQueue& aModel, const CallSpec& aWaiting,
+                             Millis aNow);
 
   std::string Dump() const;
 
--- a/src/librillwall_coordination/dispatcher_preempt.cpp
+++ b/src/librillwall_coordination/dispatcher_preempt.cpp
@@ -9,43 +9,62 @@
 namespace {
 constexpr Millis kMoveAfter{2000};
 constexpr double kMoveWeight = 0.4;
+constexpr size_t kMostRecalled = 16;  // in one tick
 }  // namespace
 
-void Dispatcher::Impl::Recall(uint64_t aTicket, DispatchedCall& aCall,
+void Dispatcher::Impl::Recall(const DispatchedCall& aCall,
                               CallDecisions& aOut) {
-  aOut.push_back(CallDecision{.mTicket = aTicket,
+  aOut.push_back(CallDecision{.mTicket = aCall.mSpec.mTicket,
                               .mVerdict = CallVerdict::Preempt,
                               .mUpstream = aCall.mEngine->Info().mId});
 }
 
+DispatchedCall* Dispatcher::Impl::FindVictim(ModelQueue& aModel,
+                                             const CallSpec& aWaiting,
+                                             Millis aNow) {
+  // The youngest call has the least to compute again when it is resumed. One
+  // whose engine stays full for this node still makes room for other nodes.
+  DispatchedCall* other = nullptr;
+  const auto& calls = aModel.mTrainingCalls;
+  for (auto ticket = calls.rbegin(); ticket != calls.rend(); ++ticket) {
+    DispatchedCall& call = mCalls.at(*ticket);
+    const bool fits = call.mStage == CallStage::Started &&
+                      call.mEngine->Usable(aNow) &&
+                      aModel.mPool.Allowed(aWaiting, *call.mEngine);
+    if (fits && call.mEngine->FreesRoom(aModel.mPool.Prior(), aNow)) {
+      return &call;
+    }
+    other = fits && !other ? &call : other;
+  }
+  return other;
+}
+
 void Dispatcher::Impl::Preempt(ModelQueue& aModel, CallDecisions& aOut,
                                Millis aNow) {
   if (mTuning.mPreemptAfter.Count() == 0) {
     return;
   }
-  // The youngest call has the least to compute again when it is resumed.
-  auto next = aModel.mTrainingCalls.rbegin();
   size_t needed = 0;
-  aModel.mInteractive.TakeFirst([&](uint64_t aTicket) {
+  size_t recalled = 0;
+  aModel.mInteractive.ForEach([&](uint64_t aTicket) {
     const DispatchedCall& waiting = mCalls.at(aTicket);
     const bool due = aNow - waiting.mQueuedAt >= mTuning.mPreemptAfter;
-    if (!due || ++needed <= aModel.mPreempting) {
+    if (!due || recalled >= kMostRecalled) {
       return false;
     }
-    for (; next != aModel.mTrainingCalls.rend(); ++next) {
-      DispatchedCall& call = mCalls.at(*next);
-      const bool fits = call.mStage == CallStage::Started &&
-                        call.mEngine->Usable(aNow) &&
-                        aModel.mPool.Allowed(waiting.mSpec, *call.mEngine);
-      if (fits) {
-        call.mStage = CallStage::Preempting;
-        ++aModel.mPreempting;
-        ++mCounts.mPreempted;
-        Recall(*next, call, aOut);
-        return false;
-      }
+    if (++needed <= aModel.mPreempting) {
+      return true;
+    }
+    DispatchedCall* victim = FindVictim(aModel, waiting.mSpec, aNow);
+    if (!victim) {
+      return false;
     }
-    return false;
+    victim->mStage = CallStage::Preempting;
+    ++recalled;
+    ++aModel.mPreempting;
+    ++mCounts.mPreempted;
+    Recall(*victim, aOut);
+    return true;
   });
 }
 
@@ -70,7 +89,7 @@
       call.mStage = CallStage::Moving;
       ++mCounts.mMoved;
       --room;
-      Recall(ticket, call, aOut);
+      Recall(call, aOut);
     }
   }
 }
--- a/src/librillwall_coordination/dispatcher_queue.cpp
+++ b/src/librillwall_coordination/dispatcher_queue.cpp
@@ -55,7 +55,7 @@
     const Millis wait =
         probe < kForever ? probe - aNow : kUnavailableRetryAfter;
     Refuse(aSpec.mTicket, ErrorKind::Unavailable, wait, out);
-  } else if (aSpec.mRetry && !mBudget.Draw()) {
+  } else if (aSpec.mRetry && !mBudget.Draw(aSpec.mClass)) {
     Refuse(aSpec.mTicket, ErrorKind::Overloaded, kUnavailableRetryAfter, out);
   }
   if (out.empty()) {
--- a/src/librillwall_coordination/engine_state.cpp
+++ b/src/librillwall_coordination/engine_state.cpp
@@ -30,6 +30,7 @@
 SlotShare InteractiveShare(const DispatchTuning& aTuning) {
   return {{.mGain = aTuning.mInteractiveGain,
            .mEmpty = aTuning.mInteractiveEmpty,
+           .mBack = aTuning.mInteractiveBack,
            .mAtLeastOne = true},
           kFirstInteractiveShare};
 }
@@ -211,6 +212,18 @@
   mLimiter.Lower(Load(aPrior, aNow) - static_cast<double>(aOverdue));
 }
 
+double EngineState::FreeSlots(CallClass aClass, double aPrior,
+                              Millis aNow) const {
+  const double room = Limit(aClass, aNow) - Load(aPrior, aNow);
+  if (!mTuning->mShareSlots) {
+    return room;
+  }
+  const int64_t share = aClass == CallClass::Interactive
+                            ? mInteractiveShare.Allowed() - Own()
+                            : mTrainingShare.Allowed() - mTraining;
+  return std::min(room, static_cast<double>(share));
+}
+
 int64_t EngineState::Room(CallClass aClass, double aPrior, Millis aNow) const {
   if (!Usable(aNow)) {
     return 0;
@@ -218,14 +231,12 @@
   if (mBreaker.State() != BreakerState::Closed) {
     return 1;
   }
-  double room = Limit(aClass, aNow) - Load(aPrior, aNow);
-  if (mTuning->mShareSlots) {
-    const bool interactive = aClass == CallClass::Interactive;
-    const int64_t share = interactive ? mInteractiveShare.Allowed() - Own()
-                                      : mTrainingShare.Allowed() - mTraining;
-    room = std::min(room, static_cast<double>(share));
-  }
-  return std::max<int64_t>(static_cast<int64_t>(std::floor(room)), 0);
+  const double room = std::floor(FreeSlots(aClass, aPrior, aNow));
+  return std::max<int64_t>(static_cast<int64_t>(room), 0);
+}
+
+bool EngineState::FreesRoom(double aPrior, Millis aNow) const {
+  return Usable(aNow) && FreeSlots(CallClass::Interactive, aPrior, aNow) > -1;
 }
 
 }  // namespace rillwall
--- a/src/librillwall_coordination/engine_state.h
+++ b/src/librillwall_coordination/engine_state.h
@@ -76,6 +76,8 @@
   double Limit(CallClass aClass, Millis aNow) const;
   /// \return calls of this class that could start now
   int64_t Room(CallClass aClass, double aPrior, Millis aNow) const;
+  /// \return whether ending one own call lets an interactive one start there
+  bool FreesRoom(double aPrior, Millis aNow) const;
   const Breaker& Circuit() const { return mBreaker; }
   /// \return whether own calls are in flight and no token has come for long
   bool Stalled(Millis aNow) const;
@@ -90,6 +92,7 @@
 
  private:
   void SmoothOwn(Millis aNow);
+  double FreeSlots(CallClass aClass, double aPrior, Millis aNow) const;
   void ShareSlots(double aRandom);
 
   Upstream mUpstream;
--- a/src/librillwall_coordination/fair_queue.h
+++ b/src/librillwall_coordination/fair_queue.h
@@ -61,6 +61,19 @@
     return std::nullopt;
   }
 
+  /// Visits tickets tenant by tenant in fair order, oldest first.
+  /// \param aVisit bool(uint64_t ticket): whether to go on with this tenant
+  template <class Visit>
+  void ForEach(Visit&& aVisit) const {
+    for (const auto& [time, tenant] : mBacklogged) {
+      for (const uint64_t ticket : mTenants[tenant].mQueue) {
+        if (!aVisit(ticket)) {
+          break;
+        }
+      }
+    }
+  }
+
   /// A tenant's call was started, from the queue or past it.
   /// \param aTokens what it is expected to take
   void Started(Tenant aTenant, int64_t aTokens);
--- /dev/null
+++ b/src/librillwall_coordination/limiter_test.cpp
@@ -0,0 +1,147 @@
+#include "limiter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+#include <vector>
+
+#include "peer_speed.h"
+#include "slot_share.h"
+
+namespace rillwall {
+
+namespace {
+
+class LimiterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LimiterTest);
+  CPPUNIT_TEST(FallsToWhatTheEngineHolds);
+  CPPUNIT_TEST(NeverBelowOne);
+  CPPUNIT_TEST(OverdueFirstTokens);
+  CPPUNIT_TEST(NodesTogetherFillAndDoNotSwamp);
+  CPPUNIT_TEST(OneNodeFillsAnEngine);
+  CPPUNIT_TEST(PartsEvenOut);
+  CPPUNIT_TEST(SlowEngineIsWeighedDownAndTriedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FallsToWhatTheEngineHolds() {
+    Limiter limiter{LimiterSigns()};
+    limiter.Report({.mRunning = 7, .mWaiting = 3, .mSlots = 16});
+    CPPUNIT_ASSERT_EQUAL(16.0, limiter.Limit());
+    limiter.Report({.mRunning = 7, .mWaiting = 2, .mSlots = 16});
+    CPPUNIT_ASSERT_EQUAL(7.0, limiter.Limit());
+    for (int report = 0; report < 30; ++report) {
+      const auto running = static_cast<int64_t>(limiter.Limit());
+      limiter.Report({.mRunning = running, .mSlots = 16});
+    }
+    CPPUNIT_ASSERT_EQUAL(16.0, limiter.Limit());
+  }
+
+  void NeverBelowOne() {
+    Limiter limiter{LimiterSigns()};
+    for (int call = 0; call < 100; ++call) {
+      limiter.Refused();
+      limiter.Lower(-5);
+      limiter.Report({.mWaiting = 5, .mSlots = 16});
+    }
+    CPPUNIT_ASSERT_EQUAL(1.0, limiter.Limit());
+  }
+
+  void OverdueFirstTokens() {
+    Limiter limiter{LimiterSigns()};
+    const CallClass kind = CallClass::Interactive;
+    CPPUNIT_ASSERT(!limiter.Overdue(kind, Millis(60000)));
+    for (int call = 0; call < 10; ++call) {
+      limiter.FirstToken(kind, Millis(300));
+    }
+    CPPUNIT_ASSERT(!limiter.Overdue(kind, Millis(800)));
+    CPPUNIT_ASSERT(limiter.Overdue(kind, Millis(1000)));
+    CPPUNIT_ASSERT(!limiter.Overdue(CallClass::Training, Millis(1000)));
+  }
+
+  /// Nodes that want all they can get, before one engine whose reports come a
+  /// round late. Calls that end are followed by others.
+  /// \return the engine's load over the rounds
+  std::vector<int64_t> Rounds(size_t aNodes, int64_t aTarget, double aBack,
+                              int aRounds) {
+    std::mt19937_64 random(3);
+    std::uniform_real_distribution<double> draw(0, 1);
+    mOwn.resize(aNodes, 0);
+    std::vector<SlotShare> shares(
+        aNodes, SlotShare({.mGain = 0.5, .mEmpty = 0.1, .mBack = aBack}, 0));
+    std::vector<int64_t> loads = {
+        std::accumulate(mOwn.begin(), mOwn.end(), int64_t{0})};
+    for (int round = 0; round < aRounds; ++round) {
+      const int64_t reported = loads.back();
+      int64_t load = 0;
+      for (size_t node = 0; node < aNodes; ++node) {
+        shares[node].Report({.mOwn = static_cast<double>(mOwn[node]),
+                             .mTotal = static_cast<double>(reported),
+                             .mTarget = static_cast<double>(aTarget),
+                             .mRandom = draw(random)});
+        mOwn[node] = shares[node].Allowed();
+        load += mOwn[node];
+      }
+      loads.push_back(load);
+    }
+    return loads;
+  }
+
+  void NodesTogetherFillAndDoNotSwamp() {
+    for (const size_t nodes : {5u, 10u, 20u}) {
+      mOwn.clear();
+      const std::vector<int64_t> loads = Rounds(nodes, 20, 0, 300);
+      double sum = 0;
+      for (size_t round = 0; round < loads.size(); ++round) {
+        // Taking all that is reported free would reach 20 calls a node.
+        CPPUNIT_ASSERT(loads[round] <= 40);
+        sum += round >= 50 ? static_cast<double>(loads[round]) : 0;
+      }
+      const double mean = sum / static_cast<double>(loads.size() - 50);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(20, mean, 3);
+    }
+  }
+
+  void OneNodeFillsAnEngine() {
+    for (const int64_t slots : {1, 4, 64}) {
+      mOwn.clear();
+      CPPUNIT_ASSERT_EQUAL(slots, Rounds(1, slots, 0, 30).back());
+    }
+  }
+
+  void PartsEvenOut() {
+    const auto spread = [this](double aBack) {
+      mOwn = {190, 30, 30, 30, 30, 30, 30, 30};
+      Rounds(8, 400, aBack, 100);
+      const auto ends = std::minmax_element(mOwn.begin(), mOwn.end());
+      return *ends.second - *ends.first;
+    };
+    CPPUNIT_ASSERT(spread(0.5) < 50);
+    CPPUNIT_ASSERT(spread(0) > 100);
+  }
+
+  void SlowEngineIsWeighedDownAndTriedAgain() {
+    StreamSpeed speed;
+    for (int64_t now = 100; now <= 3000; now += 100) {
+      speed.Add(1, Millis(100), Millis(now));
+    }
+    CPPUNIT_ASSERT(speed.Known(Millis(3000)));
+    const double median = Median({10, 40, 50, 45, 38});
+    CPPUNIT_ASSERT_EQUAL(40.0, median);
+    const double weight = SpeedWeight(speed.PerSecond(), median);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, weight, 0.01);
+    CPPUNIT_ASSERT_EQUAL(1.0, SpeedWeight(30, median));
+    CPPUNIT_ASSERT(!speed.Known(Millis(20000)));
+  }
+
+ private:
+  std::vector<int64_t> mOwn;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LimiterTest);
+
+}  // namespace
+
+}  // namespace rillwall
--- a/src/librillwall_coordination/prefix_affinity.cpp
+++ b/src/librillwall_coordination/prefix_affinity.cpp
@@ -4,11 +4,17 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace rillwall {
 
 namespace {
 constexpr uint64_t kPointsPerEngine = 24;
+constexpr double kMemoryMs = 10000;
+
+double Faded(double aCount, Millis aAge) {
+  return aCount * std::exp(-static_cast<double>(aAge.Count()) / kMemoryMs);
+}
 }  // namespace
 
 PrefixRing::PrefixRing(const std::vector<std::string>& aIds) {
@@ -32,4 +38,23 @@
                                 : static_cast<size_t>(found - mPoints.begin());
 }
 
+double PrefixShares::Add(uint64_t aPrefix, Millis aNow) {
+  mAll.mCount = Faded(mAll.mCount, aNow - mAll.mAt) + 1;
+  mAll.mAt = aNow;
+  const uint64_t hash = XXH3_64bits(&aPrefix, sizeof(aPrefix));
+  Entry& entry = mEntries[hash % kEntries];
+  entry.mCount = Faded(entry.mCount, aNow - entry.mAt);
+  entry.mAt = aNow;
+  if (entry.mPrefix != aPrefix) {
+    // The more popular of two prefixes with the same place stays.
+    if (entry.mCount > 1) {
+      entry.mCount -= 1;
+      return 1 / mAll.mCount;
+    }
+    entry = Entry{aPrefix, 0, aNow};
+  }
+  entry.mCount += 1;
+  return std::min(entry.mCount / mAll.mCount, 1.0);
+}
+
 }  // namespace rillwall
--- a/src/librillwall_coordination/prefix_affinity.h
+++ b/src/librillwall_coordination/prefix_affinity.h
@@ -4,17 +4,22 @@
 ///
 /// Every node that knows the same engines finds the same home, without
 /// exchange; a change of one engine moves only its own prefixes. A caller that
-/// finds the home too loaded takes the next engine of the ring.
-/// Sans-IO; immutable once made.
+/// finds the home too loaded takes the next engine of the ring. A prefix that
+/// is a large part of a node's calls has several homes.
+/// Sans-IO and single-threaded.
 
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "rillwall/millis.h"
+
 namespace rillwall {
 
+/// The engines on a ring. Immutable once made.
 class PrefixRing {
  public:
   PrefixRing() = default;
@@ -56,4 +61,24 @@
   std::vector<Point> mPoints;  ///< by hash
 };
 
+/// Which part of the recent calls each popular prefix makes up.
+class PrefixShares {
+ public:
+  /// Counts a call.
+  /// \return the part of recent calls that have its prefix, in (0, 1]; less
+  /// than the truth for rare prefixes
+  double Add(uint64_t aPrefix, Millis aNow);
+
+ private:
+  struct Entry {
+    uint64_t mPrefix = 0;
+    double mCount = 0;
+    Millis mAt;
+  };
+  static constexpr size_t kEntries = 512;
+
+  std::array<Entry, kEntries> mEntries;
+  Entry mAll;
+};
+
 }  // namespace rillwall
--- a/src/librillwall_coordination/router.cpp
+++ b/src/librillwall_coordination/router.cpp
@@ -1,13 +1,16 @@
 #include "router.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace rillwall {
 
 namespace {
 constexpr int kDrawsPerChoice = 3;
-constexpr int kPrefixHomes = 3;
+constexpr int kPrefixTries = 3;
+constexpr Millis kInteractiveProbeAfter{5000};
+constexpr double kLastResort = 1000;
 
 size_t ClassIndex(CallClass aClass) {
   return aClass == CallClass::Interactive ? 0 : 1;
@@ -159,7 +162,15 @@
   return zone && Eligible(aSpec, RequiredVersion(aSpec), aEngine);
 }
 
-double EnginePool::Score(const EngineState& aEngine, Millis aNow) const {
+double EnginePool::Score(const CallSpec& aSpec, const EngineState& aEngine,
+                         Millis aNow) const {
+  const Breaker& breaker = aEngine.Circuit();
+  if (breaker.State() != BreakerState::Closed) {
+    // Training calls probe; interactive ones only where none has for long.
+    const bool probe = aSpec.mClass == CallClass::Training ||
+                       aNow - breaker.NextProbe() >= kInteractiveProbeAfter;
+    return probe ? 0 : kLastResort;
+  }
   const double awaiting =
       static_cast<double>(aEngine.Awaiting()) * mTuning->mAwaitingWeight;
   const double load = aEngine.Load(mPrior, aNow) + awaiting + 1;
@@ -169,7 +180,7 @@
 }
 
 EngineState* EnginePool::Choose(const CallSpec& aSpec, std::mt19937_64& aRandom,
-                                Millis aNow) const {
+                                Millis aNow) {
   if (!AnyRoom(aSpec.mClass)) {
     return nullptr;
   }
@@ -180,7 +191,7 @@
     Scan(aSpec, version, aNow, best);
   }
   if (best.mEngine && aSpec.mPrefixHash != 0) {
-    OfferPrefixHome(aSpec, version, aNow, best);
+    OfferPrefixHome(aSpec, version, aRandom, aNow, best);
   }
   return best.mEngine;
 }
@@ -199,7 +210,7 @@
       EngineState* engine = mEngines[members[aRandom() % members.size()]];
       if (engine->Usable(aNow) && Eligible(aSpec, aVersion, *engine)) {
         ++found;
-        aBest.Offer(engine, Score(*engine, aNow));
+        aBest.Offer(engine, Score(aSpec, *engine, aNow));
       }
     }
   }
@@ -215,23 +226,32 @@
     for (const uint32_t index : members) {
       EngineState* engine = mEngines[index];
       if (engine->Usable(aNow) && Eligible(aSpec, aVersion, *engine)) {
-        aBest.Offer(engine, Score(*engine, aNow));
+        aBest.Offer(engine, Score(aSpec, *engine, aNow));
       }
     }
   }
 }
 
 void EnginePool::OfferPrefixHome(const CallSpec& aSpec, int64_t aVersion,
-                                 Millis aNow, Candidate& aBest) const {
+                                 std::mt19937_64& aRandom, Millis aNow,
+                                 Candidate& aBest) {
+  const double part = mPrefixShares.Add(aSpec.mPrefixHash, aNow);
+  const double even = part * static_cast<double>(mEngines.size());
+  const auto homes = static_cast<uint64_t>(
+      mTuning->mPrefixHomes ? std::max(std::ceil(even), 1.0) : 1.0);
+  auto skip = homes > 1 ? static_cast<int>(aRandom() % homes) : 0;
   const double bound = mMeanLoad * mTuning->mPrefixBound + 1;
-  mRing.Visit(aSpec.mPrefixHash, kPrefixHomes, [&](uint32_t aIndex) {
+  mRing.Visit(aSpec.mPrefixHash, skip + kPrefixTries, [&](uint32_t aIndex) {
+    if (skip-- > 0) {
+      return false;
+    }
     EngineState* engine = mEngines[aIndex];
     const bool fits = engine->Room(aSpec.mClass, mPrior, aNow) > 0 &&
                       engine->Load(mPrior, aNow) <= bound &&
                       ZoneAllowed(aSpec, mZones[mZoneOf[aIndex]]) &&
                       Eligible(aSpec, aVersion, *engine);
     if (fits) {
-      aBest.Offer(engine, Score(*engine, aNow) - mTuning->mPrefixBonus);
+      aBest.Offer(engine, Score(aSpec, *engine, aNow) - mTuning->mPrefixBonus);
     }
     return fits;
   });
--- a/src/librillwall_coordination/router.h
+++ b/src/librillwall_coordination/router.h
@@ -53,7 +53,7 @@
 
   /// \return an engine with room for the call, or nullptr
   EngineState* Choose(const CallSpec& aSpec, std::mt19937_64& aRandom,
-                      Millis aNow) const;
+                      Millis aNow);
   /// \return whether any engine that the call may use takes calls at all
   bool AnyUsable(const CallSpec& aSpec, Millis aNow) const;
   /// \return whether any engine has room for calls of this class
@@ -86,13 +86,15 @@
   int64_t RequiredVersion(const CallSpec& aSpec) const;
   bool Eligible(const CallSpec& aSpec, int64_t aVersion,
                 const EngineState& aEngine) const;
-  double Score(const EngineState& aEngine, Millis aNow) const;
+  /// The lower, the better.
+  double Score(const CallSpec& aSpec, const EngineState& aEngine,
+               Millis aNow) const;
   void Sample(const CallSpec& aSpec, int64_t aVersion, std::mt19937_64& aRandom,
               Millis aNow, Candidate& aBest) const;
   void Scan(const CallSpec& aSpec, int64_t aVersion, Millis aNow,
             Candidate& aBest) const;
-  void OfferPrefixHome(const CallSpec& aSpec, int64_t aVersion, Millis aNow,
-                       Candidate& aBest) const;
+  void OfferPrefixHome(const CallSpec& aSpec, int64_t aVersion,
+                       std::mt19937_64& aRandom, Millis aNow, Candidate& aBest);
   void RefreshMeans(Millis aNow);
 
   std::string mZone;
@@ -101,6 +103,7 @@
   std::vector<ZoneGroup> mZones;
   const DispatchTuning* mTuning;
   PrefixRing mRing;
+  PrefixShares mPrefixShares;
   std::vector<std::string> mRingIds;
   double mPrior = 0;
   double mMeanLoad = 0;
--- a/src/librillwall_coordination/slot_share.h
+++ b/src/librillwall_coordination/slot_share.h
@@ -27,6 +27,7 @@
 struct SlotShareGain {
   double mGain = 1;          ///< part of the gap to close by one report
   double mEmpty = 0.5;       ///< part of an empty engine's slots to take
+  double mBack = 0;          ///< part of the own calls given back, see Report()
   bool mAtLeastOne = false;  ///< of an engine that is half empty
 };
 
@@ -46,6 +47,7 @@
   SlotShareGain mGain;
   int64_t mAllowed;
   double mBoost = 1;
+  int mOpenReports = 0;  ///< in a row of a half empty engine, all allowed used
 };
 
 }  // namespace rillwall
