--- a/src/standin/trainer.cpp
+++ b/src/standin/trainer.cpp
@@ -92,6 +92,8 @@
                    "Version announced at the start");
   aVerb.add_flag("--swap-every-step", aOptions.mSwapEveryStep,
                  "Announce a version after each step");
+  aVerb.add_flag("--swap-mid-step", aOptions.mSwapMidStep,
+                 "Announce a version once half of a step is received");
   aVerb.add_option("--max-staleness", aOptions.mMaxStaleness,
                    "Bound to check, in versions; -1: none");
 }
--- a/src/standin/trainer_run.cpp
+++ b/src/standin/trainer_run.cpp
@@ -81,7 +81,8 @@
 asio::awaitable<void> TrainerRun::Run() {
   mFigures.mStarted = Now();
   const int64_t first = std::max(mProgress.mNewest, mOptions.mFirstVersion);
-  if (!co_await Announce(first)) {
+  const bool announced = co_await Announce(first);
+  if (!announced) {
     co_return;
   }
   asio::co_spawn(mContext, Train(), asio::detached);
@@ -128,7 +129,8 @@
   mLog.WriteVersion(aVersion);
   const std::string path =
       "/weights/" + mOptions.mName + "-v" + std::to_string(aVersion);
-  if (!co_await CreateWeights(path)) {
+  const bool created = co_await CreateWeights(path);
+  if (!created) {
     co_return false;
   }
   json::object body;
@@ -153,6 +155,19 @@
   co_return true;
 }
 
+asio::awaitable<bool> TrainerRun::AnnounceNext() {
+  while (mAnnouncing && !mFinished) {
+    co_await Await();
+  }
+  mAnnouncing = true;
+  const bool announced = co_await Announce(mProgress.mNewest + 1);
+  mAnnouncing = false;
+  mChanged.cancel();
+  co_return announced;
+}
+
+asio::awaitable<void> TrainerRun::AnnounceMidStep() { co_await AnnounceNext(); }
+
 asio::awaitable<bool> TrainerRun::Open(uint64_t aStep) {
   json::array prompts;
   for (size_t group = 0; group < mOptions.mGroups; ++group) {
@@ -233,6 +248,13 @@
     mToTrain.push_back(aStep);
     ++mUntrained[aStep];
   }
+  const size_t received = mProgress.mSteps[aStep].mGroups.size();
+  const size_t half = mOptions.mGroups / 2;
+  const bool passed =
+      received >= half && received - record.mGroups.size() < half;
+  if (mOptions.mSwapMidStep && passed) {
+    asio::co_spawn(mContext, AnnounceMidStep(), asio::detached);
+  }
   mChanged.cancel();
 }
 
@@ -305,7 +327,12 @@
   times.mStep = aStep;
   times.mOpened = Now();
   mProgress.mSteps[aStep];
-  if (!co_await Open(aStep) || !co_await Receive(aStep)) {
+  const bool opened = co_await Open(aStep);
+  if (!opened) {
+    co_return;
+  }
+  const bool received = co_await Receive(aStep);
+  if (!received) {
     co_return;
   }
   times.mReceived = Now();
@@ -322,9 +349,11 @@
   mProgress.mSteps[aStep].mTrained = true;
   std::cout << "step " << aStep << " received in "
             << (times.mReceived - times.mOpened).Count() << " ms" << std::endl;
-  if (mOptions.mSwapEveryStep && aStep < LastStep() &&
-      !co_await Announce(mProgress.mNewest + 1)) {
-    co_return;
+  if (mOptions.mSwapEveryStep && aStep < LastStep()) {
+    const bool announced = co_await AnnounceNext();
+    if (!announced) {
+      co_return;
+    }
   }
   mTrainedThrough = aStep;
   mChanged.cancel();
--- a/src/standin/trainer_run.h
+++ b/src/standin/trainer_run.h
@@ -42,6 +42,7 @@
   uint64_t mAhead = 0;  ///< steps open before the present is trained
   uint64_t mSeed = 1;
   bool mSwapEveryStep = false;
+  bool mSwapMidStep = false;  ///< announce one more once half is received
 };
 
 /// What was measured of one step.
@@ -81,6 +82,9 @@
 
  private:
   asio::awaitable<bool> Announce(int64_t aVersion);
+  /// Announces the version after the newest, one announcement at a time.
+  asio::awaitable<bool> AnnounceNext();
+  asio::awaitable<void> AnnounceMidStep();
   asio::awaitable<bool> CreateWeights(const std::string& aPath);
   asio::awaitable<void> RunStep(uint64_t aStep);
   asio::awaitable<bool> Open(uint64_t aStep);
@@ -112,6 +116,7 @@
   std::map<uint64_t, size_t> mUntrained;  ///< groups by step
   uint64_t mTrainedThrough = 0;
   bool mFinished = false;
+  bool mAnnouncing = false;
   asio::steady_timer mChanged;  ///< cancelled at each change, to wake waiters
 };
 
