--- a/src/standin/control.cpp
+++ b/src/standin/control.cpp
@@ -40,7 +40,16 @@
   return error;
 }
 
-std::error_code Cut() { return make_error_code(ErrorKind::ConnectionLost); }
+HttpResponse AnswerFor(const Error& aError) {
+  return HttpResponse::Json(ErrorStatus(aError.Kind()),
+                            json::serialize(ErrorObject(aError)));
+}
+
+HttpResponse Refusal() {
+  return AnswerFor(Error(ErrorKind::Unavailable, "Refused on command."));
+}
+
+std::error_code Dropped() { return make_error_code(ErrorKind::ConnectionLost); }
 
 }  // namespace
 
@@ -66,14 +75,16 @@
       : mControl(aControl), mInner(aInner) {}
 
   asio::awaitable<std::error_code> Respond(HttpResponse aResponse) override {
-    if (!co_await MayAnswer()) {
-      co_return Cut();
+    const bool answer = co_await MayAnswer();
+    if (!answer) {
+      co_return Dropped();
     }
     co_return co_await mInner.Respond(std::move(aResponse));
   }
   asio::awaitable<std::error_code> Begin(HttpResponse aHead) override {
-    if (!co_await MayAnswer()) {
-      co_return Cut();
+    const bool answer = co_await MayAnswer();
+    if (!answer) {
+      co_return Dropped();
     }
     co_return co_await mInner.Begin(std::move(aHead));
   }
@@ -85,6 +96,7 @@
     co_await mControl.Thawed();
     co_return co_await mInner.End();
   }
+  void Cut() override { mInner.Cut(); }
   std::string Peer() const override { return mInner.Peer(); }
   bool PeerGone() const override { return mInner.PeerGone(); }
 
@@ -93,7 +105,11 @@
   asio::awaitable<bool> MayAnswer() {
     co_await mControl.Slowed();
     co_await mControl.Thawed();
-    co_return !mControl.mDropAnswer->Take();
+    const bool dropped = mControl.mDropAnswer->Take();
+    if (dropped) {
+      mInner.Cut();
+    }
+    co_return !dropped;
   }
 
   const Control& mControl;
@@ -223,18 +239,14 @@
   return false;
 }
 
-asio::awaitable<void> Control::AnswerControl(const HttpRequest& aRequest,
-                                             HttpExchange& aExchange) {
+HttpResponse Control::AnswerControl(const HttpRequest& aRequest) {
   if (aRequest.mMethod == "POST") {
     const Result<void> applied = Apply(aRequest.mBody);
     if (!applied.has_value()) {
-      co_await aExchange.Respond(
-          HttpResponse::Json(ErrorStatus(applied.error().Kind()),
-                             json::serialize(ErrorObject(applied.error()))));
-      co_return;
+      return AnswerFor(applied.error());
     }
   }
-  co_await aExchange.Respond(HttpResponse::Json(200, Text()));
+  return HttpResponse::Json(200, Text());
 }
 
 HttpHandler Control::Wrap(HttpHandler aHandler) {
@@ -242,7 +254,8 @@
              const HttpRequest& aRequest,
              HttpExchange& aExchange) -> asio::awaitable<void> {
     if (aRequest.Path() == kControlPath) {
-      co_await AnswerControl(aRequest, aExchange);
+      HttpResponse answer = AnswerControl(aRequest);
+      co_await aExchange.Respond(std::move(answer));
       co_return;
     }
     if (Exempt(aRequest.Path())) {
@@ -251,9 +264,8 @@
     }
     co_await Thawed();
     if (mRefuse->On()) {
-      const Error refused(ErrorKind::Unavailable, "Refused on command.");
-      co_await aExchange.Respond(HttpResponse::Json(
-          ErrorStatus(refused.Kind()), json::serialize(ErrorObject(refused))));
+      HttpResponse refusal = Refusal();
+      co_await aExchange.Respond(std::move(refusal));
       co_return;
     }
     Exchange exchange(*this, aExchange);
--- a/src/standin/control.h
+++ b/src/standin/control.h
@@ -77,8 +77,7 @@
   class Exchange;
   bool Exempt(std::string_view aPath) const;
   Fault* Find(std::string_view aName) const;
-  asio::awaitable<void> AnswerControl(const HttpRequest& aRequest,
-                                      HttpExchange& aExchange);
+  HttpResponse AnswerControl(const HttpRequest& aRequest);
   Result<void> CheckKnown(std::string_view aName) const;
   void ResetAll();
 
--- a/src/standin/hosts.cpp
+++ b/src/standin/hosts.cpp
@@ -106,7 +106,8 @@
 
 asio::awaitable<void> HostsService::Handle(const HttpRequest& aRequest,
                                            HttpExchange& aExchange) {
-  co_await aExchange.Respond(Answer(aRequest));
+  HttpResponse answer = Answer(aRequest);
+  co_await aExchange.Respond(std::move(answer));
 }
 
 HttpResponse HostsService::Answer(const HttpRequest& aRequest) {
--- a/src/standin/kv.cpp
+++ b/src/standin/kv.cpp
@@ -15,7 +15,10 @@
 
 namespace {
 
+constexpr char kCallsPath[] = "/calls";
+constexpr char kWatchPath[] = "/v3/watch";
 constexpr Millis kTick{20};
+constexpr size_t kHistory = 10000;
 constexpr int64_t kPerSecond = 1000;
 // gRPC's codes, as the gateway shows them in the body.
 constexpr int kInvalidArgument = 3;
@@ -44,7 +47,8 @@
 
 class KvService {
  public:
-  KvService();
+  /// \param aHistory how many changes are kept for watches
+  explicit KvService(size_t aHistory) : mStore(aHistory) {}
   void Run(const ServeOptions& aOptions);
 
  private:
@@ -58,11 +62,13 @@
 
   asio::awaitable<void> Handle(const HttpRequest& aRequest,
                                HttpExchange& aExchange);
-  asio::awaitable<void> Call(const Route& aRoute, const json::object& aBody,
-                             HttpExchange& aExchange);
-  asio::awaitable<void> Watch(const json::object& aBody,
+  static const Route* FindRoute(std::string_view aPath);
+  HttpResponse Call(const Route& aRoute, const HttpRequest& aRequest);
+  HttpResponse Other(std::string_view aPath) const;
+  asio::awaitable<void> Watch(const HttpRequest& aRequest,
                               HttpExchange& aExchange);
-  asio::awaitable<void> Follow(const KeyInterval& aKeys, int64_t aFrom,
+  /// Streams changes until the peer goes or an outage comes.
+  asio::awaitable<void> Follow(const WatchRequest& aWatch,
                                HttpExchange& aExchange);
   asio::awaitable<void> ExpireLeases();
   bool OverRate(CallKind aKind) const;
@@ -76,7 +82,7 @@
   HttpResponse Revoke(const json::object& aBody);
   HttpResponse KeepAlive(const json::object& aBody);
 
-  Control mControl{{"/calls"}};
+  Control mControl{{kCallsPath}};
   Fault& mOutage = mControl.Add("outage");
   Fault& mAnswerLost = mControl.Add("answer_lost");
   Fault& mReadRate = mControl.Add("read_rate");
@@ -96,8 +102,6 @@
      &KvService::KeepAlive},
 }};
 
-KvService::KvService() = default;
-
 void KvService::Run(const ServeOptions& aOptions) {
   const HttpHandler handler = [this](const HttpRequest& aRequest,
                                      HttpExchange& aExchange) {
@@ -115,31 +119,40 @@
   }
 }
 
+const KvService::Route* KvService::FindRoute(std::string_view aPath) {
+  for (const Route& route : kRoutes) {
+    if (aPath == route.mPath) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
 asio::awaitable<void> KvService::Handle(const HttpRequest& aRequest,
                                         HttpExchange& aExchange) {
-  if (aRequest.Path() == "/calls") {
-    co_await aExchange.Respond(JsonAnswer(200, mCalls.Write()));
+  const std::string_view path = aRequest.Path();
+  if (path != kCallsPath && mOutage.On()) {
+    aExchange.Cut();  // nothing is done
     co_return;
   }
-  if (mOutage.On()) {
-    co_return;  // cuts the connection; nothing is done
-  }
-  const Result<json::object> body = ParseObject(aRequest.mBody);
-  if (!body.has_value()) {
-    co_await aExchange.Respond(Failure(body.error()));
+  if (path == kWatchPath) {
+    co_await Watch(aRequest, aExchange);
     co_return;
   }
-  if (aRequest.Path() == "/v3/watch") {
-    co_await Watch(body.value(), aExchange);
+  const Route* const route = FindRoute(path);
+  HttpResponse answer = route ? Call(*route, aRequest) : Other(path);
+  const bool written =
+      route && route->mKind == CallKind::Write && answer.mStatus == 200;
+  if (written && mAnswerLost.Take()) {
+    aExchange.Cut();  // the write took effect; the writer cannot know
     co_return;
   }
-  for (const Route& route : kRoutes) {
-    if (aRequest.Path() == route.mPath) {
-      co_await Call(route, body.value(), aExchange);
-      co_return;
-    }
-  }
-  co_await aExchange.Respond(Failure(404, kNotFound, "no such call"));
+  co_await aExchange.Respond(std::move(answer));
+}
+
+HttpResponse KvService::Other(std::string_view aPath) const {
+  return aPath == kCallsPath ? JsonAnswer(200, mCalls.Write())
+                             : Failure(404, kNotFound, "no such call");
 }
 
 bool KvService::OverRate(CallKind aKind) const {
@@ -147,83 +160,60 @@
   return rate.On() && mCalls.ThisSecond(aKind, Now()) >= rate.Count();
 }
 
-asio::awaitable<void> KvService::Call(const Route& aRoute,
-                                      const json::object& aBody,
-                                      HttpExchange& aExchange) {
+HttpResponse KvService::Call(const Route& aRoute, const HttpRequest& aRequest) {
+  const Result<json::object> body = ParseObject(aRequest.mBody);
+  if (!body.has_value()) {
+    return Failure(body.error());
+  }
   if (OverRate(aRoute.mKind)) {
-    mCalls.Count("over_rate", CallKind::Watch, Now());
-    co_await aExchange.Respond(
-        Failure(429, kResourceExhausted, "too many requests"));
-    co_return;
+    mCalls.CountRefused();
+    return Failure(429, kResourceExhausted, "too many requests");
   }
   mCalls.Count(aRoute.mName, aRoute.mKind, Now());
-  HttpResponse answer = (this->*aRoute.mRun)(aBody);
-  if (aRoute.mKind == CallKind::Write && mAnswerLost.Take()) {
-    co_return;  // the write took effect; the writer cannot know
-  }
-  co_await aExchange.Respond(std::move(answer));
+  return (this->*aRoute.mRun)(body.value());
 }
 
-asio::awaitable<void> KvService::Watch(const json::object& aBody,
+asio::awaitable<void> KvService::Watch(const HttpRequest& aRequest,
                                        HttpExchange& aExchange) {
-  const json::value* request = aBody.if_contains("create_request");
-  if (!request || !request->is_object()) {
-    co_await aExchange.Respond(
-        Failure(400, kInvalidArgument, "create_request is missing"));
-    co_return;
-  }
-  const Result<KeyInterval> keys = ReadInterval(request->get_object());
-  if (!keys.has_value()) {
-    co_await aExchange.Respond(Failure(keys.error()));
+  const Result<WatchRequest> watch = ReadWatch(aRequest.mBody);
+  if (!watch.has_value()) {
+    HttpResponse failure = Failure(watch.error());
+    co_await aExchange.Respond(std::move(failure));
     co_return;
   }
-  const int64_t wanted = NumberOf(request->get_object(), "start_revision");
-  const int64_t from = wanted > 0 ? wanted : mStore.Revision() + 1;
   mCalls.Count("watch", CallKind::Watch, Now());
   mCalls.WatchBegan();
-  co_await Follow(keys.value(), from, aExchange);
+  co_await Follow(watch.value(), aExchange);
   mCalls.WatchEnded();
 }
 
-asio::awaitable<void> KvService::Follow(const KeyInterval& aKeys, int64_t aFrom,
+asio::awaitable<void> KvService::Follow(const WatchRequest& aWatch,
                                         HttpExchange& aExchange) {
   HttpResponse head = HttpResponse::Json(200, "");
-  if (co_await aExchange.Begin(std::move(head))) {
-    co_return;
-  }
-  json::object created;
-  created["header"] = WriteHeader(mStore.Revision());
-  created["created"] = true;
-  json::object first;
-  first["result"] = std::move(created);
-  if (co_await aExchange.Write(json::serialize(first) + "\n")) {
-    co_return;
-  }
-  int64_t next = aFrom;
-  while (!mOutage.On() && !aExchange.PeerGone()) {
+  std::error_code gone = co_await aExchange.Begin(std::move(head));
+  std::string line = WriteWatchCreated(mStore.Revision());
+  int64_t next = aWatch.mFrom > 0 ? aWatch.mFrom : mStore.Revision() + 1;
+  while (!gone && !mOutage.On() && !aExchange.PeerGone()) {
+    if (!line.empty()) {
+      co_await mControl.Slowed();
+      gone = co_await aExchange.Write(std::move(line));
+    }
     if (next < mStore.CompactRevision()) {
-      json::object cancelled;
-      cancelled["header"] = WriteHeader(mStore.Revision());
-      cancelled["canceled"] = true;
-      cancelled["compact_revision"] = std::to_string(mStore.CompactRevision());
-      json::object line;
-      line["result"] = std::move(cancelled);
-      co_await aExchange.Write(json::serialize(line) + "\n");
+      line = WriteWatchCompacted(mStore.Revision(), mStore.CompactRevision());
+      co_await aExchange.Write(std::move(line));
       co_await aExchange.End();
       co_return;
     }
-    const std::vector<StoreEvent> events = mStore.Since(next, aKeys);
-    const int64_t seen = mStore.Revision();
-    next = std::max(next, seen + 1);
+    const std::vector<StoreEvent> events = mStore.Since(next, aWatch.mKeys);
+    next = std::max(next, mStore.Revision() + 1);
     if (events.empty()) {
+      line.clear();
       co_await Sleep(kTick);
-      continue;
-    }
-    co_await mControl.Slowed();
-    if (co_await aExchange.Write(WriteEvents(events, seen))) {
-      co_return;
+    } else {
+      line = WriteEvents(events, mStore.Revision());
     }
   }
+  aExchange.Cut();
 }
 
 HttpResponse KvService::RunOp(StoreOpKind aKind, const json::object& aBody) {
@@ -308,7 +298,9 @@
   CLI::App* verb = aApp.add_subcommand("kv", "The key-value service");
   auto options = std::make_shared<ServeOptions>();
   AddServeOptions(*verb, *options);
-  verb->callback([options] { KvService().Run(*options); });
+  auto history = std::make_shared<size_t>(kHistory);
+  verb->add_option("--history", *history, "Changes kept for watches");
+  verb->callback([options, history] { KvService(*history).Run(*options); });
 }
 
 }  // namespace rillwall::standin
--- a/src/standin/kv_calls.h
+++ b/src/standin/kv_calls.h
@@ -28,6 +28,8 @@
   explicit KvCalls(Millis aStart) : mStart(aStart) {}
   /// \param aName the call's name in the counts
   void Count(const std::string& aName, CallKind aKind, Millis aNow);
+  /// A call was refused for its rate; it is in no second's count.
+  void CountRefused() { ++mTotals["over_rate"]; }
   /// \return calls of this kind within the present second
   int64_t ThisSecond(CallKind aKind, Millis aNow) const;
   /// A watch began or ended to wait.
--- a/src/standin/kv_codec.cpp
+++ b/src/standin/kv_codec.cpp
@@ -131,6 +131,12 @@
   return ops;
 }
 
+std::string WriteWatchLine(json::object aResult) {
+  json::object line;
+  line["result"] = std::move(aResult);
+  return json::serialize(line) + "\n";
+}
+
 }  // namespace
 
 std::string EncodeBase64(std::string_view aBytes) {
@@ -170,6 +176,23 @@
   return KeyInterval{begin.value(), end.value()};
 }
 
+Result<WatchRequest> ReadWatch(std::string_view aBody) {
+  const Result<json::object> body = ParseObject(aBody);
+  if (!body.has_value()) {
+    return body.error();
+  }
+  const json::value* request = body.value().if_contains("create_request");
+  if (!request || !request->is_object()) {
+    return Invalid("create_request is missing.");
+  }
+  const Result<KeyInterval> keys = ReadInterval(request->get_object());
+  if (!keys.has_value()) {
+    return keys.error();
+  }
+  return WatchRequest{keys.value(),
+                      NumberOf(request->get_object(), "start_revision")};
+}
+
 Result<StoreOp> ReadOp(StoreOpKind aKind, const json::object& aBody) {
   Result<KeyInterval> keys = ReadInterval(aBody);
   if (!keys.has_value()) {
@@ -257,6 +280,21 @@
   return result;
 }
 
+std::string WriteWatchCreated(int64_t aRevision) {
+  json::object result;
+  result["header"] = WriteHeader(aRevision);
+  result["created"] = true;
+  return WriteWatchLine(std::move(result));
+}
+
+std::string WriteWatchCompacted(int64_t aRevision, int64_t aCompactRevision) {
+  json::object result;
+  result["header"] = WriteHeader(aRevision);
+  result["canceled"] = true;
+  PutNumber(result, "compact_revision", aCompactRevision);
+  return WriteWatchLine(std::move(result));
+}
+
 std::string WriteEvents(const std::vector<StoreEvent>& aEvents,
                         int64_t aRevision) {
   json::array events;
@@ -271,9 +309,7 @@
   json::object result;
   result["header"] = WriteHeader(aRevision);
   result["events"] = std::move(events);
-  json::object line;
-  line["result"] = std::move(result);
-  return json::serialize(line) + "\n";
+  return WriteWatchLine(std::move(result));
 }
 
 }  // namespace rillwall::standin
--- a/src/standin/kv_codec.h
+++ b/src/standin/kv_codec.h
@@ -19,6 +19,13 @@
 Result<StoreOp> ReadOp(StoreOpKind aKind, const json::object& aBody);
 /// Reads the body of a transaction.
 Result<StoreTxn> ReadTxn(const json::object& aBody);
+/// What a watch asks for.
+struct WatchRequest {
+  KeyInterval mKeys;
+  int64_t mFrom = 0;  ///< first revision wanted; 0: the next one
+};
+/// Reads the body of a watch.
+Result<WatchRequest> ReadWatch(std::string_view aBody);
 /// Reads key and range_end.
 Result<KeyInterval> ReadInterval(const json::object& aBody);
 
@@ -27,6 +34,10 @@
 json::object WriteOpResult(const StoreOpResult& aResult, int64_t aRevision);
 json::object WriteTxnResult(const StoreTxnResult& aResult, int64_t aRevision);
 json::object WriteHeader(int64_t aRevision);
+/// \return the first line of a watch's stream, with its newline
+std::string WriteWatchCreated(int64_t aRevision);
+/// \return the last line of a watch that asks for forgotten revisions
+std::string WriteWatchCompacted(int64_t aRevision, int64_t aCompactRevision);
 /// \return one line of a watch's stream, with its newline
 std::string WriteEvents(const std::vector<StoreEvent>& aEvents,
                         int64_t aRevision);
--- a/src/standin/kv_store.h
+++ b/src/standin/kv_store.h
@@ -87,7 +87,7 @@
 class KvStore {
  public:
   /// \param aHistory how many changes are kept for watches
-  explicit KvStore(size_t aHistory = 10000) : mHistoryLimit(aHistory) {}
+  explicit KvStore(size_t aHistory) : mHistoryLimit(aHistory) {}
 
   int64_t Revision() const { return mRevision; }
   /// \return the oldest revision from which a watch can still start
--- a/src/standin/scorer.cpp
+++ b/src/standin/scorer.cpp
@@ -32,7 +32,8 @@
  private:
   asio::awaitable<void> Handle(const HttpRequest& aRequest,
                                HttpExchange& aExchange) {
-    co_await aExchange.Respond(Answer(aRequest));
+    HttpResponse answer = Answer(aRequest);
+    co_await aExchange.Respond(std::move(answer));
   }
 
   HttpResponse Answer(const HttpRequest& aRequest) {
--- a/src/standin/service.cpp
+++ b/src/standin/service.cpp
@@ -9,25 +9,17 @@
 
 namespace {
 
+constexpr char kJournalPath[] = "/journal";
+constexpr char kStatsPath[] = "/stats";
+constexpr char kLoadPath[] = "/load";
+
 /// One run of a charge.
 struct ChargeRun {
   std::string mKey;  ///< the Idempotency-Key it came with
   std::string mAccount;
   int64_t mAmount = 0;
-  Millis mAt;
 };
 
-HttpResponse Receipt(const ChargeRun& aRun, size_t aNumber) {
-  return JsonAnswer(201,
-                    json::object{{"id", "charge-" + std::to_string(aNumber)},
-                                 {"account", aRun.mAccount},
-                                 {"amount", aRun.mAmount}});
-}
-
-HttpResponse Status(std::string_view aPath) {
-  return JsonAnswer(200, json::object{{"path", aPath}, {"status", "open"}});
-}
-
 class PlainService {
  public:
   void Run(const ServeOptions& aOptions);
@@ -35,13 +27,17 @@
  private:
   asio::awaitable<void> Handle(const HttpRequest& aRequest,
                                HttpExchange& aExchange);
-  asio::awaitable<void> Charge(const HttpRequest& aRequest,
-                               HttpExchange& aExchange);
+  /// What a test or the platform reads; no request of a caller.
+  using Report = HttpResponse (PlainService::*)() const;
+  static Report FindReport(std::string_view aPath);
+  asio::awaitable<void> Delay();
+  HttpResponse Work(const HttpRequest& aRequest);
+  HttpResponse Charge(const HttpRequest& aRequest);
   HttpResponse Load() const;
   HttpResponse Journal() const;
   HttpResponse Stats() const;
 
-  Control mControl{{"/journal", "/stats"}};
+  Control mControl{{kJournalPath, kStatsPath}};
   Fault& mFailAfterRun = mControl.Add("fail_after_run");
   Fault& mLate = mControl.Add("late_ms");
   Fault& mLeaving = mControl.Add("leaving");
@@ -60,56 +56,65 @@
 
 asio::awaitable<void> PlainService::Handle(const HttpRequest& aRequest,
                                            HttpExchange& aExchange) {
-  const std::string_view path = aRequest.Path();
-  if (path == "/journal") {
-    co_await aExchange.Respond(Journal());
-    co_return;
+  const auto report = FindReport(aRequest.Path());
+  HttpResponse answer;
+  if (report) {
+    answer = (this->*report)();
+  } else {
+    ++mRequests;
+    ++mRunning;
+    mLastRequest = Now();
+    co_await Delay();
+    answer = Work(aRequest);
+    --mRunning;
+  }
+  co_await aExchange.Respond(std::move(answer));
+}
+
+asio::awaitable<void> PlainService::Delay() {
+  if (mLate.On()) {
+    co_await Sleep(mLate.Span());
+    co_await mControl.Thawed();
   }
-  if (path == "/stats") {
-    co_await aExchange.Respond(Stats());
-    co_return;
+}
+
+PlainService::Report PlainService::FindReport(std::string_view aPath) {
+  if (aPath == kJournalPath) {
+    return &PlainService::Journal;
   }
-  if (path == "/load") {
-    co_await aExchange.Respond(Load());
-    co_return;
+  if (aPath == kStatsPath) {
+    return &PlainService::Stats;
   }
-  ++mRequests;
-  ++mRunning;
-  mLastRequest = Now();
+  return aPath == kLoadPath ? &PlainService::Load : nullptr;
+}
+
+HttpResponse PlainService::Work(const HttpRequest& aRequest) {
+  const std::string_view path = aRequest.Path();
   if (path == "/charges" && aRequest.mMethod == "POST") {
-    co_await Charge(aRequest, aExchange);
-  } else if (path.starts_with("/status/")) {
-    co_await aExchange.Respond(Status(path));
-  } else {
-    co_await aExchange.Respond(ErrorAnswer(
-        404, "not-found", "Known: POST /charges, GET /status/{x}, /journal."));
+    return Charge(aRequest);
   }
-  --mRunning;
+  if (path.starts_with("/status/")) {
+    return JsonAnswer(200, json::object{{"path", path}, {"status", "open"}});
+  }
+  return ErrorAnswer(404, "not-found",
+                     "Known: POST /charges, GET /status/{x}, /journal.");
 }
 
-asio::awaitable<void> PlainService::Charge(const HttpRequest& aRequest,
-                                           HttpExchange& aExchange) {
+HttpResponse PlainService::Charge(const HttpRequest& aRequest) {
   const Result<json::object> body = ParseObject(aRequest.mBody);
   if (!body.has_value() || TextOf(body.value(), "account").empty()) {
-    co_await aExchange.Respond(
-        ErrorAnswer(400, "bad-request", "Send {\"account\",\"amount\"}."));
-    co_return;
-  }
-  if (mLate.On()) {
-    co_await Sleep(mLate.Span());
-    co_await mControl.Thawed();
+    return ErrorAnswer(400, "bad-request", "Send {\"account\",\"amount\"}.");
   }
   const std::string* key = aRequest.Find("Idempotency-Key");
-  ChargeRun run{key ? *key : "", TextOf(body.value(), "account"),
-                NumberOf(body.value(), "amount"), Now()};
-  mRuns.push_back(run);
-  const size_t number = mRuns.size();
+  mRuns.push_back({key ? *key : "", TextOf(body.value(), "account"),
+                   NumberOf(body.value(), "amount")});
   if (mFailAfterRun.Take()) {
-    co_await aExchange.Respond(
-        ErrorAnswer(500, "failed", "Failed on command, after the run."));
-    co_return;
+    return ErrorAnswer(500, "failed", "Failed on command, after the run.");
   }
-  co_await aExchange.Respond(Receipt(run, number));
+  return JsonAnswer(
+      201, json::object{{"id", "charge-" + std::to_string(mRuns.size())},
+                        {"account", mRuns.back().mAccount},
+                        {"amount", mRuns.back().mAmount}});
 }
 
 HttpResponse PlainService::Load() const {
--- a/src/standin/weights.cpp
+++ b/src/standin/weights.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr char kStatsPath[] = "/stats";
 constexpr char kPrefix[] = "/weights/";
 constexpr int64_t kMaxChunk = 256 * 1024;
 constexpr int64_t kMinChunk = 4 * 1024;
@@ -29,6 +30,20 @@
   int64_t mPeakReaders = 0;
 };
 
+HttpResponse Head(bool aPart, ByteRange aRange, int64_t aSize) {
+  HttpResponse head;
+  head.mHeaders.push_back({"Content-Type", "application/octet-stream"});
+  head.mHeaders.push_back({"Accept-Ranges", "bytes"});
+  if (aPart) {
+    head.mStatus = 206;
+    head.mHeaders.push_back(
+        {"Content-Range", "bytes " + std::to_string(aRange.mBegin) + "-" +
+                              std::to_string(aRange.mEnd - 1) + "/" +
+                              std::to_string(aSize)});
+  }
+  return head;
+}
+
 class WeightStore {
  public:
   WeightStore() : mBlock(kMaxChunk, 'w') {}
@@ -40,11 +55,12 @@
   asio::awaitable<void> Read(const HttpRequest& aRequest, int64_t aSize,
                              HttpExchange& aExchange);
   asio::awaitable<void> Stream(ByteRange aRange, HttpExchange& aExchange);
+  HttpResponse Other(const HttpRequest& aRequest, const std::string& aName);
   HttpResponse Make(const HttpRequest& aRequest, const std::string& aName);
   HttpResponse Stats() const;
   int64_t ChunkSize(double aBytesPerMilli) const;
 
-  Control mControl{{"/stats"}};
+  Control mControl{{kStatsPath}};
   Fault& mRate = mControl.Add("rate_mbps");
   Fault& mCutAfter = mControl.Add("cut_after_bytes");
   std::map<std::string, int64_t> mSizes;
@@ -62,27 +78,30 @@
 
 asio::awaitable<void> WeightStore::Handle(const HttpRequest& aRequest,
                                           HttpExchange& aExchange) {
-  if (aRequest.Path() == "/stats") {
-    co_await aExchange.Respond(Stats());
+  const std::string_view path = aRequest.Path();
+  const bool one = path.starts_with(kPrefix);
+  const std::string name(one ? path.substr(sizeof(kPrefix) - 1) : "");
+  const auto found = mSizes.find(name);
+  if (aRequest.mMethod == "GET" && found != mSizes.end()) {
+    co_await Read(aRequest, found->second, aExchange);
     co_return;
   }
-  if (!aRequest.Path().starts_with(kPrefix)) {
-    co_await aExchange.Respond(
-        ErrorAnswer(404, "not-found", "Known: /weights/{name}, /stats."));
-    co_return;
+  HttpResponse answer = Other(aRequest, name);
+  co_await aExchange.Respond(std::move(answer));
+}
+
+HttpResponse WeightStore::Other(const HttpRequest& aRequest,
+                                const std::string& aName) {
+  if (aRequest.Path() == kStatsPath) {
+    return Stats();
   }
-  const std::string name(aRequest.Path().substr(sizeof(kPrefix) - 1));
-  if (aRequest.mMethod == "PUT") {
-    co_await aExchange.Respond(Make(aRequest, name));
-    co_return;
+  if (aName.empty()) {
+    return ErrorAnswer(404, "not-found", "Known: /weights/{name}, /stats.");
   }
-  const auto found = mSizes.find(name);
-  if (found == mSizes.end()) {
-    co_await aExchange.Respond(
-        ErrorAnswer(404, "not-found", "No such weights; PUT them first."));
-    co_return;
+  if (aRequest.mMethod == "PUT") {
+    return Make(aRequest, aName);
   }
-  co_await Read(aRequest, found->second, aExchange);
+  return ErrorAnswer(404, "not-found", "No such weights; PUT them first.");
 }
 
 HttpResponse WeightStore::Make(const HttpRequest& aRequest,
@@ -99,31 +118,24 @@
 asio::awaitable<void> WeightStore::Read(const HttpRequest& aRequest,
                                         int64_t aSize,
                                         HttpExchange& aExchange) {
-  ByteRange range{0, aSize};
-  HttpResponse head;
-  head.mHeaders.push_back({"Content-Type", "application/octet-stream"});
-  head.mHeaders.push_back({"Accept-Ranges", "bytes"});
-  if (const std::string* header = aRequest.Find("Range")) {
-    const Result<ByteRange> wanted = ParseRange(*header, aSize);
-    if (!wanted.has_value()) {
-      co_await aExchange.Respond(
-          ErrorAnswer(416, "bad-request", wanted.error().Detail()));
-      co_return;
-    }
-    range = wanted.value();
-    head.mStatus = 206;
-    head.mHeaders.push_back(
-        {"Content-Range", "bytes " + std::to_string(range.mBegin) + "-" +
-                              std::to_string(range.mEnd - 1) + "/" +
-                              std::to_string(aSize)});
+  const std::string* header = aRequest.Find("Range");
+  const Result<ByteRange> range =
+      header ? ParseRange(*header, aSize) : ByteRange{0, aSize};
+  if (!range.has_value()) {
+    HttpResponse refusal =
+        ErrorAnswer(416, "bad-request", range.error().Detail());
+    co_await aExchange.Respond(std::move(refusal));
+    co_return;
   }
-  if (co_await aExchange.Begin(std::move(head))) {
+  HttpResponse head = Head(header != nullptr, range.value(), aSize);
+  const std::error_code gone = co_await aExchange.Begin(std::move(head));
+  if (gone) {
     co_return;
   }
   ++mCounts.mReads;
   ++mCounts.mReaders;
   mCounts.mPeakReaders = std::max(mCounts.mPeakReaders, mCounts.mReaders);
-  co_await Stream(range, aExchange);
+  co_await Stream(range.value(), aExchange);
   --mCounts.mReaders;
 }
 
@@ -146,7 +158,9 @@
       ++mCounts.mWaits;
       co_await Sleep(wait);
     }
-    if (co_await aExchange.Write(mBlock.substr(0, size))) {
+    std::string chunk = mBlock.substr(0, size);
+    const std::error_code gone = co_await aExchange.Write(std::move(chunk));
+    if (gone) {
       co_return;
     }
     mCounts.mBytes += size;
