Keep clang-tidy 14 from misreading defaulted comparisons

modernize-use-nullptr reports each defaulted operator<=> that is used as a < b: it takes the 0 of the rewritten comparison for a null pointer.

--- a/src/include/rillwall/millis.h
+++ b/src/include/rillwall/millis.h
@@ -21,6 +21,8 @@
   /// \return the number of milliseconds
   constexpr int64_t Count() const { return mCount; }
 
+  // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const Millis&) const = default;
   constexpr Millis operator+(Millis aOther) const {
     return Millis(mCount + aOther.mCount);
--- a/src/include/rillwall/policy.h
+++ b/src/include/rillwall/policy.h
@@ -23,6 +23,8 @@
 struct StalenessBound {
   int64_t mVersions = 1;  ///< newest version less the label's oldest
   Millis mAge{600000};    ///< since the sample's first token
+  // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const StalenessBound&) const = default;
 };
 
--- a/src/rillwall/group_runner.h
+++ b/src/rillwall/group_runner.h
@@ -48,6 +48,8 @@
     StepId mStep;
     size_t mGroup = 0;
     uint64_t mAttempt = 0;
+    // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Key&) const = default;
   };
   /// A finished group.
