--- a/src/include/rillwall/rcu.h
+++ b/src/include/rillwall/rcu.h
@@ -37,7 +37,7 @@
   /// \return the newest snapshot
   Snapshot Read() const {
     const uint64_t newest = mState->mGeneration.load(std::memory_order_acquire);
-    for (const Cached& cached : sCache) {
+    for (const Cached& cached : Cache()) {
       if (cached.mId != mState->mId) {
         continue;
       }
@@ -80,7 +80,7 @@
   struct State {
     explicit State(Snapshot aFirst) : mCurrent(std::move(aFirst)) {}
 
-    const uint64_t mId = sNextId.fetch_add(1, std::memory_order_relaxed);
+    const uint64_t mId = NextId();
     std::atomic<uint64_t> mGeneration{0};
     std::mutex mMutex;
     Snapshot mCurrent;
@@ -109,15 +109,23 @@
     auto holder = std::make_shared<const Snapshot>(std::move(current));
     fresh.mSnapshot = Snapshot(holder, holder->get());
     Snapshot result = fresh.mSnapshot;
-    std::erase_if(sCache, [&](const Cached& aCached) {
+    std::vector<Cached>& cache = Cache();
+    std::erase_if(cache, [&](const Cached& aCached) {
       return aCached.mId == fresh.mId || aCached.mCell.expired();
     });
-    sCache.push_back(std::move(fresh));
+    cache.push_back(std::move(fresh));
     return result;
   }
 
-  inline static std::atomic<uint64_t> sNextId{1};
-  inline static thread_local std::vector<Cached> sCache;
+  static uint64_t NextId() {
+    static std::atomic<uint64_t> sNext{1};
+    return sNext.fetch_add(1, std::memory_order_relaxed);
+  }
+  /// \return this thread's handles
+  static std::vector<Cached>& Cache() {
+    static thread_local std::vector<Cached> sCache;
+    return sCache;
+  }
 
   std::shared_ptr<State> mState;
 };
--- a/src/include/rillwall/settings.h
+++ b/src/include/rillwall/settings.h
@@ -19,7 +19,7 @@
 #include "rillwall/http.h"
 #include "rillwall/log.h"
 
-namespace CLI {
+namespace CLI {  // NOLINT(readability-identifier-naming): the library's
 class App;
 }
 
--- a/src/librillwall_state/log.cpp
+++ b/src/librillwall_state/log.cpp
@@ -112,8 +112,8 @@
 
 // Never destroyed: other threads may log until the process ends.
 Sink& TheSink() {
-  static Sink* const sSink = new Sink();
-  return *sSink;
+  static Sink* const kSink = new Sink();
+  return *kSink;
 }
 
 }  // namespace
--- a/src/librillwall_state/policy_rules.cpp
+++ b/src/librillwall_state/policy_rules.cpp
@@ -83,9 +83,10 @@
 }
 
 bool SameMethod(std::string_view aRule, std::string_view aMethod) {
-  return aRule == "*" ||
-         std::equal(aRule.begin(), aRule.end(), aMethod.begin(), aMethod.end(),
-                    [](char a, char b) { return Lower(a) == Lower(b); });
+  return aRule == "*" || std::equal(aRule.begin(), aRule.end(), aMethod.begin(),
+                                    aMethod.end(), [](char aLeft, char aRight) {
+                                      return Lower(aLeft) == Lower(aRight);
+                                    });
 }
 
 // "/v1/*" covers "/v1" and all below it; "/v1*" all that starts so.
--- a/src/rillwall/cli_verbs.cpp
+++ b/src/rillwall/cli_verbs.cpp
@@ -68,10 +68,10 @@
 }
 
 const json::array& ArrayOf(const CliAnswer& aAnswer, const char* aField) {
-  static const json::array sEmpty;
+  static const json::array kEmpty;
   const json::value* value = Field(aAnswer.mValue, aField);
   const json::array* array = value ? value->if_array() : nullptr;
-  return array ? *array : sEmpty;
+  return array ? *array : kEmpty;
 }
 
 int64_t NumberOf(const json::value& aValue, const char* aField) {
--- a/src/rillwall/cli_verbs.h
+++ b/src/rillwall/cli_verbs.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-namespace CLI {
+namespace CLI {  // NOLINT(readability-identifier-naming): the library's
 class App;
 }
 
