--- a/src/librillwall_coordination/dispatcher.cpp
+++ b/src/librillwall_coordination/dispatcher.cpp
@@ -56,9 +56,8 @@
   auto engine = std::make_unique<EngineState>(
       std::move(aUpstream), BreakerLimitsOf(mLimits, mTuning), mTuning);
   const auto leaving = mLeavingUnknown.find(id);
-  if (leaving != mLeavingUnknown.end() &&
-      aNow - leaving->second < kRememberLeaving) {
-    engine->MarkLeaving();
+  if (leaving != mLeavingUnknown.end()) {
+    engine->MarkLeavingUntil(leaving->second + kRememberLeaving);
   }
   mEngines.emplace(id, std::move(engine));
 }
@@ -122,7 +121,7 @@
   for (const uint64_t ticket : aModel.mAwaiting) {
     const DispatchedCall& call = mCalls.at(ticket);
     const EngineState& engine = *call.mEngine;
-    if (engine.Listed() &&
+    if (aModel.mPool.Has(engine) &&
         engine.Overdue(call.mSpec.mClass, call.mStartedAt, aNow)) {
       ++overdue[engine.Index()];
     }
--- a/src/librillwall_coordination/dispatcher_impl.h
+++ b/src/librillwall_coordination/dispatcher_impl.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -12,6 +11,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -87,7 +87,9 @@
 struct Expiry {
   Millis mAt;
   uint64_t mTicket = 0;
-  auto operator<=>(const Expiry&) const = default;
+  bool operator>(const Expiry& aOther) const {
+    return std::tie(mAt, mTicket) > std::tie(aOther.mAt, aOther.mTicket);
+  }
 };
 
 /// Counts for the dump.
--- a/src/librillwall_coordination/dispatcher_queue.cpp
+++ b/src/librillwall_coordination/dispatcher_queue.cpp
@@ -255,7 +255,12 @@
   EngineState& engine = *call.mEngine;
   const CallClass kind = call.mSpec.mClass;
   const bool same = call.mGeneration == engine.Info().mGeneration;
-  engine.Ended(kind, aTicket, aOutcome, call.mStreaming, same, aNow);
+  // A recalled call that ends otherwise says nothing about its engine.
+  const bool recalled = call.mStage != CallStage::Started;
+  const bool failed = aOutcome != CallOutcome::Done;
+  const CallOutcome outcome =
+      recalled && failed ? CallOutcome::Cancelled : aOutcome;
+  engine.Ended(kind, aTicket, outcome, call.mStreaming, same, aNow);
   model.Queue(kind).Correct(call.mTenant,
                             call.mTokens - call.mSpec.mExpectedTokens);
   --model.Running(kind);
--- a/src/librillwall_coordination/engine_state.cpp
+++ b/src/librillwall_coordination/engine_state.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 constexpr Millis kStalledAfter{3000};
+// A report this young says that the engine answers.
+constexpr Millis kReportAnswers{3000};
 
 LimiterSigns SignsOf(const DispatchTuning& aTuning) {
   return {.mReports = aTuning.mLimitByReports,
@@ -66,6 +68,7 @@
     mInteractiveShare = InteractiveShare(*mTuning);
     mTrainingShare = TrainingShare(*mTuning);
     mLeaving = false;
+    mLeavingUntil = Millis(0);
   }
   // The list lags: it does not undo what another source said earlier.
   mLeaving = mLeaving || aUpstream.mLeaving;
@@ -133,6 +136,7 @@
                         CallOutcome aOutcome, bool aStreaming,
                         bool aSameGeneration, Millis aNow) {
   SmoothOwn(aNow);
+  const bool silent = Stalled(aNow) && !Queues(aNow);
   mAwaiting -= aStreaming ? 0 : 1;
   --(aClass == CallClass::Interactive ? mInteractive : mTraining);
   if (!aSameGeneration) {
@@ -146,18 +150,37 @@
       mLimiter.Refused();
       mBreaker.Refused(aTicket, aNow);
       return;
-    case CallOutcome::Failed:
     case CallOutcome::TimedOut:
+      if (!aStreaming && Queues(aNow)) {
+        // It waited in the engine's own queue: the engine is busy, not dead.
+        mLimiter.Refused();
+        mBreaker.Cancelled(aTicket, aNow);
+        return;
+      }
+      mBreaker.Failed(aTicket, aNow);
+      return;
+    case CallOutcome::Failed:
       mBreaker.Failed(aTicket, aNow);
       return;
     case CallOutcome::Cancelled:
+      if (silent) {
+        // Given up because nothing came.
+        mBreaker.Failed(aTicket, aNow);
+        return;
+      }
       mBreaker.Cancelled(aTicket, aNow);
       return;
   }
 }
 
 bool EngineState::Usable(Millis aNow) const {
-  return mListed && !mLeaving && mBreaker.Allows(aNow) && !Stalled(aNow);
+  const bool staying = mListed && !mLeaving && aNow >= mLeavingUntil;
+  return staying && mBreaker.Allows(aNow) && !Stalled(aNow);
+}
+
+bool EngineState::Queues(Millis aNow) const {
+  return mHasReport && mReport.mWaiting > 0 &&
+         aNow - mReport.mAt < kReportAnswers;
 }
 
 bool EngineState::Stalled(Millis aNow) const {
--- a/src/librillwall_coordination/engine_state.h
+++ b/src/librillwall_coordination/engine_state.h
@@ -38,6 +38,9 @@
   /// The engine is no longer in the list; calls in flight go on.
   void Unlist() { mListed = false; }
   void MarkLeaving() { mLeaving = true; }
+  /// The id was said to be leaving before the engine was known, so perhaps an
+  /// earlier process was meant.
+  void MarkLeavingUntil(Millis aUntil) { mLeavingUntil = aUntil; }
   bool Leaving() const { return mLeaving; }
   bool Listed() const { return mListed; }
   /// \param aRandom in [0, 1), to round shares by
@@ -79,6 +82,8 @@
   /// \return whether ending one own call lets an interactive one start there
   bool FreesRoom(double aPrior, Millis aNow) const;
   const Breaker& Circuit() const { return mBreaker; }
+  /// \return whether a young report shows calls waiting at the engine
+  bool Queues(Millis aNow) const;
   /// \return whether own calls are in flight and no token has come for long
   bool Stalled(Millis aNow) const;
   const StreamSpeed& Speed() const { return mSpeed; }
@@ -106,6 +111,7 @@
   LoadReport mReport;
   bool mHasReport = false;
   bool mLeaving = false;
+  Millis mLeavingUntil;
   bool mListed = true;
   double mOwnAtReport = 0;
   double mOwnSmooth = 0;  ///< own calls of a moment ago
--- a/src/librillwall_coordination/prefix_affinity.h
+++ b/src/librillwall_coordination/prefix_affinity.h
@@ -53,7 +53,10 @@
   struct Point {
     uint64_t mHash = 0;
     uint32_t mIndex = 0;
-    auto operator<=>(const Point&) const = default;
+    bool operator<(const Point& aOther) const {
+      return mHash != aOther.mHash ? mHash < aOther.mHash
+                                   : mIndex < aOther.mIndex;
+    }
   };
 
   size_t Home(uint64_t aPrefix) const;
--- a/src/librillwall_coordination/router.cpp
+++ b/src/librillwall_coordination/router.cpp
@@ -81,10 +81,10 @@
 }
 
 void EnginePool::Refresh(const EngineState& aEngine, Millis aNow) {
-  const uint32_t index = aEngine.Index();
-  if (index >= mEngines.size() || mEngines[index] != &aEngine) {
+  if (!Has(aEngine)) {
     return;
   }
+  const uint32_t index = aEngine.Index();
   ZoneGroup& zone = mZones[mZoneOf[index]];
   for (const CallClass kind : {CallClass::Interactive, CallClass::Training}) {
     zone.mRoomy[ClassIndex(kind)].Set(index,
--- a/src/librillwall_coordination/router.h
+++ b/src/librillwall_coordination/router.h
@@ -45,6 +45,10 @@
   /// Takes the engines; they must outlive the pool or the next call of this.
   void SetEngines(std::vector<EngineState*> aEngines, Millis aNow);
   const std::vector<EngineState*>& Engines() const { return mEngines; }
+  bool Has(const EngineState& aEngine) const {
+    const uint32_t index = aEngine.Index();
+    return index < mEngines.size() && mEngines[index] == &aEngine;
+  }
 
   /// Brings the index up to date with one engine.
   void Refresh(const EngineState& aEngine, Millis aNow);
