--- a/src/standin/control.cpp
+++ b/src/standin/control.cpp
@@ -274,8 +274,8 @@
 }
 
 Millis Now() {
-  static const SteadyClock sClock;
-  return sClock.Now();
+  static const SteadyClock kClock;
+  return kClock.Now();
 }
 
 asio::awaitable<void> Sleep(Millis aSpan) {
--- a/src/standin/kv_codec.cpp
+++ b/src/standin/kv_codec.cpp
@@ -114,9 +114,9 @@
 }
 
 const json::array& ArrayOf(const json::object& aBody, std::string_view aName) {
-  static const json::array sNone;
+  static const json::array kNone;
   const json::value* value = aBody.if_contains(aName);
-  return value && value->is_array() ? value->get_array() : sNone;
+  return value && value->is_array() ? value->get_array() : kNone;
 }
 
 Result<std::vector<StoreOp>> ReadOps(const json::array& aItems) {
--- a/src/standin/kv_store.cpp
+++ b/src/standin/kv_store.cpp
@@ -80,7 +80,7 @@
   StoreTxnResult result;
   result.mSucceeded =
       std::all_of(aTxn.mCompare.begin(), aTxn.mCompare.end(),
-                  [this](const StoreCompare& each) { return Holds(each); });
+                  [this](const StoreCompare& aEach) { return Holds(aEach); });
   const std::vector<StoreOp>& ops =
       result.mSucceeded ? aTxn.mSuccess : aTxn.mFailure;
   const Result<void> checked = Check(ops);
