HTTP: TLS for server and client; no read into a buffer that is parsed

Cause: the callers' and upstreams' ways need TLS with keys that are replaced without a restart. Its test with many callers got answers to earlier requests. Cause of that fault, not TLS's own: the server's read that is pending while a handler runs went on reading after a peer had sent its next request early; parsing moved the buffer under it, so that old bytes were parsed again as a request. Now a read is pending only into an empty buffer; a peer that sends ahead is read again after the present request. Ruled out: use after free (AddressSanitizer is silent), the pool (the plain test of own answers passes). Change: TlsSettings, ReloadTls() on both sides, a client demands the peer's name or IP number.

--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -17,12 +17,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "rillwall/error.h"
 #include "rillwall/millis.h"
+#include "rillwall/tls.h"
 
 namespace rillwall {
 
@@ -37,6 +39,8 @@
   static Result<Endpoint> Parse(std::string_view aText);
   /// \return "host:port"
   std::string Text() const;
+  // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Endpoint&) const = default;
 };
 
@@ -118,12 +122,17 @@
 /// Serves HTTP/1.1 with keep-alive on one address.
 class HttpServer {
  public:
+  /// \param aTls makes it speak TLS only; wrong files fail Listen()
   HttpServer(asio::io_context& aContext, HttpLimits aLimits,
-             HttpHandler aHandler);
+             HttpHandler aHandler,
+             std::optional<TlsSettings> aTls = std::nullopt);
   ~HttpServer();
   /// Starts to accept. Port 0 takes a free one.
   /// \return the endpoint taken
   Result<Endpoint> Listen(const Endpoint& aEndpoint);
+  /// Reads the TLS files anew, for connections made from now on.
+  /// \return what is wrong with them; the keys in force then stay
+  std::optional<Error> ReloadTls();
   /// Stops accepting; connections close after their present request.
   void Drain();
   /// \return requests whose handler runs now
@@ -153,7 +162,10 @@
 /// Sends requests. Thread-safe.
 class HttpClient {
  public:
-  explicit HttpClient(asio::io_context& aContext);
+  /// \param aTls makes it speak TLS only, to every endpoint; while its files
+  /// are wrong, calls fail with NotRun
+  explicit HttpClient(asio::io_context& aContext,
+                      std::optional<TlsSettings> aTls = std::nullopt);
   ~HttpClient();
   /// Sends a request and receives the whole answer.
   /// \param aTimeout for everything together
@@ -166,6 +178,9 @@
   /// Sends a request and returns when the answer's headers are there.
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
       const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout);
+  /// Reads the TLS files anew, for connections made from now on.
+  /// \return what is wrong with them; the keys in force then stay
+  std::optional<Error> ReloadTls();
   /// \return open connections, for the dump
   size_t Connections() const;
 
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -37,13 +37,20 @@
 
 struct HttpClient::Impl final : HttpConnectionSink,
                                 std::enable_shared_from_this<HttpClient::Impl> {
-  explicit Impl(asio::io_context& aContext) : mContext(aContext) {}
+  Impl(asio::io_context& aContext, std::optional<TlsSettings> aTls)
+      : mContext(aContext) {
+    if (aTls) {
+      mKeys.emplace(std::move(*aTls), TlsRole::Client);
+      mKeysFailure = mKeys->Load();
+    }
+  }
 
   void Release(Connection aConnection) override;
   /// \return an idle connection that looks healthy, or nullptr
   Connection Reuse(const Endpoint& aEndpoint);
   asio::awaitable<Result<Connection>> Connect(Endpoint aEndpoint,
                                               TimePoint aDue);
+  asio::awaitable<std::optional<Error>> Secure(HttpClientConnection& aTo);
   asio::awaitable<Result<std::unique_ptr<HttpClientCall>>> Begin(
       const Endpoint& aEndpoint, const HttpRequest& aRequest, Millis aTimeout);
   asio::awaitable<Result<HttpResponse>> Send(Endpoint aEndpoint,
@@ -57,6 +64,9 @@
   asio::io_context& mContext;
   const HttpClientConnection::Counter mOpen =
       std::make_shared<std::atomic<size_t>>(0);
+  std::optional<TlsKeys> mKeys;
+  std::optional<Error> mKeysFailure;  ///< of reading them at the start
+
   std::mutex mMutex;  ///< of what follows
   std::map<Endpoint, std::vector<Connection>> mIdle;
   TimePoint mSweptAt;
@@ -123,9 +133,34 @@
   if (code || late) {
     co_return CannotConnect(aEndpoint, code, late);
   }
+  if (mKeys) {
+    std::optional<Error> error = co_await Secure(*connection);
+    if (error) {
+      co_return std::move(*error);
+    }
+  }
   co_return connection;
 }
 
+asio::awaitable<std::optional<Error>> HttpClient::Impl::Secure(
+    HttpClientConnection& aTo) {
+  const TlsContext keys = mKeys->Current();
+  if (!keys) {
+    co_return mKeysFailure;
+  }
+  const std::string& name = mKeys->Settings().mPeerName;
+  const error_code code = co_await aTo.mSocket.Secure(
+      TlsRole::Client, keys, name.empty() ? aTo.mEndpoint.mHost : name);
+  const bool late = aTo.mSocket.Deadline().Expired();
+  if (!code && !late) {
+    co_return std::nullopt;
+  }
+  co_return Error(
+      late ? ErrorKind::Timeout : ErrorKind::ConnectionLost,
+      "No TLS with " + aTo.mEndpoint.Text() + ": " + code.message() + ".",
+      RunState::NotRun);
+}
+
 asio::awaitable<Result<std::unique_ptr<HttpClientCall>>>
 HttpClient::Impl::Begin(const Endpoint& aEndpoint, const HttpRequest& aRequest,
                         Millis aTimeout) {
@@ -180,8 +215,9 @@
   co_return std::unique_ptr<HttpStream>(std::move(*call));
 }
 
-HttpClient::HttpClient(asio::io_context& aContext)
-    : mImpl(std::make_shared<Impl>(aContext)) {}
+HttpClient::HttpClient(asio::io_context& aContext,
+                       std::optional<TlsSettings> aTls)
+    : mImpl(std::make_shared<Impl>(aContext, std::move(aTls))) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -195,6 +231,10 @@
   return mImpl->Open(aEndpoint, std::move(aRequest), aTimeout);
 }
 
+std::optional<Error> HttpClient::ReloadTls() {
+  return mImpl->mKeys ? mImpl->mKeys->Load() : std::nullopt;
+}
+
 size_t HttpClient::Connections() const { return mImpl->mOpen->load(); }
 
 }  // namespace rillwall
--- a/src/librillwall_transport/http_server.cpp
+++ b/src/librillwall_transport/http_server.cpp
@@ -27,6 +27,7 @@
         mAcceptor(aContext) {}
 
   Result<Endpoint> Listen(const Endpoint& aEndpoint);
+  std::optional<Error> LoadKeys();
   asio::awaitable<void> Accept();
   void Take(TcpSocket aSocket);
   void CloseAcceptor();
@@ -38,6 +39,10 @@
 };
 
 Result<Endpoint> HttpServer::Impl::Listen(const Endpoint& aEndpoint) {
+  const std::optional<Error> keys = LoadKeys();
+  if (keys) {
+    return *keys;
+  }
   error_code code;
   const asio::ip::address address =
       asio::ip::make_address(aEndpoint.mHost, code);
@@ -69,6 +74,10 @@
   return Endpoint{aEndpoint.mHost, mAcceptor.local_endpoint(code).port()};
 }
 
+std::optional<Error> HttpServer::Impl::LoadKeys() {
+  return mShared->mKeys ? mShared->mKeys->Load() : std::nullopt;
+}
+
 asio::awaitable<void> HttpServer::Impl::Accept() {
   asio::steady_timer pause(mShared->mContext);
   while (mAcceptor.is_open()) {
@@ -113,8 +122,12 @@
 }
 
 HttpServer::HttpServer(asio::io_context& aContext, HttpLimits aLimits,
-                       HttpHandler aHandler)
-    : mImpl(std::make_shared<Impl>(aContext, aLimits, std::move(aHandler))) {}
+                       HttpHandler aHandler, std::optional<TlsSettings> aTls)
+    : mImpl(std::make_shared<Impl>(aContext, aLimits, std::move(aHandler))) {
+  if (aTls) {
+    mImpl->mShared->mKeys.emplace(std::move(*aTls), TlsRole::Server);
+  }
+}
 
 HttpServer::~HttpServer() { Stop(); }
 
@@ -122,6 +135,8 @@
   return mImpl->Listen(aEndpoint);
 }
 
+std::optional<Error> HttpServer::ReloadTls() { return mImpl->LoadKeys(); }
+
 void HttpServer::Drain() {
   mImpl->mShared->mDraining.store(true);
   mImpl->CloseAcceptor();
--- a/src/librillwall_transport/http_server_connection.cpp
+++ b/src/librillwall_transport/http_server_connection.cpp
@@ -13,8 +13,6 @@
 
 constexpr size_t kReadSize = 4096;
 constexpr size_t kLargeReadSize = 64 * 1024;
-/// What a peer may send ahead while its request is handled.
-constexpr size_t kMaxAhead = 64 * 1024;
 /// What is discarded of a refused request, so that its answer arrives.
 constexpr size_t kMaxDiscard = 64 * 1024 * 1024;
 constexpr Millis kLingerTime{1000};
@@ -116,7 +114,11 @@
 void HttpServerConnection::Stop() { mSocket.Deadline().Shutdown(); }
 
 asio::awaitable<void> HttpServerConnection::Run() {
-  bool more = true;
+  bool more = co_await Secure();
+  if (!more) {
+    mSocket.Close();
+    co_return;
+  }
   while (more) {
     more = co_await ServeOne();
   }
@@ -129,6 +131,16 @@
   mSocket.Close();
 }
 
+asio::awaitable<bool> HttpServerConnection::Secure() {
+  if (!mShared->mKeys) {
+    co_return true;
+  }
+  mSocket.Deadline().Set(mShared->mLimits.mReadTimeout);
+  const error_code code = co_await mSocket.Secure(
+      TlsRole::Server, mShared->mKeys->Current(), std::string());
+  co_return mSocket.Deadline().Clear() && !code;
+}
+
 asio::awaitable<bool> HttpServerConnection::ServeOne() {
   mParser.emplace();
   mParser->eager(true);
@@ -235,8 +247,9 @@
 asio::awaitable<void> HttpServerConnection::RunHandler(
     const HttpRequest& aRequest) {
   mShared->mActive.fetch_add(1);
-  mHandling = true;
-  if (mPending == nullptr && !mInputEnded && mInput.size() < kMaxAhead) {
+  // Only into an empty buffer: what a peer sent ahead is parsed while no read
+  // is pending, as the read's place in the buffer would move under it.
+  if (mPending == nullptr && !mInputEnded && mInput.size() == 0) {
     StartRead();
   }
   bool thrown = false;
@@ -253,7 +266,6 @@
   if (mAnswer == AnswerState::Streaming) {
     mAnswer = AnswerState::Cut;
   }
-  mHandling = false;
   mShared->mActive.fetch_sub(1);
 }
 
@@ -267,7 +279,8 @@
 asio::awaitable<void> HttpServerConnection::Linger() {
   // Closing with unread input would reset the connection, and the peer could
   // lose the answer that is still on its way.
-  mSocket.ShutdownSend();
+  mSocket.ShutdownSend(asio::bind_executor(
+      mStrand, [self = shared_from_this()](const error_code&) {}));
   mSocket.Deadline().Set(kLingerTime);
   size_t discarded = 0;
   do {
@@ -299,8 +312,6 @@
   }
   if (aPending.mResume) {
     std::exchange(aPending.mResume, nullptr)();
-  } else if (!aCode && mHandling && mInput.size() < kMaxAhead) {
-    StartRead();
   }
 }
 
--- a/src/librillwall_transport/http_server_connection.h
+++ b/src/librillwall_transport/http_server_connection.h
@@ -3,8 +3,8 @@
 /// each to the handler and writes its answer.
 ///
 /// Everything runs on the connection's strand. One read is kept pending also
-/// while a handler runs: it notices a peer that goes away and takes in what a
-/// peer sends ahead.
+/// while a handler runs, unless the peer has sent something ahead: it notices a
+/// peer that goes away.
 
 #pragma once
 
@@ -30,6 +30,7 @@
   asio::io_context& mContext;
   const HttpLimits mLimits;
   const HttpHandler mHandler;
+  std::optional<TlsKeys> mKeys;
   std::atomic<bool> mDraining{false};
   std::atomic<size_t> mActive{0};
 
@@ -72,6 +73,8 @@
   enum class AnswerState { None, Streaming, Done, Cut };
 
   asio::awaitable<void> Run();
+  /// \return whether the connection can be served
+  asio::awaitable<bool> Secure();
   asio::awaitable<bool> ServeOne();
   /// \return 0 for a whole request, a 4xx to answer, or -1 to just close
   asio::awaitable<int> ReadRequest();
@@ -97,7 +100,6 @@
   boost::beast::flat_buffer mInput;
   std::optional<RequestParser> mParser;
   PendingRead* mPending = nullptr;
-  bool mHandling = false;
   bool mInputEnded = false;
   std::atomic<bool> mPeerGone{false};
   bool mIdle = false;  ///< between two requests
--- a/src/librillwall_transport/http_server_test.cpp
+++ b/src/librillwall_transport/http_server_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(testStalled);
   CPPUNIT_TEST(testContinue);
   CPPUNIT_TEST(testPipelined);
+  CPPUNIT_TEST(testSentAheadInParts);
   CPPUNIT_TEST(testHeadAndOldVersion);
   CPPUNIT_TEST(testSeesPeerGone);
   CPPUNIT_TEST(testNoAnswer);
@@ -102,6 +103,22 @@
     CPPUNIT_ASSERT(third != std::string::npos);
   }
 
+  void testSentAheadInParts() {
+    RawPeer peer(mWhere);
+    const std::string rest = std::string(" HTTP/1.1\r\n") + kHost + "\r\n";
+    peer.Write("GET /wait" + rest);
+    WaitFor([this] { return mRuns == 1; });
+    peer.Write("GET /2" + rest);
+    mThreads.Await(Sleep(Millis(30)));
+    mRelease = true;
+    WaitFor([this] { return mRuns == 2; });
+    peer.Write("GET /3" + rest);
+    const std::string answers = peer.ReadToEnd();
+    CPPUNIT_ASSERT_EQUAL(3, mRuns.load());
+    CPPUNIT_ASSERT(answers.find("waited") < answers.find("/2 "));
+    CPPUNIT_ASSERT(answers.find("/2 ") < answers.find("/3 "));
+  }
+
   void testHeadAndOldVersion() {
     RawPeer head(mWhere);
     head.Write("HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n");
--- a/src/librillwall_transport/http_socket.cpp
+++ b/src/librillwall_transport/http_socket.cpp
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 
 #include <boost/asio/socket_base.hpp>
+#include <boost/asio/ssl/host_name_verification.hpp>
+#include <boost/asio/write.hpp>
 
 namespace rillwall {
 
@@ -50,7 +52,29 @@
   co_return result;
 }
 
+asio::awaitable<error_code> HttpSocket::Secure(TlsRole aRole, TlsContext aKeys,
+                                               std::string aPeerName) {
+  mKeys = std::move(aKeys);
+  mTls = std::make_unique<asio::ssl::stream<TcpSocket&>>(mSocket, *mKeys);
+  error_code code;
+  if (aRole == TlsRole::Client) {
+    mTls->set_verify_callback(asio::ssl::host_name_verification(aPeerName),
+                              code);
+  }
+  if (code) {
+    co_return code;
+  }
+  const auto side = aRole == TlsRole::Client ? asio::ssl::stream_base::client
+                                             : asio::ssl::stream_base::server;
+  const auto [result] =
+      co_await mTls->async_handshake(side, asio::as_tuple(asio::use_awaitable));
+  co_return result;
+}
+
 bool HttpSocket::WriteNow(WriteBuffers& aBuffers, WriteResult& aResult) {
+  if (mTls) {
+    return false;
+  }
   while (asio::buffer_size(aBuffers) > 0) {
     error_code code;
     const size_t written = mSocket.write_some(aBuffers, code);
@@ -69,6 +93,10 @@
 
 asio::awaitable<void> HttpSocket::WriteRest(WriteBuffers aBuffers,
                                             WriteResult& aResult) {
+  if (mTls) {
+    co_await WriteTls(aBuffers, aResult);
+    co_return;
+  }
   while (asio::buffer_size(aBuffers) > 0) {
     const auto [code, written] = co_await mSocket.async_write_some(
         aBuffers, asio::as_tuple(asio::use_awaitable));
@@ -81,14 +109,30 @@
   }
 }
 
+asio::awaitable<void> HttpSocket::WriteTls(const WriteBuffers& aBuffers,
+                                           WriteResult& aResult) {
+  // Together in one buffer they make fewer TLS records.
+  std::string bytes;
+  bytes.reserve(asio::buffer_size(aBuffers));
+  for (const asio::const_buffer& buffer : aBuffers) {
+    bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+  }
+  // After a failure it can't be known how much of a record went out.
+  aResult.mWritten = bytes.size();
+  const auto [code, written] = co_await asio::async_write(
+      *mTls, asio::buffer(bytes), asio::as_tuple(asio::use_awaitable));
+  aResult.mCode = code;
+}
+
 bool HttpSocket::Stale() {
   pollfd entry{};
   entry.fd = mSocket.native_handle();
-  entry.events = POLLIN | POLLRDHUP;
+  // With TLS, bytes may be a matter of the protocol, such as new keys.
+  entry.events = mTls ? POLLRDHUP : POLLIN | POLLRDHUP;
   return ::poll(&entry, 1, 0) != 0;
 }
 
-void HttpSocket::ShutdownSend() {
+void HttpSocket::ShutdownTcp() {
   error_code ignored;
   mSocket.shutdown(asio::socket_base::shutdown_send, ignored);
 }
--- a/src/librillwall_transport/http_socket.h
+++ b/src/librillwall_transport/http_socket.h
@@ -1,5 +1,5 @@
 /// \file
-/// One TCP connection as the HTTP server and client use it.
+/// One TCP connection, plain or with TLS, as the HTTP server and client use it.
 
 #pragma once
 
@@ -10,10 +10,12 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
 
 #include "http_deadline.h"
+#include "http_tls.h"
 
 namespace rillwall {
 
@@ -24,13 +26,15 @@
 using TcpSocket =
     asio::basic_stream_socket<asio::ip::tcp, asio::io_context::executor_type>;
 
+using TlsContext = std::shared_ptr<asio::ssl::context>;
+
 /// Head, body and what closes a chunk, written together.
 using WriteBuffers = std::array<asio::const_buffer, 3>;
 
 /// How far a write came.
 struct WriteResult {
   error_code mCode;
-  size_t mWritten = 0;  ///< bytes taken by the kernel or by TLS
+  size_t mWritten = 0;  ///< bytes that may have left; 0: surely none
 };
 
 class HttpSocket {
@@ -43,9 +47,18 @@
   /// Connects a new socket; the deadline applies.
   asio::awaitable<error_code> Connect(const asio::ip::tcp::endpoint& aTo);
 
+  /// Turns to TLS; the deadline applies.
+  /// \param aKeys must not be nullptr
+  /// \param aPeerName name or IP number that a client demands of the peer
+  asio::awaitable<error_code> Secure(TlsRole aRole, TlsContext aKeys,
+                                     std::string aPeerName);
+
   /// Reads what is there, as Asio's async_read_some.
   template <class Token>
   auto ReadSome(asio::mutable_buffer aBuffer, Token&& aToken) {
+    if (mTls) {
+      return mTls->async_read_some(aBuffer, std::forward<Token>(aToken));
+    }
     return mSocket.async_read_some(aBuffer, std::forward<Token>(aToken));
   }
   asio::awaitable<std::tuple<error_code, size_t>> ReadSome(
@@ -63,21 +76,31 @@
   /// so that it can't carry a new request
   bool Stale();
   /// Tells the peer that nothing more follows; it may still send.
-  void ShutdownSend();
+  /// \param aOwner handler that keeps this alive; with TLS it is called when
+  /// the peer has agreed or the connection has ended
+  template <class Handler>
+  void ShutdownSend(Handler aOwner) {
+    if (mTls) {
+      // The message goes out at once; only the peer's reply takes time.
+      mTls->async_shutdown(std::move(aOwner));
+    }
+    ShutdownTcp();
+  }
   /// Closes with a reset, so that the peer sees the answer as cut.
   void Reset();
   void Close();
 
   SocketDeadline& Deadline() { return *mDeadline; }
-  const std::shared_ptr<SocketDeadline>& SharedDeadline() const {
-    return mDeadline;
-  }
-  TcpSocket& Tcp() { return mSocket; }
 
  private:
   void Prepare();
+  void ShutdownTcp();
+  asio::awaitable<void> WriteTls(const WriteBuffers& aBuffers,
+                                 WriteResult& aResult);
 
   TcpSocket mSocket;
+  TlsContext mKeys;  ///< the stream refers to them
+  std::unique_ptr<asio::ssl::stream<TcpSocket&>> mTls;
   std::shared_ptr<SocketDeadline> mDeadline;
 };
 
