node: capture by reference in functions sent to the control strand

Cause: nodes crashed with a segmentation fault on the first peer call; the backtraces showed PeerRequest and vector<Member> freed twice at the end of PeerService's coroutines. g++ 12 copies the bits of a closure that is a temporary of a co_await expression and destroys both. Ruled out: the gRPC callbacks, gossip re-entrance (the backtraces hold neither). Change: OnControl takes trivially copyable functions only, checked at compile time; all capture by reference, which is safe since the caller waits.

--- a/src/rillwall/group_runner.cpp
+++ b/src/rillwall/group_runner.cpp
@@ -40,7 +40,7 @@
   const Key key{FromWire(aOrder.id()).value(), aOrder.group(), aOrder.attempt()};
   const auto cancel = std::make_shared<std::atomic<bool>>(false);
   const int64_t size = aOrder.group_size();
-  co_await mNode.OnControl([this, key, cancel, size] {
+  co_await mNode.OnControl([&] {
     mRunning[key] = RunningGroup{cancel, size};
     return true;
   });
@@ -60,8 +60,7 @@
     }
   }
   co_return co_await mNode.OnControl(
-      [this, key, samples = std::move(samples),
-       whole]() mutable -> Result<wire::GroupSummary> {
+      [&]() -> Result<wire::GroupSummary> {
         mRunning.erase(key);
         if (!whole) {
           return Error(ErrorKind::UpstreamFailed,
--- a/src/rillwall/model_calls.cpp
+++ b/src/rillwall/model_calls.cpp
@@ -61,9 +61,9 @@
 
 asio::awaitable<CallDecision> ModelCalls::Admit(CallSpec aSpec) {
   auto channel = std::make_shared<DecisionChannel>(mNode.Context(), 1);
-  co_await mNode.OnControl([this, spec = std::move(aSpec), channel] {
-    mWaiting[spec.mTicket] = channel;
-    Apply(mNode.Calls().Submit(spec, mNode.Now()));
+  co_await mNode.OnControl([&] {
+    mWaiting[aSpec.mTicket] = channel;
+    Apply(mNode.Calls().Submit(aSpec, mNode.Now()));
     return true;
   });
   co_return co_await channel->async_receive(asio::use_awaitable);
--- a/src/rillwall/node.h
+++ b/src/rillwall/node.h
@@ -17,6 +17,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 #include "metrics.h"
@@ -64,10 +65,14 @@
   /// Publishes Life().Phase(); on the control strand.
   void PublishPhase();
 
-  /// Runs a function on the control strand and returns its result.
+  /// Runs a function on the control strand and returns its result. The caller
+  /// waits, so the function captures by reference only: g++ 12 copies the bits
+  /// of a closure inside a co_await expression and destroys it twice.
   template <class Function>
   asio::awaitable<std::invoke_result_t<Function>> OnControl(
       Function aFunction) {
+    static_assert(std::is_trivially_copyable_v<Function>,
+                  "capture by reference");
     co_return co_await asio::co_spawn(
         mControl, RunOnControl<Function>(std::move(aFunction)),
         asio::use_awaitable);
--- a/src/rillwall/peer_service.cpp
+++ b/src/rillwall/peer_service.cpp
@@ -82,7 +82,7 @@
     co_return theirs.error();
   }
   const GossipState ours = co_await mNode.OnControl(
-      [this, state = std::move(*theirs)] { return mGossip.Exchange(state); });
+      [this, &theirs] { return mGossip.Exchange(*theirs); });
   wire::PeerReply reply;
   *reply.mutable_exchange() = ToWire(ours);
   co_return reply;
@@ -118,7 +118,7 @@
   wire::ReleaseGroups release;
   *release.mutable_id() = aRequest.close_step().id();
   release.set_all(true);
-  co_await mNode.OnControl([this, release] {
+  co_await mNode.OnControl([this, &release] {
     mRunner.Release(release);
     return true;
   });
@@ -145,7 +145,7 @@
 
 PeerService::Reply PeerService::CancelGroup(wire::PeerRequest aRequest) {
   co_return co_await mNode.OnControl(
-      [this, request = std::move(aRequest)]() -> Result<wire::PeerReply> {
+      [this, &request = aRequest]() -> Result<wire::PeerReply> {
         mRunner.Cancel(request.cancel_group());
         return EmptyReply();
       });
@@ -153,7 +153,7 @@
 
 PeerService::Reply PeerService::ReleaseGroups(wire::PeerRequest aRequest) {
   co_return co_await mNode.OnControl(
-      [this, request = std::move(aRequest)]() -> Result<wire::PeerReply> {
+      [this, &request = aRequest]() -> Result<wire::PeerReply> {
         mRunner.Release(request.release_groups());
         return EmptyReply();
       });
@@ -161,7 +161,7 @@
 
 PeerService::Reply PeerService::FetchGroups(wire::PeerRequest aRequest) {
   co_return co_await mNode.OnControl(
-      [this, request = std::move(aRequest)]() -> Result<wire::PeerReply> {
+      [this, &request = aRequest]() -> Result<wire::PeerReply> {
         wire::PeerReply reply;
         *reply.mutable_fetched() = mRunner.Fetch(request.fetch_groups());
         return reply;
@@ -170,7 +170,7 @@
 
 PeerService::Reply PeerService::AskInventory(wire::PeerRequest aRequest) {
   co_return co_await mNode.OnControl(
-      [this, request = std::move(aRequest)]() -> Result<wire::PeerReply> {
+      [this, &request = aRequest]() -> Result<wire::PeerReply> {
         const StepId step = FromWire(request.ask_inventory().id()).value();
         wire::PeerReply reply;
         wire::Inventory& inventory = *reply.mutable_inventory();
@@ -182,7 +182,7 @@
 
 PeerService::Reply PeerService::AskStep(wire::PeerRequest aRequest) {
   co_return co_await mNode.OnControl(
-      [this, request = std::move(aRequest)]() -> Result<wire::PeerReply> {
+      [this, &request = aRequest]() -> Result<wire::PeerReply> {
         const StepId step = FromWire(request.ask_step().id()).value();
         wire::PeerReply reply;
         *reply.mutable_step_state() = mSteps.State(step);
@@ -192,7 +192,7 @@
 
 PeerService::Reply PeerService::AskPolicy(wire::PeerRequest aRequest) {
   co_return co_await mNode.OnControl(
-      [this, request = std::move(aRequest)]() -> Result<wire::PeerReply> {
+      [this, &request = aRequest]() -> Result<wire::PeerReply> {
         wire::PeerReply reply;
         *reply.mutable_policy() =
             mPolicies.Answer(request.ask_policy(), request.from());
@@ -202,7 +202,7 @@
 
 PeerService::Reply PeerService::AskRoom(wire::PeerRequest aRequest) {
   co_return co_await mNode.OnControl(
-      [this, request = std::move(aRequest)]() -> Result<wire::PeerReply> {
+      [this, &request = aRequest]() -> Result<wire::PeerReply> {
         const auto policies = mNode.Policies().Read();
         const TrainerRule* rule =
             policies->Rules().Trainer(request.ask_room().trainer());
@@ -217,7 +217,7 @@
 
 PeerService::Reply PeerService::HandOver(wire::PeerRequest aRequest) {
   co_return co_await mNode.OnControl(
-      [this, request = std::move(aRequest)]() -> Result<wire::PeerReply> {
+      [this, &request = aRequest]() -> Result<wire::PeerReply> {
         mRunner.TakeOver(request.hand_over());
         return EmptyReply();
       });
--- a/src/rillwall/trainer_api.cpp
+++ b/src/rillwall/trainer_api.cpp
@@ -140,7 +140,7 @@
   announced.mWeights = weights;
   announced.mBytes = bytes;
   const std::optional<Error> refused = co_await mNode.OnControl(
-      [this, announced] { return mWeights.Announce(announced); });
+      [&] { return mWeights.Announce(announced); });
   if (refused) {
     co_return *refused;
   }
@@ -188,7 +188,7 @@
 asio::awaitable<Result<wire::PeerReply>> TrainerApi::CallOwner(
     StepId aId, wire::PeerRequest aRequest, Millis aEnd) {
   while (true) {
-    const std::vector<Member> owners = co_await mNode.OnControl([this, aId] {
+    const std::vector<Member> owners = co_await mNode.OnControl([&] {
       return DutyOwners(mNode.Members().Live(), aId.Duty(), 1);
     });
     Result<wire::PeerReply> reply =
