policy: no set may lock operators out, and the later change is blamed

Policies that declare tokens but none of an operator would leave nobody able to change them, also at night; such a change is refused.

--- a/src/include/rillwall/policy.h
+++ b/src/include/rillwall/policy.h
@@ -135,8 +135,9 @@
   static Result<PolicySet> Build(uint64_t aRevision,
                                  std::vector<PolicySource> aSources,
                                  Origin aOrigin);
-  /// Refuses a set that would not fit into one value of the platform's store.
-  static Result<PolicySet> WithinSize(Result<PolicySet> aSet);
+  /// Refuses a new set that would not fit into one value of the platform's
+  /// store, or that no operator could change any more.
+  static Result<PolicySet> Checked(Result<PolicySet> aSet);
 
   uint64_t mRevision = 0;
   std::vector<PolicySource> mSources;
--- a/src/librillwall_state/policy.cpp
+++ b/src/librillwall_state/policy.cpp
@@ -46,8 +46,14 @@
                  "' is there twice. Remove one of the two.");
 }
 
-Result<PolicyRules> RunAll(const std::vector<PolicySource>& aSources,
+// Of two that contradict each other the one changed later is refused, so the
+// latest changes come last.
+Result<PolicyRules> RunAll(std::vector<PolicySource> aSources,
                            const LuaLimits& aLimits) {
+  std::stable_sort(aSources.begin(), aSources.end(),
+                   [](const PolicySource& aLeft, const PolicySource& aRight) {
+                     return aLeft.mChangedAt < aRight.mChangedAt;
+                   });
   std::vector<PolicyProgram> programs;
   for (const PolicySource& source : aSources) {
     if (std::optional<Error> error = CheckSource(source)) {
@@ -63,6 +69,14 @@
   return JoinPrograms(programs);
 }
 
+bool LocksOperatorsOut(const PolicyRules& aRules) {
+  const auto isOperator = [](const TokenRule& aRule) {
+    return aRule.mScope == "operator";
+  };
+  return !aRules.mTokens.empty() &&
+         std::none_of(aRules.mTokens.begin(), aRules.mTokens.end(), isOperator);
+}
+
 json::value ToJson(const PolicySource& aSource) {
   return {{"name", aSource.mName},
           {"changed_at", aSource.mChangedAt},
@@ -115,15 +129,24 @@
 
 Result<PolicySet> PolicySet::Make(uint64_t aRevision,
                                   std::vector<PolicySource> aSources) {
-  return WithinSize(Build(aRevision, std::move(aSources), Origin::Submitted));
+  return Checked(Build(aRevision, std::move(aSources), Origin::Submitted));
 }
 
-Result<PolicySet> PolicySet::WithinSize(Result<PolicySet> aSet) {
-  if (aSet && aSet->Encode().size() > kMaxEncoded) {
+Result<PolicySet> PolicySet::Checked(Result<PolicySet> aSet) {
+  if (!aSet) {
+    return aSet;
+  }
+  if (aSet->Encode().size() > kMaxEncoded) {
     return Invalid(
         "All policies together take more than 900 kB. Remove some, or write "
         "them shorter.");
   }
+  if (LocksOperatorsOut(aSet->Rules())) {
+    return Invalid(
+        "The policies would declare tokens but none with the scope "
+        "\"operator\", so that nobody could change them any more. Declare an "
+        "operator's token first, and remove the last one last.");
+  }
   return aSet;
 }
 
@@ -163,7 +186,7 @@
     return aOther.mName == aSource.mName;
   });
   sources.push_back(std::move(aSource));
-  return WithinSize(Build(next, std::move(sources), Origin::Accepted));
+  return Checked(Build(next, std::move(sources), Origin::Accepted));
 }
 
 Result<PolicySet> PolicySet::Without(std::string_view aName) const {
@@ -175,7 +198,7 @@
   std::erase_if(sources, [&](const PolicySource& aSource) {
     return aSource.mName == aName;
   });
-  return Build(mRevision + 1, std::move(sources), Origin::Accepted);
+  return Checked(Build(mRevision + 1, std::move(sources), Origin::Accepted));
 }
 
 const PolicySource* PolicySet::Find(std::string_view aName) const {
--- a/src/librillwall_state/policy_test.cpp
+++ b/src/librillwall_state/policy_test.cpp
@@ -74,6 +74,8 @@
   CPPUNIT_TEST(TestEncode);
   CPPUNIT_TEST(TestDecodeMalformed);
   CPPUNIT_TEST(TestSetTooLarge);
+  CPPUNIT_TEST(TestLaterIsRefused);
+  CPPUNIT_TEST(TestOperatorsKeepAccess);
   CPPUNIT_TEST(TestNonIdempotent);
   CPPUNIT_TEST_SUITE_END();
 
@@ -221,6 +223,29 @@
     CPPUNIT_ASSERT(Contains(set.error().Detail(), "900 kB"));
   }
 
+  void TestLaterIsRefused() {
+    const PolicySet set = *PolicySet().With(Source("z", "house{ name='a' }"));
+    const Result<PolicySet> next =
+        set.With(Source("b", "house{ name='a', share=2 }"));
+    CPPUNIT_ASSERT(next.error().Detail().starts_with("Policy 'b', line 1"));
+  }
+
+  // Nobody may lock all operators out: the policies are changed with a token
+  // that they declare themselves.
+  void TestOperatorsKeepAccess() {
+    const auto token = [](const char* aScope, char aDigit) {
+      return "token{ name='n', salt='12345678', scope='" + std::string(aScope) +
+             "', hash='" + std::string(64, aDigit) + "' }";
+    };
+    const PolicySet open;
+    CPPUNIT_ASSERT(!open.With(Source("t", token("caller", 'a'))));
+    const PolicySet first = *open.With(Source("o", token("operator", 'b')));
+    const PolicySet both = *first.With(Source("t", token("caller", 'a')));
+    CPPUNIT_ASSERT(Contains(both.Without("o").error().Detail(), "operator"));
+    CPPUNIT_ASSERT(!both.With(Source("o", "")));
+    CPPUNIT_ASSERT(both.Without("t")->Without("o").has_value());
+  }
+
   void TestNonIdempotent() {
     const PolicyRules rules = *EvaluatePolicy(
         "p",
