Name function-local constants as .clang-tidy asks

The first run of clang-tidy over all 134 product sources: 129 passed, 5 failed; four for static constants named like statics, one for the name that MSM looks up. After: the five pass.

--- a/src/librillwall_coordination/node_life.cpp
+++ b/src/librillwall_coordination/node_life.cpp
@@ -28,6 +28,7 @@
   using initial_state = Starting;
 
   // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming): the name MSM looks for.
   struct transition_table : boost::mpl::vector<
       Row<Starting, Confirm,    Ready,    none, none>,
       Row<Ready,    Expire,     Isolated, none, none>,
--- a/src/librillwall_state/error.cpp
+++ b/src/librillwall_state/error.cpp
@@ -56,8 +56,8 @@
 }  // namespace
 
 const std::error_category& ErrorCategory() {
-  static const Category sCategory;
-  return sCategory;
+  static const Category kCategory;
+  return kCategory;
 }
 
 std::error_code make_error_code(ErrorKind aKind) {
--- a/src/rillwall/api_common.cpp
+++ b/src/rillwall/api_common.cpp
@@ -14,9 +14,9 @@
 constexpr std::string_view kBearer = "Bearer ";
 
 std::string NewRequestId() {
-  static const uint64_t sProcess = std::random_device()();
+  static const uint64_t kProcess = std::random_device()();
   static std::atomic<uint64_t> sNext{1};
-  return std::to_string(sProcess) + "-" + std::to_string(sNext.fetch_add(1));
+  return std::to_string(kProcess) + "-" + std::to_string(sNext.fetch_add(1));
 }
 
 int HexDigit(char aDigit) {
@@ -107,9 +107,9 @@
     return Error(ErrorKind::Unauthorized, "The token is not known.");
   }
   if (rule->mScope != aScope) {
-    return Error(ErrorKind::Forbidden, "The token's scope is '" +
-                                           rule->mScope + "', not '" +
-                                           std::string(aScope) + "'.");
+    return Error(ErrorKind::Forbidden, "The token's scope is '" + rule->mScope +
+                                           "', not '" + std::string(aScope) +
+                                           "'.");
   }
   identity.mName = rule->mName;
   return identity;
--- a/src/rillwall/peer_service.cpp
+++ b/src/rillwall/peer_service.cpp
@@ -27,7 +27,7 @@
 
 const std::vector<PeerService::Kind>& PeerService::Kinds() {
   using Request = wire::PeerRequest;
-  static const std::vector<Kind> sKinds = {
+  static const std::vector<Kind> kKinds = {
       {Request::kExchange, &PeerService::Exchange, &NoStep},
       {Request::kOpenStep, &PeerService::OpenStep,
        [](const Request& aRequest) {
@@ -42,9 +42,7 @@
       {Request::kCancelGroup, &PeerService::CancelGroup,
        [](const Request& aRequest) { return &aRequest.cancel_group().id(); }},
       {Request::kReleaseGroups, &PeerService::ReleaseGroups,
-       [](const Request& aRequest) {
-         return &aRequest.release_groups().id();
-       }},
+       [](const Request& aRequest) { return &aRequest.release_groups().id(); }},
       {Request::kFetchGroups, &PeerService::FetchGroups,
        [](const Request& aRequest) { return &aRequest.fetch_groups().id(); }},
       {Request::kAskInventory, &PeerService::AskInventory,
@@ -56,7 +54,7 @@
       {Request::kHandOver, &PeerService::HandOver,
        [](const Request& aRequest) { return &aRequest.hand_over().id(); }},
   };
-  return sKinds;
+  return kKinds;
 }
 
 // Identities are checked here, once, so that the parts may rely on them.
--- a/src/standin/trainer_sample.cpp
+++ b/src/standin/trainer_sample.cpp
@@ -11,14 +11,14 @@
 
 const json::array& ArrayOf(const json::object& aObject,
                            std::string_view aName) {
-  static const json::array sNone;
+  static const json::array kNone;
   const json::value* value = aObject.if_contains(aName);
-  return value && value->is_array() ? value->get_array() : sNone;
+  return value && value->is_array() ? value->get_array() : kNone;
 }
 
 const json::object& ObjectOf(const json::value& aValue) {
-  static const json::object sNone;
-  return aValue.is_object() ? aValue.get_object() : sNone;
+  static const json::object kNone;
+  return aValue.is_object() ? aValue.get_object() : kNone;
 }
 
 DeliveredSample ParseSample(const json::object& aObject) {
