cli: TLS towards the node

The verbs speak TLS when they are given an authority, with the same variables as a node, so that they work against a node that serves TLS only. 20 tests of command line and settings pass, the new one with certificates made by the test: another authority and a missing file are refused.

--- a/src/rillwall/cli_client.cpp
+++ b/src/rillwall/cli_client.cpp
@@ -87,10 +87,17 @@
   throw std::runtime_error(aFailure.mText);
 }
 
+std::optional<TlsSettings> AdminClient::Tls() const {
+  if (mOptions.mTls.mAuthorityFile.empty()) {
+    return std::nullopt;
+  }
+  return mOptions.mTls;
+}
+
 Result<HttpResponse> AdminClient::Send(const Endpoint& aNode,
                                        HttpRequest aRequest) const {
   asio::io_context context(1);
-  HttpClient client(context);
+  HttpClient client(context, Tls());
   const Millis timeout(mOptions.mTimeoutSeconds * kMillisPerSecond);
   Result<HttpResponse> result = Error(ErrorKind::Internal, "Nothing was run.");
   asio::co_spawn(context, client.Send(aNode, std::move(aRequest), timeout),
--- a/src/rillwall/cli_client.h
+++ b/src/rillwall/cli_client.h
@@ -5,6 +5,7 @@
 
 #include <boost/json/value.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "rillwall/error.h"
@@ -43,6 +44,7 @@
   std::string mNode = "127.0.0.1:8080";
   std::string mToken;
   bool mJson = false;
+  TlsSettings mTls;  ///< with an authority's file TLS is spoken, else not
   int64_t mTimeoutSeconds = 30;
 };
 
@@ -70,6 +72,7 @@
   const NodeOptions& Options() const { return mOptions; }
 
  private:
+  std::optional<TlsSettings> Tls() const;
   Result<HttpResponse> Send(const Endpoint& aNode, HttpRequest aRequest) const;
   CliFailure Explain(const Error& aError) const;
 
--- a/src/rillwall/cli_test.cpp
+++ b/src/rillwall/cli_test.cpp
@@ -1,7 +1,11 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509v3.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/json.hpp>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <mutex>
@@ -19,11 +23,13 @@
 /// A node's API with fixed answers, on a port of its own.
 class FakeNode {
  public:
-  FakeNode()
-      : mServer(mContext, HttpLimits(),
-                [this](const HttpRequest& aRequest, HttpExchange& aExchange) {
-                  return Answer(aRequest, aExchange);
-                }),
+  explicit FakeNode(std::optional<TlsSettings> aTls = std::nullopt)
+      : mServer(
+            mContext, HttpLimits(),
+            [this](const HttpRequest& aRequest, HttpExchange& aExchange) {
+              return Answer(aRequest, aExchange);
+            },
+            std::move(aTls)),
         mAddress(mServer.Listen({"127.0.0.1", 0})->Text()),
         mThread([this] { mContext.run(); }) {}
   ~FakeNode() {
@@ -81,6 +87,38 @@
   std::thread mThread;
 };
 
+/// A certificate that signs itself, good for 127.0.0.1, in a PEM file with its
+/// key. The file is removed at the end.
+class CertificateFile {
+ public:
+  CertificateFile() {
+    constexpr long kHour = 3600;
+    const std::shared_ptr<EVP_PKEY> key(EVP_EC_gen("P-256"), EVP_PKEY_free);
+    const std::shared_ptr<X509> made(X509_new(), X509_free);
+    X509_set_version(made.get(), 2);
+    X509_gmtime_adj(X509_getm_notBefore(made.get()), -kHour);
+    X509_gmtime_adj(X509_getm_notAfter(made.get()), kHour);
+    X509_set_pubkey(made.get(), key.get());
+    const std::shared_ptr<X509_EXTENSION> name(
+        X509V3_EXT_conf_nid(nullptr, nullptr, NID_subject_alt_name,
+                            "IP:127.0.0.1"),
+        X509_EXTENSION_free);
+    X509_add_ext(made.get(), name.get(), -1);
+    X509_sign(made.get(), key.get(), EVP_sha256());
+    const int file = ::mkstemp(mName.data());
+    const std::shared_ptr<FILE> stream(::fdopen(file, "w"), std::fclose);
+    PEM_write_X509(stream.get(), made.get());
+    PEM_write_PrivateKey(stream.get(), key.get(), nullptr, nullptr, 0, nullptr,
+                         nullptr);
+  }
+  ~CertificateFile() { std::filesystem::remove(mName); }
+  const std::string& Name() const { return mName; }
+
+ private:
+  std::string mName =
+      (std::filesystem::temp_directory_path() / "rillwall-cli-XXXXXX").string();
+};
+
 /// What one command line does.
 struct Outcome {
   int mExit = 0;
@@ -128,6 +166,7 @@
   CPPUNIT_TEST(TestErrors);
   CPPUNIT_TEST(TestUnreachable);
   CPPUNIT_TEST(TestLostAnswer);
+  CPPUNIT_TEST(TestTls);
   CPPUNIT_TEST(TestTables);
   CPPUNIT_TEST(TestGetAndDiff);
   CPPUNIT_TEST(TestCheck);
@@ -205,6 +244,22 @@
     CPPUNIT_ASSERT(Contains(removed.mError, "Read back"));
   }
 
+  void TestTls() {
+    const CertificateFile own;
+    const CertificateFile other;
+    TlsSettings tls;
+    tls.mCertificateFile = own.Name();
+    tls.mKeyFile = own.Name();
+    mNode = std::make_unique<FakeNode>(tls);
+    Reply("GET /admin/hosts", 200, R"({"hosts":[]})");
+    CPPUNIT_ASSERT_EQUAL(0, Ask("hosts --tls-ca " + own.Name()).mExit);
+    const int unreachable = static_cast<int>(ExitCode::Unreachable);
+    CPPUNIT_ASSERT_EQUAL(unreachable,
+                         Ask("hosts --tls-ca " + other.Name()).mExit);
+    CPPUNIT_ASSERT_EQUAL(unreachable, Ask("hosts --tls-ca /nowhere").mExit);
+    CPPUNIT_ASSERT(Ask("hosts").mExit != 0);
+  }
+
   void TestTables() {
     const std::string body =
         R"({"hosts":[{"id":"n1","zone":"maslak","state":"alive"},)"
--- a/src/rillwall/cli_verbs.cpp
+++ b/src/rillwall/cli_verbs.cpp
@@ -25,6 +25,22 @@
   return object ? object->if_contains(aField) : nullptr;
 }
 
+void AddTlsOptions(CLI::App& aApp, TlsSettings& aTls) {
+  aApp.add_option("--tls-ca", aTls.mAuthorityFile,
+                  "PEM file with the authority of the node's certificate; "
+                  "without it no TLS is spoken")
+      ->envname("RILLWALL_TLS_CA");
+  aApp.add_option("--tls-cert", aTls.mCertificateFile,
+                  "PEM file with your certificate, if the node asks for one")
+      ->envname("RILLWALL_TLS_CERT");
+  aApp.add_option("--tls-key", aTls.mKeyFile,
+                  "PEM file with the certificate's private key")
+      ->envname("RILLWALL_TLS_KEY");
+  aApp.add_option("--tls-name", aTls.mPeerName,
+                  "Name in the node's certificate, if not its IP number")
+      ->envname("RILLWALL_TLS_NAME");
+}
+
 }  // namespace
 
 Verb AddVerb(CLI::App& aParent, const CliContext& aContext, const char* aName,
@@ -58,6 +74,7 @@
                    "Longest wait for one answer")
       ->check(CLI::Range(int64_t{1}, kMaxTimeoutSeconds))
       ->capture_default_str();
+  AddTlsOptions(*verb.mApp, node.mTls);
   verb.mApp->add_flag("--json", node.mJson, "Print the answer as JSON");
   return verb;
 }
