--- a/src/librillwall_coordination/dispatcher.cpp
+++ b/src/librillwall_coordination/dispatcher.cpp
@@ -33,7 +33,7 @@
     engine->Unlist();
   }
   for (Upstream& upstream : aEngines) {
-    TakeEngine(std::move(upstream), aNow);
+    TakeEngine(std::move(upstream));
   }
   std::erase_if(mEngines, [](const auto& aEntry) {
     return !aEntry.second->Listed() && aEntry.second->Own() == 0;
@@ -43,7 +43,7 @@
   ApplyRules(aRules);
 }
 
-void Dispatcher::Impl::TakeEngine(Upstream aUpstream, Millis aNow) {
+void Dispatcher::Impl::TakeEngine(Upstream aUpstream) {
   if (aUpstream.mKind != UpstreamKind::Engine) {
     return;
   }
--- a/src/librillwall_coordination/dispatcher_compare_bench.cpp
+++ b/src/librillwall_coordination/dispatcher_compare_bench.cpp
@@ -228,6 +228,16 @@
   using T = DispatchTuning;
   return {
       {"one_choice/fresh", Fresh(), Tuned(&T::mChoices, 1)},
+      {"one_choice/unequal", Unequal(), Tuned(&T::mChoices, 1)},
+      {"one_choice/no_shares",
+       {.mCallsPerSecond = 50},
+       [](Scenario& aScenario) {
+         aScenario.mTuning.mShareSlots = false;
+         aScenario.mTuning.mChoices = 1;
+       }},
+      {"two_choices/no_shares",
+       {.mCallsPerSecond = 50},
+       Tuned(&T::mShareSlots, false)},
       {"six_choices/stale", Stale(), Tuned(&T::mChoices, 6)},
       {"six_choices/busy", Busy(), Tuned(&T::mChoices, 6)},
       {"own_counted_twice/busy", Busy(), Tuned(&T::mOwnCountedOnce, false)},
--- a/src/librillwall_coordination/dispatcher_impl.h
+++ b/src/librillwall_coordination/dispatcher_impl.h
@@ -110,7 +110,7 @@
   void Configure(std::vector<Upstream> aEngines, const PolicyRules& aRules,
                  Millis aNow);
   void ApplyRules(const PolicyRules& aRules);
-  void TakeEngine(Upstream aUpstream, Millis aNow);
+  void TakeEngine(Upstream aUpstream);
   void RebuildPools(Millis aNow);
   void MarkLeaving(std::string_view aUpstream, Millis aNow);
   ModelQueue& Model(const std::string& aName);
