--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -31,10 +31,6 @@
 
 # Makes the work folder and sees to it that nothing is left behind.
 rw_begin() {
-  local tool
-  for tool in curl jq; do
-    command -v "$tool" >/dev/null || rw_fail "$tool is missing; run scripts/packages."
-  done
   RW_WORK=$(mktemp -d "${TMPDIR:-/tmp}/rillwall.XXXXXX")
   mkdir -p "$RW_WORK/logs"
   trap rw_end EXIT
@@ -69,14 +65,12 @@
   done
 }
 
-# Configures and builds the binary and the stand-ins.
+# Installs packages and builds the binary and the stand-ins.
 rw_build() {
   if [[ -z ${RILLWALL_SKIP_BUILD:-} ]]; then
-    cmake -S "$RW_ROOT" -B "$RW_BUILD" -G Ninja >/dev/null || return 1
-    ninja -C "$RW_BUILD" ${RILLWALL_JOBS:+-j"$RILLWALL_JOBS"} rillwall rillwall_standin >"$RW_WORK/build.log" 2>&1 || {
-      tail -n 30 "$RW_WORK/build.log" >&2
-      return 1
-    }
+    "$RW_ROOT/scripts/packages" || rw_fail "packages are missing"
+    RILLWALL_BUILD=$RW_BUILD "$RW_ROOT/scripts/build" rillwall rillwall_standin ||
+      rw_fail "the build failed"
   fi
   [[ -x $RW_BIN && -x $RW_STANDIN ]] || rw_fail "no binaries in $RW_BUILD"
 }
@@ -119,7 +113,7 @@
   wait "${RW_PID[$name]}"
   status=$?
   unset "RW_PID[$name]"
-  return $status
+  return "$status"
 }
 
 # Sends a signal (TERM by default) and waits; kills what does not stop.
@@ -248,6 +242,18 @@
     rw_fail "$1 is not ready: $(tail -n 3 "$RW_WORK/logs/$1.log")"
 }
 
+# Whether each of the nodes named knows as many live members.
+# rw_joined COUNT NODES...
+rw_joined() {
+  local count=$1 name alive
+  shift
+  for name in "$@"; do
+    alive=$(rw_get "${RW_ADDRESS[$name]}/admin/hosts" |
+      jq '[.hosts[] | select(.state == "alive")] | length')
+    [[ $alive == "$count" ]] || return 1
+  done
+}
+
 # Prints the addresses of names, comma-separated.
 rw_addresses() {
   local name list=""
--- a/src/standin/callers_run.cpp
+++ b/src/standin/callers_run.cpp
@@ -227,8 +227,7 @@
   HttpRequest request;
   request.mTarget = "/services/" + mOptions.mService + path;
   mNodes.Authorize(request);
-  const auto answer =
-      co_await mClient.Send(mNodes.Pick(), std::move(request), kReadTimeout);
+  const auto answer = co_await SendMoving(std::move(request));
   if (!answer.has_value() || answer.value().mStatus != kOk) {
     ++mFigures.mReads.mFailed;
     co_return;
@@ -242,6 +241,19 @@
   mFigures.mReads.mTime.push_back((Now() - start).Count());
 }
 
+asio::awaitable<Result<HttpResponse>> CallersRun::SendMoving(
+    HttpRequest aRequest) {
+  for (int move = 1;; ++move) {
+    auto answer = co_await mClient.Send(mNodes.Pick(), aRequest, kReadTimeout);
+    const bool again =
+        !answer.has_value() && answer.error().Run() == RunState::NotRun;
+    if (!again || move == kMoves) {
+      co_return answer;
+    }
+    co_await Sleep(kPoll);
+  }
+}
+
 asio::awaitable<void> CallersRun::CompareWithEngines() {
   const auto engines = NodeSet::Parse(mOptions.mEngines);
   if (!engines.has_value() || engines.value().empty()) {
--- a/src/standin/callers_run.h
+++ b/src/standin/callers_run.h
@@ -61,6 +61,8 @@
                   const std::string& aFinish, Millis aStart);
   HttpRequest StreamRequestFor(const std::string& aPrompt);
   asio::awaitable<void> Read();
+  /// Sends to another node while none takes the request.
+  asio::awaitable<Result<HttpResponse>> SendMoving(HttpRequest aRequest);
   asio::awaitable<void> CompareWithEngines();
 
   asio::io_context& mContext;
--- a/src/standin/trainer_run.cpp
+++ b/src/standin/trainer_run.cpp
@@ -51,6 +51,11 @@
 }
 
 uint64_t TrainerRun::LastStep() const {
+  const Millis ran = Now() - mFigures.mStarted;
+  const Millis limit(mOptions.mSeconds * kMillisPerSecond);
+  if (mOptions.mSeconds > 0 && ran > limit) {
+    return mBegun;
+  }
   return mOptions.mFirstStep + mOptions.mSteps - 1;
 }
 
@@ -69,6 +74,7 @@
   std::cerr << "trainer: " << aWhy << std::endl;
   mFigures.mGaveUp = true;
   mFinished = true;
+  mFigures.mEnded = Now();
   mChanged.cancel();
 }
 
@@ -91,6 +97,10 @@
     while (!mFinished && step > mTrainedThrough + 1 + mOptions.mAhead) {
       co_await Await();
     }
+    if (step > LastStep()) {
+      break;
+    }
+    mBegun = step;
     asio::co_spawn(mContext, RunStep(step), asio::detached);
   }
   while (!mFinished && mTrainedThrough < LastStep()) {
