--- a/src/cmake/RillwallLibrary.cmake
+++ b/src/cmake/RillwallLibrary.cmake
@@ -15,7 +15,7 @@
     target_include_directories(${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
     # Tests read examples of docs/ and testsuite/ by this path.
     target_compile_definitions(${name}_test PRIVATE RILLWALL_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-    target_link_libraries(${name}_test ${name} PkgConfig::CPPUNIT)
+    target_link_libraries(${name}_test ${name} PkgConfig::CPPUNIT rapidcheck)
     add_test(NAME ${name} COMMAND ${name}_test)
   endif()
 endfunction()
--- a/src/librillwall_protocol/gossip_codec.cpp
+++ b/src/librillwall_protocol/gossip_codec.cpp
@@ -3,11 +3,13 @@
 
 #include "rillwall/gossip_codec.h"
 
+#include <google/protobuf/stubs/logging.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
 #include <array>
+#include <mutex>
 
 #include "node.pb.h"
 #include "rillwall/wire_convert.h"
@@ -71,6 +73,14 @@
   }
 }
 
+/// Protobuf writes a line to the standard error for each string that is not
+/// UTF-8, so that anyone who can send datagrams could fill the host's logs.
+/// What is wrong is told by the Result.
+void SilenceParser() {
+  static std::once_flag sOnce;
+  std::call_once(sOnce, [] { google::protobuf::SetLogHandler(nullptr); });
+}
+
 Error Malformed(std::string aDetail) {
   return Error(ErrorKind::BadRequest, std::move(aDetail));
 }
@@ -140,6 +150,7 @@
     return Error(ErrorKind::Unauthorized,
                  "A datagram is not signed with the fleet's shared key.");
   }
+  SilenceParser();
   wire::Gossip gossip;
   if (!gossip.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
     return Malformed("A datagram is not a gossip message.");
--- a/src/librillwall_transport/peer_client.cpp
+++ b/src/librillwall_transport/peer_client.cpp
@@ -210,6 +210,7 @@
   }
   ClientCall& call = *aCall;
   call.mContext.set_deadline(std::chrono::system_clock::now() + call.mTimeout);
+  call.mContext.set_compression_algorithm(PeerCompression(call.mRequest));
   auto completion = std::make_unique<Completion<Handler>>(
       std::move(aCall), std::move(aHandler), mContext);
   if (!Begin(call)) {
--- a/src/librillwall_transport/peer_server.cpp
+++ b/src/librillwall_transport/peer_server.cpp
@@ -26,12 +26,17 @@
 /// A connection without calls for so long is closed.
 constexpr int kMaxConnectionIdleMs = 300000;
 
-/// One call in flight. gRPC owns the reply until Finish() was called, which
-/// the handler's end and Stop() both want to do: the first one does.
+/// One call in flight. Context, reactor and reply are gRPC's and last until
+/// Finish() was called, which the handler's end and Stop() both want to do: the
+/// first one does.
 class PendingCall {
  public:
-  PendingCall(grpc::ServerUnaryReactor* aReactor, wire::PeerReply* aReply)
-      : mReactor(aReactor), mReply(aReply) {}
+  PendingCall(grpc::CallbackServerContext* aContext, wire::PeerReply* aReply)
+      : mContext(aContext),
+        mReactor(aContext->DefaultReactor()),
+        mReply(aReply) {}
+
+  grpc::ServerUnaryReactor* Reactor() const { return mReactor; }
 
   void Answer(wire::PeerReply aReply) {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -39,6 +44,7 @@
       return;
     }
     *mReply = std::move(aReply);
+    mContext->set_compression_algorithm(PeerCompression(*mReply));
     std::exchange(mReactor, nullptr)->Finish(grpc::Status::OK);
   }
 
@@ -54,6 +60,7 @@
 
  private:
   std::mutex mMutex;
+  grpc::CallbackServerContext* mContext;
   grpc::ServerUnaryReactor* mReactor;
   wire::PeerReply* mReply;
 };
@@ -125,8 +132,8 @@
   grpc::ServerUnaryReactor* Call(grpc::CallbackServerContext* aServerContext,
                                  const wire::PeerRequest* aRequest,
                                  wire::PeerReply* aReply) override {
-    grpc::ServerUnaryReactor* reactor = aServerContext->DefaultReactor();
-    auto call = std::make_shared<PendingCall>(reactor, aReply);
+    auto call = std::make_shared<PendingCall>(aServerContext, aReply);
+    grpc::ServerUnaryReactor* reactor = call->Reactor();
     if (mCalls->Add(call)) {
       asio::co_spawn(mContext, Serve(mCalls, call, *aRequest), asio::detached);
     } else {
