coordination: runs adopted at a takeover are followed or given up

Change: StepBook::RunnersToAsk names the runners to ask for inventories; what none names for 15 s is run again. An attempt whose call failed is cancelled on its runner, which may still run it. Nothing new is run for a trainer that has not pulled for 15 min. The book's state is now StepLedger, a file of its own.

--- a/src/include/rillwall/step.h
+++ b/src/include/rillwall/step.h
@@ -150,6 +150,10 @@
   void Inventory(std::string_view aRunner,
                  const std::vector<GroupSummary>& aHeld,
                  const std::vector<GroupOrder>& aRunning, Millis aNow);
+  /// Runners that run groups for an earlier owner, to which their answers go.
+  /// Ask each for its inventory every two seconds or so; what none names for
+  /// longer than 15 s is run again.
+  std::vector<std::string> RunnersToAsk() const;
   /// All live runners were asked.
   void Rebuilt(Millis aNow);
   /// Orders groups: longest expected first, whole groups, within room, nothing
--- a/src/librillwall_coordination/step_book.cpp
+++ b/src/librillwall_coordination/step_book.cpp
@@ -1,342 +1,17 @@
 /// \file
-/// The book of a step's owner: what happens to groups. What is ordered next
-/// stands in step_scheduler.
+/// The public face of a step's book. What events do to groups stands in
+/// step_ledger, what is ordered next in step_scheduler.
 
-#include <algorithm>
 #include <boost/json.hpp>
 #include <set>
-#include <tuple>
 
 #include "rillwall/step.h"
-#include "step_group.h"
-#include "step_scheduler.h"
+#include "step_ledger.h"
 
 namespace rillwall {
 
-namespace {
-
-/// After a takeover: wait this long for a receipt before groups are run that
-/// the trainer may already have.
-constexpr Millis kReceiptGrace{5000};
-/// A receipt that names less than the last one may be a late, older pull; its
-/// groups, and planned ones that were lost, are run again only after this.
-constexpr Millis kDoubtDelay{1000};
-/// An inventory may have been taken before the latest orders and reports.
-constexpr Millis kInventoryGrace{10000};
-/// Queueing before the first token that an attempt's age may include.
-constexpr Millis kQueueAllowance{30000};
-constexpr Millis kGroupPause{100};
-constexpr Millis kGroupLongestPause{10000};
-
-GroupOrder OrderOf(size_t aGroup, const GroupAttempt& aAttempt) {
-  return {aGroup, aAttempt.mRunner, aAttempt.mAttempt};
-}
-
-GroupOrder OrderOf(const GroupSummary& aSummary) {
-  return {aSummary.mGroup, aSummary.mRunner, aSummary.mAttempt};
-}
-
-void Append(std::vector<GroupOrder>& aTo, std::vector<GroupOrder>& aFrom) {
-  aTo.insert(aTo.end(), aFrom.begin(), aFrom.end());
-  aFrom.clear();
-}
-
-}  // namespace
-
-struct StepBook::Impl {
-  Impl(StepSpec aSpec, TrainerRule aRule, bool aRebuilding, Millis aNow)
-      : mSpec(std::move(aSpec)),
-        mRule(std::move(aRule)),
-        mOpenedAt(aNow),
-        mRebuilding(aRebuilding),
-        mTookOver(aRebuilding),
-        mGroups(mSpec) {}
-
-  bool Known(size_t aGroup) const { return aGroup < mGroups.Size(); }
-
-  Millis AgeOf(const GroupRecord& aGroup, Millis aNow) const {
-    return aNow - aGroup.mFirstToken;
-  }
-
-  bool Fresh(const GroupRecord& aGroup, Millis aNow) const {
-    return WithinBound(mRule.mStaleness, aGroup.mHeld.mOldestVersion, mNewest,
-                       AgeOf(aGroup, aNow));
-  }
-
-  void SeeNewest(int64_t aNewest, Millis aNow) {
-    mNewest = std::max(mNewest, aNewest);
-    if (mGroups.Count(GroupState::Delivered) < mGroups.Size()) {
-      mEstimates.mPace.Observe(mNewest, aNow);
-    }
-  }
-
-  void CancelAttempts(size_t aGroup, StepActions& aActions) {
-    GroupRecord& group = mGroups.At(aGroup);
-    for (const GroupAttempt& attempt : group.mAttempts) {
-      aActions.mCancel.push_back(OrderOf(aGroup, attempt));
-    }
-    group.mAttempts.clear();
-  }
-
-  /// Drops a held group that is too old and queues it again.
-  void DropStale(size_t aGroup, Millis aNow, StepActions& aActions) {
-    GroupRecord& group = mGroups.At(aGroup);
-    group.mSeenTokens = group.mHeld.mTokens;
-    // Not a release, which would also end the group's next run there.
-    aActions.mCancel.push_back(OrderOf(group.mHeld));
-    mGroups.Requeue(aGroup, aNow);
-    ++mStaleDropped;
-  }
-
-  void DropAllStale(Millis aNow, StepActions& aActions) {
-    for (size_t group = 0; group < mGroups.Size(); ++group) {
-      const GroupRecord& record = mGroups.At(group);
-      if (record.State() == GroupState::Held && !Fresh(record, aNow)) {
-        DropStale(group, aNow, aActions);
-      }
-    }
-  }
-
-  /// \return whether what this attempt makes can no longer be delivered
-  bool Hopeless(const GroupAttempt& aAttempt, Millis aNow) const {
-    const StalenessBound& bound = mRule.mStaleness;
-    const bool oldVersion = bound.mVersions >= 0 &&
-                            aAttempt.mNewestAtStart >= 0 &&
-                            mNewest - aAttempt.mNewestAtStart > bound.mVersions;
-    const bool tooLong =
-        bound.mAge >= Millis(0) &&
-        aNow - aAttempt.mStartedAt > bound.mAge + kQueueAllowance;
-    return oldVersion || tooLong;
-  }
-
-  void CancelHopeless(size_t aGroup, Millis aNow, StepActions& aActions) {
-    GroupRecord& group = mGroups.At(aGroup);
-    const auto hopeless = [&](const GroupAttempt& aAttempt) {
-      if (!Hopeless(aAttempt, aNow)) {
-        return false;
-      }
-      aActions.mCancel.push_back(OrderOf(aGroup, aAttempt));
-      ++mStaleCancelled;
-      return true;
-    };
-    std::erase_if(group.mAttempts, hopeless);
-    if (group.mAttempts.empty()) {
-      mGroups.Requeue(aGroup, aNow);
-    }
-  }
-
-  void CancelAllHopeless(Millis aNow, StepActions& aActions) {
-    for (size_t group = 0; group < mGroups.Size(); ++group) {
-      if (mGroups.At(group).State() == GroupState::Running) {
-        CancelHopeless(group, aNow, aActions);
-      }
-    }
-  }
-
-  void TakePending(StepActions& aActions) {
-    Append(aActions.mCancel, mPending.mCancel);
-    Append(aActions.mRelease, mPending.mRelease);
-  }
-
-  /// Whether groups may be ordered: not while rebuilding, and after a takeover
-  /// not before it is known, or was waited for, what the trainer has.
-  bool MayOrder(Millis aNow) const {
-    const bool knowsReceipt =
-        !mTookOver || mReceiptSeen || aNow - mRebuiltAt >= kReceiptGrace;
-    return !mRebuilding && knowsReceipt;
-  }
-
-  void Learn(const GroupSummary& aSummary, Millis aNow) {
-    GroupRecord& group = mGroups.At(aSummary.mGroup);
-    mEstimates.mLengths.Observe(group.mPromptBytes, aSummary.mTokens);
-    const GroupAttempt* attempt =
-        group.Find(aSummary.mRunner, aSummary.mAttempt);
-    if (attempt != nullptr) {
-      mEstimates.mDurations.Observe(aNow - attempt->mStartedAt,
-                                    aSummary.mTokens);
-    }
-    mEstimates.mHealth.Succeeded(aSummary.mRunner);
-  }
-
-  void Hold(const GroupSummary& aSummary, Millis aNow) {
-    GroupRecord& group = mGroups.At(aSummary.mGroup);
-    group.mHeld = aSummary;
-    group.mFirstToken = aNow - aSummary.mAge;
-    group.mHeldAt = aNow;
-    group.mPlanned = false;
-    group.mFailures = 0;
-    mGroups.SetState(aSummary.mGroup, GroupState::Held);
-  }
-
-  /// \return whether a draining runner handed the held group to another one
-  static bool Moved(const GroupRecord& aGroup, const GroupSummary& aSummary) {
-    return aGroup.State() == GroupState::Held &&
-           aGroup.mHeld.mAttempt == aSummary.mAttempt &&
-           aGroup.mHeld.mOldestVersion == aSummary.mOldestVersion &&
-           aGroup.mHeld.mTokens == aSummary.mTokens;
-  }
-
-  void Finished(const GroupSummary& aSummary, Millis aNow,
-                StepActions& aActions) {
-    GroupRecord& group = mGroups.At(aSummary.mGroup);
-    group.mLastAttempt = std::max(group.mLastAttempt, aSummary.mAttempt);
-    if (group.IsHeldAttempt(aSummary.mRunner, aSummary.mAttempt)) {
-      return;
-    }
-    if (Moved(group, aSummary)) {
-      group.mHeld.mRunner = aSummary.mRunner;
-      return;
-    }
-    if (group.State() == GroupState::Held ||
-        group.State() == GroupState::Delivered) {
-      aActions.mCancel.push_back(OrderOf(aSummary));
-      return;
-    }
-    Learn(aSummary, aNow);
-    std::erase_if(group.mAttempts, [&](const GroupAttempt& aEach) {
-      return aEach.mRunner == aSummary.mRunner &&
-             aEach.mAttempt == aSummary.mAttempt;
-    });
-    CancelAttempts(aSummary.mGroup, aActions);
-    Hold(aSummary, aNow);
-    if (!Fresh(group, aNow)) {
-      DropStale(aSummary.mGroup, aNow, aActions);
-    }
-  }
-
-  void Failed(size_t aGroup, std::string_view aRunner, uint64_t aAttempt,
-              Millis aNow) {
-    GroupRecord& group = mGroups.At(aGroup);
-    if (group.IsHeldAttempt(aRunner, aAttempt)) {
-      mGroups.Requeue(aGroup, aNow);
-      return;
-    }
-    if (group.Find(aRunner, aAttempt) == nullptr) {
-      return;
-    }
-    mEstimates.mHealth.Failed(aRunner, aNow);
-    ++group.mFailures;
-    group.mAvoid = aRunner;
-    RemoveAttempt(
-        aGroup, aRunner, aAttempt,
-        aNow + FailurePause(group.mFailures, kGroupPause, kGroupLongestPause));
-  }
-
-  void RemoveAttempt(size_t aGroup, std::string_view aRunner, uint64_t aAttempt,
-                     Millis aNotBefore) {
-    GroupRecord& group = mGroups.At(aGroup);
-    std::erase_if(group.mAttempts, [&](const GroupAttempt& aEach) {
-      return aEach.mRunner == aRunner && aEach.mAttempt == aAttempt;
-    });
-    if (group.mAttempts.empty()) {
-      mGroups.Requeue(aGroup, aNotBefore);
-    }
-  }
-
-  void LoseGroup(size_t aGroup, std::string_view aRunner, Millis aNow) {
-    GroupRecord& group = mGroups.At(aGroup);
-    if (group.State() == GroupState::Held && group.mHeld.mRunner == aRunner) {
-      const Millis doubt = group.mPlanned ? kDoubtDelay : Millis(0);
-      mGroups.Requeue(aGroup, aNow + doubt);
-      return;
-    }
-    const size_t erased = std::erase_if(
-        group.mAttempts,
-        [&](const GroupAttempt& aEach) { return aEach.mRunner == aRunner; });
-    if (erased > 0 && group.mAttempts.empty()) {
-      mGroups.Requeue(aGroup, aNow);
-    }
-  }
-
-  /// Notes an attempt that a runner says it runs.
-  void SeeRunning(size_t aGroup, std::string_view aRunner, uint64_t aAttempt,
-                  Millis aNow) {
-    GroupRecord& group = mGroups.At(aGroup);
-    group.mLastAttempt = std::max(group.mLastAttempt, aAttempt);
-    const bool wanted = group.State() == GroupState::Waiting ||
-                        group.State() == GroupState::Running;
-    if (!wanted) {
-      mPending.mCancel.push_back({aGroup, std::string(aRunner), aAttempt});
-      return;
-    }
-    if (group.Find(aRunner, aAttempt) == nullptr) {
-      group.mAttempts.push_back({std::string(aRunner), aAttempt, aNow, -1});
-      mGroups.SetState(aGroup, GroupState::Running);
-    }
-  }
-
-  /// Requeues what a runner should have and does not name.
-  void Missing(size_t aGroup, std::string_view aRunner, Millis aNow) {
-    GroupRecord& group = mGroups.At(aGroup);
-    const Millis before = aNow - kInventoryGrace;
-    if (group.State() == GroupState::Held && group.mHeld.mRunner == aRunner &&
-        group.mHeldAt <= before) {
-      mGroups.Requeue(aGroup, aNow);
-      return;
-    }
-    const size_t erased =
-        std::erase_if(group.mAttempts, [&](const GroupAttempt& aEach) {
-          return aEach.mRunner == aRunner && aEach.mStartedAt <= before;
-        });
-    if (erased > 0 && group.mAttempts.empty()) {
-      mGroups.Requeue(aGroup, aNow);
-    }
-  }
-
-  /// The trainer has a group.
-  void Deliver(size_t aGroup, StepActions& aActions) {
-    if (mGroups.At(aGroup).State() == GroupState::Delivered) {
-      return;
-    }
-    if (mGroups.At(aGroup).State() == GroupState::Held) {
-      aActions.mRelease.push_back(OrderOf(mGroups.At(aGroup).mHeld));
-    }
-    CancelAttempts(aGroup, aActions);
-    mGroups.SetState(aGroup, GroupState::Delivered);
-  }
-
-  void Apply(const Receipt& aReceipt, Millis aNow, StepActions& aActions) {
-    mReceiptSeen = true;
-    for (size_t group = 0; group < mGroups.Size(); ++group) {
-      if (aReceipt.Has(group)) {
-        Deliver(group, aActions);
-      } else if (mGroups.At(group).State() == GroupState::Delivered) {
-        mGroups.Requeue(group, aNow + kDoubtDelay);
-      }
-    }
-  }
-
-  std::vector<GroupSummary> HeldOldestFirst(Millis aNow) const {
-    std::vector<GroupSummary> held;
-    for (size_t group = 0; group < mGroups.Size(); ++group) {
-      const GroupRecord& record = mGroups.At(group);
-      if (record.State() == GroupState::Held) {
-        held.push_back(record.mHeld);
-        held.back().mAge = AgeOf(record, aNow);
-      }
-    }
-    const auto older = [](const GroupSummary& aLeft,
-                          const GroupSummary& aRight) {
-      return std::tie(aLeft.mOldestVersion, aRight.mAge, aLeft.mGroup) <
-             std::tie(aRight.mOldestVersion, aLeft.mAge, aRight.mGroup);
-    };
-    std::sort(held.begin(), held.end(), older);
-    return held;
-  }
-
-  StepSpec mSpec;
-  TrainerRule mRule;
-  Millis mOpenedAt;
-  bool mRebuilding;
-  bool mTookOver;
-  bool mReceiptSeen = false;
-  Millis mRebuiltAt;
-  GroupTable mGroups;
-  StepEstimates mEstimates;
-  StepActions mPending;  ///< found by an inventory; handed out by Tick
-  int64_t mNewest = 0;
-  uint64_t mStaleDropped = 0;
-  uint64_t mStaleCancelled = 0;
+struct StepBook::Impl : StepLedger {
+  using StepLedger::StepLedger;
 };
 
 StepBook::StepBook(StepSpec aSpec, TrainerRule aRule, bool aRebuilding,
@@ -378,6 +53,18 @@
   }
 }
 
+std::vector<std::string> StepBook::RunnersToAsk() const {
+  std::set<std::string> runners;
+  for (size_t group = 0; group < mImpl->mGroups.Size(); ++group) {
+    for (const GroupAttempt& attempt : mImpl->mGroups.At(group).mAttempts) {
+      if (attempt.mAdopted) {
+        runners.insert(attempt.mRunner);
+      }
+    }
+  }
+  return {runners.begin(), runners.end()};
+}
+
 void StepBook::Rebuilt(Millis aNow) {
   mImpl->mRebuilding = false;
   mImpl->mRebuiltAt = aNow;
@@ -469,7 +156,7 @@
       {"newest_version", mImpl->mNewest},
       {"median_group_ms", mImpl->mEstimates.mDurations.Median().Count()},
       {"stale_dropped", mImpl->mStaleDropped},
-      {"stale_cancelled", mImpl->mStaleCancelled},
+      {"given_up", mImpl->mGivenUp},
   };
   return boost::json::serialize(dump);
 }
--- a/src/librillwall_coordination/step_book_test.cpp
+++ b/src/librillwall_coordination/step_book_test.cpp
@@ -47,9 +47,11 @@
   CPPUNIT_TEST(FailingRunnerIsLeftAlone);
   CPPUNIT_TEST(LostRunnerRequeuesItsGroupsOnly);
   CPPUNIT_TEST(RebuildsFromInventories);
+  CPPUNIT_TEST(GivesUpAdoptedRunsUnheardOf);
   CPPUNIT_TEST(WaitsForReceiptAfterTakeover);
   CPPUNIT_TEST(HoldsBackWhatWouldBeStale);
   CPPUNIT_TEST(HandedOverGroupIsFollowed);
+  CPPUNIT_TEST(SilentTrainerGetsNothingNew);
   CPPUNIT_TEST_SUITE_END();
 
   void OrdersLongestFirstWithinRoom() {
@@ -140,7 +142,9 @@
     for (const GroupOrder& order : run) {
       book.Failed(order.mGroup, order.mRunner, order.mAttempt, kStart);
     }
-    CPPUNIT_ASSERT(book.Tick(rooms, 5, kStart + Millis(200)).mRun.empty());
+    const StepActions paused = book.Tick(rooms, 5, kStart + Millis(200));
+    CPPUNIT_ASSERT(paused.mRun.empty());
+    CPPUNIT_ASSERT(paused.mCancel == run);
     const auto probe = book.Tick(rooms, 5, kStart + Millis(250)).mRun;
     CPPUNIT_ASSERT_EQUAL(size_t{1}, probe.size());
     CPPUNIT_ASSERT(book.Tick(rooms, 5, kStart + Millis(900)).mRun.empty());
@@ -177,6 +181,20 @@
     CPPUNIT_ASSERT(actions.mCancel == cancel);
   }
 
+  void GivesUpAdoptedRunsUnheardOf() {
+    StepBook book(SpecOf({"a"}), Rule(), true, kStart);
+    book.Inventory("n1", {}, {{0, "", 1}}, kStart);
+    book.Rebuilt(kStart);
+    CPPUNIT_ASSERT(book.RunnersToAsk() == std::vector<std::string>{"n1"});
+    const Millis asked = kStart + Millis(10000);
+    book.Inventory("n1", {}, {{0, "", 1}}, asked);
+    CPPUNIT_ASSERT(book.Tick({}, 5, asked + Millis(15000)).mCancel.empty());
+    const Millis late = asked + Millis(15001);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, book.Tick({}, 5, late).mCancel.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, book.Waiting());
+    CPPUNIT_ASSERT(book.RunnersToAsk().empty());
+  }
+
   void WaitsForReceiptAfterTakeover() {
     StepBook book(SpecOf({"a", "b"}), Rule(), true, kStart);
     const std::vector<RunnerRoom> rooms = {{"n1", 9}};
@@ -208,6 +226,16 @@
                          book.Tick(rooms, 7, rise + Millis(61000)).mRun.size());
   }
 
+  void SilentTrainerGetsNothingNew() {
+    StepBook book(SpecOf({"a"}), Rule(), false, kStart);
+    const Millis later = kStart + Millis(900000);
+    CPPUNIT_ASSERT(book.Tick({{"n1", 1}}, 5, later).mRun.empty());
+    StepActions actions;
+    book.Plan(ReceiptOf(book, {}), 5, 9, later, actions);
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         book.Tick({{"n1", 1}}, 5, later).mRun.size());
+  }
+
   void HandedOverGroupIsFollowed() {
     StepBook book(SpecOf({"a"}), Rule(), false, kStart);
     const auto run = book.Tick({{"n1", 1}}, 5, kStart).mRun;
--- a/src/librillwall_coordination/step_group.h
+++ b/src/librillwall_coordination/step_group.h
@@ -23,6 +23,8 @@
   uint64_t mAttempt = 0;
   Millis mStartedAt;
   int64_t mNewestAtStart = -1;  ///< newest version known then; -1: not known
+  bool mAdopted = false;        ///< ordered by an earlier owner
+  Millis mSeenAt;               ///< if adopted: when an inventory last named it
 };
 
 struct GroupRecord {
--- a/src/librillwall_coordination/step_random_test.cpp
+++ b/src/librillwall_coordination/step_random_test.cpp
@@ -73,12 +73,15 @@
     for (; mNow < kEnd && !mTally.mComplete; mNow += kTick) {
       if (mNow < kFaultsEnd) {
         Fault();
+      } else if (mNow == kFaultsEnd) {
+        Mend();
       }
       if (OneIn(150)) {
         ++mVersion;
       }
       Deliver();
       Finish();
+      AskRunners();
       for (const auto& owner : mOwners) {
         CarryOut(owner, owner->Tick(Rooms(), mVersion, mNow));
       }
@@ -130,6 +133,12 @@
     }
   }
 
+  void Mend() {
+    for (Runner& runner : mRunners) {
+      runner.mUp = true;
+    }
+  }
+
   void TellLost(size_t aRunner) {
     for (const Book& owner : mOwners) {
       owner->RunnerLost(Name(aRunner), mNow);
@@ -149,6 +158,21 @@
     mOwners.push_back(book);
   }
 
+  void AskRunners() {
+    constexpr int64_t kEvery = 2000;
+    if (mNow.Count() % kEvery != 0) {
+      return;
+    }
+    for (const Book& owner : mOwners) {
+      for (const std::string& runner : owner->RunnersToAsk()) {
+        const size_t index = std::stoul(runner.substr(1));
+        if (mRunners[index].mUp && !Faulty()) {
+          ShowInventory(index, *owner);
+        }
+      }
+    }
+  }
+
   void ShowInventory(size_t aRunner, StepBook& aBook) {
     std::vector<GroupSummary> held;
     std::vector<GroupOrder> running;
--- a/src/librillwall_coordination/step_scheduler.cpp
+++ b/src/librillwall_coordination/step_scheduler.cpp
@@ -116,7 +116,7 @@
     GroupRecord& group = mGroups.At(aGroup);
     ++group.mLastAttempt;
     group.mAttempts.push_back(
-        {runner, group.mLastAttempt, mInputs.mNow, mInputs.mNewest});
+        {runner, group.mLastAttempt, mInputs.mNow, mInputs.mNewest, false, {}});
     mGroups.SetState(aGroup, GroupState::Running);
     mOrders.push_back({aGroup, runner, group.mLastAttempt});
     --mBudget;
