--- a/src/librillwall_protocol/json_test.cpp
+++ b/src/librillwall_protocol/json_test.cpp
@@ -11,13 +11,13 @@
 
 class JsonTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(JsonTest);
-  CPPUNIT_TEST(testReadsFields);
-  CPPUNIT_TEST(testNamesTheFirstWrongField);
-  CPPUNIT_TEST(testBounds);
+  CPPUNIT_TEST(TestReadsFields);
+  CPPUNIT_TEST(TestNamesTheFirstWrongField);
+  CPPUNIT_TEST(TestBounds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void testReadsFields() {
+  void TestReadsFields() {
     const json::object object =
         ParseJsonObject(R"({"s":"x","i":-3,"u":18446744073709551615,"d":2,)"
                         R"("b":true,"l":["a","b"],"n":null,"r":"-12"})")
@@ -35,7 +35,7 @@
     CPPUNIT_ASSERT(!reader.Failed());
   }
 
-  void testNamesTheFirstWrongField() {
+  void TestNamesTheFirstWrongField() {
     const json::object object = ParseJsonObject(R"({"i":1.5,"s":1})").value();
     JsonReader reader(object, "steps[0]");
     reader.Int("i");
@@ -51,7 +51,7 @@
                    std::string::npos);
   }
 
-  void testBounds() {
+  void TestBounds() {
     const std::string deep = std::string(40, '[') + std::string(40, ']');
     CPPUNIT_ASSERT(ParseJson(deep).error().Kind() == ErrorKind::BadRequest);
     JsonLimits limits;
--- a/src/librillwall_transport/http_client_test.cpp
+++ b/src/librillwall_transport/http_client_test.cpp
@@ -16,20 +16,20 @@
 
 class HttpClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpClientTest);
-  CPPUNIT_TEST(testRunStates);
-  CPPUNIT_TEST(testCutAnswers);
-  CPPUNIT_TEST(testAnswerUntilClose);
-  CPPUNIT_TEST(testStalePooledConnection);
-  CPPUNIT_TEST(testBytesAfterTheAnswer);
-  CPPUNIT_TEST(testInformational);
-  CPPUNIT_TEST(testHeaderInjection);
-  CPPUNIT_TEST(testEarlyRefusalOfLargeBody);
-  CPPUNIT_TEST(testOwnAnswersUnderTimeouts);
-  CPPUNIT_TEST(testEarlyRelease);
+  CPPUNIT_TEST(TestRunStates);
+  CPPUNIT_TEST(TestCutAnswers);
+  CPPUNIT_TEST(TestAnswerUntilClose);
+  CPPUNIT_TEST(TestStalePooledConnection);
+  CPPUNIT_TEST(TestBytesAfterTheAnswer);
+  CPPUNIT_TEST(TestInformational);
+  CPPUNIT_TEST(TestHeaderInjection);
+  CPPUNIT_TEST(TestEarlyRefusalOfLargeBody);
+  CPPUNIT_TEST(TestOwnAnswersUnderTimeouts);
+  CPPUNIT_TEST(TestEarlyRelease);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void testRunStates() {
+  void TestRunStates() {
     Endpoint closed;
     {
       RawUpstream gone({});
@@ -49,7 +49,7 @@
     CPPUNIT_ASSERT(RunState::NotRun == bad.Run());
   }
 
-  void testCutAnswers() {
+  void TestCutAnswers() {
     const std::vector<std::string> cuts = {
         "HTTP/1.1 200", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nshor",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nshor",
@@ -64,13 +64,13 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
   }
 
-  void testAnswerUntilClose() {
+  void TestAnswerUntilClose() {
     RawUpstream upstream({"HTTP/1.1 200 OK\r\n\r\nall of it"});
     CPPUNIT_ASSERT_EQUAL(std::string("all of it"), Body(upstream.Where()));
     CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
   }
 
-  void testStalePooledConnection() {
+  void TestStalePooledConnection() {
     // Each connection is closed after its answer, without saying so.
     RawUpstream upstream({kWhole, kWhole});
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
@@ -79,7 +79,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
   }
 
-  void testBytesAfterTheAnswer() {
+  void TestBytesAfterTheAnswer() {
     RawUpstream upstream(
         {std::string(kWhole) +
              "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
@@ -89,14 +89,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
   }
 
-  void testInformational() {
+  void TestInformational() {
     RawUpstream upstream({std::string("HTTP/1.1 100 Continue\r\n\r\n"
                                       "HTTP/1.1 103 Early Hints\r\n\r\n") +
                           kWhole});
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
   }
 
-  void testHeaderInjection() {
+  void TestHeaderInjection() {
     std::atomic<bool> injected{false};
     HttpServer server(mThreads.Context(), HttpLimits(),
                       [&](const HttpRequest& aRequest,
@@ -117,7 +117,7 @@
     CPPUNIT_ASSERT(!injected);
   }
 
-  void testEarlyRefusalOfLargeBody() {
+  void TestEarlyRefusalOfLargeBody() {
     HttpLimits limits;
     limits.mMaxBody = 1000;
     HttpServer server(mThreads.Context(), limits, nullptr);
@@ -132,7 +132,7 @@
 
   /// Many calls at once, some slower than their timeout: each gets its own
   /// answer or none.
-  void testOwnAnswersUnderTimeouts() {
+  void TestOwnAnswersUnderTimeouts() {
     constexpr int kCallers = 24;
     constexpr int kCalls = 40;
     HttpServer server(mThreads.Context(), HttpLimits(),
@@ -177,7 +177,7 @@
     CPPUNIT_ASSERT(late > 0);
   }
 
-  void testEarlyRelease() {
+  void TestEarlyRelease() {
     std::atomic<bool> cancelled{false};
     HttpServer server(mThreads.Context(), HttpLimits(),
                       [&](const HttpRequest&,
--- a/src/librillwall_transport/http_server_test.cpp
+++ b/src/librillwall_transport/http_server_test.cpp
@@ -15,17 +15,18 @@
 
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
-  CPPUNIT_TEST(testMalformed);
-  CPPUNIT_TEST(testTooLarge);
-  CPPUNIT_TEST(testStalled);
-  CPPUNIT_TEST(testContinue);
-  CPPUNIT_TEST(testPipelined);
-  CPPUNIT_TEST(testSentAheadInParts);
-  CPPUNIT_TEST(testHeadAndOldVersion);
-  CPPUNIT_TEST(testSeesPeerGone);
-  CPPUNIT_TEST(testNoAnswer);
-  CPPUNIT_TEST(testDrainLetsRequestsEnd);
-  CPPUNIT_TEST(testMaxConnections);
+  CPPUNIT_TEST(TestMalformed);
+  CPPUNIT_TEST(TestTooLarge);
+  CPPUNIT_TEST(TestRefusedPeerMaySendOn);
+  CPPUNIT_TEST(TestStalled);
+  CPPUNIT_TEST(TestContinue);
+  CPPUNIT_TEST(TestPipelined);
+  CPPUNIT_TEST(TestSentAheadInParts);
+  CPPUNIT_TEST(TestHeadAndOldVersion);
+  CPPUNIT_TEST(TestSeesPeerGone);
+  CPPUNIT_TEST(TestNoAnswer);
+  CPPUNIT_TEST(TestDrainLetsRequestsEnd);
+  CPPUNIT_TEST(TestMaxConnections);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -48,7 +49,7 @@
     mServer.reset();
   }
 
-  void testMalformed() {
+  void TestMalformed() {
     AssertStatus("400", "nonsense\r\n\r\n");
     AssertStatus("400", "GET / HTTP/1.1\r\n\r\n");
     AssertStatus("400", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -60,7 +61,7 @@
     CPPUNIT_ASSERT_EQUAL(0, mRuns.load());
   }
 
-  void testTooLarge() {
+  void TestTooLarge() {
     AssertStatus("413", Post("Content-Length: 5000\r\n", ""));
     AssertStatus("413",
                  Post("Content-Length: 500000\r\n", std::string(500000, 'x')));
@@ -70,7 +71,18 @@
     CPPUNIT_ASSERT_EQUAL(0, mRuns.load());
   }
 
-  void testStalled() {
+  /// A peer that is still sending is not reset, so that it reads its answer.
+  void TestRefusedPeerMaySendOn() {
+    RawPeer peer(mWhere);
+    peer.Write(Post("Content-Length: 50000\r\n", ""));
+    CPPUNIT_ASSERT(peer.ReadHead().starts_with("HTTP/1.1 413"));
+    for (int i = 0; i < 3; ++i) {
+      mThreads.Await(Sleep(Millis(20)));
+      peer.Write(std::string(1000, 'x'));
+    }
+  }
+
+  void TestStalled() {
     AssertStatus("408", "GET / HT");
     AssertStatus("408", Post("Content-Length: 10\r\n", "half"));
     // A connection on which nothing was begun is closed without an answer.
@@ -79,7 +91,7 @@
     CPPUNIT_ASSERT_EQUAL(0, mRuns.load());
   }
 
-  void testContinue() {
+  void TestContinue() {
     RawPeer peer(mWhere);
     peer.Write(Post("Expect: 100-continue\r\nContent-Length: 4\r\n", ""));
     CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 100 Continue\r\n\r\n"),
@@ -88,7 +100,7 @@
     CPPUNIT_ASSERT(peer.ReadToEnd().find("/ body") != std::string::npos);
   }
 
-  void testPipelined() {
+  void TestPipelined() {
     RawPeer peer(mWhere);
     std::string all;
     for (const char* path : {"/1", "/2", "/3"}) {
@@ -103,7 +115,7 @@
     CPPUNIT_ASSERT(third != std::string::npos);
   }
 
-  void testSentAheadInParts() {
+  void TestSentAheadInParts() {
     RawPeer peer(mWhere);
     const std::string rest = std::string(" HTTP/1.1\r\n") + kHost + "\r\n";
     peer.Write("GET /wait" + rest);
@@ -117,9 +129,10 @@
     CPPUNIT_ASSERT_EQUAL(3, mRuns.load());
     CPPUNIT_ASSERT(answers.find("waited") < answers.find("/2 "));
     CPPUNIT_ASSERT(answers.find("/2 ") < answers.find("/3 "));
+    CPPUNIT_ASSERT(answers.find("/3 ") != std::string::npos);
   }
 
-  void testHeadAndOldVersion() {
+  void TestHeadAndOldVersion() {
     RawPeer head(mWhere);
     head.Write("HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n");
     const std::string answer = head.ReadToEnd();
@@ -133,7 +146,7 @@
     CPPUNIT_ASSERT(stream.ends_with("\r\n\r\npart"));
   }
 
-  void testSeesPeerGone() {
+  void TestSeesPeerGone() {
     RawPeer peer(mWhere);
     peer.Write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
     WaitFor([this] { return mRuns == 1; });
@@ -142,7 +155,7 @@
     WaitFor([this] { return mPeerGone.load(); });
   }
 
-  void testNoAnswer() {
+  void TestNoAnswer() {
     RawPeer cut(mWhere);
     cut.Write(Post("Content-Length: 0\r\n", "", "/cut"));
     CPPUNIT_ASSERT_EQUAL(std::string(), cut.ReadToEnd());
@@ -150,7 +163,7 @@
     AssertStatus("500", Post("Content-Length: 0\r\n", "", "/throw"));
   }
 
-  void testDrainLetsRequestsEnd() {
+  void TestDrainLetsRequestsEnd() {
     RawPeer busy(mWhere);
     RawPeer idle(mWhere);
     busy.Write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -158,6 +171,7 @@
     mServer->Drain();
     // The idle one ends first; the busy one still gets its answer.
     CPPUNIT_ASSERT_EQUAL(std::string(), idle.ReadToEnd());
+    mThreads.Await(Sleep(Millis(100)));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, mServer->Active());
     CPPUNIT_ASSERT(!mPeerGone);
     mRelease = true;
@@ -167,7 +181,7 @@
     CPPUNIT_ASSERT_THROW(RawPeer late(mWhere), std::exception);
   }
 
-  void testMaxConnections() {
+  void TestMaxConnections() {
     std::vector<std::unique_ptr<RawPeer>> peers;
     for (int i = 0; i < 4; ++i) {
       peers.push_back(std::make_unique<RawPeer>(mWhere));
--- a/src/librillwall_transport/http_test.cpp
+++ b/src/librillwall_transport/http_test.cpp
@@ -36,10 +36,10 @@
 
 class HttpTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpTest);
-  CPPUNIT_TEST(testRequestAndAnswer);
-  CPPUNIT_TEST(testStreamedAnswer);
-  CPPUNIT_TEST(testCutStreamIsAnError);
-  CPPUNIT_TEST(testCutBeforeTheAnswer);
+  CPPUNIT_TEST(TestRequestAndAnswer);
+  CPPUNIT_TEST(TestStreamedAnswer);
+  CPPUNIT_TEST(TestCutStreamIsAnError);
+  CPPUNIT_TEST(TestCutBeforeTheAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,7 +49,7 @@
   }
   void tearDown() override { mServer.reset(); }
 
-  void testRequestAndAnswer() {
+  void TestRequestAndAnswer() {
     for (int i = 0; i < 3; ++i) {
       HttpRequest request;
       request.mMethod = "POST";
@@ -64,7 +64,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, mClient.Connections());
   }
 
-  void testStreamedAnswer() {
+  void TestStreamedAnswer() {
     HttpRequest request;
     request.mTarget = "/stream";
     auto stream =
@@ -85,7 +85,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, mClient.Connections());
   }
 
-  void testCutStreamIsAnError() {
+  void TestCutStreamIsAnError() {
     HttpRequest request;
     request.mTarget = "/cut";
     auto stream =
@@ -105,7 +105,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
   }
 
-  void testCutBeforeTheAnswer() {
+  void TestCutBeforeTheAnswer() {
     HttpRequest request;
     request.mTarget = "/no-answer";
     const auto answer =
--- a/src/librillwall_transport/http_tls_test.cpp
+++ b/src/librillwall_transport/http_tls_test.cpp
@@ -92,14 +92,14 @@
 
 class HttpTlsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpTlsTest);
-  CPPUNIT_TEST(testAnswersAndStreams);
-  CPPUNIT_TEST(testRefusesOtherAuthorities);
-  CPPUNIT_TEST(testRefusesOtherNames);
-  CPPUNIT_TEST(testDemandsCallerCertificate);
-  CPPUNIT_TEST(testPlainPeers);
-  CPPUNIT_TEST(testReload);
-  CPPUNIT_TEST(testWrongFiles);
-  CPPUNIT_TEST(testManyCallers);
+  CPPUNIT_TEST(TestAnswersAndStreams);
+  CPPUNIT_TEST(TestRefusesOtherAuthorities);
+  CPPUNIT_TEST(TestRefusesOtherNames);
+  CPPUNIT_TEST(TestDemandsCallerCertificate);
+  CPPUNIT_TEST(TestPlainPeers);
+  CPPUNIT_TEST(TestReload);
+  CPPUNIT_TEST(TestWrongFiles);
+  CPPUNIT_TEST(TestManyCallers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -111,7 +111,7 @@
     mFolder.Write("client", MakeIdentity("client", "DNS:client", &mAuthority));
   }
 
-  void testAnswersAndStreams() {
+  void TestAnswersAndStreams() {
     Serve(ServerTls());
     HttpClient client(mThreads.Context(), ClientTls());
     HttpRequest request;
@@ -131,14 +131,14 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, client.Connections());
   }
 
-  void testRefusesOtherAuthorities() {
+  void TestRefusesOtherAuthorities() {
     Serve(ServerTls());
     TlsSettings tls = ClientTls();
     tls.mAuthorityFile = mFolder.File("other.pem");
     AssertNotRun(tls);
   }
 
-  void testRefusesOtherNames() {
+  void TestRefusesOtherNames() {
     mFolder.Write("server", MakeIdentity("127.0.0.1", "IP:127.0.0.2,DNS:name",
                                          &mAuthority));
     Serve(ServerTls());
@@ -149,7 +149,7 @@
     CPPUNIT_ASSERT(Send(client, {}).has_value());
   }
 
-  void testDemandsCallerCertificate() {
+  void TestDemandsCallerCertificate() {
     TlsSettings server = ServerTls();
     server.mAuthorityFile = mFolder.File("ca.pem");
     Serve(server);
@@ -163,7 +163,7 @@
     CPPUNIT_ASSERT(Send(known, {}).has_value());
   }
 
-  void testPlainPeers() {
+  void TestPlainPeers() {
     Serve(ServerTls());
     HttpClient plain(mThreads.Context());
     CPPUNIT_ASSERT(Send(plain, {}).has_error());
@@ -173,7 +173,7 @@
     AssertNotRun(ClientTls());
   }
 
-  void testReload() {
+  void TestReload() {
     Serve(ServerTls());
     HttpClient old(mThreads.Context(), ClientTls());
     CPPUNIT_ASSERT(Send(old, {}).has_value());
@@ -194,7 +194,7 @@
     CPPUNIT_ASSERT(Send(later, {}).has_value());
   }
 
-  void testWrongFiles() {
+  void TestWrongFiles() {
     TlsSettings tls = ServerTls();
     tls.mKeyFile = mFolder.File("client.key");
     HttpServer server(mThreads.Context(), HttpLimits(), nullptr, tls);
@@ -206,7 +206,7 @@
     AssertNotRun(missing);
   }
 
-  void testManyCallers() {
+  void TestManyCallers() {
     Serve(ServerTls());
     HttpClient client(mThreads.Context(), ClientTls());
     std::atomic<int> wrong{0};
--- a/src/librillwall_transport/kv_client_test.cpp
+++ b/src/librillwall_transport/kv_client_test.cpp
@@ -65,14 +65,14 @@
 
 class KvClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(KvClientTest);
-  CPPUNIT_TEST(testTexts);
-  CPPUNIT_TEST(testRange);
-  CPPUNIT_TEST(testSwap);
-  CPPUNIT_TEST(testLostAnswers);
-  CPPUNIT_TEST(testRefusals);
-  CPPUNIT_TEST(testLease);
-  CPPUNIT_TEST(testRotation);
-  CPPUNIT_TEST(testWatch);
+  CPPUNIT_TEST(TestTexts);
+  CPPUNIT_TEST(TestRange);
+  CPPUNIT_TEST(TestSwap);
+  CPPUNIT_TEST(TestLostAnswers);
+  CPPUNIT_TEST(TestRefusals);
+  CPPUNIT_TEST(TestLease);
+  CPPUNIT_TEST(TestRotation);
+  CPPUNIT_TEST(TestWatch);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,7 +85,7 @@
     mFake.reset();
   }
 
-  void testTexts() {
+  void TestTexts() {
     for (const std::string text : {"", "a", "ab", "abc", "ab\xff\0z"}) {
       CPPUNIT_ASSERT(text == kv::DecodeBase64(kv::EncodeBase64(text)));
     }
@@ -95,7 +95,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), kv::RangeEnd("a\xff"));
   }
 
-  void testRange() {
+  void TestRange() {
     mFake->mPaths["/v3/kv/range"].mBody = kEntry;
     const KvRange range = Await(mKv->Range("a/", true)).value();
     const std::vector<KvEntry> expected = {{"a/b", "v", 3, 5}};
@@ -106,7 +106,7 @@
         mFake->mCalls.back());
   }
 
-  void testSwap() {
+  void TestSwap() {
     Behaviour& txn = mFake->mPaths["/v3/kv/txn"];
     txn.mBody = R"({"header":{"revision":"9"},"succeeded":true})";
     const KvSwap taken = Await(mKv->CompareAndSwap("k", 5, "v", 0)).value();
@@ -126,7 +126,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("v"), lost.mCurrent.at(0).mValue);
   }
 
-  void testLostAnswers() {
+  void TestLostAnswers() {
     for (const bool silent : {false, true}) {
       for (const char* path : {"/v3/kv/range", "/v3/kv/put", "/v3/kv/txn"}) {
         mFake->mPaths[path] = {200, "{", !silent, silent};
@@ -140,7 +140,7 @@
     CPPUNIT_ASSERT(expected == mKv->Counts());
   }
 
-  void testRefusals() {
+  void TestRefusals() {
     Behaviour& put = mFake->mPaths["/v3/kv/put"];
     put = {503, R"({"error":{"kind":"refused"}})"};
     CPPUNIT_ASSERT(ErrorKind::KvUnavailable == PutError());
@@ -159,7 +159,7 @@
     CPPUNIT_ASSERT_EQUAL(calls, mFake->mCalls.size());
   }
 
-  void testLease() {
+  void TestLease() {
     Behaviour& grant = mFake->mPaths["/v3/lease/grant"];
     mFake->mPaths["/v3/kv/put"].mBody = R"({"header":{"revision":"4"}})";
     grant.mBody = R"({"ID":"77","TTL":"30"})";
@@ -175,14 +175,14 @@
     CPPUNIT_ASSERT_EQUAL(size_t{3}, mFake->mCalls.size());
   }
 
-  void testRotation() {
+  void TestRotation() {
     mFake->mPaths["/v3/kv/put"].mBody = R"({"header":{"revision":"4"}})";
     mKv.emplace(mClient, Settings({ClosedPort(), mFake->mWhere}));
     CPPUNIT_ASSERT(ErrorKind::KvUnavailable == PutError());
     CPPUNIT_ASSERT_EQUAL(int64_t{4}, Await(mKv->Put("k", "v", 0)).value());
   }
 
-  void testWatch() {
+  void TestWatch() {
     Behaviour& watch = mFake->mPaths["/v3/watch"];
     const std::string lines =
         R"({"result":{"header":{"revision":"7"},"created":true}})"
