--- a/src/include/rillwall/peer.h
+++ b/src/include/rillwall/peer.h
@@ -11,12 +11,15 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "node.pb.h"
 #include "rillwall/error.h"
 #include "rillwall/http.h"
 #include "rillwall/millis.h"
+#include "rillwall/tls.h"
 
 namespace rillwall {
 
@@ -26,9 +29,17 @@
 
 class PeerServer {
  public:
-  PeerServer(asio::io_context& aContext, PeerHandler aHandler);
+  /// \param aTls mutual TLS for all connections; its files are read again when
+  /// they change. mPeerName is not used: any certificate of the authority is
+  /// taken. Wrong files fail Listen().
+  PeerServer(asio::io_context& aContext, PeerHandler aHandler,
+             std::optional<TlsSettings> aTls = std::nullopt);
   ~PeerServer();
+  /// Starts to serve. Port 0 takes a free one.
+  /// \return the endpoint taken
   Result<Endpoint> Listen(const Endpoint& aEndpoint);
+  /// Ends the calls in flight, which the clients see as ConnectionLost, and
+  /// closes all connections. Handlers that still run lose their result.
   void Stop();
 
  private:
@@ -36,9 +47,15 @@
   std::unique_ptr<Impl> mImpl;
 };
 
+/// Thread-safe. A peer that was restarted is reached again within a second.
 class PeerClient {
  public:
-  explicit PeerClient(asio::io_context& aContext);
+  /// \param aTls mutual TLS for all connections; its files are read again when
+  /// they change. While they are wrong from the start, calls fail.
+  explicit PeerClient(asio::io_context& aContext,
+                      std::optional<TlsSettings> aTls = std::nullopt);
+  /// Ends the calls in flight as ConnectionLost. The io_context must still be
+  /// there.
   ~PeerClient();
   /// \param aAddress the peer's "ip:port"
   /// \return the reply; Timeout, ConnectionLost or the peer's own error
--- a/src/librillwall_transport/peer_client.cpp
+++ b/src/librillwall_transport/peer_client.cpp
@@ -19,6 +19,7 @@
 #include "node.grpc.pb.h"
 #include "peer_library.h"
 #include "peer_limits.h"
+#include "peer_tls.h"
 #include "rillwall/peer.h"
 #include "rillwall/wire_convert.h"
 
@@ -35,12 +36,14 @@
 /// talks to few peers at a time, and each connection costs memory at both ends.
 constexpr int kIdleTimeoutMs = 60000;
 
+using StubPtr = std::shared_ptr<wire::Node::Stub>;
+
 /// What one call needs until gRPC is done with it.
 struct ClientCall {
   grpc::ClientContext mContext;
   wire::PeerRequest mRequest;
   wire::PeerReply mReply;
-  std::shared_ptr<wire::Node::Stub> mStub;
+  StubPtr mStub;
   std::chrono::milliseconds mTimeout{0};
 };
 
@@ -90,13 +93,17 @@
   return out;
 }
 
+asio::awaitable<Result<wire::PeerReply>> Failed(Error aError) {
+  co_return aError;
+}
+
 /// \return the target by IP number, so that no name is looked up
 std::string TargetOf(const std::string& aAddress) {
   const bool v6 = aAddress.starts_with('[');
   return (v6 ? "ipv6:" : "ipv4:") + aAddress;
 }
 
-using StubMap = std::map<std::string, std::shared_ptr<wire::Node::Stub>>;
+using StubMap = std::map<std::string, StubPtr>;
 
 /// A call and the coroutine that waits for it. It is destroyed where the
 /// coroutine runs and never on a thread of gRPC: with the call goes the
@@ -132,9 +139,11 @@
 
 struct PeerClient::Impl
     : public std::enable_shared_from_this<PeerClient::Impl> {
-  explicit Impl(asio::io_context& aContext) : mContext(aContext) {}
+  Impl(asio::io_context& aContext, std::optional<TlsSettings> aTls)
+      : mContext(aContext), mTls(std::move(aTls)) {}
 
-  std::shared_ptr<wire::Node::Stub> StubOf(const std::string& aAddress);
+  Result<StubPtr> StubOf(const std::string& aAddress);
+  std::optional<Error> MakeCredentials();
   /// \return false after Close()
   bool Begin(ClientCall& aCall);
   void Close();
@@ -147,20 +156,39 @@
                 grpc::Status aStatus);
 
   asio::io_context& mContext;
-  std::mutex mMutex;
+  const std::optional<TlsSettings> mTls;
+  std::mutex mMutex;  ///< of what follows
+  std::shared_ptr<grpc::ChannelCredentials> mCredentials;
   std::condition_variable mEnded;
   bool mClosed = false;
   StubMap mStubs;
   std::set<ClientCall*> mCalls;
 };
 
-std::shared_ptr<wire::Node::Stub> PeerClient::Impl::StubOf(
-    const std::string& aAddress) {
+std::optional<Error> PeerClient::Impl::MakeCredentials() {
+  if (mCredentials) {
+    return std::nullopt;
+  }
+  auto wrong = mTls ? CheckPeerTls(*mTls) : std::nullopt;
+  if (!wrong) {
+    mCredentials = PeerChannelCredentials(mTls);
+  }
+  return wrong;
+}
+
+Result<StubPtr> PeerClient::Impl::StubOf(const std::string& aAddress) {
   const std::lock_guard<std::mutex> lock(mMutex);
-  std::shared_ptr<wire::Node::Stub>& stub = mStubs[aAddress];
+  if (const auto wrong = MakeCredentials()) {
+    return *wrong;
+  }
+  StubPtr& stub = mStubs[aAddress];
   if (!stub) {
-    stub = wire::Node::NewStub(grpc::CreateCustomChannel(
-        TargetOf(aAddress), grpc::InsecureChannelCredentials(), Arguments()));
+    grpc::ChannelArguments arguments = Arguments();
+    if (mTls && !mTls->mPeerName.empty()) {
+      arguments.SetSslTargetNameOverride(mTls->mPeerName);
+    }
+    stub = wire::Node::NewStub(
+        grpc::CreateCustomChannel(TargetOf(aAddress), mCredentials, arguments));
   }
   return stub;
 }
@@ -186,7 +214,7 @@
 void PeerClient::Impl::Retain(const std::set<std::string>& aKept) {
   // The end of a channel may wait for a thread of gRPC that waits for the
   // mutex, so that it must come after the unlocking.
-  std::vector<std::shared_ptr<wire::Node::Stub>> dropped;
+  std::vector<StubPtr> dropped;
   const std::lock_guard<std::mutex> lock(mMutex);
   std::erase_if(mStubs, [&](const StubMap::value_type& aEntry) {
     const bool drop = !aKept.contains(aEntry.first);
@@ -242,8 +270,9 @@
   mEnded.notify_all();
 }
 
-PeerClient::PeerClient(asio::io_context& aContext)
-    : mImpl(std::make_shared<Impl>(aContext)) {
+PeerClient::PeerClient(asio::io_context& aContext,
+                       std::optional<TlsSettings> aTls)
+    : mImpl(std::make_shared<Impl>(aContext, std::move(aTls))) {
   KeepGrpcRunning();
 }
 
@@ -251,9 +280,13 @@
 
 asio::awaitable<Result<wire::PeerReply>> PeerClient::Call(
     std::string aAddress, wire::PeerRequest aRequest, Millis aTimeout) {
+  Result<StubPtr> stub = mImpl->StubOf(aAddress);
+  if (!stub) {
+    return Failed(stub.error());
+  }
   auto call = std::make_shared<ClientCall>();
   call->mRequest = std::move(aRequest);
-  call->mStub = mImpl->StubOf(aAddress);
+  call->mStub = std::move(*stub);
   call->mTimeout = std::chrono::milliseconds(aTimeout.Count());
   // Not a coroutine itself: GCC 12 destroys twice what a lambda in a co_await
   // expression captures.
--- a/src/librillwall_transport/peer_library.h
+++ b/src/librillwall_transport/peer_library.h
@@ -11,7 +11,8 @@
 ///
 /// Also turns off the search for lock cycles in the Abseil library beneath
 /// gRPC, which the distribution's package has on: it takes a third of the
-/// processor time of a call.
+/// processor time of a call. What gRPC would write to standard error goes to
+/// the log, without repeats.
 void KeepGrpcRunning();
 
 }  // namespace rillwall
--- a/src/librillwall_transport/peer_server.cpp
+++ b/src/librillwall_transport/peer_server.cpp
@@ -14,6 +14,7 @@
 #include "node.grpc.pb.h"
 #include "peer_library.h"
 #include "peer_limits.h"
+#include "peer_tls.h"
 #include "rillwall/peer.h"
 #include "rillwall/wire_convert.h"
 
@@ -150,27 +151,35 @@
 }  // namespace
 
 struct PeerServer::Impl {
-  Impl(asio::io_context& aContext, PeerHandler aHandler)
+  Impl(asio::io_context& aContext, PeerHandler aHandler,
+       std::optional<TlsSettings> aTls)
       : mCalls(std::make_shared<PendingCalls>(std::move(aHandler))),
-        mService(aContext, mCalls) {}
+        mService(aContext, mCalls),
+        mTls(std::move(aTls)) {}
 
   std::shared_ptr<PendingCalls> mCalls;
   NodeService mService;
+  const std::optional<TlsSettings> mTls;
   std::unique_ptr<grpc::Server> mServer;
 };
 
-PeerServer::PeerServer(asio::io_context& aContext, PeerHandler aHandler)
-    : mImpl(std::make_unique<Impl>(aContext, std::move(aHandler))) {
+PeerServer::PeerServer(asio::io_context& aContext, PeerHandler aHandler,
+                       std::optional<TlsSettings> aTls)
+    : mImpl(std::make_unique<Impl>(aContext, std::move(aHandler),
+                                   std::move(aTls))) {
   KeepGrpcRunning();
 }
 
 PeerServer::~PeerServer() { Stop(); }
 
 Result<Endpoint> PeerServer::Listen(const Endpoint& aEndpoint) {
+  const std::optional<TlsSettings>& tls = mImpl->mTls;
+  if (const auto wrong = tls ? CheckPeerTls(*tls) : std::nullopt) {
+    return *wrong;
+  }
   grpc::ServerBuilder builder;
   int port = 0;
-  builder.AddListeningPort(aEndpoint.Text(), grpc::InsecureServerCredentials(),
-                           &port);
+  builder.AddListeningPort(aEndpoint.Text(), PeerServerCredentials(tls), &port);
   builder.RegisterService(&mImpl->mService);
   builder.SetMaxReceiveMessageSize(kMaxPeerMessageBytes);
   builder.SetMaxSendMessageSize(kMaxPeerMessageBytes);
