coordination: the doubling pause in a file of its own

Cause: swaps and claims took it from the runners of steps. Change: backoff.h; no change of behaviour. Seen: 54 tests of these parts pass, also with AddressSanitizer and UBSan.

--- a/src/include/rillwall/claim.h
+++ b/src/include/rillwall/claim.h
@@ -117,7 +117,7 @@
 struct ClaimLimits {
   int mCreateTries = 3;
   int mReadTries = 3;
-  int mCleanTries = 5;   ///< reads after a refusal, to remove what is left
+  int mCleanTries = 5;  ///< reads after a refusal, to remove what is left
   int mRecordTries = 8;
   int mRemoveTries = 4;
   Millis mPause{50};  ///< after the first failure; doubles
--- a/src/librillwall_coordination/claim_call.cpp
+++ b/src/librillwall_coordination/claim_call.cpp
@@ -19,8 +19,8 @@
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "backoff.h"
 #include "rillwall/claim.h"
-#include "step_runners.h"
 
 namespace rillwall {
 
--- a/src/librillwall_coordination/step_ledger.cpp
+++ b/src/librillwall_coordination/step_ledger.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "backoff.h"
+
 namespace rillwall {
 
 namespace {
--- a/src/librillwall_coordination/step_runners.cpp
+++ b/src/librillwall_coordination/step_runners.cpp
@@ -2,21 +2,17 @@
 
 #include <algorithm>
 
+#include "backoff.h"
+
 namespace rillwall {
 
 namespace {
 
 constexpr Millis kRunnerPause{250};
 constexpr Millis kRunnerLongestPause{15000};
-constexpr int kMostDoublings = 20;
 
 }  // namespace
 
-Millis FailurePause(int aFailures, Millis aBase, Millis aMost) {
-  const int doublings = std::clamp(aFailures - 1, 0, kMostDoublings);
-  return std::min(aBase * (int64_t{1} << doublings), aMost);
-}
-
 void RunnerHealth::Failed(std::string_view aRunner, Millis aNow) {
   Record& record = mRecords[std::string(aRunner)];
   // Groups given before the first failure fail together; they count once.
--- a/src/librillwall_coordination/step_runners.h
+++ b/src/librillwall_coordination/step_runners.h
@@ -15,9 +15,6 @@
 
 namespace rillwall {
 
-/// \return the pause after this many failures in a row
-Millis FailurePause(int aFailures, Millis aBase, Millis aMost);
-
 /// Remembers failures. A runner that failed is left alone for a pause that
 /// doubles, and then tried with one group until one finishes there.
 class RunnerHealth {
--- a/src/librillwall_coordination/swap_track.cpp
+++ b/src/librillwall_coordination/swap_track.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include "step_runners.h"
+#include "backoff.h"
 
 namespace rillwall {
 
