membership: split in small modules, nothing forgotten comes back

Change: composer and receiving side are modules of their own; what such a node knew is unconfirmed, is not passed on, and what waited in its socket meanwhile is dropped. A node that learns that it was taken for dead names itself in mChanged.

--- a/src/include/rillwall/membership.h
+++ b/src/include/rillwall/membership.h
@@ -72,8 +72,10 @@
 /// What one step asks its owner to do and tells it.
 struct GossipActions {
   std::vector<GossipSend> mSends;
-  std::vector<Member> mChanged;  ///< members that joined or changed state
-  std::vector<Fact> mNewFacts;   ///< facts with a new revision
+  /// Members that joined or changed state. This node itself is among them when
+  /// it learns that it was taken for dead, so that its duties went to others.
+  std::vector<Member> mChanged;
+  std::vector<Fact> mNewFacts;  ///< facts with a new revision
 };
 
 /// Everything a node knows, for a full exchange.
--- a/src/librillwall_coordination/membership.cpp
+++ b/src/librillwall_coordination/membership.cpp
@@ -1,13 +1,6 @@
 #include "rillwall/membership.h"
 
-#include <algorithm>
-#include <array>
-#include <optional>
-
-#include "fact_table.h"
-#include "membership_news.h"
-#include "membership_probe.h"
-#include "membership_table.h"
+#include "membership_impl.h"
 
 namespace rillwall {
 
@@ -15,6 +8,8 @@
 
 // A longer gap between ticks means that this node itself was stopped.
 constexpr Millis kStallGap{1000};
+// After a long stall: the time in which the datagrams that waited are read.
+constexpr Millis kBacklogSpan{200};
 // How often a remembered dead member is probed, to heal a partition.
 constexpr Millis kRevivePeriod{5000};
 // How often a seed is tried by a node that knows live peers.
@@ -26,16 +21,6 @@
 // Suspicions named in a ping. Whoever knows of a refutation answers with it, so
 // that a node that missed it hardly ever goes on to declare the member dead.
 constexpr size_t kDoubtsNamed = 3;
-// Members named to a newcomer in an answer.
-constexpr size_t kNamedToNewcomer = 8;
-
-bool IsPresent(const MemberEntry& aEntry) {
-  return aEntry.mMember.mState != MemberState::Dead;
-}
-
-bool IsTimed(const MemberEntry& aEntry) { return aEntry.mTimed; }
-
-bool IsDeadEntry(const MemberEntry& aEntry) { return !IsPresent(aEntry); }
 
 /// The suspicion's length grows with the fleet, as the spread of a refutation
 /// takes longer: log10, at least 1, as in tenths.
@@ -49,171 +34,55 @@
 
 }  // namespace
 
-/// The parts of a node's membership, wired together.
-struct Membership::Impl {
-  Impl(Member aSelf, std::vector<std::string> aSeeds, GossipLimits aLimits,
-       uint64_t aSeed)
-      : mLimits(aLimits),
-        mSeeds(std::move(aSeeds)),
-        mRandom(aSeed),
-        mTable(aSelf),
-        mProber(aLimits) {
-    std::erase(mSeeds, aSelf.mGossip);
-    AddMemberNews(aSelf);
-  }
-
-  /// Where a record came from.
-  enum class Source { Datagram, Exchange };
-
-  // Sending.
-  GossipMessage Compose(const ProbeSend& aSend,
-                        const std::vector<NewsKey>& aFirst);
-  void Put(const NewsKey& aKey, GossipMessage& aMessage, size_t& aRoom) const;
-  void Send(const ProbeSend& aSend, const std::vector<NewsKey>& aFirst,
-            GossipActions& aActions);
-  void Send(const ProbeStep& aStep, GossipActions& aActions);
-  void NameDoubts(std::vector<NewsKey>& aNews);
-  void AddMemberNews(const Member& aMember);
-  void AddFactNews(const Fact& aFact);
-  void Spread(Millis aNow, GossipActions& aActions);
-  void TrySeeds(Millis aNow, GossipActions& aActions);
-  void ProbeDead(Millis aNow, GossipActions& aActions);
-
-  // Receiving.
-  void OnPing(const GossipMessage& aMessage, std::string_view aFrom,
-              Millis aNow, GossipActions& aActions);
-  void OnPingRequest(const GossipMessage& aMessage, std::string_view aFrom,
-                     Millis aNow, GossipActions& aActions);
-  void OnAck(const GossipMessage& aMessage, std::string_view aFrom, Millis aNow,
-             GossipActions& aActions);
-  void OnNack(const GossipMessage& aMessage, std::string_view aFrom,
-              Millis aNow, GossipActions& aActions);
-  void TakeNews(const GossipMessage& aMessage, Millis aNow,
-                GossipActions& aActions);
-  void TakeMember(const Member& aRecord, Source aSource, Millis aNow,
-                  GossipActions& aActions);
-  void TakeAboutSelf(const Member& aRecord);
-  void TakeFact(const Fact& aFact, bool aPassOn, GossipActions& aActions);
-  Member Soften(const Member& aRecord, Source aSource, Millis aNow) const;
-
-  // Time.
-  void CheckStall(Millis aNow);
-  void Suspect(const std::string& aId, Millis aNow, GossipActions& aActions);
-  void ExpireSuspicions(Millis aNow, GossipActions& aActions);
-  Millis LeastSuspicion() const;
-  Millis SuspicionSpan() const;
-  bool IsNewcomer(Millis aNow) const;
-
-  GossipLimits mLimits;
-  std::vector<std::string> mSeeds;
-  std::mt19937_64 mRandom;
-  MemberTable mTable;
-  FactTable mFacts;
-  NewsQueue mNews;
-  Prober mProber;
-  std::vector<NewsKey> mCorrections;  ///< what the sender holds wrongly
-  std::optional<Millis> mFirstTick;
-  Millis mLastTick;
-  Millis mNextSpread;
-  Millis mNextRevive;
-  Millis mNextSeed;
-};
-
-// Sending.
-
-void Membership::Impl::AddMemberNews(const Member& aMember) {
-  mNews.Add({NewsKey::Kind::Member, aMember.mId}, EstimateBytes(aMember));
-}
-
-void Membership::Impl::AddFactNews(const Fact& aFact) {
-  const size_t bytes = EstimateBytes(aFact);
-  // What no datagram can hold travels by full exchange only.
-  if (bytes <= mLimits.mMaxNewsBytes) {
-    mNews.Add({NewsKey::Kind::Fact, aFact.mKey}, bytes);
-  }
-}
-
-void Membership::Impl::Put(const NewsKey& aKey, GossipMessage& aMessage,
-                           size_t& aRoom) const {
-  if (aKey.mKind == NewsKey::Kind::Fact) {
-    const Fact* fact = mFacts.Find(aKey.mName);
-    const bool isPut = std::any_of(
-        aMessage.mFacts.begin(), aMessage.mFacts.end(),
-        [&](const Fact& aOther) { return aOther.mKey == aKey.mName; });
-    if (fact != nullptr && !isPut && EstimateBytes(*fact) <= aRoom) {
-      aRoom -= EstimateBytes(*fact);
-      aMessage.mFacts.push_back(*fact);
-    }
-    return;
-  }
-  const MemberEntry* entry = mTable.Find(aKey.mName);
-  const bool isPut = std::any_of(
-      aMessage.mMembers.begin(), aMessage.mMembers.end(),
-      [&](const Member& aOther) { return aOther.mId == aKey.mName; });
-  if (entry != nullptr && !isPut && EstimateBytes(entry->mMember) <= aRoom) {
-    aRoom -= EstimateBytes(entry->mMember);
-    aMessage.mMembers.push_back(entry->mMember);
-  }
-}
-
-GossipMessage Membership::Impl::Compose(const ProbeSend& aSend,
-                                        const std::vector<NewsKey>& aFirst) {
-  GossipMessage message;
-  message.mKind = aSend.mKind;
-  message.mFrom = mTable.Self().mId;
-  message.mTarget = aSend.mTarget;
-  message.mSequence = aSend.mSequence;
-  size_t room = mLimits.mMaxNewsBytes;
-  for (const NewsKey& key : aFirst) {
-    Put(key, message, room);
-  }
-  for (const NewsKey& key :
-       mNews.Take(room, SendLimit(mTable.CountPresent()))) {
-    Put(key, message, room);
-  }
-  return message;
+Membership::Impl::Impl(const Member& aSelf, std::vector<std::string> aSeeds,
+                       const GossipLimits& aLimits, uint64_t aSeed)
+    : mLimits(aLimits),
+      mSeeds(std::move(aSeeds)),
+      mRandom(aSeed),
+      mTable(aSelf),
+      mComposer(mTable, mFacts, mLimits),
+      mProber(aLimits) {
+  std::erase(mSeeds, aSelf.mGossip);
+  mComposer.Add(aSelf);
 }
 
-void Membership::Impl::Send(const ProbeSend& aSend,
+void Membership::Impl::Send(const GossipHead& aHead,
                             const std::vector<NewsKey>& aFirst,
                             GossipActions& aActions) {
-  aActions.mSends.push_back({aSend.mTo, Compose(aSend, aFirst)});
+  aActions.mSends.push_back(mComposer.Compose(aHead, aFirst));
 }
 
 void Membership::Impl::Send(const ProbeStep& aStep, GossipActions& aActions) {
-  for (const ProbeSend& send : aStep.mSends) {
-    std::vector<NewsKey> first;
-    if (send.mKind == GossipKind::Ping) {
-      // So that whoever does not know this node, or thinks it dead, learns.
-      first.push_back({NewsKey::Kind::Member, mTable.Self().mId});
-    }
-    const MemberEntry* target = mTable.Find(send.mTarget);
-    const bool isDoubted =
-        target != nullptr && target->mMember.mState != MemberState::Alive;
-    if (isDoubted && send.mKind == GossipKind::Ping) {
-      // So that it can refute at once.
-      first.push_back({NewsKey::Kind::Member, send.mTarget});
-    }
-    if (send.mKind == GossipKind::Ping) {
-      NameDoubts(first);
-    }
-    Send(send, first, aActions);
+  for (const GossipHead& head : aStep.mSends) {
+    const bool isPing = head.mKind == GossipKind::Ping;
+    const auto first = isPing ? PingNews(head.mTarget) : std::vector<NewsKey>();
+    Send(head, first, aActions);
   }
 }
 
-void Membership::Impl::NameDoubts(std::vector<NewsKey>& aNews) {
-  for (const Member& doubted : mTable.Sample(kDoubtsNamed, mRandom, IsTimed)) {
-    aNews.push_back({NewsKey::Kind::Member, doubted.mId});
+std::vector<NewsKey> Membership::Impl::PingNews(const std::string& aTarget) {
+  std::vector<NewsKey> news;
+  // Whoever does not know this node, or thinks it dead, learns of it.
+  news.push_back({NewsKey::Kind::Member, mTable.Self().mId});
+  const MemberEntry* target = mTable.Find(aTarget);
+  if (target != nullptr && target->mMember.mState != MemberState::Alive) {
+    // The target can refute it at once.
+    news.push_back({NewsKey::Kind::Member, aTarget});
+  }
+  for (const Member& doubted :
+       mTable.Sample(kDoubtsNamed, mRandom, &MemberEntry::IsTimed)) {
+    news.push_back({NewsKey::Kind::Member, doubted.mId});
   }
+  return news;
 }
 
 void Membership::Impl::Spread(Millis aNow, GossipActions& aActions) {
-  if (aNow < mNextSpread || mNews.IsEmpty()) {
+  if (aNow < mNextSpread || !mComposer.HasNews()) {
     return;
   }
   mNextSpread = aNow + mLimits.mSpreadPeriod;
   for (const Member& peer :
-       mTable.Sample(mLimits.mSpreadFanout, mRandom, IsPresent)) {
+       mTable.Sample(mLimits.mSpreadFanout, mRandom, &MemberEntry::IsPresent)) {
     Send({GossipKind::Ack, peer.mGossip, mTable.Self().mId, kNoSequence}, {},
          aActions);
   }
@@ -240,144 +109,13 @@
   }
   mNextRevive = aNow + kRevivePeriod;
   ProbeStep step;
-  for (const Member& dead : mTable.Sample(1, mRandom, IsDeadEntry)) {
+  for (const Member& dead : mTable.Sample(1, mRandom, &MemberEntry::IsDead)) {
     step.mSends.push_back(
         {GossipKind::Ping, dead.mGossip, dead.mId, mProber.NextSequence()});
   }
   Send(step, aActions);
 }
 
-// Receiving.
-
-void Membership::Impl::OnPing(const GossipMessage& aMessage,
-                              std::string_view aFrom, Millis,
-                              GossipActions& aActions) {
-  const std::string& self = mTable.Self().mId;
-  const bool isToAnyone = aMessage.mTarget.empty();
-  if (!isToAnyone && aMessage.mTarget != self) {
-    return;  // for an earlier process at this address, which is gone
-  }
-  std::vector<NewsKey> first = mCorrections;
-  if (isToAnyone) {
-    first.push_back({NewsKey::Kind::Member, self});
-    for (const Member& member :
-         mTable.Sample(kNamedToNewcomer, mRandom, IsPresent)) {
-      first.push_back({NewsKey::Kind::Member, member.mId});
-    }
-  }
-  Send({GossipKind::Ack, std::string(aFrom), self, aMessage.mSequence}, first,
-       aActions);
-}
-
-void Membership::Impl::OnPingRequest(const GossipMessage& aMessage,
-                                     std::string_view aFrom, Millis aNow,
-                                     GossipActions& aActions) {
-  Send(mProber.Relay(aMessage, aFrom, mTable, aNow), aActions);
-}
-
-void Membership::Impl::OnAck(const GossipMessage& aMessage, std::string_view,
-                             Millis aNow, GossipActions& aActions) {
-  mTable.NoteContact(aMessage.mTarget, aNow);
-  Send(mProber.Ack(aMessage), aActions);
-}
-
-void Membership::Impl::OnNack(const GossipMessage& aMessage, std::string_view,
-                              Millis, GossipActions&) {
-  mProber.Nack(aMessage);
-}
-
-void Membership::Impl::TakeNews(const GossipMessage& aMessage, Millis aNow,
-                                GossipActions& aActions) {
-  mCorrections.clear();
-  for (const Member& record : aMessage.mMembers) {
-    TakeMember(record, Source::Datagram, aNow, aActions);
-  }
-  for (const Fact& fact : aMessage.mFacts) {
-    TakeFact(fact, true, aActions);
-  }
-}
-
-Member Membership::Impl::Soften(const Member& aRecord, Source aSource,
-                                Millis aNow) const {
-  const MemberEntry& entry = *mTable.Find(aRecord.mId);
-  const bool isDeath =
-      aRecord.mState == MemberState::Dead && HoldsDuties(entry.mMember.mState);
-  const bool isHeardOf = aNow - entry.mLastContact < mLimits.mSuspicion;
-  const bool isExpected =
-      entry.mTimed && aNow - entry.mTimedSince >= LeastSuspicion() * 3 / 4;
-  Member record = aRecord;
-  // After a partition each half hears that its own members are dead. As a
-  // suspicion this can be refuted before it counts.
-  if (isDeath && (isHeardOf || !isExpected || aSource == Source::Exchange)) {
-    record.mState = MemberState::Suspect;
-  }
-  return record;
-}
-
-void Membership::Impl::TakeMember(const Member& aRecord, Source aSource,
-                                  Millis aNow, GossipActions& aActions) {
-  if (!IsValid(aRecord)) {
-    return;
-  }
-  if (mTable.IsSelf(aRecord.mId)) {
-    TakeAboutSelf(aRecord);
-    return;
-  }
-  const bool isKnown = mTable.Find(aRecord.mId) != nullptr;
-  if (!isKnown && aRecord.mState == MemberState::Dead) {
-    return;  // else nodes would remind each other of the dead for ever
-  }
-  const Member record = isKnown ? Soften(aRecord, aSource, aNow) : aRecord;
-  const MemberVerdict verdict = mTable.Take(record, aNow);
-  if (verdict == MemberVerdict::Older) {
-    mCorrections.push_back({NewsKey::Kind::Member, aRecord.mId});
-  }
-  if (verdict == MemberVerdict::Same || verdict == MemberVerdict::Older) {
-    return;
-  }
-  if (!isKnown) {
-    mProber.AddMember(record.mId, mRandom);
-  }
-  if (verdict == MemberVerdict::Changed) {
-    aActions.mChanged.push_back(record);
-  }
-  if (aSource == Source::Datagram || !IsNewcomer(aNow)) {
-    AddMemberNews(record);
-  }
-}
-
-void Membership::Impl::TakeAboutSelf(const Member& aRecord) {
-  const Member& self = mTable.Self();
-  if (!Overrides(aRecord, self)) {
-    if (aRecord != self) {
-      mCorrections.push_back({NewsKey::Kind::Member, self.mId});
-    }
-    return;
-  }
-  mTable.SetSelf(aRecord.mIncarnation + 1, self.mState);
-  mProber.Health().Worsen(1);
-  mCorrections.push_back({NewsKey::Kind::Member, self.mId});
-  AddMemberNews(self);
-  mNextSpread = Millis();
-}
-
-void Membership::Impl::TakeFact(const Fact& aFact, bool aPassOn,
-                                GossipActions& aActions) {
-  const FactVerdict verdict = mFacts.Take(aFact);
-  if (verdict == FactVerdict::Older) {
-    mCorrections.push_back({NewsKey::Kind::Fact, aFact.mKey});
-  }
-  if (verdict != FactVerdict::Newer) {
-    return;
-  }
-  aActions.mNewFacts.push_back(aFact);
-  if (aPassOn) {
-    AddFactNews(aFact);
-  }
-}
-
-// Time.
-
 void Membership::Impl::CheckStall(Millis aNow) {
   if (!mFirstTick) {
     return;
@@ -393,6 +131,7 @@
   mTable.RestartTimers(aNow);
   if (gap >= mLimits.mForgetDead / 2) {
     mTable.MarkUnconfirmed();
+    mDeafUntil = aNow + kBacklogSpan;
   }
 }
 
@@ -404,8 +143,7 @@
   const Millis fleet =
       mLimits.mSuspicion * FleetTenths(mTable.CountPresent()) / 10;
   // A refutation waits its turn behind other news, here and elsewhere.
-  const auto datagrams =
-      static_cast<int64_t>(mNews.Bytes() / mLimits.mMaxNewsBytes);
+  const auto datagrams = static_cast<int64_t>(mComposer.Backlog());
   return fleet + mLimits.mSpreadPeriod * datagrams;
 }
 
@@ -415,34 +153,31 @@
 
 void Membership::Impl::Suspect(const std::string& aId, Millis aNow,
                                GossipActions& aActions) {
-  MemberEntry* entry = mTable.Find(aId);
+  const MemberEntry* entry = mTable.Find(aId);
   if (entry == nullptr) {
     return;
   }
-  if (entry->mMember.mState == MemberState::Leaving && !entry->mTimed) {
-    entry->mTimed = true;
-    entry->mTimedSince = aNow;
+  if (entry->mMember.mState == MemberState::Leaving) {
+    // It holds no duties: nothing is to be told before it is dead.
+    mTable.StartTimer(aId, aNow);
+  } else if (entry->mMember.mState == MemberState::Alive) {
+    Conclude(aId, MemberState::Suspect, aNow, aActions);
   }
-  if (entry->mMember.mState != MemberState::Alive) {
-    return;
-  }
-  Member record = entry->mMember;
-  record.mState = MemberState::Suspect;
-  mTable.Take(record, aNow);
-  AddMemberNews(record);
-  aActions.mChanged.push_back(record);
 }
 
 void Membership::Impl::ExpireSuspicions(Millis aNow, GossipActions& aActions) {
   for (const std::string& id : mTable.TimedSince(aNow - SuspicionSpan())) {
-    Member record = mTable.Find(id)->mMember;
-    record.mState = MemberState::Dead;
-    mTable.Take(record, aNow);
-    AddMemberNews(record);
-    aActions.mChanged.push_back(record);
+    Conclude(id, MemberState::Dead, aNow, aActions);
   }
 }
 
+void Membership::Impl::Conclude(const std::string& aId, MemberState aState,
+                                Millis aNow, GossipActions& aActions) {
+  const Member& record = mTable.Conclude(aId, aState, aNow);
+  mComposer.Add(record);
+  aActions.mChanged.push_back(record);
+}
+
 // The interface.
 
 Membership::Membership(Member aSelf, std::vector<std::string> aSeeds,
@@ -475,20 +210,8 @@
 
 GossipActions Membership::Receive(const GossipMessage& aMessage,
                                   std::string_view aFrom, Millis aNow) {
-  using Handler = void (Impl::*)(const GossipMessage&, std::string_view, Millis,
-                                 GossipActions&);
-  // In the order of GossipKind.
-  static constexpr std::array<Handler, 4> kHandlers = {
-      &Impl::OnPing, &Impl::OnPingRequest, &Impl::OnAck, &Impl::OnNack};
   GossipActions actions;
-  const auto kind = static_cast<size_t>(aMessage.mKind);
-  if (kind >= kHandlers.size() || mImpl->mTable.IsSelf(aMessage.mFrom)) {
-    return actions;
-  }
-  mImpl->CheckStall(aNow);
-  mImpl->TakeNews(aMessage, aNow, actions);
-  mImpl->mTable.NoteContact(aMessage.mFrom, aNow);
-  ((*mImpl).*kHandlers[kind])(aMessage, aFrom, aNow, actions);
+  mImpl->Receive(aMessage, aFrom, aNow, actions);
   return actions;
 }
 
@@ -532,7 +255,7 @@
     return actions;
   }
   mImpl->mTable.SetSelf(self.mIncarnation, MemberState::Leaving);
-  mImpl->AddMemberNews(self);
+  mImpl->mComposer.Add(self);
   actions.mChanged.push_back(self);
   mImpl->mNextSpread = aNow;
   mImpl->Spread(aNow, actions);
--- /dev/null
+++ b/src/librillwall_coordination/membership_parts_test.cpp
@@ -0,0 +1,117 @@
+/// \file
+/// Tests of the membership's parts: news, facts, duties.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "fact_table.h"
+#include "membership_news.h"
+
+namespace rillwall {
+
+namespace {
+
+std::vector<Member> Members(size_t aCount) {
+  std::vector<Member> members(aCount);
+  for (size_t index = 0; index < aCount; ++index) {
+    members[index].mId = "node-" + std::to_string(index);
+  }
+  return members;
+}
+
+std::string Duty(size_t aIndex) {
+  return "step/letters/" + std::to_string(aIndex);
+}
+
+}  // namespace
+
+class MembershipPartsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MembershipPartsTest);
+  CPPUNIT_TEST(LeastSentNewsGoesFirst);
+  CPPUNIT_TEST(FactsMergeInAnyOrder);
+  CPPUNIT_TEST(OnlyDutiesOfTheLostMove);
+  CPPUNIT_TEST(DutiesAreSpreadEvenly);
+  CPPUNIT_TEST(OwnersAreTheSameInEveryProcess);
+  CPPUNIT_TEST_SUITE_END();
+
+  void LeastSentNewsGoesFirst() {
+    const NewsKey old{NewsKey::Kind::Fact, "old"};
+    const NewsKey fresh{NewsKey::Kind::Fact, "fresh"};
+    NewsQueue news;
+    news.Add(old, 40);
+    CPPUNIT_ASSERT(news.Take(40, 3) == std::vector<NewsKey>{old});
+    news.Add(fresh, 40);
+    CPPUNIT_ASSERT(news.Take(40, 3) == std::vector<NewsKey>{fresh});
+    CPPUNIT_ASSERT(news.Take(100, 3) == (std::vector<NewsKey>{fresh, old}));
+    CPPUNIT_ASSERT(news.Take(39, 3).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{80}, news.Bytes());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, news.Take(100, 3).size());
+    CPPUNIT_ASSERT(news.IsEmpty() && news.Bytes() == 0);
+  }
+
+  void FactsMergeInAnyOrder() {
+    std::mt19937_64 random(1);
+    for (int round = 0; round < 100; ++round) {
+      std::vector<Fact> facts;
+      for (int fact = 0; fact < 30; ++fact) {
+        facts.push_back({"k" + std::to_string(random() % 5), random() % 4,
+                         std::to_string(random() % 3)});
+      }
+      FactTable left;
+      FactTable right;
+      for (const Fact& fact : facts) {
+        left.Take(fact);
+      }
+      std::shuffle(facts.begin(), facts.end(), random);
+      for (const Fact& fact : facts) {
+        right.Take(fact);
+        right.Take(facts.front());  // repeats change nothing
+      }
+      CPPUNIT_ASSERT(left.Under("") == right.Under(""));
+      CPPUNIT_ASSERT_EQUAL(left.Digest(), right.Digest());
+    }
+  }
+
+  void OnlyDutiesOfTheLostMove() {
+    const std::vector<Member> all = Members(90);
+    std::vector<Member> rest = all;
+    const std::string lost = all[17].mId;
+    rest.erase(rest.begin() + 17);
+    for (size_t duty = 0; duty < 2000; ++duty) {
+      const auto before = DutyOwners(all, Duty(duty), 3);
+      auto expected = before;
+      std::erase_if(expected,
+                    [&](const Member& aMember) { return aMember.mId == lost; });
+      auto after = DutyOwners(rest, Duty(duty), 3);
+      after.resize(expected.size());
+      CPPUNIT_ASSERT(expected == after);
+    }
+  }
+
+  void DutiesAreSpreadEvenly() {
+    const std::vector<Member> live = Members(9);
+    std::map<std::string, int> owned;
+    for (size_t duty = 0; duty < 9000; ++duty) {
+      ++owned[DutyOwners(live, Duty(duty), 1)[0].mId];
+    }
+    for (const auto& [id, count] : owned) {
+      CPPUNIT_ASSERT(count > 900 && count < 1100);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{9}, owned.size());
+  }
+
+  void OwnersAreTheSameInEveryProcess() {
+    const std::vector<Member> live = Members(9);
+    CPPUNIT_ASSERT_EQUAL(std::string("node-6"),
+                         DutyOwners(live, "step/letters/7", 1)[0].mId);
+    CPPUNIT_ASSERT_EQUAL(size_t{9}, DutyOwners(live, "x", 20).size());
+    CPPUNIT_ASSERT(DutyOwners({}, "x", 3).empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipPartsTest);
+
+}  // namespace rillwall
--- a/src/librillwall_coordination/membership_probe.cpp
+++ b/src/librillwall_coordination/membership_probe.cpp
@@ -32,9 +32,7 @@
   }
   mRound.clear();
   mPlace = 0;
-  for (const Member& other : aTable.Select([](const MemberEntry& aEntry) {
-         return aEntry.mMember.mState != MemberState::Dead;
-       })) {
+  for (const Member& other : aTable.Select(&MemberEntry::IsPresent)) {
     if (!aTable.IsSelf(other.mId)) {
       mRound.push_back(other.mId);
     }
@@ -47,7 +45,7 @@
   while (mPlace < mRound.size()) {
     const MemberEntry* entry = aTable.Find(mRound[mPlace]);
     ++mPlace;
-    if (entry != nullptr && entry->mMember.mState != MemberState::Dead) {
+    if (entry != nullptr && entry->IsPresent()) {
       return &entry->mMember;
     }
   }
--- a/src/librillwall_coordination/membership_probe.h
+++ b/src/librillwall_coordination/membership_probe.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "membership_composer.h"
 #include "membership_table.h"
 #include "rillwall/membership.h"
 
@@ -42,17 +43,9 @@
   size_t mPlace = 0;
 };
 
-/// A datagram of the detector, without its news.
-struct ProbeSend {
-  GossipKind mKind = GossipKind::Ping;
-  std::string mTo;      ///< "ip:port"
-  std::string mTarget;  ///< id of the member probed; empty: whoever is there
-  uint64_t mSequence = 0;
-};
-
 /// What a step of the detector gives.
 struct ProbeStep {
-  std::vector<ProbeSend> mSends;
+  std::vector<GossipHead> mSends;
   std::string mFailed;  ///< id of a member that answered nobody; or empty
 };
 
--- a/src/librillwall_coordination/membership_table.cpp
+++ b/src/librillwall_coordination/membership_table.cpp
@@ -1,6 +1,7 @@
 #include "membership_table.h"
 
 #include <algorithm>
+#include <cassert>
 #include <tuple>
 
 #define XXH_INLINE_ALL
@@ -25,10 +26,6 @@
   return left == aRight;
 }
 
-bool IsDead(const Member& aMember) {
-  return aMember.mState == MemberState::Dead;
-}
-
 }  // namespace
 
 bool Overrides(const Member& aLeft, const Member& aRight) {
@@ -65,6 +62,7 @@
   if (!Overrides(aRecord, entry.mMember)) {
     return MemberVerdict::Older;
   }
+  entry.mUnconfirmed = false;
   const bool isChange = !SameButIncarnation(aRecord, entry.mMember);
   Replace(entry, aRecord, aNow);
   return isChange ? MemberVerdict::Changed : MemberVerdict::Newer;
@@ -72,20 +70,38 @@
 
 void MemberTable::Replace(MemberEntry& aEntry, const Member& aRecord,
                           Millis aNow) {
-  const bool wasDead = IsDead(aEntry.mMember);
-  const bool isDead = IsDead(aRecord);
+  const bool wasDead = aEntry.IsDead();
+  const bool isDead = aRecord.mState == MemberState::Dead;
   mDead += static_cast<size_t>(isDead) - static_cast<size_t>(wasDead);
   if (isDead && !wasDead) {
     aEntry.mDeadSince = aNow;
   }
   aEntry.mMember = aRecord;
-  aEntry.mUnconfirmed = false;
   aEntry.mTimed = aRecord.mState == MemberState::Suspect;
   aEntry.mTimedSince = aNow;
 }
 
+const Member& MemberTable::Conclude(std::string_view aId, MemberState aState,
+                                    Millis aNow) {
+  assert(!IsSelf(aId));
+  MemberEntry& entry = mEntries.find(aId)->second;
+  Member record = entry.mMember;
+  record.mState = aState;
+  Replace(entry, record, aNow);
+  return entry.mMember;
+}
+
+void MemberTable::StartTimer(std::string_view aId, Millis aNow) {
+  MemberEntry& entry = mEntries.find(aId)->second;
+  if (!entry.mTimed) {
+    entry.mTimed = true;
+    entry.mTimedSince = aNow;
+  }
+}
+
 void MemberTable::SetSelf(uint64_t aIncarnation, MemberState aState) {
   Member& self = mEntries.at(mSelfId).mMember;
+  assert(aIncarnation >= self.mIncarnation && aState != MemberState::Dead);
   self.mIncarnation = aIncarnation;
   self.mState = aState;
 }
@@ -106,7 +122,7 @@
   }
   mDead -= std::erase_if(mEntries, [aBefore](const auto& aItem) {
     const MemberEntry& entry = aItem.second;
-    return IsDead(entry.mMember) && entry.mDeadSince < aBefore;
+    return entry.IsDead() && entry.mDeadSince < aBefore;
   });
 }
 
@@ -173,8 +189,8 @@
 
 bool MemberTable::HasPresentAt(std::string_view aGossip) const {
   return std::any_of(mEntries.begin(), mEntries.end(), [&](const auto& aItem) {
-    const Member& member = aItem.second.mMember;
-    return member.mGossip == aGossip && !IsDead(member);
+    const MemberEntry& entry = aItem.second;
+    return entry.mMember.mGossip == aGossip && entry.IsPresent();
   });
 }
 
@@ -193,7 +209,7 @@
   uint64_t digest = 0;
   for (const auto& [id, entry] : mEntries) {
     const Member& member = entry.mMember;
-    if (IsDead(member)) {
+    if (entry.IsDead()) {
       continue;
     }
     // A suspicion is passing news, no lasting difference.
--- a/src/librillwall_coordination/membership_table.h
+++ b/src/librillwall_coordination/membership_table.h
@@ -26,6 +26,10 @@
   Millis mLastContact = kNever;  ///< last datagram that came from it
   /// Known from before a long stall and not heard of since: not passed on.
   bool mUnconfirmed = false;
+
+  bool IsDead() const { return mMember.mState == MemberState::Dead; }
+  bool IsPresent() const { return !IsDead(); }
+  bool IsTimed() const { return mTimed; }
 };
 
 /// What became of a record offered to a table.
@@ -56,6 +60,12 @@
   /// Takes a record in if it overrides the one known. Starts the timer of a
   /// member that becomes Suspect.
   MemberVerdict Take(const Member& aRecord, Millis aNow);
+  /// Gives a member the state that this node itself concludes, at the
+  /// incarnation known.
+  /// \return its record
+  const Member& Conclude(std::string_view aId, MemberState aState, Millis aNow);
+  /// Starts a member's timer, if it does not run.
+  void StartTimer(std::string_view aId, Millis aNow);
   /// Gives this node another incarnation and state.
   void SetSelf(uint64_t aIncarnation, MemberState aState);
   const Member& Self() const { return mEntries.at(mSelfId).mMember; }
--- a/src/librillwall_coordination/membership_test_network.h
+++ b/src/librillwall_coordination/membership_test_network.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
  public:
   static constexpr Millis kStep{10};
   static constexpr Millis kTick{50};
+  static constexpr Millis kStart{100000};
 
   TestNetwork(size_t aCount, GossipLimits aLimits, uint64_t aSeed)
       : mRandom(aSeed), mLimits(aLimits) {
@@ -49,6 +51,8 @@
   }
   /// Nodes hear only those with the same side.
   void SetSide(size_t aIndex, int aSide) { mNodes[aIndex].mSide = aSide; }
+  /// Two nodes no longer hear each other.
+  void BreakLink(size_t aLeft, size_t aRight) { mBroken = {aLeft, aRight}; }
   /// Watches every step's actions.
   void Watch(std::function<void(size_t, const GossipActions&)> aWatcher) {
     mWatcher = std::move(aWatcher);
@@ -89,18 +93,23 @@
     }
     return mNow - start;
   }
+  /// \return how many nodes meet a condition
+  size_t Count(const std::function<bool(const Membership&)>& aCondition) const {
+    return std::count_if(mNodes.begin(), mNodes.end(), [&](const Node& aNode) {
+      return aCondition(*aNode.mMembership);
+    });
+  }
   /// \return whether every running node counts aCount live members
-  bool AllSee(size_t aCount) {
-    for (const Node& node : mNodes) {
-      if (!node.mCrashed && node.mMembership->Live().size() != aCount) {
-        return false;
-      }
-    }
-    return true;
+  bool AllSee(size_t aCount) const {
+    return std::all_of(mNodes.begin(), mNodes.end(), [&](const Node& aNode) {
+      return aNode.mCrashed || aNode.mMembership->Live().size() == aCount;
+    });
   }
   /// Ends a process, as a replacement with a greater incarnation starts.
   void Restart(size_t aIndex, uint64_t aIncarnation) {
-    mNodes[aIndex] = Node{};
+    mNodes[aIndex].mCrashed = false;
+    mNodes[aIndex].mFrozenUntil = Millis();
+    mNodes[aIndex].mWaiting.clear();
     mNodes[aIndex].mMembership = Make(aIndex, aIncarnation);
   }
 
@@ -129,7 +138,8 @@
     mNodes.emplace_back().mMembership = Make(aIndex, aIncarnation);
   }
   bool Hears(size_t aFrom, size_t aTo) const {
-    return aTo < mNodes.size() && !mNodes[aTo].mCrashed &&
+    const std::pair<size_t, size_t> link = std::minmax(aFrom, aTo);
+    return aTo < mNodes.size() && !mNodes[aTo].mCrashed && link != mBroken &&
            mNodes[aFrom].mSide == mNodes[aTo].mSide;
   }
   void Deliver(const Flight& aFlight) {
@@ -168,16 +178,17 @@
     if (node.mCrashed || IsFrozen(aIndex)) {
       return;
     }
-    const std::vector<Flight> waiting = std::move(node.mWaiting);
-    node.mWaiting.clear();
-    for (const Flight& flight : waiting) {
-      Deliver(flight);
-    }
     const Millis turn =
         mNow + kStep * static_cast<int64_t>(aIndex * 7);  // not all at once
     if (turn.Count() % kTick.Count() == 0) {
+      // Before what waited is read, as timers may fire first.
       Carry(aIndex, node.mMembership->Tick(mNow));
     }
+    const std::vector<Flight> waiting = std::move(node.mWaiting);
+    node.mWaiting.clear();
+    for (const Flight& flight : waiting) {
+      Deliver(flight);
+    }
     if (turn.Count() % mExchange.Count() == 0) {
       Exchange(aIndex);
     }
@@ -188,8 +199,9 @@
   std::vector<Node> mNodes;
   std::multimap<Millis, Flight> mWire;
   std::function<void(size_t, const GossipActions&)> mWatcher;
-  Millis mNow{100000};
+  Millis mNow = kStart;
   Millis mExchange{5000};
+  std::pair<size_t, size_t> mBroken;
   double mLoss = 0;
   size_t mFalseDeaths = 0;
 };
