--- a/src/include/rillwall/upstream_codec.h
+++ b/src/include/rillwall/upstream_codec.h
@@ -14,6 +14,7 @@
 
 /// One chunk of an engine's streamed answer.
 struct ModelChunk {
+  std::string mId;  ///< the request that the engine says it answers
   std::string mText;
   int64_t mTokens = 0;
   int64_t mVersion = 0;  ///< of the weights that made these tokens
--- a/src/librillwall_protocol/upstream_codec.cpp
+++ b/src/librillwall_protocol/upstream_codec.cpp
@@ -2,7 +2,6 @@
 
 #include "rillwall/json.h"
 
-
 namespace rillwall {
 
 namespace {
@@ -87,11 +86,12 @@
   }
   JsonReader reader(*object);
   ModelChunk chunk;
+  chunk.mId = reader.String("id");
   chunk.mTokens = reader.Int("tokens");
   chunk.mVersion = reader.Int("weight_version");
   const json::array* choices = reader.Array("choices");
-  const bool hasChoice = choices != nullptr && !choices->empty() &&
-                         choices->front().is_object();
+  const bool hasChoice =
+      choices != nullptr && !choices->empty() && choices->front().is_object();
   if (!hasChoice || chunk.mVersion < 0 || chunk.mTokens < 0) {
     reader.Fail("choices", "must hold an object, with version and tokens");
   }
--- a/src/rillwall/admin_api.cpp
+++ b/src/rillwall/admin_api.cpp
@@ -46,8 +46,8 @@
 void Compare(const char* aKind, const std::vector<Rule>& aBefore,
              const std::vector<Rule>& aAfter, json::array& aChanges) {
   const auto add = [&](const std::string& aName, const char* aChange) {
-    aChanges.push_back(json::object{
-        {"kind", aKind}, {"name", aName}, {"change", aChange}});
+    aChanges.push_back(
+        json::object{{"kind", aKind}, {"name", aName}, {"change", aChange}});
   };
   for (const Rule& rule : aAfter) {
     const auto old = std::ranges::find(aBefore, rule.mName, &Rule::mName);
@@ -129,12 +129,10 @@
     const char* mName;
     Answer (AdminApi::*mShow)();
   };
-  static constexpr Page kPages[] = {{"history", &AdminApi::History},
-                                    {"hosts", &AdminApi::Hosts},
-                                    {"upstreams", &AdminApi::Upstreams},
-                                    {"trainers", &AdminApi::Trainers},
-                                    {"steps", &AdminApi::Steps},
-                                    {"drain", &AdminApi::DrainState}};
+  static constexpr Page kPages[] = {
+      {"history", &AdminApi::History},     {"hosts", &AdminApi::Hosts},
+      {"upstreams", &AdminApi::Upstreams}, {"trainers", &AdminApi::Trainers},
+      {"steps", &AdminApi::Steps},         {"drain", &AdminApi::DrainState}};
   for (const Page& page : kPages) {
     if (first == page.mName && aParts.size() == 1 && method == "GET") {
       co_return co_await (this->*page.mShow)();
@@ -163,8 +161,7 @@
   const auto policies = mNode.Policies().Read();
   const PolicySource* source = policies->Find(aName);
   if (source == nullptr) {
-    co_return Error(ErrorKind::NotFound,
-                    "There is no policy '" + aName + "'.");
+    co_return Error(ErrorKind::NotFound, "There is no policy '" + aName + "'.");
   }
   json::object body = EncodePolicy(*source);
   body["revision"] = policies->Revision();
@@ -235,8 +232,8 @@
 }
 
 AdminApi::Answer AdminApi::Hosts() {
-  const std::vector<Member> members = co_await mNode.OnControl(
-      [this] { return mNode.Members().All(); });
+  const std::vector<Member> members =
+      co_await mNode.OnControl([this] { return mNode.Members().All(); });
   json::object body;
   json::array& list = body["hosts"].emplace_array();
   for (const Member& member : members) {
@@ -248,8 +245,8 @@
 
 AdminApi::Answer AdminApi::Upstreams() {
   const auto table = mNode.Upstreams().Read();
-  const std::map<std::string, LoadReport> reports = co_await mNode.OnControl(
-      [this] { return mUpstreams.Reports(); });
+  const std::map<std::string, LoadReport> reports =
+      co_await mNode.OnControl([this] { return mUpstreams.Reports(); });
   json::object body;
   json::array& list = body["upstreams"].emplace_array();
   for (const UpstreamEntry& entry : table->Entries()) {
@@ -325,8 +322,8 @@
   }
   json::array& facts = dump["facts"].emplace_array();
   for (const Fact& fact : mNode.Members().FactsUnder("")) {
-    facts.push_back(json::object{{"key", fact.mKey},
-                                 {"revision", fact.mRevision}});
+    facts.push_back(
+        json::object{{"key", fact.mKey}, {"revision", fact.mRevision}});
   }
   dump["groups_held"] = mRunner.Held();
   dump["groups_running"] = mRunner.Running();
--- a/src/rillwall/api_common.h
+++ b/src/rillwall/api_common.h
@@ -29,7 +29,8 @@
 /// \return the error's JSON, as in ErrorResponse
 std::string ErrorJson(const Error& aError);
 /// Adds the run state and the request's identity.
-void Mark(HttpResponse& aResponse, RunState aRun, const std::string& aRequestId);
+void Mark(HttpResponse& aResponse, RunState aRun,
+          const std::string& aRequestId);
 /// \return the identity given by the peer, or a new one
 std::string RequestId(const HttpRequest& aRequest);
 
--- a/src/rillwall/caller_api.cpp
+++ b/src/rillwall/caller_api.cpp
@@ -44,8 +44,7 @@
   if (aChat && aStream) {
     choice["delta"] = json::object{{"content", aText}};
   } else if (aChat) {
-    choice["message"] =
-        json::object{{"role", "assistant"}, {"content", aText}};
+    choice["message"] = json::object{{"role", "assistant"}, {"content", aText}};
   } else {
     choice["text"] = aText;
   }
@@ -103,8 +102,7 @@
 CallerApi::CallerApi(Node& aNode, ModelCalls& aCalls)
     : mNode(aNode), mCalls(aCalls) {}
 
-Result<CallerApi::Ask> CallerApi::Parse(const HttpRequest& aRequest,
-                                        bool aChat,
+Result<CallerApi::Ask> CallerApi::Parse(const HttpRequest& aRequest, bool aChat,
                                         const std::string& aRequestId) const {
   const auto policies = mNode.Policies().Read();
   const Result<Identity> who = Identify(*policies, aRequest, "caller");
@@ -138,8 +136,8 @@
   spec.mModel = model;
   // The house goes into the prefix, so that no house can tell from a prefix
   // cache hit what another one asked.
-  spec.mPrefixHash = std::hash<std::string>()(
-      spec.mTenant + '\n' + prompt.substr(0, kPrefixLength));
+  spec.mPrefixHash = std::hash<std::string>()(spec.mTenant + '\n' +
+                                              prompt.substr(0, kPrefixLength));
   spec.mExpectedTokens = tokens;
   spec.mDeadline = mNode.Now() + kCallDeadline;
   EngineCompletion& completion = ask.mRequest.mCompletion;
@@ -199,9 +197,9 @@
   const std::string model = aAsk.mRequest.mSpec.mModel;
   // The answer begins with the first chunk, so that a call that no engine
   // takes is refused with a proper status.
-  const ChunkSink sink = [this, &aAsk, &aExchange, &state, &model](
-                             const ModelChunk& aChunk)
-      -> asio::awaitable<bool> {
+  const ChunkSink sink =
+      [this, &aAsk, &aExchange, &state,
+       &model](const ModelChunk& aChunk) -> asio::awaitable<bool> {
     if (!state.mBegun) {
       state.mBegun = true;
       mNode.Meter().Measure(Timing::FirstToken, mNode.Now() - state.mStart);
@@ -215,8 +213,7 @@
     }
     std::string event =
         SseData(EncodeChunk(aAsk.mId, model, aAsk.mChat, aChunk));
-    const std::error_code failed =
-        co_await aExchange.Write(std::move(event));
+    const std::error_code failed = co_await aExchange.Write(std::move(event));
     co_return !failed;
   };
   const Result<ModelAnswer> answer = co_await mCalls.Run(aAsk.mRequest, sink);
@@ -233,8 +230,8 @@
     co_return;
   }
   const Error error =
-      answer ? Error(ErrorKind::UpstreamFailed, "The engine's answer was empty.",
-                     RunState::Run)
+      answer ? Error(ErrorKind::UpstreamFailed,
+                     "The engine's answer was empty.", RunState::Run)
              : answer.error();
   mNode.Meter().Add(Counter::RequestsRefused);
   HttpResponse response = ErrorResponse(error);
--- a/src/rillwall/charge_runner.cpp
+++ b/src/rillwall/charge_runner.cpp
@@ -68,8 +68,8 @@
   key.mHouse = aCall.mHouse;
   key.mService = aCall.mService;
   key.mKey = aCall.mKey;
-  auto running = std::make_shared<Running>(
-      std::move(aCall), key, MakeNonce(mNode.Settings().mNodeId));
+  auto running = std::make_shared<Running>(std::move(aCall), key,
+                                           MakeNonce(mNode.Settings().mNodeId));
   ClaimStep step = running->mClaim.Start();
   while (!running->mClaim.Outcome() && step.mNext != ClaimNext::End) {
     step = co_await CarryOut(*running, step);
@@ -150,8 +150,8 @@
 
 asio::awaitable<ClaimStep> ChargeRunner::Remove(Running& aRunning,
                                                 const ClaimStep& aStep) {
-  const Result<KvSwap> swap = co_await mNode.Kv().CompareAndDelete(
-      aRunning.mPath, aStep.mRevision);
+  const Result<KvSwap> swap =
+      co_await mNode.Kv().CompareAndDelete(aRunning.mPath, aStep.mRevision);
   co_return TellSwap(aRunning.mClaim, swap);
 }
 
@@ -172,8 +172,7 @@
 // answer, whatever its status, is the call's outcome.
 asio::awaitable<ClaimStep> ChargeRunner::Send(Running& aRunning) {
   for (int attempt = 1;; ++attempt) {
-    Result<HttpResponse> response =
-        co_await SendOnce(mNode, aRunning.mCall);
+    Result<HttpResponse> response = co_await SendOnce(mNode, aRunning.mCall);
     if (response) {
       const HttpResponse relayed = RelayedResponse(std::move(*response));
       co_return aRunning.mClaim.Answered(ToClaimAnswer(relayed));
--- a/src/rillwall/gossip_loop.cpp
+++ b/src/rillwall/gossip_loop.cpp
@@ -1,5 +1,9 @@
 #include "gossip_loop.h"
 
+#include <fstream>
+#include <iterator>
+
+#include "rillwall/gossip_codec.h"
 #include "rillwall/log.h"
 #include "rillwall/wire_convert.h"
 
@@ -25,6 +29,11 @@
   }
 }
 
+std::string ReadKey(const std::string& aFile) {
+  std::ifstream file(aFile, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
 }  // namespace
 
 GossipLoop::GossipLoop(Node& aNode)
@@ -33,6 +42,7 @@
               [this](std::string_view aBytes, const std::string& aFrom) {
                 Received(std::string(aBytes), aFrom);
               }),
+      mKey(ReadKey(aNode.Settings().mFleetKeyFile)),
       mRandom(std::random_device()()) {}
 
 Result<Endpoint> GossipLoop::Start() {
@@ -110,11 +120,11 @@
 
 void GossipLoop::CarryOut(GossipActions aActions) {
   for (const GossipSend& send : aActions.mSends) {
-    mSocket.Send(send.mTo, EncodeGossip(send.mMessage));
+    mSocket.Send(send.mTo, EncodeGossip(send.mMessage, mKey));
   }
   for (const Member& member : aActions.mChanged) {
-    Log(Part::Gossip).Info("Node " + member.mId + " is " +
-                           StateName(member.mState) + ".");
+    Log(Part::Gossip)
+        .Info("Node " + member.mId + " is " + StateName(member.mState) + ".");
     for (const MemberListener& listener : mMemberListeners) {
       listener(member);
     }
@@ -127,7 +137,7 @@
 }
 
 void GossipLoop::Received(std::string aBytes, const std::string& aFrom) {
-  Result<GossipMessage> message = DecodeGossip(aBytes);
+  Result<GossipMessage> message = DecodeGossip(aBytes, mKey);
   if (!message) {
     Log(Part::Gossip).Warn("Dropped a datagram: " + message.error().Detail());
     return;
--- a/src/rillwall/gossip_loop.h
+++ b/src/rillwall/gossip_loop.h
@@ -44,6 +44,7 @@
   DatagramSocket mSocket;
   std::vector<MemberListener> mMemberListeners;
   std::vector<FactListener> mFactListeners;
+  std::string mKey;  ///< the fleet's shared key; empty: none
   std::mt19937_64 mRandom;
   uint64_t mSentBytes = 0;
   uint64_t mReceivedBytes = 0;
--- a/src/rillwall/group_runner.cpp
+++ b/src/rillwall/group_runner.cpp
@@ -20,10 +20,6 @@
 constexpr size_t kPrefixLength = 256;
 constexpr int kOk = 200;
 
-bool IsSet(const CancelFlag& aFlag) {
-  return aFlag->load(std::memory_order_relaxed);
-}
-
 }  // namespace
 
 GroupRunner::GroupRunner(Node& aNode, ModelCalls& aCalls)
@@ -37,17 +33,19 @@
     co_return Error(ErrorKind::NotFound, "No policy names the trainer '" +
                                              aOrder.id().trainer() + "'.");
   }
-  const Key key{FromWire(aOrder.id()).value(), aOrder.group(), aOrder.attempt()};
+  const Key key{FromWire(aOrder.id()).value(), aOrder.group(),
+                aOrder.attempt()};
   const auto cancel = std::make_shared<std::atomic<bool>>(false);
   const int64_t size = aOrder.group_size();
-  co_await mNode.OnControl([&] {
-    mRunning[key] = RunningGroup{cancel, size};
-    return true;
+  const bool begun = co_await mNode.OnControl([&] {
+    return mRunning.emplace(key, RunningGroup{cancel, size}).second;
   });
+  if (!begun) {
+    co_return Error(ErrorKind::Conflict, "This attempt is running already.");
+  }
   std::vector<asio::awaitable<std::optional<MadeSample>>> tasks;
   for (int64_t i = 0; i < size; ++i) {
-    tasks.push_back(
-        MakeSample(aOrder, *rule, static_cast<size_t>(i), cancel));
+    tasks.push_back(MakeSample(aOrder, *rule, static_cast<size_t>(i), cancel));
   }
   std::vector<std::optional<MadeSample>> made =
       co_await RunAll(asio::make_strand(mNode.Context()), std::move(tasks));
@@ -59,17 +57,16 @@
       samples.push_back(std::move(*sample));
     }
   }
-  co_return co_await mNode.OnControl(
-      [&]() -> Result<wire::GroupSummary> {
-        mRunning.erase(key);
-        if (!whole) {
-          return Error(ErrorKind::UpstreamFailed,
-                       "A sample of the group could not be made.");
-        }
-        Hold(key, std::move(samples));
-        mNode.Meter().Add(Counter::GroupsRun);
-        return Summary(key, mHeld.at(key));
-      });
+  co_return co_await mNode.OnControl([&]() -> Result<wire::GroupSummary> {
+    mRunning.erase(key);
+    if (!whole) {
+      return Error(ErrorKind::UpstreamFailed,
+                   "A sample of the group could not be made.");
+    }
+    Hold(key, std::move(samples));
+    mNode.Meter().Add(Counter::GroupsRun);
+    return Summary(key, mHeld.at(key));
+  });
 }
 
 ModelRequest GroupRunner::MakeRequest(const wire::RunGroup& aOrder,
@@ -90,9 +87,8 @@
   request.mCompletion.mPrompt = prompt;
   request.mCompletion.mMaxTokens = aOrder.max_tokens();
   // Attempts of one sample need not be alike, samples of a group must differ.
-  request.mCompletion.mSeed =
-      aOrder.seed() * 1000003 + aOrder.group() * 1009 +
-      static_cast<int64_t>(aIndex);
+  request.mCompletion.mSeed = aOrder.seed() * 1000003 + aOrder.group() * 1009 +
+                              static_cast<int64_t>(aIndex);
   request.mCompletion.mPriority = kTrainingPriority;
   request.mCompletion.mRequestId =
       aRule.mName + "/" + std::to_string(aOrder.id().step()) + "/" +
@@ -101,27 +97,17 @@
   return request;
 }
 
-asio::awaitable<std::optional<GroupRunner::MadeSample>>
-GroupRunner::MakeSample(wire::RunGroup aOrder, TrainerRule aRule,
-                        size_t aIndex, CancelFlag aCancel) {
+asio::awaitable<std::optional<GroupRunner::MadeSample>> GroupRunner::MakeSample(
+    wire::RunGroup aOrder, TrainerRule aRule, size_t aIndex,
+    CancelFlag aCancel) {
   ModelRequest request = MakeRequest(aOrder, aRule, aIndex);
   request.mCancel = aCancel;
-  std::optional<ModelAnswer> answer;
-  while (!answer) {
-    Result<ModelAnswer> result = co_await mCalls.Run(request, ChunkSink());
-    if (result) {
-      answer = std::move(*result);
-      break;
-    }
-    const ErrorKind kind = result.error().Kind();
-    const bool wait =
-        kind == ErrorKind::Overloaded || kind == ErrorKind::Unavailable;
-    if (IsSet(aCancel) || !wait ||
-        mNode.Now() > request.mSpec.mDeadline) {
-      co_return std::nullopt;
-    }
-    co_await Node::Sleep(
-        std::max(kRefusedPause, result.error().RetryAfter()));
+  Result<ModelAnswer> answer = co_await mCalls.Run(request, ChunkSink());
+  if (!answer) {
+    Log(Part::Step)
+        .Request(request.mCompletion.mRequestId)
+        .Info("A sample failed: " + answer.error().Detail());
+    co_return std::nullopt;
   }
   MadeSample made;
   made.mFirstToken = answer->mFirstToken;
@@ -158,9 +144,9 @@
       co_await Node::Sleep(kRefusedPause * (int64_t{1} << attempt));
     }
     const auto table = mNode.Upstreams().Read();
-    const UpstreamEntry* scorer = table->Choose(
-        UpstreamKind::Scorer, aScorer, mNode.Settings().mZone,
-        std::hash<std::string>()(encoded) + attempt, mNode.Now());
+    const UpstreamEntry* scorer =
+        table->Choose(UpstreamKind::Scorer, aScorer, mNode.Settings().mZone,
+                      std::hash<std::string>()(encoded) + attempt, mNode.Now());
     if (scorer == nullptr) {
       continue;
     }
@@ -186,8 +172,8 @@
       co_return score;
     }
   }
-  co_return Error(ErrorKind::UpstreamFailed, "The scorer '" + aScorer +
-                                                 "' could not be reached.");
+  co_return Error(ErrorKind::UpstreamFailed,
+                  "The scorer '" + aScorer + "' could not be reached.");
 }
 
 void GroupRunner::CheckLabel(const wire::Sample& aSample) {
@@ -246,7 +232,8 @@
 }
 
 void GroupRunner::Cancel(const wire::CancelGroup& aCancel) {
-  const Key key{FromWire(aCancel.id()).value(), aCancel.group(), aCancel.attempt()};
+  const Key key{FromWire(aCancel.id()).value(), aCancel.group(),
+                aCancel.attempt()};
   const auto running = mRunning.find(key);
   if (running != mRunning.end()) {
     running->second.mCancel->store(true, std::memory_order_relaxed);
@@ -258,9 +245,8 @@
   const StepId step = FromWire(aRelease.id()).value();
   const auto released = [&](const Key& aKey) {
     const bool named =
-        aRelease.all() ||
-        std::ranges::find(aRelease.groups(), aKey.mGroup) !=
-            aRelease.groups().end();
+        aRelease.all() || std::ranges::find(aRelease.groups(), aKey.mGroup) !=
+                              aRelease.groups().end();
     return aKey.mStep == step && named;
   };
   std::erase_if(mHeld,
@@ -276,8 +262,7 @@
   wire::FetchedGroups fetched;
   const StepId step = FromWire(aFetch.id()).value();
   for (const wire::HeldGroup& wanted : aFetch.groups()) {
-    const auto held =
-        mHeld.find(Key{step, wanted.group(), wanted.attempt()});
+    const auto held = mHeld.find(Key{step, wanted.group(), wanted.attempt()});
     if (held != mHeld.end()) {
       *fetched.add_groups() = Fetched(held->first, held->second);
     }
@@ -329,11 +314,8 @@
   }
 }
 
-// Every node sees the same free slots, so each offers its part of them only.
 int64_t GroupRunner::Room(const TrainerRule& aRule) const {
-  const auto live = static_cast<int64_t>(mNode.Members().Live().size());
-  const int64_t free = mNode.Calls().TrainingRoom(aRule.mModel);
-  return (free + live - 1) / std::max<int64_t>(1, live);
+  return mNode.Calls().TrainingRoom(aRule.mModel);
 }
 
 size_t GroupRunner::Held() const { return mHeld.size(); }
--- a/src/rillwall/group_runner.h
+++ b/src/rillwall/group_runner.h
@@ -75,8 +75,7 @@
                                                         size_t aIndex,
                                                         CancelFlag aCancel);
   asio::awaitable<Result<double>> Score(std::string aScorer,
-                                        std::string aPrompt,
-                                        std::string aText);
+                                        std::string aPrompt, std::string aText);
   ModelRequest MakeRequest(const wire::RunGroup& aOrder,
                            const TrainerRule& aRule, size_t aIndex) const;
   void CheckLabel(const wire::Sample& aSample);
--- a/src/rillwall/metrics.cpp
+++ b/src/rillwall/metrics.cpp
@@ -25,50 +25,29 @@
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.9, 0.99};
 
 constexpr std::array<const char*, static_cast<size_t>(Counter::Count)>
-    kCounterNames = {"requests_interactive_total",
-                     "requests_service_total",
-                     "requests_trainer_total",
-                     "requests_refused_total",
-                     "answers_whole_total",
-                     "answers_cut_total",
-                     "upstream_calls_total",
-                     "upstream_retries_total",
-                     "upstream_resumes_total",
-                     "preemptions_total",
-                     "groups_run_total",
-                     "groups_delivered_total",
-                     "samples_delivered_total",
-                     "samples_stale_dropped_total",
-                     "tokens_generated_total",
-                     "tokens_wasted_total",
-                     "pulls_answered_total",
-                     "pulls_superseded_total",
-                     "charges_run_total",
-                     "charges_replayed_total",
-                     "charges_refused_total",
-                     "charges_unknown_total",
-                     "orders_sent_total",
-                     "orders_refused_total",
-                     "takeovers_total",
-                     "policy_changes_total",
-                     "policy_fetches_total",
-                     "gossip_sent_bytes_total",
-                     "gossip_received_bytes_total",
-                     "peer_calls_total",
-                     "kv_reads_total",
-                     "kv_writes_total",
-                     "kv_errors_total",
-                     "checks_label_total",
-                     "checks_staleness_total",
-                     "checks_exactly_once_total",
-                     "checks_own_answer_total",
-                     "checks_at_most_once_total",
-                     "checks_policy_order_total",
-                     "broken_invariants_total"};
+    kCounterNames = {
+        "requests_interactive_total", "requests_service_total",
+        "requests_trainer_total",     "requests_refused_total",
+        "answers_whole_total",        "answers_cut_total",
+        "upstream_calls_total",       "upstream_retries_total",
+        "upstream_resumes_total",     "preemptions_total",
+        "groups_run_total",           "groups_delivered_total",
+        "samples_delivered_total",    "samples_stale_dropped_total",
+        "tokens_generated_total",     "pulls_answered_total",
+        "pulls_superseded_total",     "charges_run_total",
+        "charges_replayed_total",     "charges_refused_total",
+        "charges_unknown_total",      "orders_sent_total",
+        "orders_refused_total",       "takeovers_total",
+        "policy_changes_total",       "policy_fetches_total",
+        "gossip_sent_bytes_total",    "gossip_received_bytes_total",
+        "peer_calls_total",           "checks_label_total",
+        "checks_staleness_total",     "checks_exactly_once_total",
+        "checks_own_answer_total",    "checks_at_most_once_total",
+        "checks_policy_order_total",  "broken_invariants_total"};
 
 constexpr std::array<const char*, static_cast<size_t>(Timing::Count)>
     kTimingNames = {"first_token_ms", "service_call_ms", "pull_wait_ms",
-                    "step_whole_ms",  "sample_age_ms",   "policy_spread_ms"};
+                    "sample_age_ms", "policy_spread_ms"};
 
 Spans MakeSpans() {
   return Spans(acc::extended_p_square_probabilities = kQuantiles);
@@ -116,9 +95,9 @@
     for (const double quantile : kQuantiles) {
       text << "rillwall_" << kTimingNames[i] << "{quantile=\"" << quantile
            << "\"} "
-           << (count == 0 ? 0.0
-                          : acc::quantile(
-                                spans, acc::quantile_probability = quantile))
+           << (count == 0
+                   ? 0.0
+                   : acc::quantile(spans, acc::quantile_probability = quantile))
            << '\n';
     }
     text << "rillwall_" << kTimingNames[i] << "_sum " << acc::sum(spans) << '\n'
--- a/src/rillwall/model_calls.cpp
+++ b/src/rillwall/model_calls.cpp
@@ -11,6 +11,7 @@
 constexpr Millis kFirstChunkTimeout{10000};
 constexpr Millis kChunkTimeout{4000};
 constexpr int kMaxAttempts = 8;
+constexpr Millis kRefusedPause{100};
 constexpr int kOk = 200;
 constexpr int kBusy = 503;
 
@@ -26,7 +27,7 @@
   CancelFlag mPreempted;
   bool mReceiverGone = false;
   bool mWhole = false;
-  bool mSeenLeaving = false;
+  RunState mRan = RunState::NotRun;  ///< whether an engine ran a part of it
 };
 
 ModelCalls::ModelCalls(Node& aNode, UpstreamKeeper& aUpstreams)
@@ -84,15 +85,22 @@
   int attempts = 0;
   while (true) {
     aRequest.mSpec.mTicket = mNextTicket.fetch_add(1);
-    const RunState ran = running.mAnswer.mEngines.empty() ? RunState::NotRun
-                                                          : RunState::Run;
     if (IsSet(aRequest.mCancel)) {
-      co_return Error(ErrorKind::Superseded, "The call was cancelled.", ran);
+      co_return Error(ErrorKind::Superseded, "The call was cancelled.",
+                      running.mRan);
     }
     const CallDecision decision = co_await Admit(aRequest.mSpec);
+    const bool wait = aRequest.mSpec.mClass == CallClass::Training &&
+                      mNode.Now() < aRequest.mSpec.mDeadline;
+    if (decision.mVerdict == CallVerdict::Refuse && wait) {
+      // Nobody waits for a single sample; what it has so far is kept.
+      aRequest.mSpec.mAvoid.clear();
+      co_await Node::Sleep(std::max(kRefusedPause, decision.mRetryAfter));
+      continue;
+    }
     if (decision.mVerdict == CallVerdict::Refuse) {
       co_return Error(decision.mReason, "No engine could take the call now.",
-                      ran)
+                      running.mRan)
           .After(decision.mRetryAfter);
     }
     running.mPreempted = std::make_shared<std::atomic<bool>>(false);
@@ -114,17 +122,26 @@
     aRequest.mSpec.mAvoid.push_back(decision.mUpstream);
     aRequest.mSpec.mRetry = true;
     mNode.Meter().Add(Counter::UpstreamRetries);
-    if (++attempts >= kMaxAttempts || mNode.Now() > aRequest.mSpec.mDeadline) {
+    const bool last = ++attempts >= kMaxAttempts && !wait;
+    if (last || mNode.Now() > aRequest.mSpec.mDeadline) {
       co_return Error(ErrorKind::UpstreamFailed,
-                      "The engines tried could not finish the answer.", ran);
+                      "The engines tried could not finish the answer.",
+                      running.mRan);
     }
   }
 }
 
+// Unique to one attempt, so that a late chunk of an earlier one is told apart.
+std::string ModelCalls::AttemptId(const ModelRequest& aRequest) const {
+  return aRequest.mCompletion.mRequestId + "#" + mNode.Settings().mNodeId +
+         "-" + std::to_string(aRequest.mSpec.mTicket);
+}
+
 asio::awaitable<Result<std::unique_ptr<HttpStream>>> ModelCalls::OpenStream(
     const ModelRequest& aRequest, const UpstreamEntry& aEngine,
     const ModelAnswer& aSoFar) {
   EngineCompletion completion = aRequest.mCompletion;
+  completion.mRequestId = AttemptId(aRequest);
   completion.mResumeText = aSoFar.mText;
   completion.mResumeTokens = aSoFar.mLabel.Tokens();
   HttpRequest request;
@@ -157,13 +174,22 @@
   Result<std::unique_ptr<HttpStream>> stream =
       co_await OpenStream(aRequest, *engine, aRunning.mAnswer);
   if (!stream) {
+    const bool mayHaveRun = stream.error().Run() != RunState::NotRun;
+    if (mayHaveRun && aRunning.mRan == RunState::NotRun) {
+      aRunning.mRan = RunState::Unknown;
+    }
     const bool timedOut = stream.error().Kind() == ErrorKind::Timeout;
     co_return timedOut ? CallOutcome::TimedOut : CallOutcome::Failed;
   }
   const int status = (*stream)->Head().mStatus;
   if (status != kOk) {
+    // Only 503 says that nothing was run.
+    if (status != kBusy && aRunning.mRan == RunState::NotRun) {
+      aRunning.mRan = RunState::Unknown;
+    }
     co_return status == kBusy ? CallOutcome::Refused : CallOutcome::Failed;
   }
+  aRunning.mRan = RunState::Run;
   aRunning.mAnswer.mEngines.push_back(aDecision.mUpstream);
   co_return co_await ReadStream(**stream, aRequest, aDecision, aRunning, aSink);
 }
@@ -172,6 +198,7 @@
     HttpStream& aStream, const ModelRequest& aRequest,
     const CallDecision& aDecision, Running& aRunning, const ChunkSink& aSink) {
   SseParser events;
+  const std::string attempt = AttemptId(aRequest);
   ModelAnswer& answer = aRunning.mAnswer;
   bool first = true;
   while (true) {
@@ -195,6 +222,14 @@
       if (!chunk) {
         co_return CallOutcome::Failed;
       }
+      mNode.Meter().Add(Counter::ChecksOwnAnswer);
+      if (chunk->mId != attempt) {
+        Log(Part::Call)
+            .Request(aRequest.mCompletion.mRequestId)
+            .Warn("Engine " + aDecision.mUpstream +
+                  " sent a chunk of another request; the stream is dropped.");
+        co_return CallOutcome::Failed;
+      }
       if (answer.mLabel.Tokens() == 0 && chunk->mTokens > 0) {
         answer.mFirstToken = mNode.Now();
       }
@@ -208,13 +243,13 @@
       }
     }
     mNode.Meter().Add(Counter::TokensGenerated, tokens);
-    asio::post(mNode.Control(), [this, ticket = aDecision.mTicket, first,
-                                 tokens] {
-      if (first) {
-        mNode.Calls().FirstToken(ticket, mNode.Now());
-      }
-      mNode.Calls().Progress(ticket, tokens, mNode.Now());
-    });
+    asio::post(mNode.Control(),
+               [this, ticket = aDecision.mTicket, first, tokens] {
+                 if (first) {
+                   mNode.Calls().FirstToken(ticket, mNode.Now());
+                 }
+                 mNode.Calls().Progress(ticket, tokens, mNode.Now());
+               });
     first = false;
     if (IsSet(aRunning.mPreempted) || IsSet(aRequest.mCancel)) {
       co_return CallOutcome::Cancelled;
--- a/src/rillwall/model_calls.h
+++ b/src/rillwall/model_calls.h
@@ -60,10 +60,12 @@
   asio::awaitable<void> Finish(uint64_t aTicket, CallOutcome aOutcome);
   asio::awaitable<CallOutcome> Stream(const ModelRequest& aRequest,
                                       const CallDecision& aDecision,
-                                      Running& aRunning, const ChunkSink& aSink);
+                                      Running& aRunning,
+                                      const ChunkSink& aSink);
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> OpenStream(
       const ModelRequest& aRequest, const UpstreamEntry& aEngine,
       const ModelAnswer& aSoFar);
+  std::string AttemptId(const ModelRequest& aRequest) const;
   asio::awaitable<CallOutcome> ReadStream(HttpStream& aStream,
                                           const ModelRequest& aRequest,
                                           const CallDecision& aDecision,
--- a/src/rillwall/node.cpp
+++ b/src/rillwall/node.cpp
@@ -54,12 +54,31 @@
 
 }  // namespace
 
+std::optional<TlsSettings> CallerTls(const NodeSettings& aSettings) {
+  if (aSettings.mTlsCertFile.empty()) {
+    return std::nullopt;
+  }
+  TlsSettings tls;
+  tls.mCertificateFile = aSettings.mTlsCertFile;
+  tls.mKeyFile = aSettings.mTlsKeyFile;
+  return tls;
+}
+
+std::optional<TlsSettings> FleetTls(const NodeSettings& aSettings) {
+  std::optional<TlsSettings> tls = CallerTls(aSettings);
+  if (!tls || aSettings.mTlsCaFile.empty()) {
+    return std::nullopt;
+  }
+  tls->mAuthorityFile = aSettings.mTlsCaFile;
+  return tls;
+}
+
 Node::Node(asio::io_context& aContext, NodeSettings aSettings)
     : mContext(aContext),
       mSettings(std::move(aSettings)),
       mControl(asio::make_strand(aContext)),
       mHttp(aContext),
-      mPeers(aContext),
+      mPeers(aContext, FleetTls(mSettings)),
       mKv(std::make_unique<KvClient>(mHttp, MakeKvSettings(mSettings))),
       mMembership(MakeSelf(mSettings), SeedTexts(mSettings), GossipLimits(),
                   SeedOf(mSettings)),
@@ -72,7 +91,11 @@
 Node::~Node() = default;
 
 void Node::PublishPhase() {
-  mPhase.store(mLife.Phase(), std::memory_order_release);
+  const NodePhase phase = mLife.Phase();
+  mPhase.store(phase, std::memory_order_release);
+  if (phase != NodePhase::Draining) {
+    mTakesWork.store(phase == NodePhase::Ready, std::memory_order_release);
+  }
 }
 
 void Node::SpawnControl(asio::awaitable<void> aRun) {
--- a/src/rillwall/node.h
+++ b/src/rillwall/node.h
@@ -34,6 +34,12 @@
 
 namespace rillwall {
 
+/// \return TLS towards callers, if a certificate is set; they need none
+std::optional<TlsSettings> CallerTls(const NodeSettings& aSettings);
+/// \return TLS between nodes, if certificate, key and authority are set; each
+/// side checks the other's certificate
+std::optional<TlsSettings> FleetTls(const NodeSettings& aSettings);
+
 using ControlStrand = asio::strand<asio::io_context::executor_type>;
 
 class Node {
@@ -62,6 +68,10 @@
 
   /// \return the phase as last seen by the control strand, from any thread
   NodePhase Phase() const { return mPhase.load(std::memory_order_acquire); }
+  /// \return whether requests are taken: while ready, and while draining if it
+  /// was ready before. A node that drains without ever having had its policies
+  /// confirmed must not act on none.
+  bool TakesWork() const { return mTakesWork.load(std::memory_order_acquire); }
   /// Publishes Life().Phase(); on the control strand.
   void PublishPhase();
 
@@ -120,6 +130,7 @@
   Dispatcher mDispatcher;
   NodeLife mLife;
   std::atomic<NodePhase> mPhase{NodePhase::Starting};
+  std::atomic<bool> mTakesWork{false};
   PeerHandler mPeerHandler;
 };
 
--- a/src/rillwall/peer_service.cpp
+++ b/src/rillwall/peer_service.cpp
@@ -217,6 +217,7 @@
   co_return co_await mNode.OnControl(
       [this, &request = aRequest]() -> Result<wire::PeerReply> {
         mRunner.TakeOver(request.hand_over());
+        mSteps.HandedOver(request.hand_over());
         return EmptyReply();
       });
 }
--- a/src/rillwall/policy_keeper.cpp
+++ b/src/rillwall/policy_keeper.cpp
@@ -319,9 +319,8 @@
             Result<PolicyDocument> document =
                 PolicyDocument::Decode(event.mEntry.mValue);
             if (document && event.mEntry.mKey == kKey) {
-              asio::post(mNode.Control(), [this, made = std::move(*document)] {
-                Adopt(made);
-              });
+              asio::post(mNode.Control(),
+                         [this, made = std::move(*document)] { Adopt(made); });
             }
           }
         });
@@ -345,8 +344,8 @@
   mDocument = std::move(aDocument);
   mNode.Policies().Publish(std::make_shared<const PolicySet>(mDocument.mSet));
   mGossip.SetFact({kFact, revision, ""});
-  Log(Part::Policy).Info("Policy revision " + std::to_string(revision) +
-                         " is in force.");
+  Log(Part::Policy)
+      .Info("Policy revision " + std::to_string(revision) + " is in force.");
 }
 
 void PolicyKeeper::Confirm() {
--- a/src/rillwall/policy_keeper.h
+++ b/src/rillwall/policy_keeper.h
@@ -45,7 +45,8 @@
   /// \return the document in force; on the control strand
   const PolicyDocument& Document() const { return mDocument; }
   /// Answers a peer that asks for the policies; on the control strand.
-  wire::PolicyBody Answer(const wire::AskPolicy& aAsk, const std::string& aFrom);
+  wire::PolicyBody Answer(const wire::AskPolicy& aAsk,
+                          const std::string& aFrom);
 
  private:
   asio::awaitable<void> ConfirmLoop();
@@ -67,7 +68,7 @@
   Node& mNode;
   GossipLoop& mGossip;
   PolicyDocument mDocument;
-  bool mKnown = false;     ///< the service or a peer has confirmed it
+  bool mKnown = false;  ///< the service or a peer has confirmed it
   bool mFetching = false;
   std::mt19937_64 mRandom;
 };
--- a/src/rillwall/serve.cpp
+++ b/src/rillwall/serve.cpp
@@ -20,8 +20,18 @@
 constexpr Millis kNotReadyRetry{1000};
 constexpr int64_t kMillisPerSecond = 1000;
 
-bool TakesWork(NodePhase aPhase) {
-  return aPhase == NodePhase::Ready || aPhase == NodePhase::Draining;
+std::string KvMetrics(const KvCounts& aCounts) {
+  const std::pair<const char*, uint64_t> rows[] = {
+      {"rillwall_kv_reads_total", aCounts.mReads},
+      {"rillwall_kv_writes_total", aCounts.mWrites},
+      {"rillwall_kv_watches_total", aCounts.mWatches},
+      {"rillwall_kv_errors_total", aCounts.mErrors}};
+  std::string text;
+  for (const auto& [name, value] : rows) {
+    text += std::string("# TYPE ") + name + " counter\n" + name + " " +
+            std::to_string(value) + "\n";
+  }
+  return text;
 }
 
 asio::awaitable<void> WatchSignals(asio::io_context& aContext,
@@ -54,13 +64,18 @@
       mTrainerApi(mNode, mSteps, mWeights),
       mAdminApi(mNode, mPolicies, mUpstreams, mSteps, mRunner,
                 [this] { Drain(); }),
-      mHttpServer(aContext, HttpLimits(),
-                  [this](const HttpRequest& aRequest, HttpExchange& aExchange) {
-                    return Handle(aRequest, aExchange);
-                  }),
-      mPeerServer(aContext, [this](wire::PeerRequest aRequest) {
-        return mPeerService.Handle(std::move(aRequest));
-      }) {
+      mHttpServer(
+          aContext, HttpLimits(),
+          [this](const HttpRequest& aRequest, HttpExchange& aExchange) {
+            return Handle(aRequest, aExchange);
+          },
+          CallerTls(mNode.Settings())),
+      mPeerServer(
+          aContext,
+          [this](wire::PeerRequest aRequest) {
+            return mPeerService.Handle(std::move(aRequest));
+          },
+          FleetTls(mNode.Settings())) {
   mNode.SetPeerHandler([this](wire::PeerRequest aRequest) {
     return mPeerService.Handle(std::move(aRequest));
   });
@@ -85,8 +100,8 @@
   if (!http) {
     return http.error();
   }
-  Log(Part::Node).Info("Node " + settings.mNodeId + " listens on " +
-                       http->Text() + ".");
+  Log(Part::Node)
+      .Info("Node " + settings.mNodeId + " listens on " + http->Text() + ".");
   return std::nullopt;
 }
 
@@ -109,18 +124,17 @@
   if (first == "metrics") {
     HttpResponse response;
     response.mHeaders.push_back({"Content-Type", "text/plain; version=0.0.4"});
-    response.mBody = mNode.Meter().Text();
+    response.mBody = mNode.Meter().Text() + KvMetrics(mNode.Kv().Counts());
     co_return response;
   }
   if (first == "admin") {
     aParts.erase(aParts.begin());
     co_return co_await mAdminApi.Handle(aRequest, std::move(aParts));
   }
-  if (!TakesWork(mNode.Phase())) {
-    co_return ErrorResponse(
-        Error(ErrorKind::Unavailable,
-              "This node has no confirmed policies yet.")
-            .After(kNotReadyRetry));
+  if (!mNode.TakesWork()) {
+    co_return ErrorResponse(Error(ErrorKind::Unavailable,
+                                  "This node has no confirmed policies yet.")
+                                .After(kNotReadyRetry));
   }
   if (first == "v1" && aParts.size() > 2 && aParts[1] == "trainers") {
     aParts.erase(aParts.begin(), aParts.begin() + 2);
@@ -136,7 +150,7 @@
   const std::string id = RequestId(aRequest);
   const std::string_view path = aRequest.Path();
   const bool chat = path == "/v1/chat/completions";
-  const bool takes = TakesWork(mNode.Phase());
+  const bool takes = mNode.TakesWork();
   const bool post = aRequest.mMethod == "POST";
   if ((chat || path == "/v1/completions") && takes && post) {
     co_await mCallerApi.Handle(aRequest, aExchange, chat, id);
@@ -204,12 +218,12 @@
     }
     wire::PeerRequest request;
     *request.mutable_hand_over() = std::move(part);
-    const Result<wire::PeerReply> reply =
-        co_await mNode.CallPeer(owners[0].mId, owners[0].mRpc,
-                                std::move(request), kHandOverTimeout);
+    const Result<wire::PeerReply> reply = co_await mNode.CallPeer(
+        owners[0].mId, owners[0].mRpc, std::move(request), kHandOverTimeout);
     if (!reply) {
-      Log(Part::Node).Warn("Could not hand over " + step.Duty() + ": " +
-                           reply.error().Detail());
+      Log(Part::Node)
+          .Warn("Could not hand over " + step.Duty() + ": " +
+                reply.error().Detail());
     }
   }
 }
--- a/src/rillwall/service_api.cpp
+++ b/src/rillwall/service_api.cpp
@@ -29,9 +29,10 @@
 
 // What concerns rillwall and its callers only stays here.
 bool IsOwnHeader(const HttpHeader& aHeader) {
-  constexpr const char* kOwn[] = {"Authorization", "Rillwall-House", "Host",
-                                  "Connection",    "Content-Length", "Expect",
-                                  "Transfer-Encoding"};
+  constexpr const char* kOwn[] = {
+      "Authorization",    "Rillwall-House", "Host",
+      "Connection",       "Content-Length", "Expect",
+      "Transfer-Encoding"};
   return std::ranges::any_of(kOwn, [&](const char* aName) {
     const std::vector<HttpHeader> one = {aHeader};
     return FindHeader(one, aName) != nullptr;
@@ -95,8 +96,7 @@
     // only if it is repeatable.
     const bool again = !good && (!sent || aRepeat) && attempt < kAttempts;
     if (!again) {
-      const RunState doubt =
-          sentBefore ? RunState::Unknown : RunState::NotRun;
+      const RunState doubt = sentBefore ? RunState::Unknown : RunState::NotRun;
       const RunState ran = good ? RunState::Run : doubt;
       HttpResponse answer = response
                                 ? RelayedResponse(std::move(*response))
--- a/src/rillwall/service_call.cpp
+++ b/src/rillwall/service_call.cpp
@@ -36,9 +36,9 @@
       table->Choose(UpstreamKind::Service, aCall.mService,
                     aNode.Settings().mZone, Random(), aNode.Now());
   if (upstream == nullptr) {
-    co_return Error(ErrorKind::Unavailable,
-                    "No upstream of the service '" + aCall.mService +
-                        "' takes calls now.")
+    co_return Error(
+        ErrorKind::Unavailable,
+        "No upstream of the service '" + aCall.mService + "' takes calls now.")
         .After(kNoUpstreamRetry);
   }
   UpstreamUse use(upstream->mLoad);
--- a/src/rillwall/service_call.h
+++ b/src/rillwall/service_call.h
@@ -14,8 +14,8 @@
 struct ServiceCall {
   std::string mHouse;
   std::string mService;
-  std::string mKey;       ///< Idempotency-Key; empty if none was given
-  HttpRequest mRequest;   ///< as the upstream gets it
+  std::string mKey;      ///< Idempotency-Key; empty if none was given
+  HttpRequest mRequest;  ///< as the upstream gets it
   Millis mTimeout;
   std::string mRequestId;
 };
--- a/src/rillwall/step_owner.cpp
+++ b/src/rillwall/step_owner.cpp
@@ -14,7 +14,7 @@
 constexpr Millis kRoomPeriod{200};
 constexpr Millis kAskTimeout{1000};
 constexpr Millis kGroupTimeout{900000};
-constexpr Millis kForgetClosed{600000};
+constexpr Millis kFollowPeriod{2000};
 constexpr Millis kMaxPullWait{30000};
 constexpr size_t kSpecCopies = 3;
 constexpr size_t kMaxRunners = 32;
@@ -110,55 +110,113 @@
   }
 }
 
-asio::awaitable<void> StepOwner::Rebuild(StepId aStep) {
+asio::awaitable<std::vector<StepOwner::NodeInventory>>
+StepOwner::AskInventories(StepId aStep, std::vector<Member> aMembers) {
   std::vector<asio::awaitable<Result<wire::PeerReply>>> asks;
-  std::vector<Member> asked;
-  for (const Member& member : mNode.Members().All()) {
-    if (member.mState == MemberState::Dead) {
-      continue;
-    }
+  for (const Member& member : aMembers) {
     wire::PeerRequest request;
     *request.mutable_ask_inventory()->mutable_id() = ToWire(aStep);
     asks.push_back(mNode.CallPeer(member.mId, member.mRpc, std::move(request),
                                   kAskTimeout));
-    asked.push_back(member);
   }
   const std::vector<Result<wire::PeerReply>> replies =
       co_await RunAll(mNode.Control(), std::move(asks));
-  const auto found = mBooks.find(aStep);
-  if (found == mBooks.end()) {
-    co_return;
-  }
+  std::vector<NodeInventory> inventories;
   for (size_t i = 0; i < replies.size(); ++i) {
     if (!replies[i]) {
       continue;
     }
-    const wire::Inventory& inventory = replies[i]->inventory();
-    std::vector<GroupSummary> held;
-    for (const wire::GroupSummary& summary : inventory.held()) {
-      const Result<GroupSummary> group = FromWire(summary, asked[i].mId);
+    NodeInventory inventory;
+    inventory.mNode = aMembers[i].mId;
+    for (const wire::GroupSummary& held : replies[i]->inventory().held()) {
+      const Result<GroupSummary> group = FromWire(held, aMembers[i].mId);
       if (group) {
-        held.push_back(*group);
+        inventory.mHeld.push_back(*group);
       }
     }
-    std::vector<GroupOrder> running;
-    for (const wire::GroupSummary& summary : inventory.running()) {
-      running.push_back({summary.group(), asked[i].mId, summary.attempt()});
+    for (const wire::GroupSummary& running :
+         replies[i]->inventory().running()) {
+      inventory.mRunning.push_back(
+          {running.group(), aMembers[i].mId, running.attempt()});
     }
-    found->second.mBook->Inventory(asked[i].mId, held, running, mNode.Now());
+    inventories.push_back(std::move(inventory));
+  }
+  co_return inventories;
+}
+
+void StepOwner::TakeIn(StepBook& aBook,
+                       const std::vector<NodeInventory>& aInventories) {
+  for (const NodeInventory& inventory : aInventories) {
+    aBook.Inventory(inventory.mNode, inventory.mHeld, inventory.mRunning,
+                    mNode.Now());
+  }
+}
+
+asio::awaitable<void> StepOwner::Rebuild(StepId aStep) {
+  std::vector<Member> members = mNode.Members().All();
+  std::erase_if(members, [](const Member& aMember) {
+    return aMember.mState == MemberState::Dead;
+  });
+  const std::vector<NodeInventory> inventories =
+      co_await AskInventories(aStep, std::move(members));
+  const auto found = mBooks.find(aStep);
+  if (found == mBooks.end()) {
+    co_return;
   }
+  TakeIn(*found->second.mBook, inventories);
   found->second.mBook->Rebuilt(mNode.Now());
   Wake(found->second);
 }
 
+// Groups that were running at a takeover answer the old owner; their runners
+// are asked until they have finished.
+asio::awaitable<void> StepOwner::FollowRunners(StepId aStep) {
+  const auto book = mBooks.find(aStep);
+  const std::vector<std::string> wanted = book->second.mBook->RunnersToAsk();
+  std::vector<Member> members = mNode.Members().All();
+  std::erase_if(members, [&wanted](const Member& aMember) {
+    return std::ranges::find(wanted, aMember.mId) == wanted.end();
+  });
+  if (members.empty()) {
+    co_return;
+  }
+  const std::vector<NodeInventory> inventories =
+      co_await AskInventories(aStep, std::move(members));
+  const auto found = mBooks.find(aStep);
+  if (found != mBooks.end()) {
+    TakeIn(*found->second.mBook, inventories);
+    Wake(found->second);
+  }
+}
+
+void StepOwner::HandedOver(const wire::HandOver& aHandOver) {
+  const auto found = mBooks.find(FromWire(aHandOver.id()).value());
+  if (found == mBooks.end()) {
+    return;
+  }
+  NodeInventory inventory;
+  inventory.mNode = mNode.Settings().mNodeId;
+  for (const wire::FetchedGroup& group : aHandOver.groups()) {
+    GroupSummary summary;
+    summary.mGroup = group.group();
+    summary.mRunner = inventory.mNode;
+    summary.mAttempt = group.attempt();
+    summary.mOldestVersion = group.oldest_version();
+    summary.mAge = Millis(group.age_ms());
+    for (const wire::Sample& sample : group.samples()) {
+      summary.mTokens +=
+          sample.label().empty() ? 0 : sample.label().rbegin()->end();
+    }
+    CarryOut(found->first, found->second.mBook->Finished(summary, mNode.Now()));
+  }
+  Wake(found->second);
+}
+
 asio::awaitable<void> StepOwner::TickLoop() {
   while (true) {
     for (auto& [id, step] : mBooks) {
       TickStep(id, step);
     }
-    std::erase_if(mClosed, [this](const auto& aEntry) {
-      return mNode.Now() - aEntry.second > kForgetClosed;
-    });
     co_await Node::Sleep(kTick);
   }
 }
@@ -173,6 +231,10 @@
     aStep.mAsking = true;
     mNode.SpawnControl(AskRooms(aId));
   }
+  if (mNode.Now() - aStep.mFollowedAt >= kFollowPeriod) {
+    aStep.mFollowedAt = mNode.Now();
+    mNode.SpawnControl(FollowRunners(aId));
+  }
   const int64_t newest = NewestVersion(aId.mTrainer);
   const StepActions actions =
       aStep.mBook->Tick(aStep.mRooms, newest, mNode.Now());
@@ -261,9 +323,8 @@
   const int64_t bound = rule == nullptr ? -1 : rule->mStaleness.mVersions;
   const int64_t newest = NewestVersion(aStep.mTrainer);
   run.set_min_version(bound < 0 ? 0 : std::max<int64_t>(0, newest - bound));
-  const Result<wire::PeerReply> reply =
-      co_await mNode.CallPeer(aOrder.mRunner, RpcOf(aOrder.mRunner),
-                              std::move(request), kGroupTimeout);
+  const Result<wire::PeerReply> reply = co_await mNode.CallPeer(
+      aOrder.mRunner, RpcOf(aOrder.mRunner), std::move(request), kGroupTimeout);
   const auto found = mBooks.find(aStep);
   if (found == mBooks.end()) {
     co_return;
@@ -272,9 +333,9 @@
   const Result<GroupSummary> summary =
       reply ? FromWire(reply->finished(), aOrder.mRunner) : reply.error();
   if (!summary) {
-    Log(Part::Step).Info("Group " + std::to_string(aOrder.mGroup) + " of " +
-                         aStep.Duty() + " failed on " + aOrder.mRunner + ": " +
-                         summary.error().Detail());
+    Log(Part::Step)
+        .Info("Group " + std::to_string(aOrder.mGroup) + " of " + aStep.Duty() +
+              " failed on " + aOrder.mRunner + ": " + summary.error().Detail());
     book.Failed(aOrder.mGroup, aOrder.mRunner, aOrder.mAttempt, mNode.Now());
     co_return;
   }
@@ -297,24 +358,23 @@
     wire::PeerRequest request;
     *request.mutable_open_step()->mutable_spec() = ToWire(aSpec);
     request.mutable_open_step()->set_replica(true);
-    sends.push_back(mNode.CallPeer(member.mId, member.mRpc,
-                                   std::move(request), kAskTimeout));
+    sends.push_back(mNode.CallPeer(member.mId, member.mRpc, std::move(request),
+                                   kAskTimeout));
   }
   if (!sends.empty()) {
     co_await RunAll(mNode.Control(), std::move(sends));
   }
 }
 
-asio::awaitable<Result<wire::StepState>> StepOwner::Open(
-    wire::OpenStep aOpen) {
+asio::awaitable<Result<wire::StepState>> StepOwner::Open(wire::OpenStep aOpen) {
   const Result<StepSpec> parsed = FromWire(aOpen.spec());
   if (!parsed) {
     co_return parsed.error();
   }
   const StepSpec& spec = *parsed;
   if (Rule(spec.mId.mTrainer) == nullptr) {
-    co_return Error(ErrorKind::NotFound, "No policy names the trainer '" +
-                                             spec.mId.mTrainer + "'.");
+    co_return Error(ErrorKind::NotFound,
+                    "No policy names the trainer '" + spec.mId.mTrainer + "'.");
   }
   const auto known = mSpecs.find(spec.mId);
   if (known != mSpecs.end() && known->second != spec) {
@@ -322,7 +382,6 @@
                     "The step is open with other contents; close it first or "
                     "take a new step number.");
   }
-  mClosed.erase(spec.mId);
   mSpecs[spec.mId] = spec;
   if (aOpen.replica()) {
     if (IsOwner(spec.mId)) {
@@ -331,9 +390,16 @@
     co_return State(spec.mId);
   }
   if (!mBooks.contains(spec.mId)) {
-    // Opened again after an owner was lost: others may hold some groups.
-    TakeUp(spec, true);
     co_await Replicate(spec);
+    // Opened again after an owner was lost: others may hold some groups. A
+    // step that nobody knows anything of begins at once.
+    const std::vector<NodeInventory> inventories =
+        co_await AskInventories(spec.mId, mNode.Members().Live());
+    const bool known =
+        std::ranges::any_of(inventories, [](const NodeInventory& aInventory) {
+          return !aInventory.mHeld.empty() || !aInventory.mRunning.empty();
+        });
+    TakeUp(spec, known);
   }
   co_return State(spec.mId);
 }
@@ -397,8 +463,8 @@
     (*step)->mBook->Failed(lost.group(), lost.runner(), lost.attempt(),
                            mNode.Now());
   }
-  const size_t most = std::clamp<uint32_t>(aPull.max_groups(), 1,
-                                           kMaxGroupsPerPull);
+  const size_t most =
+      std::clamp<uint32_t>(aPull.max_groups(), 1, kMaxGroupsPerPull);
   const Millis wait =
       std::clamp(Millis(aPull.wait_ms()), Millis(0), kMaxPullWait);
   const Millis end = mNode.Now() + wait;
@@ -414,8 +480,8 @@
     const int64_t newest =
         std::max(NewestVersion(id.mTrainer), aPull.newest_version());
     StepActions actions;
-    const PullPlan plan = (*step)->mBook->Plan(*receipt, newest, most,
-                                               mNode.Now(), actions);
+    const PullPlan plan =
+        (*step)->mBook->Plan(*receipt, newest, most, mNode.Now(), actions);
     CarryOut(id, actions);
     const bool done = !plan.mGroups.empty() || plan.mComplete;
     if (done || mNode.Now() >= end) {
@@ -442,7 +508,6 @@
 
 asio::awaitable<Result<wire::StepState>> StepOwner::Close(StepId aStep) {
   const wire::StepState state = State(aStep);
-  mClosed[aStep] = mNode.Now();
   mSpecs.erase(aStep);
   const auto found = mBooks.find(aStep);
   if (found != mBooks.end()) {
--- a/src/rillwall/step_owner.h
+++ b/src/rillwall/step_owner.h
@@ -36,6 +36,8 @@
   int64_t NewestVersion(const std::string& aTrainer) const;
   /// \return progress as far as this node knows it
   wire::StepState State(const StepId& aId) const;
+  /// This node took over held groups of a step that it may own.
+  void HandedOver(const wire::HandOver& aHandOver);
   size_t OpenSteps() const { return mBooks.size(); }
   /// \return books as JSON array text, for the dump; on the control strand
   std::string Dump() const;
@@ -44,15 +46,26 @@
   /// A step that this node owns now.
   struct OwnedStep {
     std::unique_ptr<StepBook> mBook;
-    uint64_t mPull = 0;         ///< number of the newest pull
+    uint64_t mPull = 0;  ///< number of the newest pull
     std::shared_ptr<asio::steady_timer> mChanged;  ///< wakes waiting pulls
     std::vector<RunnerRoom> mRooms;
     Millis mRoomsAt;
+    Millis mFollowedAt;  ///< when runners of an earlier owner were asked
     bool mAsking = false;
   };
 
   asio::awaitable<void> TickLoop();
+  /// What one node holds and runs of a step.
+  struct NodeInventory {
+    std::string mNode;
+    std::vector<GroupSummary> mHeld;
+    std::vector<GroupOrder> mRunning;
+  };
+  asio::awaitable<std::vector<NodeInventory>> AskInventories(
+      StepId aStep, std::vector<Member> aMembers);
   asio::awaitable<void> Rebuild(StepId aStep);
+  asio::awaitable<void> FollowRunners(StepId aStep);
+  void TakeIn(StepBook& aBook, const std::vector<NodeInventory>& aInventories);
   asio::awaitable<void> AskRooms(StepId aStep);
   asio::awaitable<void> RunOne(StepId aStep, GroupOrder aOrder);
   asio::awaitable<void> Tell(std::string aNode, wire::PeerRequest aRequest);
@@ -70,8 +83,7 @@
 
   Node& mNode;
   GossipLoop& mGossip;
-  std::map<StepId, StepSpec> mSpecs;   ///< known here, owned or not
-  std::map<StepId, Millis> mClosed;    ///< closed lately; not taken up again
+  std::map<StepId, StepSpec> mSpecs;  ///< known here, owned or not
   std::map<StepId, OwnedStep> mBooks;
 };
 
--- a/src/rillwall/tasks.h
+++ b/src/rillwall/tasks.h
@@ -51,8 +51,7 @@
 asio::awaitable<std::vector<Value>> Gather(
     std::vector<asio::awaitable<Value>> aTasks) {
   const auto executor = co_await asio::this_coro::executor;
-  auto gathered =
-      std::make_shared<Gathered<Value>>(executor, aTasks.size());
+  auto gathered = std::make_shared<Gathered<Value>>(executor, aTasks.size());
   for (size_t i = 0; i < aTasks.size(); ++i) {
     SpawnDetached(executor, GatherOne(gathered, i, std::move(aTasks[i])));
   }
@@ -76,8 +75,7 @@
 asio::awaitable<std::vector<Value>> RunAll(
     const Strand& aStrand, std::vector<asio::awaitable<Value>> aTasks) {
   co_return co_await asio::co_spawn(
-      aStrand, internal::Gather<Value>(std::move(aTasks)),
-      asio::use_awaitable);
+      aStrand, internal::Gather<Value>(std::move(aTasks)), asio::use_awaitable);
 }
 
 }  // namespace rillwall
--- a/src/rillwall/trainer_api.cpp
+++ b/src/rillwall/trainer_api.cpp
@@ -79,13 +79,11 @@
   }
   if (!who->mOpen && who->mName != trainer) {
     co_return Error(ErrorKind::Forbidden,
-                    "This token is not that of the trainer '" + trainer +
-                        "'.");
+                    "This token is not that of the trainer '" + trainer + "'.");
   }
   if (policies->Rules().Trainer(trainer) == nullptr) {
-    co_return Error(ErrorKind::NotFound,
-                    "No policy names the trainer '" + trainer +
-                        "'; put one that does.");
+    co_return Error(ErrorKind::NotFound, "No policy names the trainer '" +
+                                             trainer + "'; put one that does.");
   }
   const bool post = aRequest.mMethod == "POST";
   if (aParts.size() == 2 && aParts[1] == "versions" && post) {
@@ -139,8 +137,8 @@
   announced.mVersion = version;
   announced.mWeights = weights;
   announced.mBytes = bytes;
-  const std::optional<Error> refused = co_await mNode.OnControl(
-      [&] { return mWeights.Announce(announced); });
+  const std::optional<Error> refused =
+      co_await mNode.OnControl([&] { return mWeights.Announce(announced); });
   if (refused) {
     co_return *refused;
   }
@@ -179,8 +177,7 @@
   if (!reply) {
     co_return reply.error();
   }
-  co_return HttpResponse::Json(200,
-                               EncodeState(spec.mId, reply->step_state()));
+  co_return HttpResponse::Json(200, EncodeState(spec.mId, reply->step_state()));
 }
 
 // The owner may be dying while it is asked: it is asked again, or the next one
@@ -188,9 +185,8 @@
 asio::awaitable<Result<wire::PeerReply>> TrainerApi::CallOwner(
     StepId aId, wire::PeerRequest aRequest, Millis aEnd) {
   while (true) {
-    const std::vector<Member> owners = co_await mNode.OnControl([&] {
-      return DutyOwners(mNode.Members().Live(), aId.Duty(), 1);
-    });
+    const std::vector<Member> owners = co_await mNode.OnControl(
+        [&] { return DutyOwners(mNode.Members().Live(), aId.Duty(), 1); });
     Result<wire::PeerReply> reply =
         Error(ErrorKind::Unavailable, "No node can own the step now.");
     if (!owners.empty()) {
@@ -267,8 +263,7 @@
   plan.set_receipt(aPull.mReceipt);
   plan.set_newest_version(aPull.mVersion);
   plan.set_max_groups(static_cast<uint32_t>(aPull.mMaxGroups));
-  plan.set_wait_ms(
-      std::max<int64_t>(0, (aPull.mEnd - mNode.Now()).Count()));
+  plan.set_wait_ms(std::max<int64_t>(0, (aPull.mEnd - mNode.Now()).Count()));
   for (const wire::HeldGroup& group : aLost) {
     *plan.add_lost() = group;
   }
@@ -311,8 +306,8 @@
   const int64_t newest = std::max(known, aPull.mVersion);
   for (const wire::HeldGroup& planned : round.mPlan.groups()) {
     const auto found = got.find(planned.group());
-    const bool good = found != got.end() &&
-                      Deliverable(aPull, found->second, newest);
+    const bool good =
+        found != got.end() && Deliverable(aPull, found->second, newest);
     if (good) {
       round.mGroups.push_back(std::move(found->second));
     } else {
@@ -369,8 +364,8 @@
 asio::awaitable<Result<HttpResponse>> TrainerApi::Progress(StepId aId) {
   wire::PeerRequest request;
   *request.mutable_ask_step()->mutable_id() = ToWire(aId);
-  const Result<wire::PeerReply> reply = co_await CallOwner(
-      aId, std::move(request), mNode.Now() + kOpenTimeout);
+  const Result<wire::PeerReply> reply =
+      co_await CallOwner(aId, std::move(request), mNode.Now() + kOpenTimeout);
   if (!reply) {
     co_return reply.error();
   }
@@ -382,8 +377,8 @@
 }
 
 asio::awaitable<Result<HttpResponse>> TrainerApi::Close(StepId aId) {
-  const std::vector<Member> members = co_await mNode.OnControl(
-      [this] { return mNode.Members().Live(); });
+  const std::vector<Member> members =
+      co_await mNode.OnControl([this] { return mNode.Members().Live(); });
   std::vector<asio::awaitable<Result<wire::PeerReply>>> tasks;
   for (const Member& member : members) {
     wire::PeerRequest request;
--- a/src/rillwall/upstream_keeper.cpp
+++ b/src/rillwall/upstream_keeper.cpp
@@ -34,8 +34,7 @@
 }
 
 void UpstreamKeeper::SawLeaving(const std::string& aUpstream) {
-  const auto found =
-      std::ranges::find(mList, aUpstream, &Upstream::mId);
+  const auto found = std::ranges::find(mList, aUpstream, &Upstream::mId);
   if (found == mList.end() || IsLeaving(*found)) {
     return;
   }
@@ -46,8 +45,7 @@
 }
 
 bool UpstreamKeeper::IsLeaving(const Upstream& aUpstream) const {
-  const Fact* fact =
-      mNode.Members().FindFact(kLeavingPrefix + aUpstream.mId);
+  const Fact* fact = mNode.Members().FindFact(kLeavingPrefix + aUpstream.mId);
   const bool told = fact != nullptr && fact->mRevision > aUpstream.mGeneration;
   return aUpstream.mLeaving || told;
 }
@@ -111,8 +109,10 @@
   std::vector<Upstream> chosen;
   const size_t copies = (live.size() * most) / engines.size() + 1;
   for (const Upstream& engine : engines) {
+    // The engine's duty has the same name, so that its controller, the first of
+    // the owners, is among those that poll it and reads its orders' effect.
     const std::vector<Member> owners =
-        DutyOwners(live, "route/" + engine.mId, copies);
+        DutyOwners(live, "engine/" + engine.mId, copies);
     const bool ours = std::ranges::any_of(owners, [this](const Member& aOwner) {
       return aOwner.mId == mNode.Settings().mNodeId;
     });
@@ -140,8 +140,8 @@
   }
   HttpRequest request;
   request.mTarget = "/load";
-  const Result<HttpResponse> response = co_await mNode.Http().Send(
-      *endpoint, std::move(request), kPollTimeout);
+  const Result<HttpResponse> response =
+      co_await mNode.Http().Send(*endpoint, std::move(request), kPollTimeout);
   if (!response || response->mStatus != kOk) {
     co_return;
   }
--- a/src/rillwall/upstream_table.h
+++ b/src/rillwall/upstream_table.h
@@ -17,8 +17,8 @@
 /// What all threads share about one upstream; kept from snapshot to snapshot.
 struct UpstreamLoad {
   std::atomic<int64_t> mInFlight{0};
-  std::atomic<int64_t> mFailures{0};      ///< in a row
-  std::atomic<int64_t> mOpenUntil{0};     ///< circuit open until, milliseconds
+  std::atomic<int64_t> mFailures{0};   ///< in a row
+  std::atomic<int64_t> mOpenUntil{0};  ///< circuit open until, milliseconds
 };
 
 /// One upstream with its endpoint and shared load.
--- a/src/rillwall/weight_controller.cpp
+++ b/src/rillwall/weight_controller.cpp
@@ -51,11 +51,11 @@
   Node& mNode;
   GossipLoop& mGossip;
   UpstreamKeeper& mUpstreams;
-  std::map<std::string, SwapPlan> mPlans;      ///< by model
-  std::map<std::string, Millis> mLearnedAt;    ///< by fact key
-  std::map<std::string, uint64_t> mFences;     ///< by engine of the duty
-  std::set<std::string> mDrawing;              ///< engines whose fence is drawn
-  std::set<std::string> mPersisting;           ///< models being written
+  std::map<std::string, SwapPlan> mPlans;    ///< by model
+  std::map<std::string, Millis> mLearnedAt;  ///< by fact key
+  std::map<std::string, uint64_t> mFences;   ///< by engine of the duty
+  std::set<std::string> mDrawing;            ///< engines whose fence is drawn
+  std::set<std::string> mPersisting;         ///< models being written
   Millis mFencesConfirmedAt;
   bool mConfirming = false;
 
@@ -88,8 +88,7 @@
   mImpl->mNode.SpawnControl(mImpl->RestoreLoop());
 }
 
-std::optional<Error> WeightController::Announce(
-    const WeightVersion& aVersion) {
+std::optional<Error> WeightController::Announce(const WeightVersion& aVersion) {
   const std::optional<WeightVersion> newest = mImpl->Newest(aVersion.mModel);
   if (newest && *newest == aVersion) {
     return std::nullopt;
@@ -103,8 +102,9 @@
   const std::string key = kFactPrefix + aVersion.mModel;
   mImpl->mGossip.SetFact(
       {key, static_cast<uint64_t>(aVersion.mVersion), Encode(aVersion)});
-  Log(Part::Weight).Info("Version " + std::to_string(aVersion.mVersion) +
-                         " of " + aVersion.mModel + " is announced.");
+  Log(Part::Weight)
+      .Info("Version " + std::to_string(aVersion.mVersion) + " of " +
+            aVersion.mModel + " is announced.");
   mImpl->mNode.SpawnControl(mImpl->Persist(aVersion.mModel));
   return std::nullopt;
 }
@@ -158,7 +158,8 @@
     const Result<KvRange> range = co_await mNode.Kv().Range(kKvPrefix, true);
     if (range) {
       for (const KvEntry& entry : range->mEntries) {
-        const std::string model = entry.mKey.substr(std::string(kKvPrefix).size());
+        const std::string model =
+            entry.mKey.substr(std::string(kKvPrefix).size());
         const std::optional<WeightVersion> kept = Decode(model, entry.mValue);
         if (kept) {
           mGossip.SetFact({kFactPrefix + model,
@@ -290,16 +291,16 @@
   request.mTarget = "/orders";
   request.mBody = EncodeLoadOrder(order);
   mNode.Meter().Add(Counter::OrdersSent);
-  const Result<HttpResponse> response = co_await mNode.Http().Send(
-      *endpoint, std::move(request), kOrderTimeout);
+  const Result<HttpResponse> response =
+      co_await mNode.Http().Send(*endpoint, std::move(request), kOrderTimeout);
   if (response && response->mStatus == kOk) {
     co_return;
   }
   mNode.Meter().Add(Counter::OrdersRefused);
   SwapPlan& plan = mPlans[aEngine.mName];
   if (response && response->mStatus == kConflict) {
-    Log(Part::Weight).Info("Engine " + aEngine.mId +
-                           " has a newer controller.");
+    Log(Part::Weight)
+        .Info("Engine " + aEngine.mId + " has a newer controller.");
     plan.StaleFence(aEngine.mId, aOrder.mFence);
     mFences.erase(aEngine.mId);
     co_return;
--- a/src/standin/trainer.cpp
+++ b/src/standin/trainer.cpp
@@ -69,6 +69,8 @@
 void AddStepOptions(CLI::App& aVerb, TrainerOptions& aOptions) {
   aVerb.add_option("--first-step", aOptions.mFirstStep, "Number of step one");
   aVerb.add_option("--steps", aOptions.mSteps, "Steps to run");
+  aVerb.add_option("--seconds", aOptions.mSeconds,
+                   "Begins no step after that long; 0: no limit");
   aVerb.add_option("--groups", aOptions.mGroups, "Groups per step");
   aVerb.add_option("--group-size", aOptions.mGroupSize, "Samples per group");
   aVerb.add_option("--max-tokens", aOptions.mMaxTokens, "Of a sample");
--- a/src/standin/trainer_run.h
+++ b/src/standin/trainer_run.h
@@ -39,6 +39,7 @@
   int64_t mPullGroups = 16;
   int64_t mPullWaitMillis = 1000;
   int64_t mPatienceSeconds = 120;
+  int64_t mSeconds = 0;  ///< no step is begun after that long; 0: no limit
   uint64_t mAhead = 0;  ///< steps open before the present is trained
   uint64_t mSeed = 1;
   bool mSwapEveryStep = false;
@@ -115,6 +116,7 @@
   std::deque<uint64_t> mToTrain;          ///< the step of each group received
   std::map<uint64_t, size_t> mUntrained;  ///< groups by step
   uint64_t mTrainedThrough = 0;
+  uint64_t mBegun = 0;  ///< the last step begun
   bool mFinished = false;
   bool mAnnouncing = false;
   asio::steady_timer mChanged;  ///< cancelled at each change, to wake waiters
