Tests that fail without a cancelled call's and a stopped socket's mechanism

Of 20 mechanisms taken out one at a time on a scratch copy, 19 made a test fail; the socket's stop did not, because two checks covered each other, and cancelling a call had no test.

--- a/src/librillwall_transport/datagram_socket.cpp
+++ b/src/librillwall_transport/datagram_socket.cpp
@@ -67,9 +67,6 @@
 };
 
 void DatagramSocket::Impl::Receive() {
-  if (mStopped) {
-    return;
-  }
   auto self = shared_from_this();
   mSocket.async_receive_from(asio::buffer(mBuffer), mSender,
                              [self](const error_code& aError, size_t aSize) {
--- a/src/librillwall_transport/datagram_socket_test.cpp
+++ b/src/librillwall_transport/datagram_socket_test.cpp
@@ -18,7 +18,8 @@
   CPPUNIT_TEST_SUITE(DatagramSocketTest);
   CPPUNIT_TEST(TestSendAndReceive);
   CPPUNIT_TEST(TestBadAddresses);
-  CPPUNIT_TEST(TestStop);
+  CPPUNIT_TEST(TestStopByHandler);
+  CPPUNIT_TEST(TestStopWhileWaiting);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -61,17 +62,32 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, socket.BytesSent());
   }
 
-  void TestStop() {
+  void TestStopByHandler() {
     asio::io_context context;
     int received = 0;
-    DatagramSocket socket(context, [&](auto, const auto&) { ++received; });
+    DatagramSocket socket(context, [&](auto, const auto&) {
+      ++received;
+      socket.Stop();
+    });
     const Result<Endpoint> own = socket.Listen(kAnyPort);
     CPPUNIT_ASSERT(own);
-    socket.Send(own->Text(), "x");
+    socket.Send(own->Text(), "first");
+    socket.Send(own->Text(), "second");
+    context.run_for(kLongest);
+    CPPUNIT_ASSERT_EQUAL(1, received);
+    // Nothing is left to wait for.
+    CPPUNIT_ASSERT(context.stopped());
+  }
+
+  void TestStopWhileWaiting() {
+    asio::io_context context;
+    DatagramSocket socket(context, [](auto, const auto&) {});
+    CPPUNIT_ASSERT(socket.Listen(kAnyPort));
+    context.poll();
+    CPPUNIT_ASSERT(!context.stopped());
     socket.Stop();
-    // Ends only because nothing is left to wait for.
-    context.run();
-    CPPUNIT_ASSERT_EQUAL(0, received);
+    context.run_for(kLongest);
+    CPPUNIT_ASSERT(context.stopped());
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(DatagramSocketTest);
--- a/src/librillwall_transport/peer_test.cpp
+++ b/src/librillwall_transport/peer_test.cpp
@@ -7,8 +7,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -59,6 +62,7 @@
   CPPUNIT_TEST(TestThrowingHandler);
   CPPUNIT_TEST(TestLargeMessages);
   CPPUNIT_TEST(TestDeadline);
+  CPPUNIT_TEST(TestCancelledCall);
   CPPUNIT_TEST(TestNobodyThere);
   CPPUNIT_TEST(TestRestartedPeer);
   CPPUNIT_TEST(TestPortTaken);
@@ -105,6 +109,24 @@
     CPPUNIT_ASSERT(RunState::Unknown == reply.error().Run());
   }
 
+  void TestCancelledCall() {
+    Serve(NeverAnswer);
+    asio::cancellation_signal cancel;
+    std::optional<Reply> reply;
+    asio::co_spawn(mContext,
+                   mClient->Call(mEndpoint.Text(), Asking("n1"), kPlenty),
+                   asio::bind_cancellation_slot(
+                       cancel.slot(), [&](std::exception_ptr, Reply aReply) {
+                         reply = std::move(aReply);
+                         mContext.stop();
+                       }));
+    asio::post(mContext,
+               [&] { cancel.emit(asio::cancellation_type::terminal); });
+    mContext.run_for(kLongest);
+    CPPUNIT_ASSERT(reply);
+    CPPUNIT_ASSERT(ErrorKind::ConnectionLost == reply->error().Kind());
+  }
+
   void TestNobodyThere() {
     Serve(Echo);
     mServer.reset();
