--- a/src/rillwall/upstream_keeper.cpp
+++ b/src/rillwall/upstream_keeper.cpp
@@ -126,7 +126,7 @@
 asio::awaitable<void> UpstreamKeeper::LoadLoop() {
   while (true) {
     // Not waited for: one frozen engine must not delay the others' reports.
-    for (const Upstream& engine : Aperture()) {
+    for (const Upstream& engine : mPolled) {
       mNode.SpawnControl(PollLoad(engine));
     }
     co_await Node::Sleep(kLoadPeriod);
@@ -173,7 +173,8 @@
   }
   mNode.Upstreams().Publish(
       std::make_shared<const UpstreamTable>(std::move(entries)));
-  std::vector<Upstream> engines = Aperture();
+  mPolled = Aperture();
+  std::vector<Upstream> engines = mPolled;
   for (Upstream& engine : engines) {
     engine.mLeaving = IsLeaving(engine);
   }
--- a/src/rillwall/upstream_keeper.h
+++ b/src/rillwall/upstream_keeper.h
@@ -42,6 +42,9 @@
   Node& mNode;
   GossipLoop& mGossip;
   std::vector<Upstream> mList;
+  /// The part of the engines that this node polls and routes to; it changes
+  /// with the list and the members only, and costs a hash for each pair.
+  std::vector<Upstream> mPolled;
   std::string mListTag;
   std::map<std::string, LoadReport> mReports;
   std::map<std::string, std::shared_ptr<UpstreamLoad>> mLoads;
