--- a/src/include/rillwall/error.h
+++ b/src/include/rillwall/error.h
@@ -18,26 +18,26 @@
 
 /// What went wrong, by kind. The kind decides the HTTP status.
 enum class ErrorKind {
-  BadRequest = 1,    ///< the request cannot be read or is not valid
-  Unauthorized,      ///< no token, or one that is not known
-  Forbidden,         ///< the token's scope does not allow it
-  NotFound,          ///< no such route, model, trainer, step or policy
-  Conflict,          ///< another writer won, or the state does not allow it
-  Superseded,        ///< a newer request of the same kind took over
-  TooLarge,          ///< a body, header or value is over its limit
-  Timeout,           ///< the deadline passed
-  Overloaded,        ///< refused to protect others; come back later
-  Unavailable,       ///< no upstream or no node can serve this now
-  Draining,          ///< this node is shutting down
-  ConnectionLost,    ///< the peer closed or reset the connection
-  UpstreamRefused,   ///< the upstream refused before running anything
-  UpstreamFailed,    ///< the upstream failed while running
-  Stale,             ///< older than a bound, a fence or a revision allows
-  KvUnavailable,     ///< the key-value service did not take the call
-  KvUncertain,       ///< the key-value service may have taken the call
-  OutcomeUnknown,    ///< a non-idempotent call may have run
-  PolicyInvalid,     ///< a policy program is wrong or contradicts another
-  Internal,          ///< a defect of rillwall
+  BadRequest = 1,   ///< the request cannot be read or is not valid
+  Unauthorized,     ///< no token, or one that is not known
+  Forbidden,        ///< the token's scope does not allow it
+  NotFound,         ///< no such route, model, trainer, step or policy
+  Conflict,         ///< another writer won, or the state does not allow it
+  Superseded,       ///< a newer request of the same kind took over
+  TooLarge,         ///< a body, header or value is over its limit
+  Timeout,          ///< the deadline passed
+  Overloaded,       ///< refused to protect others; come back later
+  Unavailable,      ///< no upstream or no node can serve this now
+  Draining,         ///< this node is shutting down
+  ConnectionLost,   ///< the peer closed or reset the connection
+  UpstreamRefused,  ///< the upstream refused before running anything
+  UpstreamFailed,   ///< the upstream failed while running
+  Stale,            ///< older than a bound, a fence or a revision allows
+  KvUnavailable,    ///< the key-value service did not take the call
+  KvUncertain,      ///< the key-value service may have taken the call
+  OutcomeUnknown,   ///< a non-idempotent call may have run
+  PolicyInvalid,    ///< a policy program is wrong or contradicts another
+  Internal,         ///< a defect of rillwall
 };
 
 /// Whether an upstream ran the request, as told to the caller.
--- a/src/include/rillwall/kv_port.h
+++ b/src/include/rillwall/kv_port.h
@@ -39,8 +39,8 @@
 /// The answer to a compare-and-swap.
 struct KvSwap {
   bool mApplied = false;
-  int64_t mRevision = 0;            ///< of the store after the call
-  std::vector<KvEntry> mCurrent;    ///< what stands there if not applied
+  int64_t mRevision = 0;          ///< of the store after the call
+  std::vector<KvEntry> mCurrent;  ///< what stands there if not applied
 };
 
 /// One change seen by a watch.
--- a/src/include/rillwall/upstream.h
+++ b/src/include/rillwall/upstream.h
@@ -19,8 +19,8 @@
 struct Upstream {
   std::string mId;
   UpstreamKind mKind = UpstreamKind::Engine;
-  std::string mName;      ///< model or service served
-  std::string mAddress;   ///< "ip:port"
+  std::string mName;     ///< model or service served
+  std::string mAddress;  ///< "ip:port"
   std::string mZone;
   uint64_t mGeneration = 0;  ///< of the process behind the id
   bool mLeaving = false;
@@ -36,7 +36,7 @@
   int64_t mVersion = 0;         ///< of the weights served
   int64_t mLoading = 0;         ///< version being loaded; 0: none
   bool mLeaving = false;
-  Millis mAt;                   ///< when it was received
+  Millis mAt;  ///< when it was received
   bool operator==(const LoadReport&) const = default;
 };
 
--- a/src/include/rillwall/upstream_codec.h
+++ b/src/include/rillwall/upstream_codec.h
@@ -39,7 +39,7 @@
   int64_t mVersion = 0;
   std::string mWeights;  ///< where the engine reads them
   int64_t mBytes = 0;
-  uint64_t mFence = 0;   ///< fencing number
+  uint64_t mFence = 0;  ///< fencing number
 };
 
 std::string EncodeCompletion(const EngineCompletion& aCompletion);
--- a/src/standin/trainer_run.h
+++ b/src/standin/trainer_run.h
@@ -40,7 +40,7 @@
   int64_t mPullWaitMillis = 1000;
   int64_t mPatienceSeconds = 120;
   int64_t mSeconds = 0;  ///< no step is begun after that long; 0: no limit
-  uint64_t mAhead = 0;  ///< steps open before the present is trained
+  uint64_t mAhead = 0;   ///< steps open before the present is trained
   uint64_t mSeed = 1;
   bool mSwapEveryStep = false;
   bool mSwapMidStep = false;  ///< announce one more once half is received
