scripts: stopping a process that has ended is no error

Cause: a long run ended without a word when an engine that had crashed was to be stopped: the unset pid ended the shell under 'set -u', its message lost to a redirection. Ruled out: a failing node (all were alive and were drained by the exit trap). Waiting for a process that was not started, or was waited for already, now returns at once.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -106,6 +106,7 @@
 # rw_wait_end NAME SECONDS
 rw_wait_end() {
   local name=$1 end=$((SECONDS + $2)) status
+  [[ -n ${RW_PID[$name]:-} ]] || return 0
   while rw_alive "$name"; do
     if [[ $SECONDS -ge $end ]]; then return 124; fi
     sleep 0.1
