--- a/src/standin/callers_figures.cpp
+++ b/src/standin/callers_figures.cpp
@@ -24,6 +24,7 @@
   text["started"] = aFigures.mStarted;
   text["whole"] = aFigures.mWhole;
   text["refused"] = aFigures.mRefused;
+  text["last_refusal"] = aFigures.mLastRefusal;
   text["cut"] = aFigures.mCut;
   text["unreachable"] = aFigures.mUnreachable;
   text["moved"] = aFigures.mMoved;
@@ -39,7 +40,10 @@
   json::object text;
   text["started"] = aFigures.mStarted;
   text["answered"] = aFigures.mAnswered;
-  text["failed"] = aFigures.mFailed;
+  text["refused"] = aFigures.mRefused;
+  text["lost"] = aFigures.mLost;
+  text["unreachable"] = aFigures.mUnreachable;
+  text["last_failure"] = aFigures.mLastFailure;
   text["crossed"] = aFigures.mCrossed;
   text["ms"] = Times(aFigures.mTime);
   return text;
--- a/src/standin/callers_figures.h
+++ b/src/standin/callers_figures.h
@@ -15,6 +15,7 @@
   uint64_t mStarted = 0;
   uint64_t mWhole = 0;
   uint64_t mRefused = 0;      ///< with a status; nothing was streamed
+  std::string mLastRefusal;   ///< what the last of these was told
   uint64_t mCut = 0;          ///< visibly: by an error event or a cut
   uint64_t mUnreachable = 0;  ///< no node took the connection
   uint64_t mMoved = 0;        ///< went to another node, not run at the first
@@ -30,8 +31,11 @@
 struct ReadFigures {
   uint64_t mStarted = 0;
   uint64_t mAnswered = 0;
-  uint64_t mFailed = 0;
-  uint64_t mCrossed = 0;  ///< broken: another request's answer
+  uint64_t mRefused = 0;      ///< with a status
+  uint64_t mLost = 0;         ///< sent, and no answer came
+  uint64_t mUnreachable = 0;  ///< no node took the connection
+  uint64_t mCrossed = 0;      ///< broken: another request's answer
+  std::string mLastFailure;   ///< what the last one of these was told
   std::vector<int64_t> mTime;
 };
 
--- a/src/standin/callers_run.cpp
+++ b/src/standin/callers_run.cpp
@@ -164,6 +164,9 @@
     if (run && *run == "not-run") {
       mFigures.mStreams.mNotRun.push_back(PromptId(aPrompt));
     }
+    const auto body = co_await stream.Read(kChunkTimeout);
+    mFigures.mStreams.mLastRefusal =
+        body.has_value() ? body.value() : body.error().Detail();
     co_return true;
   }
   co_await ReadStream(stream, aPrompt, start);
@@ -228,8 +231,15 @@
   request.mTarget = "/services/" + mOptions.mService + path;
   mNodes.Authorize(request);
   const auto answer = co_await SendMoving(std::move(request));
-  if (!answer.has_value() || answer.value().mStatus != kOk) {
-    ++mFigures.mReads.mFailed;
+  if (!answer.has_value()) {
+    const bool sent = answer.error().Run() != RunState::NotRun;
+    ++(sent ? mFigures.mReads.mLost : mFigures.mReads.mUnreachable);
+    mFigures.mReads.mLastFailure = answer.error().Detail();
+    co_return;
+  }
+  if (answer.value().mStatus != kOk) {
+    ++mFigures.mReads.mRefused;
+    mFigures.mReads.mLastFailure = answer.value().mBody;
     co_return;
   }
   const auto body = ParseObject(answer.value().mBody);
