--- a/src/rillwall/weight_controller.cpp
+++ b/src/rillwall/weight_controller.cpp
@@ -1,6 +1,7 @@
 #include "weight_controller.h"
 
 #include <algorithm>
+#include <random>
 #include <set>
 
 #include "rillwall/json.h"
@@ -17,6 +18,8 @@
 constexpr const char* kFencePrefix = "rillwall/fence/";
 constexpr Millis kTick{100};
 constexpr Millis kKvPause{1000};
+// 600 engines drawn for within this time are 200 writes a second.
+constexpr Millis kDrawSpread{3000};
 constexpr Millis kOrderTimeout{3000};
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
@@ -56,6 +59,10 @@
   std::map<std::string, uint64_t> mFences;   ///< by engine of the duty
   std::set<std::string> mDrawing;            ///< engines whose fence is drawn
   std::set<std::string> mPersisting;         ///< models being written
+  std::set<std::string> mDuties;             ///< engines of this controller
+  std::vector<std::string> mEngineIds;       ///< that the duties were made for
+  bool mMembersChanged = true;
+  std::mt19937_64 mRandom{std::random_device()()};
   Millis mFencesConfirmedAt;
   bool mConfirming = false;
 
@@ -68,7 +75,8 @@
                              WeightVersion aVersion);
   void TickModel(const std::string& aModel,
                  const std::vector<Upstream>& aEngines);
-  bool IsDuty(const std::string& aEngine) const;
+  void ReviewDuties(const std::vector<Upstream>& aEngines);
+  void DrawMissingFences();
   std::optional<WeightVersion> Newest(const std::string& aModel) const;
 };
 
@@ -84,6 +92,8 @@
       impl->mLearnedAt[aFact.mKey] = impl->mNode.Now();
     }
   });
+  mImpl->mGossip.OnMember(
+      [impl = mImpl.get()](const Member&) { impl->mMembersChanged = true; });
   mImpl->mNode.SpawnControl(mImpl->TickLoop());
   mImpl->mNode.SpawnControl(mImpl->RestoreLoop());
 }
@@ -173,16 +183,50 @@
   }
 }
 
-bool WeightController::Impl::IsDuty(const std::string& aEngine) const {
-  const std::vector<Member> owners =
-      DutyOwners(mNode.Members().Live(), "engine/" + aEngine, 1);
-  return !owners.empty() && owners[0].mId == mNode.Settings().mNodeId;
+// Hashing all engines over all members is dear at size, so it is done when the
+// members or the engines have changed and not at every tick.
+void WeightController::Impl::ReviewDuties(
+    const std::vector<Upstream>& aEngines) {
+  std::vector<std::string> ids;
+  for (const Upstream& engine : aEngines) {
+    ids.push_back(engine.mId);
+  }
+  if (!mMembersChanged && ids == mEngineIds) {
+    return;
+  }
+  mMembersChanged = false;
+  mEngineIds = std::move(ids);
+  const std::vector<Member> live = mNode.Members().Live();
+  mDuties.clear();
+  for (const std::string& id : mEngineIds) {
+    const std::vector<Member> owners = DutyOwners(live, "engine/" + id, 1);
+    if (!owners.empty() && owners[0].mId == mNode.Settings().mNodeId) {
+      mDuties.insert(id);
+    }
+  }
+  std::erase_if(mFences, [this](const auto& aEntry) {
+    return !mDuties.contains(aEntry.first);
+  });
+}
+
+// A number is drawn when the duty comes, before any order needs it, and after a
+// random pause, so that a start of the whole fleet or the end of an outage does
+// not bring a burst of writes.
+void WeightController::Impl::DrawMissingFences() {
+  for (const std::string& engine : mDuties) {
+    if (!mFences.contains(engine) && mDrawing.insert(engine).second) {
+      mNode.SpawnControl(DrawFence(engine));
+    }
+  }
 }
 
 asio::awaitable<void> WeightController::Impl::TickLoop() {
   while (true) {
     std::map<std::string, std::vector<Upstream>> models;
-    for (const Upstream& engine : mUpstreams.Engines()) {
+    const std::vector<Upstream> all = mUpstreams.Engines();
+    ReviewDuties(all);
+    DrawMissingFences();
+    for (const Upstream& engine : all) {
       models[engine.mName].push_back(engine);
     }
     for (const auto& [model, engines] : models) {
@@ -212,14 +256,10 @@
     SwapEngine swap;
     swap.mId = engine.mId;
     swap.mLeaving = mUpstreams.IsLeaving(engine);
-    swap.mDuty = IsDuty(engine.mId);
+    swap.mDuty = mDuties.contains(engine.mId);
     const auto fence = mFences.find(engine.mId);
-    if (!swap.mDuty && fence != mFences.end()) {
-      mFences.erase(fence);
-    } else if (fence != mFences.end()) {
+    if (fence != mFences.end()) {
       swap.mFence = fence->second;
-    } else if (swap.mDuty && mDrawing.insert(engine.mId).second) {
-      mNode.SpawnControl(DrawFence(engine.mId));
     }
     const auto report = mUpstreams.Reports().find(engine.mId);
     if (report != mUpstreams.Reports().end()) {
@@ -243,12 +283,13 @@
 // later of two controllers always holds the greater one. A lost answer does no
 // harm: the next write gives a greater number still.
 asio::awaitable<void> WeightController::Impl::DrawFence(std::string aEngine) {
+  const int64_t pause = static_cast<int64_t>(
+      mRandom() % static_cast<uint64_t>(kDrawSpread.Count()));
+  co_await Node::Sleep(Millis(pause));
   const Result<int64_t> revision = co_await mNode.Kv().Put(
       kFencePrefix + aEngine, mNode.Settings().mNodeId, 0);
-  if (revision) {
+  if (revision && mDuties.contains(aEngine)) {
     mFences[aEngine] = static_cast<uint64_t>(*revision);
-  } else {
-    co_await Node::Sleep(kKvPause);
   }
   mDrawing.erase(aEngine);
 }
