calls: a refused sample comes back as a first call; numbers drawn once duties have settled

Ruled out: engines (idle), the step's book. A refused sample comes back as a first call; a call that resumes what it has does not draw on the budget. A number is drawn 2 s after the duty came, if it is still this node's.

--- a/src/librillwall_coordination/membership_test_network.h
+++ b/src/librillwall_coordination/membership_test_network.h
@@ -22,6 +22,7 @@
   static constexpr Millis kStep{10};
   static constexpr Millis kTick{50};
   static constexpr Millis kStart{100000};
+  static constexpr size_t kFirstPort = 10000;
 
   TestNetwork(size_t aCount, GossipLimits aLimits, uint64_t aSeed)
       : mRandom(aSeed), mLimits(aLimits) {
@@ -30,9 +31,14 @@
     }
   }
 
-  static std::string Id(size_t aIndex) { return "n" + std::to_string(aIndex); }
+  static std::string Id(size_t aIndex) {
+    return "node-" + std::to_string(aIndex);
+  }
+  static size_t IndexOf(const std::string& aId) {
+    return std::stoul(aId.substr(aId.find('-') + 1));
+  }
   static std::string Address(size_t aIndex) {
-    return "10.0.0.1:" + std::to_string(aIndex + 1);
+    return "10.20.30.40:" + std::to_string(kFirstPort + aIndex);
   }
 
   Membership& At(size_t aIndex) { return *mNodes[aIndex].mMembership; }
@@ -63,13 +69,14 @@
       mWatcher(aFrom, aActions);
     }
     for (const Member& member : aActions.mChanged) {
-      const size_t index = std::stoul(member.mId.substr(1));
+      const size_t index = IndexOf(member.mId);
       const bool isFalse =
           !mNodes[index].mCrashed && member.mState == MemberState::Dead;
       mFalseDeaths += isFalse ? 1 : 0;
     }
     for (const GossipSend& send : aActions.mSends) {
-      const size_t to = std::stoul(send.mTo.substr(send.mTo.find(':') + 1)) - 1;
+      const size_t to =
+          std::stoul(send.mTo.substr(send.mTo.find(':') + 1)) - kFirstPort;
       const bool isLost = std::bernoulli_distribution(mLoss)(mRandom);
       if (!isLost && Hears(aFrom, to)) {
         const Millis due =
@@ -130,7 +137,7 @@
   std::unique_ptr<Membership> Make(size_t aIndex, uint64_t aIncarnation) {
     const std::string address = Address(aIndex);
     return std::make_unique<Membership>(
-        Member{Id(aIndex), "zone", address, address, address, aIncarnation},
+        Member{Id(aIndex), "zone-1", address, address, address, aIncarnation},
         std::vector<std::string>{Address(0), Address(1), Address(2)}, mLimits,
         mRandom());
   }
@@ -154,7 +161,7 @@
   void Exchange(size_t aIndex) {
     const std::vector<Member> live = At(aIndex).Live();
     const Member& peer = live[mRandom() % live.size()];
-    const size_t other = std::stoul(peer.mId.substr(1));
+    const size_t other = IndexOf(peer.mId);
     if (other == aIndex || !Hears(aIndex, other) || IsFrozen(other)) {
       return;
     }
@@ -200,7 +207,7 @@
   std::multimap<Millis, Flight> mWire;
   std::function<void(size_t, const GossipActions&)> mWatcher;
   Millis mNow = kStart;
-  Millis mExchange{5000};
+  Millis mExchange{10000};  // as in gossip_loop.cpp
   std::pair<size_t, size_t> mBroken;
   double mLoss = 0;
   size_t mFalseDeaths = 0;
--- a/src/rillwall/model_calls.cpp
+++ b/src/rillwall/model_calls.cpp
@@ -93,8 +93,11 @@
     const bool wait = aRequest.mSpec.mClass == CallClass::Training &&
                       mNode.Now() < aRequest.mSpec.mDeadline;
     if (decision.mVerdict == CallVerdict::Refuse && wait) {
-      // Nobody waits for a single sample; what it has so far is kept.
+      // Nobody waits for a single sample; what it has so far is kept. It comes
+      // back as a first call: the retry budget grows with these only, and would
+      // stay empty if every sample were a retry.
       aRequest.mSpec.mAvoid.clear();
+      aRequest.mSpec.mRetry = false;
       co_await Node::Sleep(std::max(kRefusedPause, decision.mRetryAfter));
       continue;
     }
@@ -120,7 +123,8 @@
       continue;
     }
     aRequest.mSpec.mAvoid.push_back(decision.mUpstream);
-    aRequest.mSpec.mRetry = true;
+    // A call that goes on from what it has repeats no work.
+    aRequest.mSpec.mRetry = running.mAnswer.mLabel.Tokens() == 0;
     mNode.Meter().Add(Counter::UpstreamRetries);
     const bool last = ++attempts >= kMaxAttempts && !wait;
     if (last || mNode.Now() > aRequest.mSpec.mDeadline) {
--- a/src/rillwall/weight_controller.cpp
+++ b/src/rillwall/weight_controller.cpp
@@ -20,6 +20,7 @@
 constexpr Millis kKvPause{1000};
 // 600 engines drawn for within this time are 200 writes a second.
 constexpr Millis kDrawSpread{3000};
+constexpr Millis kDrawSettle{2000};
 constexpr Millis kOrderTimeout{3000};
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
@@ -285,7 +286,13 @@
 asio::awaitable<void> WeightController::Impl::DrawFence(std::string aEngine) {
   const int64_t pause = static_cast<int64_t>(
       mRandom() % static_cast<uint64_t>(kDrawSpread.Count()));
-  co_await Node::Sleep(Millis(pause));
+  // A node that has just started sees few others and takes all duties for its
+  // own; by the end of the pause it knows better.
+  co_await Node::Sleep(kDrawSettle + Millis(pause));
+  if (!mDuties.contains(aEngine)) {
+    mDrawing.erase(aEngine);
+    co_return;
+  }
   const Result<int64_t> revision = co_await mNode.Kv().Put(
       kFencePrefix + aEngine, mNode.Settings().mNodeId, 0);
   if (revision && mDuties.contains(aEngine)) {
