--- a/src/cmake/RillwallLibrary.cmake
+++ b/src/cmake/RillwallLibrary.cmake
@@ -10,7 +10,7 @@
   target_include_directories(${name} PUBLIC ${CMAKE_SOURCE_DIR}/src/include
                              PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
   target_link_libraries(${name} PUBLIC ${ARG_LINK})
-  if(tests)
+  if(tests AND RILLWALL_DEVELOPMENT)
     add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/src/cmake/test_main.cpp)
     target_include_directories(${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
     # Tests read examples of docs/ and testsuite/ by this path.
--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -104,6 +104,9 @@
   /// \return whether the peer is known to have closed the connection. While a
   /// handler runs, the server watches the socket for it.
   virtual bool PeerGone() const = 0;
+  /// Asks for one call, on the connection's strand, when the peer closes the
+  /// connection. Replaces the one asked for before; an empty one asks for none.
+  virtual void OnPeerGone(std::function<void()> aCall) = 0;
 };
 
 using HttpHandler = std::function<asio::awaitable<void>(
@@ -157,6 +160,9 @@
   /// \return the part; empty at the answer's proper end; an error if the
   /// answer was cut (ConnectionLost) or nothing came in time (Timeout)
   virtual asio::awaitable<Result<std::string>> Read(Millis aWait) = 0;
+  /// Ends the call now: a pending Read() returns an error, and the connection
+  /// is closed.
+  virtual void Abort() = 0;
 };
 
 /// Sends requests. Thread-safe.
@@ -178,6 +184,11 @@
   /// Sends a request and returns when the answer's headers are there.
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
       const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout);
+  /// Limits the time for making a connection within a call's own time, so that
+  /// a host that does not answer costs only this much. Unset: no own limit.
+  void SetConnectTimeout(Millis aTimeout);
+  /// \return connections made so far, for metrics
+  uint64_t ConnectionsMade() const;
   /// Reads the TLS files anew, for connections made from now on.
   /// \return what is wrong with them; the keys in force then stay
   std::optional<Error> ReloadTls();
--- /dev/null
+++ b/src/include/rillwall/lead_claim.h
@@ -0,0 +1,63 @@
+/// \file
+/// The claim on the duty of leading: owning new rollout steps and giving orders
+/// to replicas.
+///
+/// The claim is a key of the store under a lease. Its revision is the fencing
+/// token of all orders under it. A node that cannot renew the lease stops
+/// ordering before the lease can have ended; a new holder waits until no order
+/// of its predecessor can still be under way.
+
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "rillwall/node_context.h"
+
+namespace rillwall {
+
+/// Who leads, as written in the store.
+struct LeadHolder {
+  std::string mName;
+  std::string mAddress;  ///< where it answers other nodes, ip:port
+  std::string mRun;
+  bool operator==(const LeadHolder&) const = default;
+};
+
+class LeadClaim {
+ public:
+  /// \param aOnWon called after each claim that this node wins
+  LeadClaim(NodeContext& aNode, std::function<void()> aOnWon);
+
+  /// Claims and renews until the node stops. For candidates only.
+  asio::awaitable<void> Run();
+  /// Gives the claim up at once.
+  asio::awaitable<void> Resign();
+
+  bool Held() const { return mLease != 0; }
+  /// \return whether an order may be sent now
+  bool MayOrder() const;
+  /// \return the fencing token of this claim, 0 if not held
+  int64_t Fence() const { return Held() ? mFence : 0; }
+
+  /// Reads who leads; remembers it until Forget().
+  asio::awaitable<Result<std::optional<LeadHolder>>> Holder();
+  void Forget() { mKnown.reset(); }
+
+ private:
+  asio::awaitable<void> TryClaim();
+  asio::awaitable<void> Renew();
+  asio::awaitable<void> AwaitVacancy();
+  void Lose(const char* aWhy);
+
+  NodeContext& mNode;
+  const std::function<void()> mOnWon;
+  int64_t mLease = 0;
+  int64_t mFence = 0;
+  Millis mRenewedAt;   ///< when the last renewal that succeeded was sent
+  Millis mOrdersFrom;  ///< no order before
+  std::optional<LeadHolder> mKnown;
+};
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/include/rillwall/node_context.h
@@ -0,0 +1,82 @@
+/// \file
+/// What the parts of a serving node share: its identity, what it knows of the
+/// configuration and the replicas, and its clients.
+///
+/// A serving node runs on one thread, since its hosts have a quarter of a core;
+/// so nothing here is locked. Parts outside that thread read the routes through
+/// their RcuCell.
+
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "rillwall/http.h"
+#include "rillwall/millis.h"
+#include "rillwall/rcu.h"
+#include "rillwall/replica_pool.h"
+#include "rillwall/route_table.h"
+#include "rillwall/service_metrics.h"
+#include "rillwall/store_port.h"
+
+namespace rillwall {
+
+/// Names of the headers between clients, nodes and replicas. The adapter of a
+/// platform fills them in.
+struct HeaderNames {
+  std::string mRequestId;       ///< identity of one client attempt
+  std::string mTimeLeft;        ///< ms that the sender still waits
+  std::string mExpectReplica;   ///< only the replica of this id may run it
+  std::string mNotRun;          ///< in answers: the replica did not run it
+  std::string mSignature;       ///< in answers: the replica's signature
+  std::string mWeightVersion;   ///< in answers and events: of the weights
+  std::string mLastEvent;       ///< a stream goes on after this event
+  std::string mPriority;        ///< 0 goes first
+};
+
+/// Who this node is.
+struct NodeIdentity {
+  std::string mName;
+  std::string mZone;     ///< availability zone
+  std::string mAddress;  ///< where other nodes reach it, ip:port
+  std::string mRun;      ///< of this start of the process; never used again
+};
+
+/// Bounds that the operator's settings give, all in milliseconds.
+struct ServingBounds {
+  bool operator==(const ServingBounds&) const = default;
+  Millis mLease{3000};   ///< between the orders of two holders of a claim
+  Millis mGrace{8000};   ///< from the stop signal to the kill
+  Millis mStatus{120000};  ///< results stay readable so long
+};
+
+struct NodeContext {
+  NodeContext(asio::io_context& aIo, StorePort& aStore)
+      : mIo(aIo), mStore(aStore), mClient(aIo) {}
+
+  asio::io_context& mIo;
+  StorePort& mStore;
+  HttpClient mClient;
+  SteadyClock mClock;
+  NodeIdentity mIdentity;
+  HeaderNames mHeaders;
+  ServingBounds mBounds;
+  RcuCell<RouteTable> mRoutes;
+  ReplicaPool mReplicas;
+  ServiceMetrics mMetrics;
+  bool mStopping = false;  ///< the stop signal has come
+
+  Millis Now() const { return mClock.Now(); }
+};
+
+/// Waits. Ends early, without an error, if the coroutine is cancelled.
+asio::awaitable<void> Sleep(asio::io_context& aIo, Millis aSpan);
+/// Starts a coroutine that nobody waits for; what it throws is logged.
+void Launch(asio::io_context& aIo, std::string aName,
+            asio::awaitable<void> aRun);
+/// \return whether the running coroutine has been cancelled
+asio::awaitable<bool> Cancelled();
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/include/rillwall/replica_pool.h
@@ -0,0 +1,117 @@
+/// \file
+/// The replicas of all services as this node knows them, and the choice of one
+/// for a request.
+///
+/// Pure: the instant is an argument. Entries come from the registry in whole
+/// snapshots; what this node saw itself (requests in flight, failures, speed)
+/// is kept beside them. Used on one thread.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rillwall/millis.h"
+
+namespace rillwall {
+
+/// The weight version of one model on a replica.
+struct ModelVersion {
+  std::string mModel;
+  int64_t mVersion = 0;
+  bool operator==(const ModelVersion&) const = default;
+};
+
+/// One replica as the registry lists it.
+struct Replica {
+  std::string mId;  ///< of this start of the replica; never used again
+  std::string mService;
+  std::string mAddress;  ///< ip:port
+  std::string mZone;     ///< availability zone
+  int64_t mSlots = 1;    ///< requests that it runs at once
+  bool mDraining = false;
+  std::vector<ModelVersion> mModels;
+
+  /// \return the version of a model, 0 if it does not serve it
+  int64_t VersionOf(std::string_view aModel) const;
+  bool operator==(const Replica&) const = default;
+};
+
+/// How one request at a replica ended.
+enum class ReplicaOutcome {
+  Served,       ///< a whole answer, whatever its status
+  Refused,      ///< said that it did not run the request
+  Failed,       ///< closed, reset or spoiled the answer
+  Unreachable,  ///< no connection could be made in time
+  Abandoned,    ///< this node ended it; says nothing of the replica
+};
+
+/// What a request asks of its replica.
+struct ReplicaWish {
+  std::string mService;
+  std::string mZone;                   ///< availability zone of this node
+  std::vector<std::string> mExcluded;  ///< ids that were tried already
+  std::string mModel;                  ///< empty: any
+  int64_t mMinVersion = 0;             ///< oldest weights that may serve it
+  bool mWithinSlots = false;           ///< only a replica with a free slot
+};
+
+/// What the registry's newest snapshot changed.
+struct ReplicaChanges {
+  std::vector<std::string> mAdded;
+  std::vector<std::string> mDraining;
+  std::vector<std::string> mGone;
+};
+
+class ReplicaPool {
+ public:
+  /// Takes in a whole snapshot of the registry.
+  /// \param aKeepMissing keep entries that are missing for now, since the
+  /// registry has just come back and live replicas register again
+  ReplicaChanges Update(const std::vector<Replica>& aReplicas,
+                        bool aKeepMissing);
+
+  /// \return the id of the replica to send to, or nothing if none may take it
+  std::optional<std::string> Choose(const ReplicaWish& aWish,
+                                    Millis aNow) const;
+  /// Counts a request that is about to be sent.
+  void Start(const std::string& aId);
+  /// \param aLatency of a served request, to its answer's head; else 0
+  void End(const std::string& aId, ReplicaOutcome aOutcome, Millis aLatency,
+           Millis aNow);
+  /// The replica takes no new request of this node until then.
+  void Pause(const std::string& aId, Millis aUntil);
+  /// An answer or an order told the version that a replica serves now.
+  void Learn(const std::string& aId, const std::string& aModel,
+             int64_t aVersion);
+
+  /// \return the entry, or null if it is not (or no longer) listed
+  const Replica* Find(const std::string& aId) const;
+  /// \return whether a new request may still be sent to it
+  bool Sendable(const std::string& aId) const;
+  int64_t InFlight(const std::string& aId) const;
+  std::vector<const Replica*> OfService(std::string_view aService) const;
+  bool Empty() const { return mStates.empty(); }
+  size_t Size() const { return mStates.size(); }
+
+ private:
+  struct State {
+    Replica mReplica;
+    int64_t mInFlight = 0;
+    int mFailures = 0;  ///< in a row
+    Millis mPausedUntil;
+    double mLatency = 0;  ///< smoothed, in ms; 0: none measured
+  };
+  /// \return how loaded and slow it is, for the comparison; lower is better
+  static double Cost(const State& aState, const ReplicaWish& aWish,
+                     Millis aNow);
+  static bool Suits(const State& aState, const ReplicaWish& aWish);
+
+  std::map<std::string, State> mStates;
+};
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/include/rillwall/rollout.h
@@ -0,0 +1,182 @@
+/// \file
+/// A rollout step as a trainer submits it, the results it collects, and the
+/// decisions over its items.
+///
+/// Pure: no I/O and no clock. An *item* is one text to be generated and scored;
+/// the items of a *group* share their prompt, and a trainer waits for whole
+/// groups.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rillwall/millis.h"
+
+namespace rillwall {
+
+/// A header of an item's request.
+struct RolloutHeader {
+  std::string mName;
+  std::string mValue;
+  bool operator==(const RolloutHeader&) const = default;
+};
+
+/// The request that scores an item's text.
+struct ScorerCall {
+  std::string mId;
+  std::string mHost;
+  std::string mPath;
+  std::string mBody;
+  bool operator==(const ScorerCall&) const = default;
+};
+
+/// One text to generate.
+struct RolloutItem {
+  std::string mId;
+  std::string mGroup;
+  std::string mPath;
+  std::vector<RolloutHeader> mHeaders;
+  std::string mBody;
+  int64_t mTokens = 0;      ///< of the prompt and the longest output together
+  int64_t mLengthHint = 0;  ///< expected tokens of output; 0: unknown
+  std::optional<ScorerCall> mScorer;
+  bool operator==(const RolloutItem&) const = default;
+};
+
+/// A submitted step. Immutable once accepted.
+struct RolloutSpec {
+  std::string mId;
+  std::string mHost;  ///< with mPath: selects the route
+  std::string mPath;
+  int64_t mStep = 0;
+  std::string mModel;         ///< empty: any weights will do
+  int64_t mMinVersion = 0;    ///< oldest weights that may generate its text
+  int64_t mTargetGroups = 0;  ///< the trainer goes on with so many whole groups
+  std::vector<RolloutItem> mItems;
+  bool operator==(const RolloutSpec&) const = default;
+};
+
+/// The text of an item as far as it was generated.
+struct RolloutText {
+  int64_t mEvents = 0;  ///< whole events received; the last one's id
+  std::string mOutput;  ///< data of these events, joined by line feeds
+  std::vector<int64_t> mVersions;  ///< weights that made them, each once
+  bool mWhole = false;             ///< the last event has been received
+  std::string mScore;              ///< signature of the scorer's answer
+
+  /// Adds one event.
+  /// \param aVersion weights that made it
+  void Append(const std::string& aData, int64_t aVersion);
+  /// \return whether a step may use it
+  bool Fits(int64_t aMinVersion, bool aSingleVersion) const;
+  bool operator==(const RolloutText&) const = default;
+};
+
+/// How an item ended.
+enum class RolloutEnd { Completed, Terminated };
+
+/// A result as the trainer reads it.
+struct RolloutResult {
+  std::string mItem;
+  RolloutEnd mEnd = RolloutEnd::Completed;
+  std::string mOutput;
+  std::vector<int64_t> mVersions;
+  std::string mScore;
+  bool operator==(const RolloutResult&) const = default;
+};
+
+/// What to run next.
+struct RolloutPick {
+  size_t mItem = 0;          ///< index in the step
+  std::string mAvoid;        ///< replica that failed it last; may be empty
+  std::string mPreferred;    ///< replica that holds the group's prompt
+};
+
+/// The state of one step's items: what runs next, what is finished, what may
+/// be listed. The owner of the step is its only user.
+class RolloutBook {
+ public:
+  /// \param aAttempts failures after which an item is given up
+  RolloutBook(RolloutSpec aSpec, int aAttempts, bool aSingleVersion);
+
+  const RolloutSpec& Spec() const { return mSpec; }
+  const RolloutItem& Item(size_t aIndex) const { return mSpec.mItems[aIndex]; }
+  std::optional<size_t> IndexOf(const std::string& aItem) const;
+
+  /// Takes over results that were listed before this owner.
+  void Restore(const std::vector<RolloutResult>& aListed);
+  /// Takes over text of an earlier step, if it fits this one.
+  /// \return whether it was used
+  bool Adopt(size_t aItem, RolloutText aText);
+
+  /// \return the next item to run, or nothing if none waits
+  std::optional<RolloutPick> Next() const;
+  void Started(size_t aItem, const std::string& aReplica);
+  /// The text at hand; a run goes on after its last event.
+  RolloutText& Text(size_t aItem) { return mStates[aItem].mText; }
+  /// A run ended without the whole text and is to be made again.
+  /// \param aFailed the replica ran it and failed
+  /// \return whether it was given up for that
+  bool Interrupted(size_t aItem, bool aFailed);
+  /// The replica says that the item can never be done.
+  void Impossible(size_t aItem);
+  /// Text and score are whole.
+  void Finished(size_t aItem);
+  /// Everything that has not ended is given up, as the longest wait is over.
+  void GiveUpRest();
+
+  /// Finished results that are not listed yet, in the order they ended.
+  std::vector<RolloutResult> TakeUnlisted();
+  bool HasUnlisted() const { return !mUnlisted.empty(); }
+  bool AllEnded() const { return mEnded == mStates.size(); }
+  size_t Waiting() const { return mWaiting.size(); }
+  size_t Total() const { return mStates.size(); }
+  size_t Ended() const { return mEnded; }
+  /// \return groups whose items have all ended
+  size_t WholeGroups() const { return mWholeGroups; }
+  /// Texts of items, for a later step that asks for them again.
+  std::map<std::string, RolloutText> TextsOfOpenGroups() const;
+
+ private:
+  enum class Phase { Waiting, Running, Ended };
+  struct State {
+    Phase mPhase = Phase::Waiting;
+    int mFailures = 0;
+    std::string mLastReplica;
+    RolloutText mText;
+  };
+  struct Group {
+    size_t mSize = 0;
+    size_t mEnded = 0;
+    std::string mReplica;  ///< where its prompt was read last
+  };
+  /// Place in the order of starts: lower runs sooner.
+  struct Place {
+    int mRank = 0;  ///< 0: text at hand or carried over; 1: others
+    int64_t mExpected = 0;
+    size_t mItem = 0;
+    bool operator<(const Place& aOther) const;
+  };
+  Place PlaceOf(size_t aItem) const;
+  void End(size_t aItem, RolloutEnd aEnd);
+  RolloutResult ResultOf(size_t aItem, RolloutEnd aEnd) const;
+
+  const RolloutSpec mSpec;
+  const int mAttempts;
+  const bool mSingleVersion;
+  std::map<std::string, size_t> mIndex;
+  std::map<std::string, Group> mGroups;
+  std::map<std::string, int64_t> mGroupExpected;
+  std::vector<State> mStates;
+  std::set<Place> mWaiting;
+  std::vector<RolloutResult> mUnlisted;
+  size_t mEnded = 0;
+  size_t mWholeGroups = 0;
+};
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/include/rillwall/rollout_service.h
@@ -0,0 +1,130 @@
+/// \file
+/// Owns rollout steps: accepts them durably, runs their items, lists results
+/// at positions that never change, and takes over steps whose owner is gone.
+///
+/// Each step has one owner, named by its record in the store. Every append is
+/// guarded by the record's revision, so that an owner that was replaced while
+/// it was paused or cut off can append nothing.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "rillwall/lead_claim.h"
+#include "rillwall/node_context.h"
+#include "rillwall/rollout.h"
+#include "rillwall/rollout_record.h"
+
+namespace rillwall {
+
+/// Where a step is served.
+struct RolloutPlace {
+  enum class Kind {
+    Here,      ///< this node owns it, or holds all that it ever listed
+    There,     ///< another node does
+    Unknown,   ///< no such step was ever accepted
+  };
+  Kind mKind = Kind::Unknown;
+  std::string mAddress;  ///< of the other node
+  bool mEnded = false;
+};
+
+/// Results from one position on.
+struct RolloutRead {
+  int64_t mTotal = 0;
+  int64_t mNext = 0;
+  std::vector<RolloutResult> mResults;
+};
+
+struct RolloutStep;
+
+class RolloutService {
+ public:
+  /// Reads a submission again from its stored body.
+  using SpecDecoder = std::function<Result<RolloutSpec>(
+      const std::string& aId, const StepRecord& aRecord,
+      const std::string& aBody)>;
+
+  RolloutService(NodeContext& aNode, LeadClaim& aLead, SpecDecoder aDecoder);
+  ~RolloutService();
+
+  /// Accepts a step durably and begins to run it here.
+  /// \param aBody the submission as it came, to be kept in the store
+  /// \return an error whose Run() is NotRun only if it certainly is not and
+  /// will not be accepted by this call
+  asio::awaitable<std::optional<Error>> Accept(RolloutSpec aSpec, Route aRoute,
+                                               std::string aBody);
+  /// \param aAdopt take the step over if its owner does not answer
+  asio::awaitable<Result<RolloutPlace>> Locate(std::string aId, bool aAdopt);
+  /// The node at this address did not answer for a step.
+  void ForgetPlace(const std::string& aId);
+
+  /// For steps that are here. Waits for a result at aAfter, if there is none.
+  asio::awaitable<Result<RolloutRead>> Read(std::string aId, int64_t aAfter,
+                                            Millis aWait);
+  /// \return the body of an item, or nothing if it has none to give
+  std::optional<std::string> Body(const std::string& aId,
+                                  const std::string& aItem) const;
+  asio::awaitable<std::optional<Error>> End(std::string aId);
+
+  /// Takes over all open steps whose owner does not answer; for a new lead.
+  asio::awaitable<void> AdoptOrphans();
+  /// Loads an ended step from the store, to be read here.
+  asio::awaitable<std::optional<Error>> LoadArchive(std::string aId);
+  /// Starts items for which replicas have room.
+  void Pump();
+  /// Watches over open steps until the node stops.
+  asio::awaitable<void> Run();
+  /// \return whether a step is here and still open
+  bool Owns(const std::string& aId) const;
+  size_t OpenSteps() const;
+
+ private:
+  using StepPtr = std::shared_ptr<RolloutStep>;
+  /// What an ended step listed.
+  struct Archive {
+    std::vector<RolloutResult> mListed;
+    int64_t mTotal = 0;
+    Millis mSince;
+  };
+
+  StepPtr MakeStep(RolloutSpec aSpec, const Route& aRoute, StepRecord aRecord,
+                   int64_t aRevision);
+  void AdoptTexts(RolloutStep& aStep);
+  asio::awaitable<Result<StepPtr>> TakeOver(std::string aId,
+                                            StepRecord aRecord,
+                                            int64_t aRevision);
+  asio::awaitable<Result<std::vector<RolloutResult>>> LoadPages(
+      std::string aId);
+  asio::awaitable<Result<std::string>> LoadBody(std::string aId);
+  asio::awaitable<bool> Answers(std::string aAddress);
+
+  bool StartNext(const StepPtr& aStep);
+  std::optional<std::string> ChooseReplica(const RolloutStep& aStep,
+                                           const RolloutPick& aPick) const;
+  asio::awaitable<void> RunItem(StepPtr aStep, size_t aItem, Replica aReplica);
+  asio::awaitable<void> ScoreItem(StepPtr aStep, size_t aItem);
+  void ScheduleFlush(const StepPtr& aStep);
+  asio::awaitable<void> FlushLoop(StepPtr aStep);
+  asio::awaitable<bool> CommitPage(StepPtr aStep, ResultPage aPage);
+  asio::awaitable<std::optional<Error>> Verify(StepPtr aStep);
+  /// This node owns the step no more.
+  void Drop(const StepPtr& aStep, const char* aWhy);
+  void StopRuns(RolloutStep& aStep);
+  void Tick();
+
+  NodeContext& mNode;
+  LeadClaim& mLead;
+  const SpecDecoder mDecoder;
+  std::map<std::string, StepPtr> mSteps;
+  std::map<std::string, Archive> mArchives;
+  std::map<std::string, std::string> mPlaces;  ///< addresses of other owners
+  /// Texts of groups that were not whole when their step ended.
+  std::map<std::string, RolloutText> mCarried;
+};
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/include/rillwall/service_metrics.h
@@ -0,0 +1,51 @@
+/// \file
+/// Counters and latency histograms of the serving path, as Prometheus text.
+///
+/// Label sets are bounded: a label's value comes from the program or the
+/// operator's configuration, never from a request. Used on one thread.
+
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "rillwall/millis.h"
+
+namespace rillwall {
+
+/// A histogram with fixed bounds in milliseconds.
+class LatencyHistogram {
+ public:
+  static constexpr std::array<int64_t, 12> kBounds = {
+      5, 10, 20, 50, 100, 200, 400, 800, 1600, 4000, 8000, 20000};
+
+  void Add(Millis aSpan);
+  /// Appends the series of Prometheus' exposition format.
+  void Print(std::string& aOut, std::string_view aName) const;
+
+ private:
+  std::array<uint64_t, kBounds.size()> mBuckets{};
+  uint64_t mCount = 0;
+  int64_t mSum = 0;
+};
+
+class ServiceMetrics {
+ public:
+  /// \param aLabels as in the exposition format, such as kind="read"; or empty
+  void Count(std::string_view aName, std::string_view aLabels = {},
+             uint64_t aAmount = 1);
+  void Measure(std::string_view aName, Millis aSpan);
+  /// A value as it stands when the text is made.
+  void Set(std::string_view aName, int64_t aValue);
+  std::string Text() const;
+
+ private:
+  std::map<std::string, std::map<std::string, uint64_t>, std::less<>> mCounters;
+  std::map<std::string, LatencyHistogram, std::less<>> mHistograms;
+  std::map<std::string, int64_t, std::less<>> mGauges;
+};
+
+}  // namespace rillwall
--- a/src/include/rillwall/sse.h
+++ b/src/include/rillwall/sse.h
@@ -6,15 +6,25 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "rillwall/error.h"
 
 namespace rillwall {
 
+/// A line of an event whose field is none of the standard's.
+struct SseField {
+  std::string mName;
+  std::string mValue;
+  bool operator==(const SseField&) const = default;
+};
+
 /// One event; several data lines are joined by a newline.
 struct SseEvent {
   std::string mName;  ///< of the "event:" line; empty if none
   std::string mData;
+  std::string mId;  ///< of the "id:" line; empty if none
+  std::vector<SseField> mOthers = {};
   bool operator==(const SseEvent&) const = default;
 };
 
--- /dev/null
+++ b/src/include/rillwall/upstream_call.h
@@ -0,0 +1,59 @@
+/// \file
+/// One call to a service: chooses replicas, tries again where that is allowed,
+/// and says truthfully whether the request may have run.
+
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "rillwall/call_attempts.h"
+#include "rillwall/node_context.h"
+
+namespace rillwall {
+
+/// What to call.
+struct UpstreamCall {
+  std::string mId;       ///< identity of the request, echoed by the replica
+  HttpRequest mRequest;  ///< without the headers that this module sets
+  std::string mService;
+  RequestKind mKind = RequestKind::Idempotent;
+  int mAttempts = 1;  ///< replicas that may run it
+  Millis mDue;        ///< instant at which the caller must have its answer
+  Millis mTargetLatency;
+};
+
+/// A replica's answer: whole, or its beginning and the rest as a stream.
+struct UpstreamAnswer {
+  HttpResponse mHead;                  ///< its body is what has come so far
+  std::unique_ptr<HttpStream> mRest;   ///< null if the answer is whole
+  std::string mReplica;
+  int mTries = 0;
+};
+
+/// Counts a request at a replica for as long as it lives.
+class ReplicaUse {
+ public:
+  ReplicaUse(NodeContext& aNode, std::string aReplica);
+  ~ReplicaUse();
+  ReplicaUse(const ReplicaUse&) = delete;
+  ReplicaUse& operator=(const ReplicaUse&) = delete;
+  /// Tells how it ended; without it the request counts as abandoned.
+  void End(ReplicaOutcome aOutcome);
+  Millis Started() const { return mStarted; }
+
+ private:
+  NodeContext& mNode;
+  const std::string mReplica;
+  const Millis mStarted;
+  bool mOpen = true;
+};
+
+/// Makes a call. Destroying or cancelling the coroutine closes the connection,
+/// which ends the work at the replica.
+/// \return the answer, or an error whose Run() is NotRun only if no replica
+/// can have run the request
+asio::awaitable<Result<UpstreamAnswer>> CallUpstream(NodeContext& aNode,
+                                                     UpstreamCall aCall);
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -0,0 +1,209 @@
+#include "rillwall/replica_pool.h"
+
+#include <algorithm>
+#include <set>
+
+namespace rillwall {
+
+namespace {
+
+/// Weight of a new latency in the smoothed one; a slow replica is noticed
+/// within some five answers.
+constexpr double kLatencyWeight = 0.25;
+/// First pause after failures in a row, doubled with each up to the longest.
+constexpr Millis kFirstPause{100};
+constexpr Millis kLongestPause{2000};
+constexpr int kMaxDoublings = 5;
+/// A paused replica is used only if all others are paused too.
+constexpr double kPausedCost = 1000.0;
+/// What another availability zone costs against a share of the slots: its
+/// latency is small, its bytes are paid for.
+constexpr double kOtherZoneCost = 0.3;
+/// Latency that counts as much as all slots taken once, in ms.
+constexpr double kLatencyScale = 200.0;
+
+Millis PauseAfter(int aFailures) {
+  const int doublings = std::min(aFailures - 1, kMaxDoublings);
+  return std::min(kLongestPause, kFirstPause * (int64_t{1} << doublings));
+}
+
+}  // namespace
+
+int64_t Replica::VersionOf(std::string_view aModel) const {
+  for (const ModelVersion& model : mModels) {
+    if (model.mModel == aModel) {
+      return model.mVersion;
+    }
+  }
+  return 0;
+}
+
+ReplicaChanges ReplicaPool::Update(const std::vector<Replica>& aReplicas,
+                                   bool aKeepMissing) {
+  ReplicaChanges changes;
+  std::set<std::string> listed;
+  for (const Replica& replica : aReplicas) {
+    listed.insert(replica.mId);
+    auto [at, added] = mStates.try_emplace(replica.mId);
+    State& state = at->second;
+    if (added) {
+      changes.mAdded.push_back(replica.mId);
+    } else if (replica.mDraining && !state.mReplica.mDraining) {
+      changes.mDraining.push_back(replica.mId);
+    }
+    std::vector<ModelVersion> known = std::move(state.mReplica.mModels);
+    state.mReplica = replica;
+    // Versions only grow; an entry written before an order took effect is old.
+    for (ModelVersion& model : state.mReplica.mModels) {
+      for (const ModelVersion& before : known) {
+        if (before.mModel == model.mModel) {
+          model.mVersion = std::max(model.mVersion, before.mVersion);
+        }
+      }
+    }
+  }
+  for (auto at = mStates.begin(); at != mStates.end();) {
+    if (listed.contains(at->first) || aKeepMissing) {
+      ++at;
+      continue;
+    }
+    changes.mGone.push_back(at->first);
+    at = mStates.erase(at);
+  }
+  return changes;
+}
+
+bool ReplicaPool::Suits(const State& aState, const ReplicaWish& aWish) {
+  const Replica& replica = aState.mReplica;
+  if (replica.mService != aWish.mService || replica.mDraining) {
+    return false;
+  }
+  if (!aWish.mModel.empty() &&
+      replica.VersionOf(aWish.mModel) < aWish.mMinVersion) {
+    return false;
+  }
+  if (aWish.mWithinSlots && aState.mInFlight >= replica.mSlots) {
+    return false;
+  }
+  const auto& excluded = aWish.mExcluded;
+  return std::find(excluded.begin(), excluded.end(), replica.mId) ==
+         excluded.end();
+}
+
+double ReplicaPool::Cost(const State& aState, const ReplicaWish& aWish,
+                         Millis aNow) {
+  const double slots =
+      static_cast<double>(std::max<int64_t>(aState.mReplica.mSlots, 1));
+  double cost = static_cast<double>(aState.mInFlight) / slots;
+  cost += aState.mLatency / kLatencyScale;
+  if (aState.mReplica.mZone != aWish.mZone) {
+    cost += kOtherZoneCost;
+  }
+  if (aNow < aState.mPausedUntil) {
+    cost += kPausedCost;
+  }
+  return cost;
+}
+
+std::optional<std::string> ReplicaPool::Choose(const ReplicaWish& aWish,
+                                               Millis aNow) const {
+  const State* best = nullptr;
+  double bestCost = 0;
+  for (const auto& [id, state] : mStates) {
+    if (!Suits(state, aWish)) {
+      continue;
+    }
+    const bool paused = aNow < state.mPausedUntil;
+    if (aWish.mWithinSlots && paused) {
+      continue;
+    }
+    const double cost = Cost(state, aWish, aNow);
+    if (best == nullptr || cost < bestCost) {
+      best = &state;
+      bestCost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return best->mReplica.mId;
+}
+
+void ReplicaPool::Start(const std::string& aId) {
+  const auto found = mStates.find(aId);
+  if (found != mStates.end()) {
+    ++found->second.mInFlight;
+  }
+}
+
+void ReplicaPool::End(const std::string& aId, ReplicaOutcome aOutcome,
+                      Millis aLatency, Millis aNow) {
+  const auto found = mStates.find(aId);
+  if (found == mStates.end()) {
+    return;
+  }
+  State& state = found->second;
+  state.mInFlight = std::max<int64_t>(state.mInFlight - 1, 0);
+  if (aOutcome == ReplicaOutcome::Abandoned) {
+    return;
+  }
+  if (aOutcome == ReplicaOutcome::Served) {
+    state.mFailures = 0;
+    const auto latency = static_cast<double>(aLatency.Count());
+    state.mLatency = state.mLatency == 0
+                         ? latency
+                         : state.mLatency * (1 - kLatencyWeight) +
+                               latency * kLatencyWeight;
+    return;
+  }
+  ++state.mFailures;
+  state.mPausedUntil = aNow + PauseAfter(state.mFailures);
+}
+
+void ReplicaPool::Pause(const std::string& aId, Millis aUntil) {
+  const auto found = mStates.find(aId);
+  if (found != mStates.end()) {
+    found->second.mPausedUntil = std::max(found->second.mPausedUntil, aUntil);
+  }
+}
+
+void ReplicaPool::Learn(const std::string& aId, const std::string& aModel,
+                        int64_t aVersion) {
+  const auto found = mStates.find(aId);
+  if (found == mStates.end()) {
+    return;
+  }
+  for (ModelVersion& model : found->second.mReplica.mModels) {
+    if (model.mModel == aModel) {
+      model.mVersion = std::max(model.mVersion, aVersion);
+    }
+  }
+}
+
+const Replica* ReplicaPool::Find(const std::string& aId) const {
+  const auto found = mStates.find(aId);
+  return found == mStates.end() ? nullptr : &found->second.mReplica;
+}
+
+bool ReplicaPool::Sendable(const std::string& aId) const {
+  const Replica* replica = Find(aId);
+  return replica != nullptr && !replica->mDraining;
+}
+
+int64_t ReplicaPool::InFlight(const std::string& aId) const {
+  const auto found = mStates.find(aId);
+  return found == mStates.end() ? 0 : found->second.mInFlight;
+}
+
+std::vector<const Replica*> ReplicaPool::OfService(
+    std::string_view aService) const {
+  std::vector<const Replica*> replicas;
+  for (const auto& [id, state] : mStates) {
+    if (state.mReplica.mService == aService) {
+      replicas.push_back(&state.mReplica);
+    }
+  }
+  return replicas;
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -0,0 +1,203 @@
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "rillwall/rollout.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr int kRankBegun = 0;
+constexpr int kRankFresh = 1;
+
+}  // namespace
+
+void RolloutText::Append(const std::string& aData, int64_t aVersion) {
+  if (mEvents > 0) {
+    mOutput += '\n';
+  }
+  mOutput += aData;
+  ++mEvents;
+  if (std::find(mVersions.begin(), mVersions.end(), aVersion) ==
+      mVersions.end()) {
+    mVersions.push_back(aVersion);
+  }
+}
+
+bool RolloutText::Fits(int64_t aMinVersion, bool aSingleVersion) const {
+  if (aSingleVersion && mVersions.size() > 1) {
+    return false;
+  }
+  return std::all_of(
+      mVersions.begin(), mVersions.end(),
+      [aMinVersion](int64_t aVersion) { return aVersion >= aMinVersion; });
+}
+
+bool RolloutBook::Place::operator<(const Place& aOther) const {
+  // The longest first: the last item to end decides when the step is whole.
+  return std::tuple(mRank, -mExpected, mItem) <
+         std::tuple(aOther.mRank, -aOther.mExpected, aOther.mItem);
+}
+
+RolloutBook::RolloutBook(RolloutSpec aSpec, int aAttempts, bool aSingleVersion)
+    : mSpec(std::move(aSpec)),
+      mAttempts(std::max(aAttempts, 1)),
+      mSingleVersion(aSingleVersion),
+      mStates(mSpec.mItems.size()) {
+  for (size_t i = 0; i < mSpec.mItems.size(); ++i) {
+    const RolloutItem& item = mSpec.mItems[i];
+    mIndex.emplace(item.mId, i);
+    ++mGroups[item.mGroup].mSize;
+    int64_t& expected = mGroupExpected[item.mGroup];
+    expected = std::max(expected, item.mLengthHint);
+  }
+  for (size_t i = 0; i < mStates.size(); ++i) {
+    mWaiting.insert(PlaceOf(i));
+  }
+}
+
+RolloutBook::Place RolloutBook::PlaceOf(size_t aItem) const {
+  const State& state = mStates[aItem];
+  const bool begun = state.mText.mEvents > 0 || state.mFailures > 0;
+  const auto expected = mGroupExpected.find(mSpec.mItems[aItem].mGroup);
+  return {begun ? kRankBegun : kRankFresh, expected->second, aItem};
+}
+
+std::optional<size_t> RolloutBook::IndexOf(const std::string& aItem) const {
+  const auto found = mIndex.find(aItem);
+  if (found == mIndex.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void RolloutBook::Restore(const std::vector<RolloutResult>& aListed) {
+  for (const RolloutResult& result : aListed) {
+    const std::optional<size_t> item = IndexOf(result.mItem);
+    if (!item || mStates[*item].mPhase == Phase::Ended) {
+      continue;
+    }
+    State& state = mStates[*item];
+    state.mText.mOutput = result.mOutput;
+    state.mText.mVersions = result.mVersions;
+    state.mText.mScore = result.mScore;
+    state.mText.mWhole = result.mEnd == RolloutEnd::Completed;
+    End(*item, result.mEnd);
+    mUnlisted.pop_back();
+  }
+}
+
+bool RolloutBook::Adopt(size_t aItem, RolloutText aText) {
+  State& state = mStates[aItem];
+  if (state.mPhase != Phase::Waiting ||
+      !aText.Fits(mSpec.mMinVersion, mSingleVersion)) {
+    return false;
+  }
+  mWaiting.erase(PlaceOf(aItem));
+  state.mText = std::move(aText);
+  if (state.mText.mWhole && !state.mText.mScore.empty()) {
+    End(aItem, RolloutEnd::Completed);
+  } else {
+    mWaiting.insert(PlaceOf(aItem));
+  }
+  return true;
+}
+
+std::optional<RolloutPick> RolloutBook::Next() const {
+  if (mWaiting.empty()) {
+    return std::nullopt;
+  }
+  const size_t item = mWaiting.begin()->mItem;
+  const Group& group = mGroups.at(mSpec.mItems[item].mGroup);
+  const std::string& last = mStates[item].mLastReplica;
+  return RolloutPick{item, last, group.mReplica};
+}
+
+void RolloutBook::Started(size_t aItem, const std::string& aReplica) {
+  mWaiting.erase(PlaceOf(aItem));
+  mStates[aItem].mPhase = Phase::Running;
+  mStates[aItem].mLastReplica = aReplica;
+  mGroups[mSpec.mItems[aItem].mGroup].mReplica = aReplica;
+}
+
+bool RolloutBook::Interrupted(size_t aItem, bool aFailed) {
+  State& state = mStates[aItem];
+  if (state.mPhase != Phase::Running) {
+    return false;
+  }
+  state.mFailures += aFailed ? 1 : 0;
+  if (state.mFailures >= mAttempts) {
+    End(aItem, RolloutEnd::Terminated);
+    return true;
+  }
+  state.mPhase = Phase::Waiting;
+  mWaiting.insert(PlaceOf(aItem));
+  return false;
+}
+
+void RolloutBook::Impossible(size_t aItem) {
+  if (mStates[aItem].mPhase == Phase::Running) {
+    End(aItem, RolloutEnd::Terminated);
+  }
+}
+
+void RolloutBook::Finished(size_t aItem) {
+  if (mStates[aItem].mPhase == Phase::Running) {
+    End(aItem, RolloutEnd::Completed);
+  }
+}
+
+void RolloutBook::GiveUpRest() {
+  for (size_t i = 0; i < mStates.size(); ++i) {
+    if (mStates[i].mPhase != Phase::Ended) {
+      End(i, RolloutEnd::Terminated);
+    }
+  }
+}
+
+void RolloutBook::End(size_t aItem, RolloutEnd aEnd) {
+  State& state = mStates[aItem];
+  if (state.mPhase == Phase::Waiting) {
+    mWaiting.erase(PlaceOf(aItem));
+  }
+  state.mPhase = Phase::Ended;
+  ++mEnded;
+  Group& group = mGroups[mSpec.mItems[aItem].mGroup];
+  ++group.mEnded;
+  mWholeGroups += group.mEnded == group.mSize ? 1 : 0;
+  mUnlisted.push_back(ResultOf(aItem, aEnd));
+}
+
+RolloutResult RolloutBook::ResultOf(size_t aItem, RolloutEnd aEnd) const {
+  const RolloutText& text = mStates[aItem].mText;
+  RolloutResult result;
+  result.mItem = mSpec.mItems[aItem].mId;
+  result.mEnd = aEnd;
+  if (aEnd == RolloutEnd::Completed) {
+    result.mOutput = text.mOutput;
+    result.mVersions = text.mVersions;
+    result.mScore = text.mScore;
+  }
+  return result;
+}
+
+std::vector<RolloutResult> RolloutBook::TakeUnlisted() {
+  return std::exchange(mUnlisted, {});
+}
+
+std::map<std::string, RolloutText> RolloutBook::TextsOfOpenGroups() const {
+  std::map<std::string, RolloutText> texts;
+  for (size_t i = 0; i < mStates.size(); ++i) {
+    const RolloutItem& item = mSpec.mItems[i];
+    const Group& group = mGroups.at(item.mGroup);
+    const RolloutText& text = mStates[i].mText;
+    const bool any = text.mEvents > 0 || text.mWhole;
+    if (group.mEnded < group.mSize && any) {
+      texts.emplace(item.mId, text);
+    }
+  }
+  return texts;
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/route_table.cpp
@@ -0,0 +1,93 @@
+#include "rillwall/route_table.h"
+
+#include <algorithm>
+
+namespace rillwall {
+
+const char* RequestKindName(RequestKind aKind) {
+  switch (aKind) {
+    case RequestKind::Idempotent:
+      return "idempotent";
+    case RequestKind::NonIdempotent:
+      return "non-idempotent";
+    case RequestKind::Streaming:
+      return "streaming";
+    case RequestKind::Rollout:
+      return "rollout";
+  }
+  return "unknown";
+}
+
+RouteTable::RouteTable(int64_t aVersion, std::vector<Route> aRoutes,
+                       std::vector<ServiceSpec> aServices, ClientLimits aLimits)
+    : mVersion(aVersion),
+      mRoutes(std::move(aRoutes)),
+      mServices(std::move(aServices)),
+      mLimits(aLimits) {
+  // The longest prefix first, so that the first match is the one.
+  std::stable_sort(mRoutes.begin(), mRoutes.end(),
+                   [](const Route& aOne, const Route& aOther) {
+                     if (aOne.mHost != aOther.mHost) {
+                       return aOne.mHost < aOther.mHost;
+                     }
+                     return aOne.mPrefix.size() > aOther.mPrefix.size();
+                   });
+}
+
+const Route* RouteTable::Find(std::string_view aHost,
+                              std::string_view aPath) const {
+  const auto first = std::lower_bound(
+      mRoutes.begin(), mRoutes.end(), aHost,
+      [](const Route& aRoute, std::string_view aName) {
+        return aRoute.mHost < aName;
+      });
+  for (auto at = first; at != mRoutes.end() && at->mHost == aHost; ++at) {
+    if (aPath.starts_with(at->mPrefix)) {
+      return &*at;
+    }
+  }
+  return nullptr;
+}
+
+const ServiceSpec* RouteTable::Service(std::string_view aName) const {
+  for (const ServiceSpec& service : mServices) {
+    if (service.mName == aName) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<std::string> RouteTable::ServicesOfModel(
+    std::string_view aModel) const {
+  std::vector<std::string> names;
+  for (const ServiceSpec& service : mServices) {
+    const auto& models = service.mModels;
+    if (std::find(models.begin(), models.end(), aModel) != models.end()) {
+      names.push_back(service.mName);
+    }
+  }
+  return names;
+}
+
+const std::string* PickService(const Route& aRoute, uint64_t aKey) {
+  uint64_t total = 0;
+  for (const RouteTarget& target : aRoute.mTargets) {
+    total += static_cast<uint64_t>(std::max<int64_t>(target.mWeight, 0));
+  }
+  if (total == 0) {
+    return nullptr;
+  }
+  uint64_t at = aKey % total;
+  for (const RouteTarget& target : aRoute.mTargets) {
+    const auto weight =
+        static_cast<uint64_t>(std::max<int64_t>(target.mWeight, 0));
+    if (at < weight) {
+      return &target.mService;
+    }
+    at -= weight;
+  }
+  return nullptr;
+}
+
+}  // namespace rillwall
--- a/src/librillwall_protocol/sse.cpp
+++ b/src/librillwall_protocol/sse.cpp
@@ -26,6 +26,17 @@
   return aLine;
 }
 
+// Keeps a field of an extension; a comment begins with a colon.
+void AddOther(SseEvent& aEvent, std::string_view aLine) {
+  const size_t colon = aLine.find(':');
+  if (colon == 0 || colon == std::string_view::npos) {
+    return;
+  }
+  const std::string_view name = aLine.substr(0, colon);
+  const auto value = Field(aLine.substr(colon), ":");
+  aEvent.mOthers.push_back({std::string(name), std::string(*value)});
+}
+
 void AddLine(SseEvent& aEvent, std::string_view aLine) {
   if (const auto data = Field(aLine, "data:")) {
     if (!aEvent.mData.empty()) {
@@ -34,6 +45,10 @@
     aEvent.mData += *data;
   } else if (const auto name = Field(aLine, "event:")) {
     aEvent.mName = *name;
+  } else if (const auto id = Field(aLine, "id:")) {
+    aEvent.mId = *id;
+  } else {
+    AddOther(aEvent, aLine);
   }
 }
 
@@ -67,9 +82,10 @@
       continue;
     }
     mStart = at;
-    if (!event.mData.empty() || !event.mName.empty()) {
+    if (!event.mData.empty() || !event.mName.empty() || !event.mId.empty()) {
       return event;
     }
+    event = SseEvent();
   }
 }
 
--- /dev/null
+++ b/src/librillwall_rollout/item_run.cpp
@@ -0,0 +1,193 @@
+#include "item_run.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+#include <charconv>
+
+#include "rillwall/sse.h"
+
+namespace rillwall {
+
+namespace {
+
+/// Longest wait for a stream's head: a full replica queues, a crashed one is
+/// silent.
+constexpr Millis kHeadLimit{2000};
+/// Longest pause between two events. Events take some 40 ms each, four times
+/// that on a slowed replica.
+constexpr Millis kEventLimit{1200};
+/// A replica whose weights are older than it was listed with.
+constexpr Millis kOldWeightsPause{300};
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+constexpr int kUnprocessable = 422;
+
+int64_t NumberOr(const std::string* aText, int64_t aDefault) {
+  if (aText == nullptr) {
+    return aDefault;
+  }
+  int64_t value = aDefault;
+  std::from_chars(aText->data(), aText->data() + aText->size(), value);
+  return value;
+}
+
+HttpRequest MakeRequest(const NodeContext& aNode, RolloutStep& aStep,
+                        size_t aItem, const Replica& aReplica) {
+  const RolloutItem& item = aStep.mBook.Item(aItem);
+  const HeaderNames& names = aNode.mHeaders;
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = item.mPath;
+  request.mBody = item.mBody;
+  request.mHeaders.push_back({"Host", aStep.mRecord.mHost});
+  for (const RolloutHeader& header : item.mHeaders) {
+    request.mHeaders.push_back({header.mName, header.mValue});
+  }
+  request.mHeaders.push_back({names.mRequestId, item.mId});
+  request.mHeaders.push_back({names.mExpectReplica, aReplica.mId});
+  const Millis left =
+      std::max(Millis(1), aStep.mGiveUpAt - aNode.Now());
+  request.mHeaders.push_back({names.mTimeLeft, std::to_string(left.Count())});
+  const RolloutText& text = aStep.mBook.Text(aItem);
+  if (text.mEvents > 0) {
+    request.mHeaders.push_back(
+        {names.mLastEvent, std::to_string(text.mEvents)});
+  }
+  return request;
+}
+
+/// Takes events in, in order, each once.
+class EventIntake {
+ public:
+  EventIntake(const NodeContext& aNode, RolloutText& aText, int64_t aVersion)
+      : mVersionName(aNode.mHeaders.mWeightVersion),
+        mText(aText),
+        mVersion(aVersion) {}
+
+  int64_t Version() const { return mVersion; }
+
+  /// \return what is wrong with the stream, or nothing
+  std::string Feed(const std::string& aPart) {
+    if (mParser.Feed(aPart)) {
+      return "an event is too large";
+    }
+    while (const std::optional<SseEvent> event = mParser.Next()) {
+      for (const SseField& field : event->mOthers) {
+        if (boost::iequals(field.mName, mVersionName)) {
+          mVersion = NumberOr(&field.mValue, mVersion);
+        }
+      }
+      const int64_t id = NumberOr(&event->mId, -1);
+      if (id != mText.mEvents + 1) {
+        return "event " + event->mId + " came after " +
+               std::to_string(mText.mEvents);
+      }
+      mText.Append(event->mData, mVersion);
+    }
+    return {};
+  }
+
+ private:
+  const std::string& mVersionName;
+  RolloutText& mText;
+  int64_t mVersion;
+  SseParser mParser;
+};
+
+/// Judges a stream's head. \return Whole if the stream may be read
+ItemRunEnd JudgeHead(NodeContext& aNode, RolloutStep& aStep, size_t aItem,
+                     const HttpResponse& aHead, std::string& aWhy) {
+  const HeaderNames& names = aNode.mHeaders;
+  aWhy = "status " + std::to_string(aHead.mStatus);
+  const std::string* id = aHead.Find(names.mRequestId);
+  if (aHead.mStatus == kMisdirected || aHead.Find(names.mNotRun) != nullptr) {
+    return ItemRunEnd::Refused;
+  }
+  if (id == nullptr || *id != aStep.mBook.Item(aItem).mId) {
+    aWhy = "the answer belongs to another request";
+    return ItemRunEnd::Broken;
+  }
+  if (aHead.mStatus == kUnprocessable) {
+    return ItemRunEnd::Impossible;
+  }
+  return aHead.mStatus == kOk ? ItemRunEnd::Whole : ItemRunEnd::Failed;
+}
+
+/// \return whether text of this version may be added
+bool VersionFits(const RolloutStep& aStep, const RolloutText& aText,
+                 int64_t aVersion) {
+  if (aVersion < aStep.mBook.Spec().mMinVersion) {
+    return false;
+  }
+  const bool other = !aText.mVersions.empty() &&
+                     aText.mVersions.back() != aVersion;
+  return !(aStep.mRoute.mSingleVersion && other);
+}
+
+}  // namespace
+
+asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode,
+                                         RolloutStep& aStep, size_t aItem,
+                                         Replica aReplica, std::string& aWhy) {
+  const Result<Endpoint> endpoint = Endpoint::Parse(aReplica.mAddress);
+  if (!endpoint) {
+    aWhy = endpoint.error().Detail();
+    co_return ItemRunEnd::NotSent;
+  }
+  HttpRequest request = MakeRequest(aNode, aStep, aItem, aReplica);
+  Result<std::unique_ptr<HttpStream>> opened =
+      co_await aNode.mClient.Open(*endpoint, std::move(request), kHeadLimit);
+  if (!opened) {
+    aWhy = opened.error().Detail();
+    const bool sent = opened.error().Run() != RunState::NotRun;
+    co_return sent ? ItemRunEnd::Broken : ItemRunEnd::NotSent;
+  }
+  if (!aStep.mRunning) {
+    co_return ItemRunEnd::Stopped;
+  }
+  const std::unique_ptr<HttpStream> stream = std::move(*opened);
+  const HttpResponse& head = stream->Head();
+  const ItemRunEnd verdict = JudgeHead(aNode, aStep, aItem, head, aWhy);
+  if (verdict != ItemRunEnd::Whole) {
+    co_return verdict;
+  }
+  RolloutText& text = aStep.mBook.Text(aItem);
+  const int64_t version =
+      NumberOr(head.Find(aNode.mHeaders.mWeightVersion), 0);
+  aNode.mReplicas.Learn(aReplica.mId, aStep.mBook.Spec().mModel, version);
+  if (!VersionFits(aStep, text, version)) {
+    aWhy = "weights of version " + std::to_string(version);
+    aNode.mReplicas.Pause(aReplica.mId, aNode.Now() + kOldWeightsPause);
+    if (aStep.mRoute.mSingleVersion) {
+      text = RolloutText();
+    }
+    co_return ItemRunEnd::Broken;
+  }
+  EventIntake intake(aNode, text, version);
+  aStep.mStreams[aItem] = stream.get();
+  ItemRunEnd end = ItemRunEnd::Broken;
+  while (true) {
+    const Result<std::string> part = co_await stream->Read(kEventLimit);
+    if (!aStep.mRunning) {
+      end = ItemRunEnd::Stopped;
+      break;
+    }
+    if (!part) {
+      aWhy = part.error().Detail();
+      break;
+    }
+    if (part->empty()) {
+      end = ItemRunEnd::Whole;
+      break;
+    }
+    aWhy = intake.Feed(*part);
+    if (!aWhy.empty()) {
+      break;
+    }
+  }
+  aStep.mStreams.erase(aItem);
+  text.mWhole = end == ItemRunEnd::Whole;
+  co_return end;
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/item_run.h
@@ -0,0 +1,31 @@
+/// \file
+/// One run of an item's text at one replica.
+
+#pragma once
+
+#include <string>
+
+#include "rillwall/node_context.h"
+#include "rollout_step.h"
+
+namespace rillwall {
+
+/// How a run ended.
+enum class ItemRunEnd {
+  Whole,       ///< the text is whole
+  Refused,     ///< the replica did not run it
+  NotSent,     ///< the replica could not be reached
+  Broken,      ///< the stream ended early; the text so far is kept
+  Failed,      ///< the replica ran it and answered with an error
+  Impossible,  ///< the replica says that it can never be done
+  Stopped,     ///< the step ended here
+};
+
+/// Sends the item and takes in events until the stream ends. What is there of
+/// its text is not generated again.
+/// \param aWhy set to what happened, for the log
+asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode,
+                                         RolloutStep& aStep, size_t aItem,
+                                         Replica aReplica, std::string& aWhy);
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/relay.cpp
@@ -0,0 +1,261 @@
+#include "rillwall/relay.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <charconv>
+#include <functional>
+
+#include "rillwall/event_log.h"
+#include "rillwall/json.h"
+#include "rillwall/upstream_call.h"
+
+namespace rillwall {
+
+namespace {
+
+using asio::experimental::awaitable_operators::operator||;
+
+/// Given to a client that names no time, on a route without a timeout.
+constexpr Millis kDefaultTimeout{30000};
+/// Time that an answer of this node needs to reach a client in time.
+constexpr Millis kAnswerMargin{20};
+/// Longest pause within a stream before it counts as broken. Clients give one
+/// up after two seconds at least; a loading replica pauses for one.
+constexpr Millis kStreamPause{10000};
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+std::optional<int64_t> Number(const std::string* aText) {
+  if (aText == nullptr) {
+    return std::nullopt;
+  }
+  int64_t value = 0;
+  const char* end = aText->data() + aText->size();
+  const auto [last, code] = std::from_chars(aText->data(), end, value);
+  return code == std::errc() && last == end ? std::optional(value)
+                                            : std::nullopt;
+}
+
+int StatusOf(const Error& aError) {
+  if (aError.Run() == RunState::NotRun) {
+    switch (aError.Kind()) {
+      case ErrorKind::Overloaded:
+      case ErrorKind::Unavailable:
+      case ErrorKind::Draining:
+      case ErrorKind::KvUnavailable:
+      case ErrorKind::Timeout:
+        return kServiceUnavailable;
+      default:
+        return ErrorStatus(aError.Kind());
+    }
+  }
+  return aError.Kind() == ErrorKind::Timeout ? kGatewayTimeout : kBadGateway;
+}
+
+/// Seconds, with a fraction.
+std::string Seconds(Millis aSpan) {
+  constexpr int64_t kPerSecond = 1000;
+  std::string text = std::to_string(aSpan.Count() / kPerSecond) + ".";
+  const std::string rest = std::to_string(aSpan.Count() % kPerSecond);
+  return text + std::string(3 - rest.size(), '0') + rest;
+}
+
+UpstreamCall MakeCall(const NodeContext& aNode, const Route& aRoute,
+                      const HttpRequest& aRequest, const std::string& aId) {
+  UpstreamCall call;
+  call.mId = aId;
+  call.mRequest = aRequest;
+  call.mRequest.mHeaders = EndToEndHeaders(aRequest.mHeaders);
+  std::erase_if(call.mRequest.mHeaders, [&](const HttpHeader& aHeader) {
+    const HeaderNames& names = aNode.mHeaders;
+    return boost::iequals(aHeader.mName, names.mTimeLeft) ||
+           boost::iequals(aHeader.mName, names.mExpectReplica);
+  });
+  const std::string* service =
+      PickService(aRoute, std::hash<std::string>()(aId));
+  call.mService = service == nullptr ? std::string() : *service;
+  call.mKind = aRoute.mKind;
+  call.mAttempts = aRoute.mAttempts;
+  call.mTargetLatency = aRoute.mTargetLatency;
+  call.mDue = DueOf(aNode, aRoute, aRequest);
+  return call;
+}
+
+/// Passes on the rest of an answer as it arrives.
+asio::awaitable<void> PassStream(std::unique_ptr<HttpStream> aRest,
+                                 const std::string& aId,
+                                 HttpExchange& aExchange) {
+  while (true) {
+    Result<std::string> part = co_await aRest->Read(kStreamPause);
+    if (!part) {
+      Event("stream-cut").Id(aId).Text("why", part.error().Detail()).Write();
+      aExchange.Cut();
+      co_return;
+    }
+    if (part->empty()) {
+      co_await aExchange.End();
+      co_return;
+    }
+    const std::error_code failed = co_await aExchange.Write(std::move(*part));
+    if (failed) {
+      Event("stream-left").Id(aId).Text("why", failed.message()).Write();
+      aExchange.Cut();
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void> PassAnswer(UpstreamAnswer aAnswer, const std::string& aId,
+                                 HttpExchange& aExchange) {
+  aAnswer.mHead.mHeaders = EndToEndHeaders(aAnswer.mHead.mHeaders);
+  if (!aAnswer.mRest) {
+    co_await aExchange.Respond(std::move(aAnswer.mHead));
+    co_return;
+  }
+  std::string begun = std::move(aAnswer.mHead.mBody);
+  const std::error_code failed =
+      co_await aExchange.Begin(std::move(aAnswer.mHead));
+  if (failed) {
+    aExchange.Cut();
+    co_return;
+  }
+  if (!begun.empty()) {
+    co_await aExchange.Write(std::move(begun));
+  }
+  co_await PassStream(std::move(aAnswer.mRest), aId, aExchange);
+}
+
+asio::awaitable<void> CallAndAnswer(NodeContext& aNode, UpstreamCall aCall,
+                                    const Route& aRoute, Millis aStarted,
+                                    HttpExchange& aExchange) {
+  const std::string id = aCall.mId;
+  Result<UpstreamAnswer> answer =
+      co_await CallUpstream(aNode, std::move(aCall));
+  if (!answer) {
+    co_await Refuse(aNode, id, answer.error(), aExchange);
+    co_return;
+  }
+  const std::string labels =
+      "route=\"" + aRoute.mName + "\",status=\"" +
+      std::to_string(answer->mHead.mStatus) + "\"";
+  aNode.mMetrics.Count("requests_total", labels);
+  aNode.mMetrics.Measure("answer_ms", aNode.Now() - aStarted);
+  co_await PassAnswer(std::move(*answer), id, aExchange);
+}
+
+}  // namespace
+
+std::vector<HttpHeader> EndToEndHeaders(const std::vector<HttpHeader>& aAll) {
+  std::vector<std::string> named;
+  const std::string* connection = FindHeader(aAll, "Connection");
+  if (connection != nullptr) {
+    boost::split(named, *connection, [](char aChar) { return aChar == ','; });
+  }
+  std::vector<HttpHeader> kept;
+  for (const HttpHeader& header : aAll) {
+    const bool hop =
+        std::any_of(named.begin(), named.end(), [&](const std::string& aName) {
+          return boost::iequals(boost::trim_copy(aName), header.mName);
+        });
+    if (!hop && !boost::iequals(header.mName, "Connection")) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+const std::string* RequestId(const NodeContext& aNode,
+                             const HttpRequest& aRequest) {
+  const std::string* id = aRequest.Find(aNode.mHeaders.mRequestId);
+  return id == nullptr || id->empty() ? nullptr : id;
+}
+
+Millis DueOf(const NodeContext& aNode, const Route& aRoute,
+             const HttpRequest& aRequest) {
+  Millis span = aRoute.mTimeout > Millis(0) ? aRoute.mTimeout : kDefaultTimeout;
+  const std::optional<int64_t> client =
+      Number(aRequest.Find(aNode.mHeaders.mTimeLeft));
+  if (client) {
+    span = std::min(span, Millis(*client));
+  }
+  return aNode.Now() + std::max(span - kAnswerMargin, Millis(0));
+}
+
+HttpResponse ErrorAnswer(const Error& aError) {
+  json::object error;
+  error["kind"] = ErrorName(aError.Kind());
+  error["message"] = aError.Detail();
+  error["remedy"] = ErrorRemedy(aError.Kind());
+  error["run"] = RunStateName(aError.Run());
+  json::object body;
+  body["error"] = std::move(error);
+  HttpResponse response =
+      HttpResponse::Json(StatusOf(aError), json::serialize(body));
+  if (aError.RetryAfter() > Millis(0)) {
+    response.mHeaders.push_back({"Retry-After", Seconds(aError.RetryAfter())});
+  }
+  return response;
+}
+
+asio::awaitable<void> Refuse(NodeContext& aNode, std::string aId, Error aError,
+                             HttpExchange& aExchange) {
+  HttpResponse response = ErrorAnswer(aError);
+  const std::string labels = "status=\"" + std::to_string(response.mStatus) +
+                             "\",reason=\"" + ErrorName(aError.Kind()) + "\"";
+  aNode.mMetrics.Count("refusals_total", labels);
+  Event("refused")
+      .Id(aId)
+      .Number("status", response.mStatus)
+      .Text("kind", ErrorName(aError.Kind()))
+      .Text("run", RunStateName(aError.Run()))
+      .Text("why", aError.Detail())
+      .Number("retry_after_ms", aError.RetryAfter().Count())
+      .Number("config", aNode.mRoutes.Read()->Version())
+      .Write();
+  co_await aExchange.Respond(std::move(response));
+}
+
+asio::awaitable<void> RelayRequest(NodeContext& aNode, Route aRoute,
+                                   const HttpRequest& aRequest,
+                                   HttpExchange& aExchange) {
+  const std::string* id = RequestId(aNode, aRequest);
+  if (id == nullptr) {
+    Error error(ErrorKind::BadRequest, "The request has no identity; send the "
+                                       "header " +
+                                           aNode.mHeaders.mRequestId + ".");
+    co_await Refuse(aNode, std::string(), std::move(error), aExchange);
+    co_return;
+  }
+  const Millis started = aNode.Now();
+  UpstreamCall call = MakeCall(aNode, aRoute, aRequest, *id);
+  Event("routed")
+      .Id(*id)
+      .Text("route", aRoute.mName)
+      .Text("service", call.mService)
+      .Number("config", aNode.mRoutes.Read()->Version())
+      .Number("left_ms", (call.mDue - started).Count())
+      .Write();
+  asio::steady_timer gone(aNode.mIo);
+  gone.expires_at(asio::steady_timer::time_point::max());
+  aExchange.OnPeerGone([&gone] { gone.cancel(); });
+  if (aExchange.PeerGone()) {
+    gone.cancel();
+  }
+  const auto ended = co_await(
+      CallAndAnswer(aNode, std::move(call), aRoute, started, aExchange) ||
+      gone.async_wait(asio::as_tuple(asio::use_awaitable)));
+  aExchange.OnPeerGone(nullptr);
+  if (ended.index() == 1) {
+    Event("client-left").Id(*id).Write();
+    aNode.mMetrics.Count("clients_left_total");
+    aExchange.Cut();
+  }
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -0,0 +1,171 @@
+/// \file
+/// Taking over steps whose owner is gone, and reading what the store keeps.
+
+#include "rillwall/event_log.h"
+#include "rillwall/rollout_service.h"
+#include "rollout_step.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr char kStepPrefix[] = "rillwall/step/";
+/// A live owner on a quarter of a core answers well within this.
+constexpr Millis kProbeLimit{500};
+constexpr int kOk = 200;
+
+}  // namespace
+
+asio::awaitable<bool> RolloutService::Answers(std::string aAddress) {
+  const Result<Endpoint> endpoint = Endpoint::Parse(aAddress);
+  if (!endpoint) {
+    co_return false;
+  }
+  HttpRequest request;
+  request.mTarget = "/node/health";
+  const Result<HttpResponse> answer =
+      co_await mNode.mClient.Send(*endpoint, std::move(request), kProbeLimit);
+  co_return answer && answer->mStatus == kOk;
+}
+
+asio::awaitable<Result<std::vector<RolloutResult>>> RolloutService::LoadPages(
+    std::string aId) {
+  const Result<StoreList> pages =
+      co_await ListAll(mNode.mStore, PagePrefix(aId));
+  if (!pages) {
+    co_return pages.error();
+  }
+  std::vector<RolloutResult> listed;
+  for (const StoreItem& item : pages->mItems) {
+    Result<ResultPage> page = DecodeResultPage(item.mValue);
+    if (!page) {
+      co_return page.error();
+    }
+    for (RolloutResult& result : page->mResults) {
+      listed.push_back(std::move(result));
+    }
+  }
+  co_return listed;
+}
+
+asio::awaitable<Result<std::string>> RolloutService::LoadBody(std::string aId) {
+  const Result<StoreList> parts =
+      co_await ListAll(mNode.mStore, BodyPrefix(aId));
+  if (!parts) {
+    co_return parts.error();
+  }
+  std::string body;
+  for (const StoreItem& item : parts->mItems) {
+    body += item.mValue;
+  }
+  co_return body;
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::LoadArchive(
+    std::string aId) {
+  const Result<std::optional<StoreItem>> item =
+      co_await mNode.mStore.Get(StepKey(aId));
+  if (!item) {
+    co_return item.error();
+  }
+  if (!*item) {
+    co_return Error(ErrorKind::NotFound, "There is no step " + aId + ".");
+  }
+  const Result<StepRecord> record = DecodeStepRecord((*item)->mValue);
+  if (!record) {
+    co_return record.error();
+  }
+  if (!record->mEnded) {
+    co_return Error(ErrorKind::Unavailable, "The step is open elsewhere.");
+  }
+  Result<std::vector<RolloutResult>> listed = co_await LoadPages(aId);
+  if (!listed) {
+    co_return listed.error();
+  }
+  mArchives[aId] =
+      Archive{std::move(*listed), record->mTotal, mNode.Now()};
+  Event("archive-loaded").Id(aId).Number("revision", (*item)->mRevision).Write();
+  co_return std::nullopt;
+}
+
+asio::awaitable<Result<RolloutService::StepPtr>> RolloutService::TakeOver(
+    std::string aId, StepRecord aRecord, int64_t aRevision) {
+  const NodeIdentity& self = mNode.mIdentity;
+  const std::string before = aRecord.mOwner;
+  aRecord.mOwner = self.mName;
+  aRecord.mAddress = self.mAddress;
+  aRecord.mRun = self.mRun;
+  StoreChange change;
+  change.mGuards.push_back({StepKey(aId), aRevision});
+  change.mPuts.push_back({StepKey(aId), EncodeStepRecord(aRecord), 0});
+  const Result<StoreCommit> done =
+      co_await mNode.mStore.Commit(std::move(change));
+  if (!done) {
+    co_return done.error();
+  }
+  if (!done->mApplied) {
+    co_return Error(ErrorKind::Unavailable, "The step has just moved.");
+  }
+  // No older owner can append from here on.
+  Result<std::string> body = co_await LoadBody(aId);
+  if (!body) {
+    co_return body.error();
+  }
+  Result<std::vector<RolloutResult>> listed = co_await LoadPages(aId);
+  if (!listed) {
+    co_return listed.error();
+  }
+  Result<RolloutSpec> spec = mDecoder(aId, aRecord, *body);
+  if (!spec) {
+    co_return spec.error();
+  }
+  const auto routes = mNode.mRoutes.Read();
+  const Route* route = routes->Find(aRecord.mHost, aRecord.mPath);
+  if (route == nullptr) {
+    co_return Error(ErrorKind::Unavailable, "The step's route is gone.");
+  }
+  const StepPtr step =
+      MakeStep(std::move(*spec), *route, aRecord, done->mRevision);
+  step->mBook.Restore(*listed);
+  step->mListed = std::move(*listed);
+  Event("step-taken-over")
+      .Id(aId)
+      .Text("from", before)
+      .Number("revision", done->mRevision)
+      .Number("listed", static_cast<int64_t>(step->mListed.size()))
+      .Number("total", static_cast<int64_t>(step->mBook.Total()))
+      .Write();
+  mNode.mMetrics.Count("steps_taken_over_total");
+  Pump();
+  co_return step;
+}
+
+asio::awaitable<void> RolloutService::AdoptOrphans() {
+  const Result<StoreList> all = co_await ListAll(mNode.mStore, kStepPrefix);
+  if (!all) {
+    Event("orphans-unread").Text("why", all.error().Detail()).Write();
+    co_return;
+  }
+  std::map<std::string, bool> answers;
+  for (const StoreItem& item : all->mItems) {
+    const Result<StepRecord> record = DecodeStepRecord(item.mValue);
+    const std::string id = item.mKey.substr(sizeof(kStepPrefix) - 1);
+    if (!record || record->mEnded || mSteps.contains(id)) {
+      continue;
+    }
+    const std::string& address = record->mAddress;
+    if (address != mNode.mIdentity.mAddress && !answers.contains(address)) {
+      answers[address] = co_await Answers(address);
+    }
+    if (answers[address]) {
+      continue;
+    }
+    const Result<StepPtr> step =
+        co_await TakeOver(id, *record, item.mRevision);
+    if (!step) {
+      Event("take-over-failed").Id(id).Text("why", step.error().Detail()).Write();
+    }
+  }
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -0,0 +1,316 @@
+/// \file
+/// Running the items of steps, scoring their texts and listing the results.
+
+#include <algorithm>
+#include <functional>
+
+#include "item_run.h"
+#include "rillwall/event_log.h"
+#include "rillwall/rollout_service.h"
+#include "rillwall/upstream_call.h"
+#include "rollout_step.h"
+
+namespace rillwall {
+
+namespace {
+
+/// Results that end within this time go into one page: a page is one priced
+/// call, and a trainer asks about twice a second.
+constexpr Millis kGather{40};
+/// Text of one page; its encoded form stays under the store's 1 MiB values.
+constexpr size_t kMaxPageBytes = 600 * 1000;
+constexpr Millis kFirstRetry{30};
+constexpr Millis kLongestRetry{400};
+/// Time for one call of a scorer when its route sets no target latency.
+constexpr Millis kScorerLimit{600};
+constexpr int64_t kScorerTargets = 4;
+constexpr Millis kScorerPause{50};
+constexpr int kServerError = 500;
+
+ReplicaOutcome OutcomeOf(ItemRunEnd aEnd) {
+  switch (aEnd) {
+    case ItemRunEnd::Whole:
+    case ItemRunEnd::Impossible:
+    case ItemRunEnd::Failed:
+      return ReplicaOutcome::Served;
+    case ItemRunEnd::Refused:
+      return ReplicaOutcome::Refused;
+    case ItemRunEnd::NotSent:
+      return ReplicaOutcome::Unreachable;
+    case ItemRunEnd::Broken:
+      return ReplicaOutcome::Failed;
+    case ItemRunEnd::Stopped:
+      return ReplicaOutcome::Abandoned;
+  }
+  return ReplicaOutcome::Abandoned;
+}
+
+const char* EndName(ItemRunEnd aEnd) {
+  switch (aEnd) {
+    case ItemRunEnd::Whole:
+      return "whole";
+    case ItemRunEnd::Refused:
+      return "refused";
+    case ItemRunEnd::NotSent:
+      return "not-sent";
+    case ItemRunEnd::Broken:
+      return "broken";
+    case ItemRunEnd::Failed:
+      return "failed";
+    case ItemRunEnd::Impossible:
+      return "impossible";
+    case ItemRunEnd::Stopped:
+      return "stopped";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void RolloutService::Pump() {
+  bool started = true;
+  while (started) {
+    started = false;
+    for (const auto& [id, step] : mSteps) {
+      started = StartNext(step) || started;
+    }
+  }
+}
+
+std::optional<std::string> RolloutService::ChooseReplica(
+    const RolloutStep& aStep, const RolloutPick& aPick) const {
+  const RolloutItem& item = aStep.mBook.Item(aPick.mItem);
+  const std::string* service =
+      PickService(aStep.mRoute, std::hash<std::string>()(item.mGroup));
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  ReplicaWish wish;
+  wish.mService = *service;
+  wish.mZone = mNode.mIdentity.mZone;
+  wish.mModel = aStep.mBook.Spec().mModel;
+  wish.mMinVersion = aStep.mBook.Spec().mMinVersion;
+  wish.mWithinSlots = true;
+  if (!aPick.mAvoid.empty()) {
+    wish.mExcluded.push_back(aPick.mAvoid);
+  }
+  const Millis now = mNode.Now();
+  std::optional<std::string> chosen = mNode.mReplicas.Choose(wish, now);
+  if (!chosen && !aPick.mAvoid.empty()) {
+    wish.mExcluded.clear();
+    chosen = mNode.mReplicas.Choose(wish, now);
+  }
+  return chosen;
+}
+
+bool RolloutService::StartNext(const StepPtr& aStep) {
+  if (!aStep->mRunning) {
+    return false;
+  }
+  const std::optional<RolloutPick> pick = aStep->mBook.Next();
+  if (!pick) {
+    return false;
+  }
+  if (aStep->mBook.Text(pick->mItem).mWhole) {
+    // Carried over whole, but without its score.
+    aStep->mBook.Started(pick->mItem, std::string());
+    Launch(mNode.mIo, "score", ScoreItem(aStep, pick->mItem));
+    return true;
+  }
+  const std::optional<std::string> replica = ChooseReplica(*aStep, *pick);
+  if (!replica) {
+    return false;
+  }
+  aStep->mBook.Started(pick->mItem, *replica);
+  const Replica entry = *mNode.mReplicas.Find(*replica);
+  Launch(mNode.mIo, "item", RunItem(aStep, pick->mItem, entry));
+  return true;
+}
+
+asio::awaitable<void> RolloutService::RunItem(StepPtr aStep, size_t aItem,
+                                              Replica aReplica) {
+  ReplicaUse use(mNode, aReplica.mId);
+  RolloutBook& book = aStep->mBook;
+  const int64_t before = book.Text(aItem).mEvents;
+  std::string why;
+  const ItemRunEnd end =
+      co_await GenerateText(mNode, *aStep, aItem, aReplica, why);
+  use.End(OutcomeOf(end));
+  Event("item-run")
+      .Id(book.Item(aItem).mId)
+      .Text("step", aStep->Id())
+      .Text("replica", aReplica.mId)
+      .Text("end", EndName(end))
+      .Number("from_event", before)
+      .Number("events", book.Text(aItem).mEvents)
+      .Number("took_ms", (mNode.Now() - use.Started()).Count())
+      .Text("why", why)
+      .Write();
+  mNode.mMetrics.Count("item_runs_total",
+                       "end=\"" + std::string(EndName(end)) + "\"");
+  if (!aStep->mRunning) {
+    co_return;
+  }
+  if (end == ItemRunEnd::Whole) {
+    Pump();
+    co_await ScoreItem(aStep, aItem);
+  } else if (end == ItemRunEnd::Impossible) {
+    book.Impossible(aItem);
+  } else {
+    book.Interrupted(aItem, end == ItemRunEnd::Failed);
+  }
+  ScheduleFlush(aStep);
+  Pump();
+}
+
+asio::awaitable<void> RolloutService::ScoreItem(StepPtr aStep, size_t aItem) {
+  RolloutBook& book = aStep->mBook;
+  const std::optional<ScorerCall>& scorer = book.Item(aItem).mScorer;
+  int failures = 0;
+  while (aStep->mRunning && scorer) {
+    const auto routes = mNode.mRoutes.Read();
+    const Route* route = routes->Find(scorer->mHost, scorer->mPath);
+    const std::string* service =
+        route == nullptr ? nullptr
+                         : PickService(*route, std::hash<std::string>()(scorer->mId));
+    if (service == nullptr) {
+      co_await Sleep(mNode.mIo, kScorerPause);
+      continue;
+    }
+    UpstreamCall call;
+    call.mId = scorer->mId;
+    call.mRequest.mMethod = "POST";
+    call.mRequest.mTarget = scorer->mPath;
+    call.mRequest.mBody = scorer->mBody;
+    call.mRequest.mHeaders.push_back({"Host", scorer->mHost});
+    call.mRequest.mHeaders.push_back({mNode.mHeaders.mRequestId, scorer->mId});
+    call.mService = *service;
+    call.mKind = RequestKind::Idempotent;
+    call.mDue = mNode.Now() + std::max(kScorerLimit, route->mTargetLatency *
+                                                         kScorerTargets);
+    const int most = std::max(route->mAttempts, aStep->mRoute.mAttempts);
+    const Result<UpstreamAnswer> answer =
+        co_await CallUpstream(mNode, std::move(call));
+    const int status = answer ? answer->mHead.mStatus : 0;
+    const std::string* signature =
+        answer ? answer->mHead.Find(mNode.mHeaders.mSignature) : nullptr;
+    if (status / 100 == 2 && signature != nullptr) {
+      book.Text(aItem).mScore = *signature;
+      break;
+    }
+    failures += status == kServerError ? 1 : 0;
+    if (failures >= most) {
+      Event("item-terminated")
+          .Id(book.Item(aItem).mId)
+          .Text("step", aStep->Id())
+          .Text("why", "its scorer failed")
+          .Number("failures", failures)
+          .Write();
+      book.Impossible(aItem);
+      ScheduleFlush(aStep);
+      co_return;
+    }
+    co_await Sleep(mNode.mIo, kScorerPause);
+  }
+  if (aStep->mRunning) {
+    book.Finished(aItem);
+    ScheduleFlush(aStep);
+  }
+}
+
+void RolloutService::ScheduleFlush(const StepPtr& aStep) {
+  if (aStep->mFlushing || !aStep->mRunning || !aStep->mBook.HasUnlisted()) {
+    return;
+  }
+  aStep->mFlushing = true;
+  Launch(mNode.mIo, "flush", FlushLoop(aStep));
+}
+
+asio::awaitable<void> RolloutService::FlushLoop(StepPtr aStep) {
+  co_await Sleep(mNode.mIo, kGather);
+  std::vector<RolloutResult> waiting;
+  while (aStep->mRunning) {
+    for (RolloutResult& result : aStep->mBook.TakeUnlisted()) {
+      waiting.push_back(std::move(result));
+    }
+    if (waiting.empty()) {
+      break;
+    }
+    ResultPage page;
+    page.mFirst = static_cast<int64_t>(aStep->mListed.size());
+    size_t bytes = 0;
+    size_t count = 0;
+    while (count < waiting.size() &&
+           (count == 0 || bytes + waiting[count].mOutput.size() < kMaxPageBytes)) {
+      bytes += waiting[count].mOutput.size();
+      ++count;
+    }
+    const auto middle = waiting.begin() + static_cast<std::ptrdiff_t>(count);
+    page.mResults.assign(waiting.begin(), middle);
+    waiting.erase(waiting.begin(), middle);
+    const bool listed = co_await CommitPage(aStep, page);
+    if (!listed) {
+      break;
+    }
+    for (RolloutResult& result : page.mResults) {
+      aStep->mListed.push_back(std::move(result));
+    }
+    aStep->Notify();
+  }
+  aStep->mFlushing = false;
+}
+
+asio::awaitable<bool> RolloutService::CommitPage(StepPtr aStep,
+                                                 ResultPage aPage) {
+  const std::string step = StepKey(aStep->Id());
+  const std::string key = PageKey(aStep->Id(), aPage.mFirst);
+  StoreChange change;
+  change.mGuards.push_back({step, aStep->mRevision});
+  change.mGuards.push_back({key, 0});
+  change.mPuts.push_back({key, EncodeResultPage(aPage), 0});
+  Millis pause = kFirstRetry;
+  while (true) {
+    const Millis asked = mNode.Now();
+    const Result<StoreCommit> done = co_await mNode.mStore.Commit(change);
+    if (done && done->mApplied) {
+      aStep->mVerifiedAt = std::max(aStep->mVerifiedAt, asked);
+      Event("page-listed")
+          .Id(aStep->Id())
+          .Number("first", aPage.mFirst)
+          .Number("results", static_cast<int64_t>(aPage.mResults.size()))
+          .Number("whole_groups", static_cast<int64_t>(aStep->mBook.WholeGroups()))
+          .Number("store_ms", (mNode.Now() - asked).Count())
+          .Write();
+      mNode.mMetrics.Measure("page_ms", mNode.Now() - asked);
+      co_return true;
+    }
+    if (done) {
+      const StoreItem* record = done->Find(step);
+      const bool owner =
+          record != nullptr && record->mRevision == aStep->mRevision;
+      if (owner) {
+        // Only this owner writes here: an earlier try of this page got through.
+        aStep->mVerifiedAt = std::max(aStep->mVerifiedAt, asked);
+        co_return true;
+      }
+      aStep->mUnsettled = true;
+      if (aStep->mRunning) {
+        Drop(aStep, "a page was refused, as the step has moved or ended");
+      }
+      co_return false;
+    }
+    aStep->mUnsettled = true;
+    Event("page-retry")
+        .Id(aStep->Id())
+        .Number("first", aPage.mFirst)
+        .Text("why", done.error().Detail())
+        .Write();
+    if (!aStep->mRunning) {
+      co_return false;
+    }
+    co_await Sleep(mNode.mIo, pause);
+    pause = std::min(kLongestRetry, pause * 2);
+  }
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -0,0 +1,394 @@
+#include "rillwall/rollout_service.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+
+#include "rillwall/event_log.h"
+#include "rollout_step.h"
+
+namespace rillwall {
+
+namespace {
+
+/// Look at open steps; far under the bounds that it keeps.
+constexpr Millis kTick{100};
+/// An owner that has not heard from the store for so long asks whether it is
+/// still the owner, before it answers. Under the bound within which a position
+/// that was read anywhere must be there (1 s).
+constexpr Millis kVerifyAfter{700};
+/// Without readers: soon enough to end the runs of a step that another node
+/// has ended (3 s).
+constexpr Millis kVerifyIdle{1500};
+/// Given up after this if the route names no longest wait.
+constexpr Millis kDefaultMaxWait{60000};
+/// Texts kept for groups that may come again; some steps' worth.
+constexpr size_t kMaxCarried = 2000;
+/// Results in one answer, in bytes of text; an answer holds 1 MB at most.
+constexpr size_t kMaxReadBytes = 900 * 1000;
+/// Archives outlive the time for which results must be readable by this.
+constexpr Millis kArchiveMargin{30000};
+constexpr size_t kMaxPlaces = 4096;
+
+int64_t WallClockMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+size_t SizeOf(const RolloutResult& aResult) {
+  constexpr size_t kFields = 160;
+  return aResult.mOutput.size() + aResult.mScore.size() + kFields;
+}
+
+RolloutRead ReadFrom(const std::vector<RolloutResult>& aListed, int64_t aTotal,
+                     int64_t aAfter) {
+  RolloutRead read;
+  read.mTotal = aTotal;
+  size_t bytes = 0;
+  size_t at = static_cast<size_t>(std::max<int64_t>(aAfter, 0));
+  while (at < aListed.size()) {
+    bytes += SizeOf(aListed[at]);
+    if (!read.mResults.empty() && bytes > kMaxReadBytes) {
+      break;
+    }
+    read.mResults.push_back(aListed[at]);
+    ++at;
+  }
+  read.mNext = aAfter + static_cast<int64_t>(read.mResults.size());
+  return read;
+}
+
+}  // namespace
+
+RolloutService::RolloutService(NodeContext& aNode, LeadClaim& aLead,
+                               SpecDecoder aDecoder)
+    : mNode(aNode), mLead(aLead), mDecoder(std::move(aDecoder)) {}
+
+RolloutService::~RolloutService() = default;
+
+RolloutService::StepPtr RolloutService::MakeStep(RolloutSpec aSpec,
+                                                 const Route& aRoute,
+                                                 StepRecord aRecord,
+                                                 int64_t aRevision) {
+  RolloutBook book(std::move(aSpec), aRoute.mAttempts, aRoute.mSingleVersion);
+  const std::string id = book.Spec().mId;
+  const Millis wait =
+      aRoute.mMaxWait > Millis(0) ? aRoute.mMaxWait : kDefaultMaxWait;
+  const Millis age(std::max<int64_t>(0, WallClockMs() - aRecord.mAcceptedMs));
+  auto step = std::make_shared<RolloutStep>(
+      mNode.mIo, std::move(book), aRoute, std::move(aRecord), aRevision);
+  step->mGiveUpAt = mNode.Now() + wait - age;
+  step->mVerifiedAt = mNode.Now();
+  mSteps[id] = step;
+  mPlaces.erase(id);
+  return step;
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::Accept(
+    RolloutSpec aSpec, Route aRoute, std::string aBody) {
+  const std::string id = aSpec.mId;
+  if (mSteps.contains(id) || mArchives.contains(id)) {
+    Event("step-known").Id(id).Write();
+    co_return std::nullopt;
+  }
+  const NodeIdentity& self = mNode.mIdentity;
+  StepRecord record{self.mName,     self.mAddress,  self.mRun,
+                    aSpec.mHost,    aSpec.mPath,    WallClockMs(),
+                    static_cast<int64_t>(aSpec.mItems.size()), false};
+  StoreChange change;
+  change.mGuards.push_back({StepKey(id), 0});
+  change.mPuts.push_back({StepKey(id), EncodeStepRecord(record), 0});
+  constexpr size_t kPartBytes = 700 * 1000;  // under the store's 1 MiB values
+  for (size_t at = 0, part = 0; at < aBody.size(); at += kPartBytes, ++part) {
+    change.mPuts.push_back({BodyKey(id, part), aBody.substr(at, kPartBytes), 0});
+  }
+  const Millis asked = mNode.Now();
+  const Result<StoreCommit> done =
+      co_await mNode.mStore.Commit(std::move(change));
+  if (!done) {
+    const bool nothing = done.error().Kind() == ErrorKind::KvUnavailable;
+    co_return done.error().With(nothing ? RunState::NotRun : RunState::Unknown);
+  }
+  if (!done->mApplied) {
+    Event("step-known").Id(id).Text("why", "already in the store").Write();
+    co_return std::nullopt;
+  }
+  if (mSteps.contains(id)) {
+    co_return std::nullopt;
+  }
+  const StepPtr step =
+      MakeStep(std::move(aSpec), aRoute, std::move(record), done->mRevision);
+  AdoptTexts(*step);
+  const RolloutSpec& spec = step->mBook.Spec();
+  Event("step-accepted")
+      .Id(id)
+      .Number("step", spec.mStep)
+      .Text("model", spec.mModel)
+      .Number("min_version", spec.mMinVersion)
+      .Number("items", static_cast<int64_t>(spec.mItems.size()))
+      .Number("target_groups", spec.mTargetGroups)
+      .Number("revision", done->mRevision)
+      .Number("store_ms", (mNode.Now() - asked).Count())
+      .Write();
+  mNode.mMetrics.Count("steps_accepted_total");
+  Pump();
+  ScheduleFlush(step);
+  co_return std::nullopt;
+}
+
+void RolloutService::AdoptTexts(RolloutStep& aStep) {
+  const RolloutSpec& spec = aStep.mBook.Spec();
+  int64_t used = 0;
+  for (size_t i = 0; i < spec.mItems.size(); ++i) {
+    const auto found = mCarried.find(spec.mItems[i].mId);
+    if (found == mCarried.end()) {
+      continue;
+    }
+    used += aStep.mBook.Adopt(i, std::move(found->second)) ? 1 : 0;
+    mCarried.erase(found);
+  }
+  if (used > 0) {
+    Event("texts-carried").Id(aStep.Id()).Number("items", used).Write();
+  }
+}
+
+asio::awaitable<Result<RolloutPlace>> RolloutService::Locate(std::string aId,
+                                                             bool aAdopt) {
+  if (mSteps.contains(aId) || mArchives.contains(aId)) {
+    co_return RolloutPlace{RolloutPlace::Kind::Here, {}, false};
+  }
+  const auto known = mPlaces.find(aId);
+  if (known != mPlaces.end() && !aAdopt) {
+    co_return RolloutPlace{RolloutPlace::Kind::There, known->second, false};
+  }
+  const Result<std::optional<StoreItem>> item =
+      co_await mNode.mStore.Get(StepKey(aId));
+  if (!item) {
+    co_return item.error();
+  }
+  if (!*item) {
+    co_return RolloutPlace{RolloutPlace::Kind::Unknown, {}, false};
+  }
+  const Result<StepRecord> record = DecodeStepRecord((*item)->mValue);
+  if (!record) {
+    co_return record.error();
+  }
+  const bool mine = record->mAddress == mNode.mIdentity.mAddress;
+  bool take = mine;
+  if (!mine && aAdopt) {
+    const bool answers = co_await Answers(record->mAddress);
+    take = !answers;
+  }
+  if (!take) {
+    if (mPlaces.size() > kMaxPlaces) {
+      mPlaces.clear();
+    }
+    mPlaces[aId] = record->mAddress;
+    co_return RolloutPlace{RolloutPlace::Kind::There, record->mAddress,
+                           record->mEnded};
+  }
+  if (record->mEnded) {
+    const std::optional<Error> failed = co_await LoadArchive(aId);
+    if (failed) {
+      co_return *failed;
+    }
+  } else if (!mSteps.contains(aId)) {
+    const Result<StepPtr> step =
+        co_await TakeOver(aId, *record, (*item)->mRevision);
+    if (!step) {
+      co_return step.error();
+    }
+  }
+  co_return RolloutPlace{RolloutPlace::Kind::Here, {}, record->mEnded};
+}
+
+void RolloutService::ForgetPlace(const std::string& aId) { mPlaces.erase(aId); }
+
+asio::awaitable<Result<RolloutRead>> RolloutService::Read(std::string aId,
+                                                          int64_t aAfter,
+                                                          Millis aWait) {
+  const auto archive = mArchives.find(aId);
+  if (archive != mArchives.end()) {
+    const Archive& kept = archive->second;
+    co_return ReadFrom(kept.mListed, kept.mTotal, aAfter);
+  }
+  const auto found = mSteps.find(aId);
+  if (found == mSteps.end()) {
+    co_return Error(ErrorKind::Unavailable, "The step has moved.");
+  }
+  const StepPtr step = found->second;
+  const Millis until = mNode.Now() + aWait;
+  while (step->mRunning && mNode.Now() < until &&
+         static_cast<int64_t>(step->mListed.size()) <= aAfter) {
+    // A timer of its own bounds the wait; a change ends it sooner.
+    asio::steady_timer limit(mNode.mIo);
+    limit.expires_after(
+        std::chrono::milliseconds((until - mNode.Now()).Count()));
+    limit.async_wait([step](const boost::system::error_code& aCode) {
+      if (!aCode) {
+        step->Notify();
+      }
+    });
+    co_await step->mChanged.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  const std::optional<Error> unsure = co_await Verify(step);
+  if (unsure) {
+    co_return *unsure;
+  }
+  const auto total = static_cast<int64_t>(step->mBook.Total());
+  co_return ReadFrom(step->mListed, total, aAfter);
+}
+
+std::optional<std::string> RolloutService::Body(
+    const std::string& aId, const std::string& aItem) const {
+  const auto found = mSteps.find(aId);
+  if (found == mSteps.end()) {
+    return std::nullopt;
+  }
+  const RolloutBook& book = found->second->mBook;
+  const std::optional<size_t> index = book.IndexOf(aItem);
+  return index ? std::optional(book.Item(*index).mBody) : std::nullopt;
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::Verify(StepPtr aStep) {
+  if (!aStep->mRunning) {
+    // Ended here: what is listed can't change any more.
+    const bool ended = aStep->mRecord.mEnded && !aStep->mUnsettled;
+    co_return ended ? std::nullopt
+                    : std::optional(Error(ErrorKind::Unavailable,
+                                          "The step is not owned here."));
+  }
+  const Millis asked = mNode.Now();
+  if (asked - aStep->mVerifiedAt < kVerifyAfter) {
+    co_return std::nullopt;
+  }
+  const Result<std::optional<StoreItem>> item =
+      co_await mNode.mStore.Get(StepKey(aStep->Id()));
+  if (!item) {
+    co_return item.error();
+  }
+  if (!*item || (*item)->mRevision != aStep->mRevision) {
+    if (aStep->mRunning) {
+      Drop(aStep, "the store names another owner or its end");
+    }
+    co_return Error(ErrorKind::Unavailable, "The step has moved.");
+  }
+  aStep->mVerifiedAt = std::max(aStep->mVerifiedAt, asked);
+  co_return std::nullopt;
+}
+
+void RolloutService::StopRuns(RolloutStep& aStep) {
+  aStep.mRunning = false;
+  for (const auto& [item, stream] : aStep.mStreams) {
+    stream->Abort();
+  }
+  aStep.Notify();
+}
+
+void RolloutService::Drop(const StepPtr& aStep, const char* aWhy) {
+  Event("step-lost").Id(aStep->Id()).Text("why", aWhy).Write();
+  mNode.mMetrics.Count("steps_lost_total");
+  StopRuns(*aStep);
+  const auto found = mSteps.find(aStep->Id());
+  if (found != mSteps.end() && found->second == aStep) {
+    mSteps.erase(found);
+  }
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::End(std::string aId) {
+  const auto found = mSteps.find(aId);
+  if (found == mSteps.end()) {
+    const bool ended = mArchives.contains(aId);
+    co_return ended ? std::nullopt
+                    : std::optional(Error(ErrorKind::Unavailable,
+                                          "The step has moved."));
+  }
+  const StepPtr step = found->second;
+  StopRuns(*step);
+  constexpr Millis kFlushPoll{5};
+  while (step->mFlushing) {
+    co_await Sleep(mNode.mIo, kFlushPoll);
+  }
+  if (!mSteps.contains(aId)) {
+    co_return std::nullopt;
+  }
+  StepRecord record = step->mRecord;
+  record.mEnded = true;
+  StoreChange change;
+  change.mGuards.push_back({StepKey(aId), step->mRevision});
+  change.mPuts.push_back({StepKey(aId), EncodeStepRecord(record), 0});
+  const Result<StoreCommit> done =
+      co_await mNode.mStore.Commit(std::move(change));
+  if (!done) {
+    co_return done.error().With(RunState::Unknown);
+  }
+  const StoreItem* current = done->mApplied ? nullptr : done->Find(StepKey(aId));
+  if (!done->mApplied && current != nullptr) {
+    const Result<StepRecord> now = DecodeStepRecord(current->mValue);
+    if (now && !now->mEnded) {
+      Drop(step, "ended after it had moved");
+      co_return Error(ErrorKind::Unavailable, "The step has moved.");
+    }
+  }
+  step->mRecord = record;
+  Event("step-ended")
+      .Id(aId)
+      .Number("listed", static_cast<int64_t>(step->mListed.size()))
+      .Number("total", static_cast<int64_t>(step->mBook.Total()))
+      .Number("whole_groups", static_cast<int64_t>(step->mBook.WholeGroups()))
+      .Write();
+  if (mCarried.size() > kMaxCarried) {
+    mCarried.clear();
+  }
+  mCarried.merge(step->mBook.TextsOfOpenGroups());
+  if (!step->mUnsettled) {
+    const auto total = static_cast<int64_t>(step->mBook.Total());
+    mArchives[aId] = Archive{step->mListed, total, mNode.Now()};
+  }
+  mSteps.erase(aId);
+  co_return std::nullopt;
+}
+
+bool RolloutService::Owns(const std::string& aId) const {
+  return mSteps.contains(aId);
+}
+
+size_t RolloutService::OpenSteps() const { return mSteps.size(); }
+
+asio::awaitable<void> RolloutService::Run() {
+  while (!mNode.mStopping) {
+    co_await Sleep(mNode.mIo, kTick);
+    Tick();
+  }
+}
+
+void RolloutService::Tick() {
+  const Millis now = mNode.Now();
+  std::vector<StepPtr> steps;
+  for (const auto& [id, step] : mSteps) {
+    steps.push_back(step);
+  }
+  for (const StepPtr& step : steps) {
+    if (step->mRunning && now > step->mGiveUpAt && !step->mBook.AllEnded()) {
+      Event("step-overdue")
+          .Id(step->Id())
+          .Number("ended", static_cast<int64_t>(step->mBook.Ended()))
+          .Write();
+      step->mBook.GiveUpRest();
+    }
+    if (step->mRunning && now - step->mVerifiedAt > kVerifyIdle) {
+      Launch(mNode.mIo, "verify",
+             [](RolloutService* aSelf, StepPtr aStep) -> asio::awaitable<void> {
+               co_await aSelf->Verify(aStep);
+             }(this, step));
+    }
+    ScheduleFlush(step);
+  }
+  std::erase_if(mArchives, [&](const auto& aEntry) {
+    return now - aEntry.second.mSince > mNode.mBounds.mStatus + kArchiveMargin;
+  });
+  Pump();
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/rollout_step.h
@@ -0,0 +1,47 @@
+/// \file
+/// One step as its owner holds it.
+
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "rillwall/http.h"
+#include "rillwall/rollout.h"
+#include "rillwall/rollout_record.h"
+#include "rillwall/route_table.h"
+
+namespace rillwall {
+
+struct RolloutStep {
+  RolloutStep(asio::io_context& aIo, RolloutBook aBook, Route aRoute,
+              StepRecord aRecord, int64_t aRevision)
+      : mBook(std::move(aBook)),
+        mRoute(std::move(aRoute)),
+        mRecord(std::move(aRecord)),
+        mRevision(aRevision),
+        mChanged(aIo) {
+    mChanged.expires_at(asio::steady_timer::time_point::max());
+  }
+
+  const std::string& Id() const { return mBook.Spec().mId; }
+  /// Wakes everybody who waits for a result.
+  void Notify() { mChanged.cancel(); }
+
+  RolloutBook mBook;
+  const Route mRoute;
+  StepRecord mRecord;
+  int64_t mRevision;  ///< of the record; guards every append
+  std::vector<RolloutResult> mListed;  ///< in the store, by position
+  bool mRunning = true;    ///< owned here, and not ended
+  bool mFlushing = false;  ///< a page is being gathered or written
+  bool mUnsettled = false; ///< a page may or may not be in the store
+  std::map<size_t, HttpStream*> mStreams;  ///< by item
+  Millis mGiveUpAt;     ///< then unfinished items are given up
+  Millis mVerifiedAt;   ///< when the store was last asked and named this owner
+  asio::steady_timer mChanged;
+};
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -0,0 +1,259 @@
+#include "rillwall/upstream_call.h"
+
+#include <algorithm>
+
+#include "rillwall/event_log.h"
+
+namespace rillwall {
+
+namespace {
+
+/// An answer up to this size is taken in whole before its first byte is handed
+/// on, so that a broken one can be replaced. Far over the plain answers of
+/// today's users (5 KB), far under a small host's memory.
+constexpr size_t kMaxWholeBody = 256 * 1024;
+/// Shortest time that a try gets before another replica is tried.
+constexpr Millis kMinTry{200};
+/// Pause before replicas that refused are asked again.
+constexpr Millis kRefusedPause{25};
+constexpr int kMisdirected = 421;
+
+/// The state of one call.
+struct CallRun {
+  explicit CallRun(NodeContext& aNode, UpstreamCall aCall)
+      : mNode(aNode),
+        mCall(std::move(aCall)),
+        mAttempts(mCall.mKind, mCall.mAttempts) {
+    mWish.mService = mCall.mService;
+    mWish.mZone = mNode.mIdentity.mZone;
+  }
+
+  NodeContext& mNode;
+  const UpstreamCall mCall;
+  CallAttempts mAttempts;
+  ReplicaWish mWish;
+  std::optional<UpstreamAnswer> mFailedAnswer;  ///< best of the failed ones
+};
+
+/// How one try ended.
+struct TryResult {
+  TryEnd mEnd = TryEnd::NotSent;
+  UpstreamAnswer mAnswer;
+  std::string mWhy;
+};
+
+HttpRequest Prepare(const CallRun& aRun, const std::string& aReplica,
+                    Millis aLeft) {
+  HttpRequest request = aRun.mCall.mRequest;
+  const HeaderNames& names = aRun.mNode.mHeaders;
+  request.mHeaders.push_back({names.mExpectReplica, aReplica});
+  request.mHeaders.push_back(
+      {names.mTimeLeft, std::to_string(aLeft.Count())});
+  return request;
+}
+
+/// The time that this try gets.
+Millis TryLimit(const CallRun& aRun, Millis aLeft) {
+  if (!aRun.mAttempts.MayMoveOn()) {
+    return aLeft;
+  }
+  return std::min(aLeft, std::max(kMinTry, aRun.mCall.mTargetLatency));
+}
+
+TryEnd EndOf(const Error& aError) {
+  if (aError.Run() == RunState::NotRun) {
+    return TryEnd::NotSent;
+  }
+  return aError.Kind() == ErrorKind::Timeout ? TryEnd::TimedOut : TryEnd::Lost;
+}
+
+ReplicaOutcome OutcomeOf(TryEnd aEnd) {
+  switch (aEnd) {
+    case TryEnd::Answered:
+      return ReplicaOutcome::Served;
+    case TryEnd::Refused:
+      return ReplicaOutcome::Refused;
+    case TryEnd::NotSent:
+      return ReplicaOutcome::Unreachable;
+    case TryEnd::Lost:
+    case TryEnd::TimedOut:
+      return ReplicaOutcome::Failed;
+  }
+  return ReplicaOutcome::Failed;
+}
+
+/// \return whether an answer belongs to this call
+bool Ours(const CallRun& aRun, const HttpResponse& aHead) {
+  const std::string* id = aHead.Find(aRun.mNode.mHeaders.mRequestId);
+  if (id == nullptr) {
+    // Replicas echo the identity; a refusal may come before it was read.
+    return aHead.Find(aRun.mNode.mHeaders.mNotRun) != nullptr ||
+           aHead.mStatus == kMisdirected;
+  }
+  return *id == aRun.mCall.mId;
+}
+
+bool Refusal(const CallRun& aRun, const HttpResponse& aHead) {
+  return aHead.mStatus == kMisdirected ||
+         aHead.Find(aRun.mNode.mHeaders.mNotRun) != nullptr;
+}
+
+/// Reads an answer's body, up to the size that is kept whole.
+asio::awaitable<TryResult> ReadAnswer(std::unique_ptr<HttpStream> aStream,
+                                      Millis aDue, NodeContext& aNode) {
+  TryResult result;
+  result.mEnd = TryEnd::Answered;
+  result.mAnswer.mHead = aStream->Head();
+  std::string& body = result.mAnswer.mHead.mBody;
+  while (body.size() < kMaxWholeBody) {
+    const Millis left = std::max(Millis(1), aDue - aNode.Now());
+    Result<std::string> part = co_await aStream->Read(left);
+    if (!part) {
+      result.mEnd = part.error().Kind() == ErrorKind::Timeout
+                        ? TryEnd::TimedOut
+                        : TryEnd::Lost;
+      result.mWhy = part.error().Detail();
+      co_return result;
+    }
+    if (part->empty()) {
+      co_return result;
+    }
+    body += *part;
+  }
+  result.mAnswer.mRest = std::move(aStream);
+  co_return result;
+}
+
+asio::awaitable<TryResult> TryOnce(CallRun& aRun, const Replica& aReplica) {
+  NodeContext& node = aRun.mNode;
+  const Millis left = aRun.mCall.mDue - node.Now();
+  const Millis limit = TryLimit(aRun, left);
+  const Millis due = node.Now() + limit;
+  TryResult result;
+  const Result<Endpoint> endpoint = Endpoint::Parse(aReplica.mAddress);
+  if (!endpoint) {
+    result.mWhy = endpoint.error().Detail();
+    co_return result;
+  }
+  HttpRequest request = Prepare(aRun, aReplica.mId, left);
+  Result<std::unique_ptr<HttpStream>> opened =
+      co_await node.mClient.Open(*endpoint, std::move(request), limit);
+  if (!opened) {
+    result.mEnd = EndOf(opened.error());
+    result.mWhy = opened.error().Detail();
+    co_return result;
+  }
+  std::unique_ptr<HttpStream> stream = std::move(*opened);
+  const HttpResponse& head = stream->Head();
+  if (!Ours(aRun, head)) {
+    result.mEnd = TryEnd::Lost;
+    result.mWhy = "the answer belongs to another request";
+    co_return result;
+  }
+  if (Refusal(aRun, head)) {
+    result.mEnd = TryEnd::Refused;
+    result.mWhy = "refused with status " + std::to_string(head.mStatus);
+    co_return result;
+  }
+  if (aRun.mCall.mKind == RequestKind::Streaming) {
+    result.mEnd = TryEnd::Answered;
+    result.mAnswer.mHead = head;
+    result.mAnswer.mRest = std::move(stream);
+    co_return result;
+  }
+  co_return co_await ReadAnswer(std::move(stream), due, node);
+}
+
+void LogTry(const CallRun& aRun, const std::string& aReplica,
+            const TryResult& aResult, CallStep aStep) {
+  const bool delivered = aStep == CallStep::Deliver;
+  Event(delivered ? "answered" : "try-failed")
+      .Id(aRun.mCall.mId)
+      .Text("replica", aReplica)
+      .Number("try", aRun.mAttempts.Tries())
+      .Number("status", aResult.mAnswer.mHead.mStatus)
+      .Number("left_ms", (aRun.mCall.mDue - aRun.mNode.Now()).Count())
+      .Text("why", aResult.mWhy)
+      .Text("next", aStep == CallStep::Retry ? "retry"
+                    : delivered              ? "deliver"
+                                             : "fail")
+      .Write();
+}
+
+/// Keeps a replica's own failure, in case no other replica does better.
+void KeepFailure(CallRun& aRun, TryResult& aResult) {
+  if (aResult.mEnd == TryEnd::Answered) {
+    aRun.mFailedAnswer = std::move(aResult.mAnswer);
+  }
+}
+
+asio::awaitable<Result<UpstreamAnswer>> Run(CallRun& aRun) {
+  NodeContext& node = aRun.mNode;
+  bool timeIsUp = false;
+  while (true) {
+    const bool cancelled = co_await Cancelled();
+    timeIsUp = node.Now() >= aRun.mCall.mDue;
+    if (timeIsUp || cancelled) {
+      break;
+    }
+    const std::optional<std::string> id =
+        node.mReplicas.Choose(aRun.mWish, node.Now());
+    if (!id) {
+      if (aRun.mWish.mExcluded.empty()) {
+        break;
+      }
+      aRun.mWish.mExcluded.clear();
+      co_await Sleep(node.mIo, kRefusedPause);
+      continue;
+    }
+    const Replica replica = *node.mReplicas.Find(*id);
+    ReplicaUse use(node, *id);
+    TryResult result = co_await TryOnce(aRun, replica);
+    use.End(OutcomeOf(result.mEnd));
+    const int status = result.mAnswer.mHead.mStatus;
+    const CallStep step = aRun.mAttempts.Take(result.mEnd, status);
+    LogTry(aRun, *id, result, step);
+    if (step == CallStep::Deliver) {
+      result.mAnswer.mReplica = *id;
+      result.mAnswer.mTries = aRun.mAttempts.Tries();
+      co_return std::move(result.mAnswer);
+    }
+    KeepFailure(aRun, result);
+    if (step == CallStep::Fail) {
+      break;
+    }
+    node.mMetrics.Count("upstream_retries_total");
+    aRun.mWish.mExcluded.push_back(*id);
+  }
+  if (aRun.mFailedAnswer) {
+    co_return std::move(*aRun.mFailedAnswer);
+  }
+  co_return aRun.mAttempts.Failure(timeIsUp);
+}
+
+}  // namespace
+
+ReplicaUse::ReplicaUse(NodeContext& aNode, std::string aReplica)
+    : mNode(aNode), mReplica(std::move(aReplica)), mStarted(aNode.Now()) {
+  mNode.mReplicas.Start(mReplica);
+}
+
+ReplicaUse::~ReplicaUse() { End(ReplicaOutcome::Abandoned); }
+
+void ReplicaUse::End(ReplicaOutcome aOutcome) {
+  if (!mOpen) {
+    return;
+  }
+  mOpen = false;
+  const Millis now = mNode.Now();
+  mNode.mReplicas.End(mReplica, aOutcome, now - mStarted, now);
+}
+
+asio::awaitable<Result<UpstreamAnswer>> CallUpstream(NodeContext& aNode,
+                                                     UpstreamCall aCall) {
+  CallRun run(aNode, std::move(aCall));
+  Result<UpstreamAnswer> answer = co_await Run(run);
+  co_return answer;
+}
+
+}  // namespace rillwall
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <boost/asio/ip/address.hpp>
+#include <limits>
 #include <map>
 #include <mutex>
 
@@ -66,6 +67,8 @@
       std::make_shared<std::atomic<size_t>>(0);
   std::optional<TlsKeys> mKeys;
   std::optional<Error> mKeysFailure;  ///< of reading them at the start
+  std::atomic<uint64_t> mMade{0};
+  Millis mConnectTimeout{std::numeric_limits<int64_t>::max()};
 
   std::mutex mMutex;  ///< of what follows
   std::map<Endpoint, std::vector<Connection>> mIdle;
@@ -125,14 +128,16 @@
   }
   auto connection =
       std::make_unique<HttpClientConnection>(mContext, aEndpoint, mOpen);
+  mMade.fetch_add(1);
   HttpSocket& socket = connection->mSocket;
-  socket.Deadline().Set(Until(aDue));
+  socket.Deadline().Set(std::min(Until(aDue), mConnectTimeout));
   const asio::ip::tcp::endpoint remote(address, aEndpoint.mPort);
   code = co_await socket.Connect(remote);
   const bool late = socket.Deadline().Expired();
   if (code || late) {
     co_return CannotConnect(aEndpoint, code, late);
   }
+  socket.Deadline().Set(Until(aDue));
   if (mKeys) {
     std::optional<Error> error = co_await Secure(*connection);
     if (error) {
@@ -231,6 +236,12 @@
   return mImpl->Open(aEndpoint, std::move(aRequest), aTimeout);
 }
 
+void HttpClient::SetConnectTimeout(Millis aTimeout) {
+  mImpl->mConnectTimeout = aTimeout;
+}
+
+uint64_t HttpClient::ConnectionsMade() const { return mImpl->mMade.load(); }
+
 std::optional<Error> HttpClient::ReloadTls() {
   return mImpl->mKeys ? mImpl->mKeys->Load() : std::nullopt;
 }
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -119,6 +119,12 @@
   co_return part;
 }
 
+void HttpClientCall::Abort() {
+  if (mConnection) {
+    mConnection->mSocket.Deadline().Shutdown();
+  }
+}
+
 std::string HttpClientCall::TakeBody() {
   std::string part;
   std::swap(part, mParser->get().body());
--- a/src/librillwall_transport/http_client_connection.h
+++ b/src/librillwall_transport/http_client_connection.h
@@ -63,6 +63,7 @@
 
   const HttpResponse& Head() const override { return mHead; }
   asio::awaitable<Result<std::string>> Read(Millis aWait) override;
+  void Abort() override;
 
  private:
   void ResetParser();
--- a/src/librillwall_transport/http_server_connection.cpp
+++ b/src/librillwall_transport/http_server_connection.cpp
@@ -258,6 +258,7 @@
   } catch (const std::exception&) {
     thrown = true;
   }
+  mOnPeerGone = nullptr;
   if (mAnswer == AnswerState::None) {
     mKeepAlive = mKeepAlive && !thrown;
     HttpResponse response = NoAnswer();
@@ -309,6 +310,9 @@
   if (aCode) {
     mInputEnded = true;
     mPeerGone.store(true);
+    if (mOnPeerGone) {
+      std::exchange(mOnPeerGone, nullptr)();
+    }
   }
   if (aPending.mResume) {
     std::exchange(aPending.mResume, nullptr)();
--- a/src/librillwall_transport/http_server_connection.h
+++ b/src/librillwall_transport/http_server_connection.h
@@ -64,6 +64,9 @@
   bool PeerGone() const override {
     return mPeerGone.load(std::memory_order_relaxed);
   }
+  void OnPeerGone(std::function<void()> aCall) override {
+    mOnPeerGone = std::move(aCall);
+  }
 
  private:
   /// The read in flight, owned by its own completion handler.
@@ -102,6 +105,7 @@
   PendingRead* mPending = nullptr;
   bool mInputEnded = false;
   std::atomic<bool> mPeerGone{false};
+  std::function<void()> mOnPeerGone;  ///< of the present handler
   bool mIdle = false;  ///< between two requests
 
   AnswerState mAnswer = AnswerState::None;
--- a/src/rillwall/main.cpp
+++ b/src/rillwall/main.cpp
@@ -5,6 +5,8 @@
 #include <iostream>
 
 #include "cli_verbs.h"
+#include "platform/node_file.h"
+#include "platform/platform_node.h"
 #include "rillwall/log.h"
 #include "rillwall/settings.h"
 #include "serve.h"
@@ -20,6 +22,12 @@
   bool check = false;
   serve->add_flag("--check", check, "Check the settings and end");
   serve->callback([&] {
+    const std::optional<std::string> file = rillwall::platform::NodeFilePath();
+    if (file) {
+      exitCode = check ? rillwall::platform::CheckNodeFile(*file)
+                       : rillwall::platform::Serve(*file);
+      return;
+    }
     const rillwall::Result<rillwall::NodeSettings> settings = reader.Read();
     if (!settings) {
       std::cerr << settings.error().Detail() << '\n';
--- a/src/standin/control.cpp
+++ b/src/standin/control.cpp
@@ -99,6 +99,9 @@
   void Cut() override { mInner.Cut(); }
   std::string Peer() const override { return mInner.Peer(); }
   bool PeerGone() const override { return mInner.PeerGone(); }
+  void OnPeerGone(std::function<void()> aCall) override {
+    mInner.OnPeerGone(std::move(aCall));
+  }
 
  private:
   /// Waits as the faults say. The effect has taken place by now.
