--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -48,7 +48,10 @@
  private:
   asio::awaitable<void> TryClaim();
   asio::awaitable<void> Renew();
+  /// Waits until nobody holds the claim.
   asio::awaitable<void> AwaitVacancy();
+  /// \return whether the claim ended; else it is to be read again
+  asio::awaitable<bool> WatchClaim(int64_t aRevision);
   void Lose(const char* aWhy);
 
   NodeContext& mNode;
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "rillwall/lead_claim.h"
@@ -98,6 +99,14 @@
   asio::awaitable<Result<StepPtr>> TakeOver(std::string aId,
                                             StepRecord aRecord,
                                             int64_t aRevision);
+  /// The same, while no other takeover of the step is under way here.
+  asio::awaitable<Result<StepPtr>> TakeOverOnce(std::string aId,
+                                                StepRecord aRecord,
+                                                int64_t aRevision);
+  /// Commits the records of a new step, and settles a lost answer.
+  /// \return the record's revision; 0 if another node has accepted it
+  asio::awaitable<Result<int64_t>> CommitNew(std::string aId,
+                                             StoreChange aChange);
   asio::awaitable<Result<std::vector<RolloutResult>>> LoadPages(
       std::string aId);
   asio::awaitable<Result<std::string>> LoadBody(std::string aId);
@@ -122,6 +131,7 @@
   const SpecDecoder mDecoder;
   std::map<std::string, StepPtr> mSteps;
   std::map<std::string, Archive> mArchives;
+  std::set<std::string> mTaking;  ///< steps whose takeover is under way
   std::map<std::string, std::string> mPlaces;  ///< addresses of other owners
   /// Texts of groups that were not whole when their step ended.
   std::map<std::string, RolloutText> mCarried;
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -60,9 +60,9 @@
       co_await Renew();
       continue;
     }
-    co_await TryClaim();
-    if (!Held()) {
-      co_await AwaitVacancy();
+    co_await AwaitVacancy();
+    if (!mNode.mStopping) {
+      co_await TryClaim();
     }
   }
 }
@@ -114,29 +114,39 @@
 }
 
 asio::awaitable<void> LeadClaim::AwaitVacancy() {
-  Result<std::optional<StoreItem>> item = co_await mNode.mStore.Get(kLeadKey);
-  if (!item) {
-    co_await Sleep(mNode.mIo, kRetryPause);
-    co_return;
-  }
-  if (!*item) {
-    co_return;
-  }
-  int64_t revision = (*item)->mRevision;
   while (!mNode.mStopping) {
-    const Result<StoreEvents> seen =
-        co_await mNode.mStore.Watch(kLeadKey, revision, kWatchWait);
-    if (!seen) {
+    const Result<StoreList> list = co_await mNode.mStore.List(kLeadKey, {});
+    if (!list) {
       co_await Sleep(mNode.mIo, kRetryPause);
+      continue;
+    }
+    if (list->mItems.empty()) {
       co_return;
     }
-    if (seen->mCompacted || !seen->mEvents.empty()) {
+    // From the store's revision, as the key's own may be out of its history.
+    const bool vacant = co_await WatchClaim(list->mRevision);
+    if (vacant) {
       co_return;
     }
-    revision = std::max(revision, seen->mRevision);
   }
 }
 
+asio::awaitable<bool> LeadClaim::WatchClaim(int64_t aRevision) {
+  while (!mNode.mStopping) {
+    const Result<StoreEvents> seen =
+        co_await mNode.mStore.Watch(kLeadKey, aRevision, kWatchWait);
+    if (!seen || seen->mCompacted) {
+      co_await Sleep(mNode.mIo, kRetryPause);
+      co_return false;
+    }
+    if (!seen->mEvents.empty()) {
+      co_return seen->mEvents.back().mDeleted;
+    }
+    aRevision = std::max(aRevision, seen->mRevision);
+  }
+  co_return false;
+}
+
 void LeadClaim::Lose(const char* aWhy) {
   Event("claim-lost")
       .Text("claim", "lead")
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -140,6 +140,20 @@
   co_return step;
 }
 
+asio::awaitable<Result<RolloutService::StepPtr>> RolloutService::TakeOverOnce(
+    std::string aId, StepRecord aRecord, int64_t aRevision) {
+  const auto found = mSteps.find(aId);
+  if (found != mSteps.end()) {
+    co_return found->second;
+  }
+  if (!mTaking.insert(aId).second) {
+    co_return Error(ErrorKind::Unavailable, "The step is being taken over.");
+  }
+  Result<StepPtr> step = co_await TakeOver(aId, std::move(aRecord), aRevision);
+  mTaking.erase(aId);
+  co_return step;
+}
+
 asio::awaitable<void> RolloutService::AdoptOrphans() {
   const Result<StoreList> all = co_await ListAll(mNode.mStore, kStepPrefix);
   if (!all) {
@@ -161,7 +175,7 @@
       continue;
     }
     const Result<StepPtr> step =
-        co_await TakeOver(id, *record, item.mRevision);
+        co_await TakeOverOnce(id, *record, item.mRevision);
     if (!step) {
       Event("take-over-failed").Id(id).Text("why", step.error().Detail()).Write();
     }
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -17,6 +17,9 @@
 /// Results that end within this time go into one page: a page is one priced
 /// call, and a trainer asks about twice a second.
 constexpr Millis kGather{40};
+/// Without a whole group among them, results can wait longer: a trainer counts
+/// whole groups.
+constexpr Millis kGatherLonger{400};
 /// Text of one page; its encoded form stays under the store's 1 MiB values.
 constexpr size_t kMaxPageBytes = 600 * 1000;
 constexpr Millis kFirstRetry{30};
@@ -227,9 +230,15 @@
 }
 
 asio::awaitable<void> RolloutService::FlushLoop(StepPtr aStep) {
-  co_await Sleep(mNode.mIo, kGather);
+  const Millis begun = mNode.Now();
+  const size_t wholeListed = aStep->mWholeListed;
+  do {
+    co_await Sleep(mNode.mIo, kGather);
+  } while (aStep->mRunning && aStep->mBook.WholeGroups() == wholeListed &&
+           mNode.Now() - begun < kGatherLonger);
   std::vector<RolloutResult> waiting;
   while (aStep->mRunning) {
+    aStep->mWholeListed = aStep->mBook.WholeGroups();
     for (RolloutResult& result : aStep->mBook.TakeUnlisted()) {
       waiting.push_back(std::move(result));
     }
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// A trainer's submission is tried so long while the store does not answer: its
+/// results are due in seconds, and a refusal costs it the whole step.
+constexpr Millis kAcceptLimit{2000};
+constexpr Millis kAcceptPause{100};
 /// Look at open steps; far under the bounds that it keeps.
 constexpr Millis kTick{100};
 /// An owner that has not heard from the store for so long asks whether it is
@@ -104,21 +108,16 @@
     change.mPuts.push_back({BodyKey(id, part), aBody.substr(at, kPartBytes), 0});
   }
   const Millis asked = mNode.Now();
-  const Result<StoreCommit> done =
-      co_await mNode.mStore.Commit(std::move(change));
-  if (!done) {
-    const bool nothing = done.error().Kind() == ErrorKind::KvUnavailable;
-    co_return done.error().With(nothing ? RunState::NotRun : RunState::Unknown);
+  const Result<int64_t> revision = co_await CommitNew(id, std::move(change));
+  if (!revision) {
+    co_return revision.error();
   }
-  if (!done->mApplied) {
+  if (*revision == 0 || mSteps.contains(id) || mArchives.contains(id)) {
     Event("step-known").Id(id).Text("why", "already in the store").Write();
     co_return std::nullopt;
   }
-  if (mSteps.contains(id)) {
-    co_return std::nullopt;
-  }
   const StepPtr step =
-      MakeStep(std::move(aSpec), aRoute, std::move(record), done->mRevision);
+      MakeStep(std::move(aSpec), aRoute, std::move(record), *revision);
   AdoptTexts(*step);
   const RolloutSpec& spec = step->mBook.Spec();
   Event("step-accepted")
@@ -128,7 +127,7 @@
       .Number("min_version", spec.mMinVersion)
       .Number("items", static_cast<int64_t>(spec.mItems.size()))
       .Number("target_groups", spec.mTargetGroups)
-      .Number("revision", done->mRevision)
+      .Number("revision", *revision)
       .Number("store_ms", (mNode.Now() - asked).Count())
       .Write();
   mNode.mMetrics.Count("steps_accepted_total");
@@ -137,6 +136,35 @@
   co_return std::nullopt;
 }
 
+asio::awaitable<Result<int64_t>> RolloutService::CommitNew(
+    std::string aId, StoreChange aChange) {
+  const Millis until = mNode.Now() + kAcceptLimit;
+  bool unsure = false;
+  while (true) {
+    const Result<StoreCommit> done = co_await mNode.mStore.Commit(aChange);
+    if (done && done->mApplied) {
+      co_return done->mRevision;
+    }
+    if (done) {
+      const StoreItem* item = done->Find(StepKey(aId));
+      const Result<StepRecord> record =
+          item == nullptr ? Error(ErrorKind::Internal, "no record")
+                          : DecodeStepRecord(item->mValue);
+      // An earlier try of this call got through, and its answer was lost.
+      const bool ours = record && !record->mEnded &&
+                        record->mRun == mNode.mIdentity.mRun;
+      co_return ours ? item->mRevision : 0;
+    }
+    unsure = unsure || done.error().Kind() != ErrorKind::KvUnavailable;
+    Event("accept-retry").Id(aId).Text("why", done.error().Detail()).Write();
+    if (mNode.Now() + kAcceptPause > until) {
+      co_return done.error().With(unsure ? RunState::Unknown
+                                         : RunState::NotRun);
+    }
+    co_await Sleep(mNode.mIo, kAcceptPause);
+  }
+}
+
 void RolloutService::AdoptTexts(RolloutStep& aStep) {
   const RolloutSpec& spec = aStep.mBook.Spec();
   int64_t used = 0;
@@ -195,7 +223,7 @@
     }
   } else if (!mSteps.contains(aId)) {
     const Result<StepPtr> step =
-        co_await TakeOver(aId, *record, (*item)->mRevision);
+        co_await TakeOverOnce(aId, *record, (*item)->mRevision);
     if (!step) {
       co_return step.error();
     }
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -35,6 +35,7 @@
   StepRecord mRecord;
   int64_t mRevision;  ///< of the record; guards every append
   std::vector<RolloutResult> mListed;  ///< in the store, by position
+  size_t mWholeListed = 0;  ///< groups that were whole at the last page
   bool mRunning = true;    ///< owned here, and not ended
   bool mFlushing = false;  ///< a page is being gathered or written
   bool mUnsettled = false; ///< a page may or may not be in the store
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -220,6 +220,7 @@
     }
     KeepFailure(aRun, result);
     if (step == CallStep::Fail) {
+      timeIsUp = result.mEnd == TryEnd::TimedOut;
       break;
     }
     node.mMetrics.Count("upstream_retries_total");
