--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -42,6 +42,7 @@
   std::string mZone;     ///< availability zone
   std::string mAddress;  ///< where other nodes reach it, ip:port
   std::string mRun;      ///< of this start of the process; never used again
+  bool mTakesClients = false;
 };
 
 /// Bounds that the operator's settings give, all in milliseconds.
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -85,6 +85,12 @@
            Millis aNow);
   /// The replica takes no new request of this node until then.
   void Pause(const std::string& aId, Millis aUntil);
+  /// The replica takes requests again, whatever happened before.
+  void Resume(const std::string& aId);
+  /// Measures the time between two events of a stream, in ms.
+  void ObservePace(const std::string& aId, double aMsPerEvent, Millis aNow);
+  /// \return whether its streams run much slower than those of its service
+  bool Slow(const std::string& aId, Millis aNow) const;
   /// An answer or an order told the version that a replica serves now.
   void Learn(const std::string& aId, const std::string& aModel,
              int64_t aVersion);
@@ -105,10 +111,17 @@
     int mFailures = 0;  ///< in a row
     Millis mPausedUntil;
     double mLatency = 0;  ///< smoothed, in ms; 0: none measured
+    double mPace = 0;     ///< of streams, smoothed, in ms an event; 0: none
+    Millis mPaceAt;       ///< of its last measurement
   };
+  /// \return the pace as far as it is recent, else 0
+  static double PaceOf(const State& aState, Millis aNow);
+  /// \return the median pace of a service's replicas, 0 if none is known
+  double TypicalPace(const std::string& aService, Millis aNow) const;
   /// \return how loaded and slow it is, for the comparison; lower is better
+  /// \param aTypicalPace of the service; 0: unknown
   static double Cost(const State& aState, const ReplicaWish& aWish,
-                     Millis aNow);
+                     double aTypicalPace, Millis aNow);
   static bool Suits(const State& aState, const ReplicaWish& aWish);
 
   std::map<std::string, State> mStates;
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -117,6 +117,10 @@
   /// \return the next item to run, or nothing if none waits
   std::optional<RolloutPick> Next() const;
   void Started(size_t aItem, const std::string& aReplica);
+  /// \return the replica that runs it, or ran it last
+  const std::string& ReplicaOf(size_t aItem) const {
+    return mStates[aItem].mLastReplica;
+  }
   /// The text at hand; a run goes on after its last event.
   RolloutText& Text(size_t aItem) { return mStates[aItem].mText; }
   /// A run ended without the whole text and is to be made again.
--- a/src/include/rillwall/upstream_call.h
+++ b/src/include/rillwall/upstream_call.h
@@ -39,7 +39,8 @@
   ReplicaUse(const ReplicaUse&) = delete;
   ReplicaUse& operator=(const ReplicaUse&) = delete;
   /// Tells how it ended; without it the request counts as abandoned.
-  void End(ReplicaOutcome aOutcome);
+  /// \param aStream its time says nothing of the replica's latency
+  void End(ReplicaOutcome aOutcome, bool aStream = false);
   Millis Started() const { return mStarted; }
 
  private:
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -22,6 +22,13 @@
 /// Latency that counts as much as all slots taken once, in ms.
 constexpr double kLatencyScale = 200.0;
 
+/// Weight of a new pace; a slowed replica shows within some five events.
+constexpr double kPaceWeight = 0.2;
+/// A pace that was not measured for so long may have changed.
+constexpr Millis kPaceAge{4000};
+/// Replicas of one service differ by a third; a fault slows them threefold.
+constexpr double kSlowFactor = 1.6;
+
 Millis PauseAfter(int aFailures) {
   const int doublings = std::min(aFailures - 1, kMaxDoublings);
   return std::min(kLongestPause, kFirstPause * (int64_t{1} << doublings));
@@ -90,12 +97,69 @@
          excluded.end();
 }
 
+double ReplicaPool::PaceOf(const State& aState, Millis aNow) {
+  return aNow - aState.mPaceAt < kPaceAge ? aState.mPace : 0;
+}
+
+double ReplicaPool::TypicalPace(const std::string& aService,
+                                Millis aNow) const {
+  std::vector<double> paces;
+  for (const auto& [id, state] : mStates) {
+    const double pace = PaceOf(state, aNow);
+    if (state.mReplica.mService == aService && pace > 0) {
+      paces.push_back(pace);
+    }
+  }
+  if (paces.empty()) {
+    return 0;
+  }
+  const auto middle =
+      paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  return *middle;
+}
+
+void ReplicaPool::ObservePace(const std::string& aId, double aMsPerEvent,
+                              Millis aNow) {
+  const auto found = mStates.find(aId);
+  if (found == mStates.end()) {
+    return;
+  }
+  State& state = found->second;
+  const double before = PaceOf(state, aNow);
+  state.mPace = before == 0 ? aMsPerEvent
+                            : before * (1 - kPaceWeight) +
+                                  aMsPerEvent * kPaceWeight;
+  state.mPaceAt = aNow;
+}
+
+bool ReplicaPool::Slow(const std::string& aId, Millis aNow) const {
+  const auto found = mStates.find(aId);
+  if (found == mStates.end()) {
+    return false;
+  }
+  const double typical = TypicalPace(found->second.mReplica.mService, aNow);
+  return typical > 0 && PaceOf(found->second, aNow) > typical * kSlowFactor;
+}
+
+void ReplicaPool::Resume(const std::string& aId) {
+  const auto found = mStates.find(aId);
+  if (found != mStates.end()) {
+    found->second.mPausedUntil = Millis();
+    found->second.mFailures = 0;
+  }
+}
+
 double ReplicaPool::Cost(const State& aState, const ReplicaWish& aWish,
-                         Millis aNow) {
+                         double aTypicalPace, Millis aNow) {
   const double slots =
       static_cast<double>(std::max<int64_t>(aState.mReplica.mSlots, 1));
   double cost = static_cast<double>(aState.mInFlight) / slots;
   cost += aState.mLatency / kLatencyScale;
+  const double pace = PaceOf(aState, aNow);
+  if (pace > 0 && aTypicalPace > 0) {
+    cost += pace / aTypicalPace - 1;
+  }
   if (aState.mReplica.mZone != aWish.mZone) {
     cost += kOtherZoneCost;
   }
@@ -109,6 +173,8 @@
                                                Millis aNow) const {
   const State* best = nullptr;
   double bestCost = 0;
+  const double typical =
+      aWish.mModel.empty() ? 0 : TypicalPace(aWish.mService, aNow);
   for (const auto& [id, state] : mStates) {
     if (!Suits(state, aWish)) {
       continue;
@@ -117,7 +183,7 @@
     if (aWish.mWithinSlots && paused) {
       continue;
     }
-    const double cost = Cost(state, aWish, aNow);
+    const double cost = Cost(state, aWish, typical, aNow);
     if (best == nullptr || cost < bestCost) {
       best = &state;
       bestCost = cost;
@@ -150,6 +216,9 @@
   if (aOutcome == ReplicaOutcome::Served) {
     state.mFailures = 0;
     const auto latency = static_cast<double>(aLatency.Count());
+    if (aLatency == Millis(0)) {
+      return;
+    }
     state.mLatency = state.mLatency == 0
                          ? latency
                          : state.mLatency * (1 - kLatencyWeight) +
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -166,7 +166,9 @@
   EventIntake intake(aNode, text, version);
   aStep.mStreams[aItem] = stream.get();
   ItemRunEnd end = ItemRunEnd::Broken;
+  Millis lastAt;
   while (true) {
+    const int64_t before = text.mEvents;
     const Result<std::string> part = co_await stream->Read(kEventLimit);
     if (!aStep.mRunning) {
       end = ItemRunEnd::Stopped;
@@ -174,6 +176,9 @@
     }
     if (!part) {
       aWhy = part.error().Detail();
+      if (aStep.mMoving.erase(aItem) > 0) {
+        end = ItemRunEnd::Moved;
+      }
       break;
     }
     if (part->empty()) {
@@ -184,7 +189,16 @@
     if (!aWhy.empty()) {
       break;
     }
+    const Millis now = aNode.Now();
+    const int64_t events = text.mEvents - before;
+    if (lastAt > Millis(0) && events > 0) {
+      const auto span = static_cast<double>((now - lastAt).Count());
+      aNode.mReplicas.ObservePace(
+          aReplica.mId, span / static_cast<double>(events), now);
+    }
+    lastAt = now;
   }
+  aStep.mMoving.erase(aItem);
   aStep.mStreams.erase(aItem);
   text.mWhole = end == ItemRunEnd::Whole;
   co_return end;
--- a/src/librillwall_rollout/item_run.h
+++ b/src/librillwall_rollout/item_run.h
@@ -18,6 +18,7 @@
   Broken,      ///< the stream ended early; the text so far is kept
   Failed,      ///< the replica ran it and answered with an error
   Impossible,  ///< the replica says that it can never be done
+  Moved,       ///< ended here, to go on at a faster replica
   Stopped,     ///< the step ended here
 };
 
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -42,6 +42,7 @@
       return ReplicaOutcome::Unreachable;
     case ItemRunEnd::Broken:
       return ReplicaOutcome::Failed;
+    case ItemRunEnd::Moved:
     case ItemRunEnd::Stopped:
       return ReplicaOutcome::Abandoned;
   }
@@ -62,6 +63,8 @@
       return "failed";
     case ItemRunEnd::Impossible:
       return "impossible";
+    case ItemRunEnd::Moved:
+      return "moved";
     case ItemRunEnd::Stopped:
       return "stopped";
   }
@@ -138,7 +141,7 @@
   std::string why;
   const ItemRunEnd end =
       co_await GenerateText(mNode, *aStep, aItem, aReplica, why);
-  use.End(OutcomeOf(end));
+  use.End(OutcomeOf(end), true);
   Event("item-run")
       .Id(book.Item(aItem).mId)
       .Text("step", aStep->Id())
@@ -166,6 +169,25 @@
   Pump();
 }
 
+void RolloutService::MoveFromSlow(const StepPtr& aStep) {
+  const Millis now = mNode.Now();
+  for (auto& [item, stream] : aStep->mStreams) {
+    const std::string& replica = aStep->mBook.ReplicaOf(item);
+    if (aStep->mMoving.contains(item) || !mNode.mReplicas.Slow(replica, now)) {
+      continue;
+    }
+    RolloutPick pick{item, replica, {}};
+    const std::optional<std::string> other = ChooseReplica(*aStep, pick);
+    if (!other || *other == replica || mNode.mReplicas.Slow(*other, now)) {
+      return;
+    }
+    // One at a time: the next look sees the slot that this one takes.
+    aStep->mMoving.insert(item);
+    stream->Abort();
+    return;
+  }
+}
+
 asio::awaitable<void> RolloutService::ScoreItem(StepPtr aStep, size_t aItem) {
   RolloutBook& book = aStep->mBook;
   const std::optional<ScorerCall>& scorer = book.Item(aItem).mScorer;
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -412,6 +412,9 @@
              }(this, step));
     }
     ScheduleFlush(step);
+    if (step->mRunning) {
+      MoveFromSlow(step);
+    }
   }
   std::erase_if(mArchives, [&](const auto& aEntry) {
     return now - aEntry.second.mSince > mNode.mBounds.mStatus + kArchiveMargin;
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,7 @@
   bool mFlushing = false;  ///< a page is being gathered or written
   bool mUnsettled = false; ///< a page may or may not be in the store
   std::map<size_t, HttpStream*> mStreams;  ///< by item
+  std::set<size_t> mMoving;  ///< items whose stream is ended to go elsewhere
   Millis mGiveUpAt;     ///< then unfinished items are given up
   Millis mVerifiedAt;   ///< when the store was last asked and named this owner
   asio::steady_timer mChanged;
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -241,13 +241,14 @@
 
 ReplicaUse::~ReplicaUse() { End(ReplicaOutcome::Abandoned); }
 
-void ReplicaUse::End(ReplicaOutcome aOutcome) {
+void ReplicaUse::End(ReplicaOutcome aOutcome, bool aStream) {
   if (!mOpen) {
     return;
   }
   mOpen = false;
   const Millis now = mNode.Now();
-  mNode.mReplicas.End(mReplica, aOutcome, now - mStarted, now);
+  const Millis latency = aStream ? Millis(0) : now - mStarted;
+  mNode.mReplicas.End(mReplica, aOutcome, latency, now);
 }
 
 asio::awaitable<Result<UpstreamAnswer>> CallUpstream(NodeContext& aNode,
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -183,6 +183,7 @@
     const int64_t version = report ? report->VersionOf(aModel) : 0;
     if (report && !report->mBusy) {
       mNode.mReplicas.Learn(aReplica.mId, aModel, version);
+      mNode.mReplicas.Resume(aReplica.mId);
       Event("load-ended")
           .Text("replica", aReplica.mId)
           .Text("model", aModel)
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -130,10 +130,10 @@
       std::make_unique<HttpClientConnection>(mContext, aEndpoint, mOpen);
   mMade.fetch_add(1);
   HttpSocket& socket = connection->mSocket;
-  socket.Deadline().Set(std::min(Until(aDue), mConnectTimeout));
   const asio::ip::tcp::endpoint remote(address, aEndpoint.mPort);
-  code = co_await socket.Connect(remote);
-  const bool late = socket.Deadline().Expired();
+  const Millis limit = std::min(Until(aDue), mConnectTimeout);
+  code = co_await socket.Connect(remote, limit);
+  const bool late = code == asio::error::timed_out;
   if (code || late) {
     co_return CannotConnect(aEndpoint, code, late);
   }
--- a/src/librillwall_transport/http_socket.cpp
+++ b/src/librillwall_transport/http_socket.cpp
@@ -3,14 +3,18 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/ssl/host_name_verification.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace rillwall {
 
 namespace {
 
+using asio::experimental::awaitable_operators::operator||;
+
 /// Drops the first bytes of the buffers.
 void Consume(WriteBuffers& aBuffers, size_t aBytes) {
   for (asio::const_buffer& buffer : aBuffers) {
@@ -40,16 +44,24 @@
 }
 
 asio::awaitable<error_code> HttpSocket::Connect(
-    const asio::ip::tcp::endpoint& aTo) {
+    asio::ip::tcp::endpoint aTo, Millis aLimit) {
   error_code code;
   mSocket.open(aTo.protocol(), code);
   if (code) {
     co_return code;
   }
   Prepare();
-  const auto [result] =
-      co_await mSocket.async_connect(aTo, asio::as_tuple(asio::use_awaitable));
-  co_return result;
+  // Shutting a socket down does not end its connect everywhere, so that the
+  // deadline alone would not do.
+  asio::steady_timer limit(mSocket.get_executor());
+  limit.expires_after(std::chrono::milliseconds(aLimit.Count()));
+  const auto ended = co_await(
+      mSocket.async_connect(aTo, asio::as_tuple(asio::use_awaitable)) ||
+      limit.async_wait(asio::as_tuple(asio::use_awaitable)));
+  if (ended.index() != 0) {
+    co_return asio::error::timed_out;
+  }
+  co_return std::get<0>(std::get<0>(ended));
 }
 
 asio::awaitable<error_code> HttpSocket::Secure(TlsRole aRole, TlsContext aKeys,
--- a/src/librillwall_transport/http_socket.h
+++ b/src/librillwall_transport/http_socket.h
@@ -44,8 +44,10 @@
   HttpSocket(const HttpSocket&) = delete;
   HttpSocket& operator=(const HttpSocket&) = delete;
 
-  /// Connects a new socket; the deadline applies.
-  asio::awaitable<error_code> Connect(const asio::ip::tcp::endpoint& aTo);
+  /// Connects a new socket.
+  /// \return timed_out if no connection was made in time
+  asio::awaitable<error_code> Connect(asio::ip::tcp::endpoint aTo,
+                                      Millis aLimit);
 
   /// Turns to TLS; the deadline applies.
   /// \param aKeys must not be nullptr
