weights: each replica loads one model's weights, in shares by demand

Ruled out: replicas refusing, streams lost (none). Change: LoadPlan assigns each replica to one model, in shares that follow the steps' work; what the newest step can't use goes first; a load that ends runs waits until these find room elsewhere; a loading replica is paused for that model only.

--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -85,6 +85,9 @@
            Millis aNow);
   /// The replica takes no new request of this node until then.
   void Pause(const std::string& aId, Millis aUntil);
+  /// The same for requests of one model only, as while its weights load.
+  void PauseModel(const std::string& aId, const std::string& aModel,
+                  Millis aUntil);
   /// The replica takes requests again, whatever happened before.
   void Resume(const std::string& aId);
   /// Measures the time between two events of a stream, in ms.
@@ -110,6 +113,7 @@
     int64_t mInFlight = 0;
     int mFailures = 0;  ///< in a row
     Millis mPausedUntil;
+    std::map<std::string, Millis> mModelPauses;
     double mLatency = 0;  ///< smoothed, in ms; 0: none measured
     double mPace = 0;     ///< of streams, smoothed, in ms an event; 0: none
     Millis mPaceAt;       ///< of its last measurement
@@ -122,6 +126,8 @@
   /// \param aTypicalPace of the service; 0: unknown
   static double Cost(const State& aState, const ReplicaWish& aWish,
                      double aTypicalPace, Millis aNow);
+  static bool Paused(const State& aState, const ReplicaWish& aWish,
+                     Millis aNow);
   static bool Suits(const State& aState, const ReplicaWish& aWish);
 
   std::map<std::string, State> mStates;
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -53,6 +53,9 @@
   RolloutService(NodeContext& aNode, LeadClaim& aLead, SpecDecoder aDecoder);
   ~RolloutService();
 
+  /// Called with the model and the work of each step that this node takes.
+  std::function<void(const std::string&, double)> mOnStep;
+
   /// Accepts a step durably and begins to run it here.
   /// \param aBody the submission as it came, to be kept in the store
   /// \return an error whose Run() is NotRun only if it certainly is not and
--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "rillwall/lead_claim.h"
+#include "rillwall/load_plan.h"
 #include "rillwall/node_context.h"
 
 namespace rillwall {
@@ -56,23 +57,28 @@
   void Name(const std::string& aModel, int64_t aVersion);
   /// \return the newest named version of a model, 0 if none was named
   int64_t Named(const std::string& aModel) const;
+  /// Adds the work of a step to its model's demand.
+  void AddDemand(const std::string& aModel, double aWork);
   /// Gives orders until the node stops.
   asio::awaitable<void> Run();
   /// Called when a replica serves a new version.
   std::function<void()> mOnLoaded;
 
  private:
-  void StartLoads(const std::string& aModel, int64_t aVersion);
-  asio::awaitable<void> Load(Replica aReplica, std::string aModel,
-                             int64_t aVersion);
+  void StartLoads(const ServiceSpec& aService);
+  double DemandOf(const std::string& aModel) const;
+  /// \return whether runs of the model must finish under their version
+  bool KeepsRuns(const std::string& aModel) const;
+  asio::awaitable<void> Load(Replica aReplica, LoadPick aPick);
   asio::awaitable<bool> AwaitLoaded(Replica aReplica, std::string aModel,
                                     int64_t aVersion);
-  size_t LoadingOf(const std::vector<const Replica*>& aReplicas) const;
 
   NodeContext& mNode;
   LeadClaim& mLead;
   ReplicaControl& mControl;
   std::map<std::string, int64_t> mNamed;
+  std::map<std::string, double> mDemand;
+  std::map<std::string, LoadPlan> mPlans;  ///< by service
   std::set<std::string> mLoading;  ///< ids of replicas
 };
 
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -80,6 +80,15 @@
   return changes;
 }
 
+bool ReplicaPool::Paused(const State& aState, const ReplicaWish& aWish,
+                         Millis aNow) {
+  if (aNow < aState.mPausedUntil) {
+    return true;
+  }
+  const auto model = aState.mModelPauses.find(aWish.mModel);
+  return model != aState.mModelPauses.end() && aNow < model->second;
+}
+
 bool ReplicaPool::Suits(const State& aState, const ReplicaWish& aWish) {
   const Replica& replica = aState.mReplica;
   if (replica.mService != aWish.mService || replica.mDraining) {
@@ -142,10 +151,20 @@
   return typical > 0 && PaceOf(found->second, aNow) > typical * kSlowFactor;
 }
 
+void ReplicaPool::PauseModel(const std::string& aId, const std::string& aModel,
+                             Millis aUntil) {
+  const auto found = mStates.find(aId);
+  if (found != mStates.end()) {
+    Millis& until = found->second.mModelPauses[aModel];
+    until = std::max(until, aUntil);
+  }
+}
+
 void ReplicaPool::Resume(const std::string& aId) {
   const auto found = mStates.find(aId);
   if (found != mStates.end()) {
     found->second.mPausedUntil = Millis();
+    found->second.mModelPauses.clear();
     found->second.mFailures = 0;
   }
 }
@@ -163,7 +182,7 @@
   if (aState.mReplica.mZone != aWish.mZone) {
     cost += kOtherZoneCost;
   }
-  if (aNow < aState.mPausedUntil) {
+  if (Paused(aState, aWish, aNow)) {
     cost += kPausedCost;
   }
   return cost;
@@ -179,8 +198,7 @@
     if (!Suits(state, aWish)) {
       continue;
     }
-    const bool paused = aNow < state.mPausedUntil;
-    if (aWish.mWithinSlots && paused) {
+    if (aWish.mWithinSlots && Paused(state, aWish, aNow)) {
       continue;
     }
     const double cost = Cost(state, aWish, typical, aNow);
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -157,7 +157,8 @@
   aNode.mReplicas.Learn(aReplica.mId, aStep.mBook.Spec().mModel, version);
   if (!VersionFits(aStep, text, version)) {
     aWhy = "weights of version " + std::to_string(version);
-    aNode.mReplicas.Pause(aReplica.mId, aNode.Now() + kOldWeightsPause);
+    aNode.mReplicas.PauseModel(aReplica.mId, aStep.mBook.Spec().mModel,
+                               aNode.Now() + kOldWeightsPause);
     if (aStep.mRoute.mSingleVersion) {
       text = RolloutText();
     }
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -40,6 +40,15 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+/// \return tokens that a step is expected to generate
+double WorkOf(const RolloutSpec& aSpec) {
+  int64_t tokens = 0;
+  for (const RolloutItem& item : aSpec.mItems) {
+    tokens += item.mLengthHint > 0 ? item.mLengthHint : item.mTokens;
+  }
+  return static_cast<double>(tokens);
+}
+
 size_t SizeOf(const RolloutResult& aResult) {
   constexpr size_t kFields = 160;
   return aResult.mOutput.size() + aResult.mScore.size() + kFields;
@@ -86,6 +95,9 @@
   step->mVerifiedAt = mNode.Now();
   mSteps[id] = step;
   mPlaces.erase(id);
+  if (mOnStep) {
+    mOnStep(step->mBook.Spec().mModel, WorkOf(step->mBook.Spec()));
+  }
   return step;
 }
 
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis kTick{50};
+/// Weight of a step's work in its model's smoothed demand.
+constexpr double kDemandWeight = 0.3;
 /// One of so many replicas loads at once: loads share the bandwidth of the
 /// weight store, and the others go on serving.
 constexpr size_t kReplicasPerLoad = 5;
@@ -85,64 +87,80 @@
     if (!mLead.MayOrder()) {
       continue;
     }
-    for (const auto& [model, version] : mNamed) {
-      StartLoads(model, version);
+    const auto routes = mNode.mRoutes.Read();
+    for (const ServiceSpec& service : routes->Services()) {
+      if (service.mEngine) {
+        StartLoads(service);
+      }
     }
   }
 }
 
-size_t WeightOrders::LoadingOf(
-    const std::vector<const Replica*>& aReplicas) const {
-  return static_cast<size_t>(std::count_if(
-      aReplicas.begin(), aReplicas.end(), [this](const Replica* aReplica) {
-        return mLoading.contains(aReplica->mId);
-      }));
+void WeightOrders::StartLoads(const ServiceSpec& aService) {
+  std::vector<LoadTarget> targets;
+  for (const std::string& model : aService.mModels) {
+    const int64_t version = Named(model);
+    if (version > 0) {
+      targets.push_back({model, version, DemandOf(model), !KeepsRuns(model)});
+    }
+  }
+  std::vector<LoadCandidate> candidates;
+  for (const Replica* replica : mNode.mReplicas.OfService(aService.mName)) {
+    LoadCandidate candidate;
+    candidate.mId = replica->mId;
+    candidate.mVersions = replica->mModels;
+    candidate.mInFlight = mNode.mReplicas.InFlight(replica->mId);
+    candidate.mSlots = replica->mSlots;
+    candidate.mLoading = mLoading.contains(replica->mId);
+    candidate.mDraining = replica->mDraining;
+    candidates.push_back(std::move(candidate));
+  }
+  LoadPlan& plan = mPlans[aService.mName];
+  const size_t most = LoadsAtOnce(candidates.size());
+  for (const LoadPick& pick : plan.Next(candidates, targets, most)) {
+    mLoading.insert(pick.mReplica);
+    const Replica replica = *mNode.mReplicas.Find(pick.mReplica);
+    Launch(mNode.mIo, "load", Load(replica, pick));
+  }
 }
 
-void WeightOrders::StartLoads(const std::string& aModel, int64_t aVersion) {
+double WeightOrders::DemandOf(const std::string& aModel) const {
+  const auto found = mDemand.find(aModel);
+  return found == mDemand.end() ? 0 : found->second;
+}
+
+void WeightOrders::AddDemand(const std::string& aModel, double aWork) {
+  double& demand = mDemand[aModel];
+  demand = demand == 0 ? aWork
+                       : demand * (1 - kDemandWeight) + aWork * kDemandWeight;
+}
+
+bool WeightOrders::KeepsRuns(const std::string& aModel) const {
+  // A text of one version can't go on after a change: let it finish.
   const auto routes = mNode.mRoutes.Read();
-  for (const std::string& service : routes->ServicesOfModel(aModel)) {
-    const std::vector<const Replica*> all = mNode.mReplicas.OfService(service);
-    std::vector<const Replica*> due;
-    for (const Replica* replica : all) {
-      const int64_t version = replica->VersionOf(aModel);
-      const bool old = version > 0 && version < aVersion;
-      if (old && !replica->mDraining && !mLoading.contains(replica->mId)) {
-        due.push_back(replica);
-      }
-    }
-    // The oldest weights first, since the next step can't use them; then the
-    // replica that is least busy.
-    std::sort(due.begin(), due.end(),
-              [&](const Replica* aOne, const Replica* aOther) {
-                const int64_t one = aOne->VersionOf(aModel);
-                const int64_t other = aOther->VersionOf(aModel);
-                if (one != other) {
-                  return one < other;
-                }
-                return mNode.mReplicas.InFlight(aOne->mId) <
-                       mNode.mReplicas.InFlight(aOther->mId);
-              });
-    size_t loading = LoadingOf(all);
-    const size_t most = LoadsAtOnce(all.size());
-    for (const Replica* replica : due) {
-      if (loading >= most) {
-        break;
+  for (const Route& route : routes->Routes()) {
+    for (const RouteTarget& target : route.mTargets) {
+      const ServiceSpec* service = routes->Service(target.mService);
+      const bool serves =
+          service != nullptr &&
+          std::find(service->mModels.begin(), service->mModels.end(), aModel) !=
+              service->mModels.end();
+      if (serves && route.mSingleVersion) {
+        return true;
       }
-      ++loading;
-      mLoading.insert(replica->mId);
-      Launch(mNode.mIo, "load", Load(*replica, aModel, aVersion));
     }
   }
+  return false;
 }
 
-asio::awaitable<void> WeightOrders::Load(Replica aReplica, std::string aModel,
-                                         int64_t aVersion) {
+asio::awaitable<void> WeightOrders::Load(Replica aReplica, LoadPick aPick) {
+  const std::string& aModel = aPick.mModel;
+  const int64_t aVersion = aPick.mVersion;
   const Result<ReplicaReport> report = co_await mControl.Report(aReplica);
   VersionOrder order;
   order.mModel = aModel;
   order.mVersion = aVersion;
-  order.mCutRuns = true;
+  order.mCutRuns = aPick.mCutRuns;
   order.mHolder = mNode.mIdentity.mName;
   order.mFence = mLead.Fence();
   bool started = false;
@@ -152,7 +170,7 @@
     started = true;
   } else if (report && mLead.MayOrder()) {
     order.mExpected = report->mSequence;
-    mNode.mReplicas.Pause(aReplica.mId, mNode.Now() + kFirstLook);
+    mNode.mReplicas.PauseModel(aReplica.mId, aModel, mNode.Now() + kFirstLook);
     const Result<OrderAnswer> answer = co_await mControl.Order(aReplica, order);
     LogOrder(aReplica, order,
              answer ? AnswerName(*answer) : answer.error().Detail().c_str());
@@ -193,7 +211,8 @@
           .Write();
       co_return version >= aVersion;
     }
-    mNode.mReplicas.Pause(aReplica.mId, mNode.Now() + kLookEvery);
+    mNode.mReplicas.PauseModel(aReplica.mId, aModel,
+                               mNode.Now() + kLookEvery);
     co_await Sleep(mNode.mIo, kLookEvery);
   }
   co_return false;
