--- a/src/include/rillwall/call_attempts.h
+++ b/src/include/rillwall/call_attempts.h
@@ -38,7 +38,9 @@
   /// \return whether a try may be cut short in favour of another replica
   bool MayMoveOn() const;
   /// \return whether a replica may have run the request
-  RunState Run() const { return mRan > 0 ? RunState::Unknown : RunState::NotRun; }
+  RunState Run() const {
+    return mRan > 0 ? RunState::Unknown : RunState::NotRun;
+  }
   /// \return how many tries were made
   int Tries() const { return mTries; }
   /// \return what the caller is told; says NotRun only if that is certain
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -26,14 +26,14 @@
 /// Names of the headers between clients, nodes and replicas. The adapter of a
 /// platform fills them in.
 struct HeaderNames {
-  std::string mRequestId;       ///< identity of one client attempt
-  std::string mTimeLeft;        ///< ms that the sender still waits
-  std::string mExpectReplica;   ///< only the replica of this id may run it
-  std::string mNotRun;          ///< in answers: the replica did not run it
-  std::string mSignature;       ///< in answers: the replica's signature
-  std::string mWeightVersion;   ///< in answers and events: of the weights
-  std::string mLastEvent;       ///< a stream goes on after this event
-  std::string mPriority;        ///< 0 goes first
+  std::string mRequestId;      ///< identity of one client attempt
+  std::string mTimeLeft;       ///< ms that the sender still waits
+  std::string mExpectReplica;  ///< only the replica of this id may run it
+  std::string mNotRun;         ///< in answers: the replica did not run it
+  std::string mSignature;      ///< in answers: the replica's signature
+  std::string mWeightVersion;  ///< in answers and events: of the weights
+  std::string mLastEvent;      ///< a stream goes on after this event
+  std::string mPriority;       ///< 0 goes first
 };
 
 /// Who this node is.
@@ -48,8 +48,8 @@
 /// Bounds that the operator's settings give, all in milliseconds.
 struct ServingBounds {
   bool operator==(const ServingBounds&) const = default;
-  Millis mLease{3000};   ///< between the orders of two holders of a claim
-  Millis mGrace{8000};   ///< from the stop signal to the kill
+  Millis mLease{3000};     ///< between the orders of two holders of a claim
+  Millis mGrace{8000};     ///< from the stop signal to the kill
   Millis mStatus{120000};  ///< results stay readable so long
 };
 
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -92,9 +92,9 @@
 
 /// What to run next.
 struct RolloutPick {
-  size_t mItem = 0;          ///< index in the step
-  std::string mAvoid;        ///< replica that failed it last; may be empty
-  std::string mPreferred;    ///< replica that holds the group's prompt
+  size_t mItem = 0;        ///< index in the step
+  std::string mAvoid;      ///< replica that failed it last; may be empty
+  std::string mPreferred;  ///< replica that holds the group's prompt
 };
 
 /// The state of one step's items: what runs next, what is finished, what may
--- a/src/include/rillwall/rollout_record.h
+++ b/src/include/rillwall/rollout_record.h
@@ -24,11 +24,11 @@
 
 /// The record of a step.
 struct StepRecord {
-  std::string mOwner;    ///< name of the node that runs it
-  std::string mAddress;  ///< where that node answers other nodes, ip:port
-  std::string mRun;      ///< the owner's start; another start knows nothing
-  std::string mHost;     ///< Host header of the submission
-  std::string mPath;     ///< its path
+  std::string mOwner;       ///< name of the node that runs it
+  std::string mAddress;     ///< where that node answers other nodes, ip:port
+  std::string mRun;         ///< the owner's start; another start knows nothing
+  std::string mHost;        ///< Host header of the submission
+  std::string mPath;        ///< its path
   int64_t mAcceptedMs = 0;  ///< wall clock of the first acceptance
   int64_t mTotal = 0;       ///< items
   bool mEnded = false;
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -25,9 +25,9 @@
 /// Where a step is served.
 struct RolloutPlace {
   enum class Kind {
-    Here,      ///< this node owns it, or holds all that it ever listed
-    There,     ///< another node does
-    Unknown,   ///< no such step was ever accepted
+    Here,     ///< this node owns it, or holds all that it ever listed
+    There,    ///< another node does
+    Unknown,  ///< no such step was ever accepted
   };
   Kind mKind = Kind::Unknown;
   std::string mAddress;  ///< of the other node
@@ -99,8 +99,7 @@
   StepPtr MakeStep(RolloutSpec aSpec, const Route& aRoute, StepRecord aRecord,
                    int64_t aRevision);
   void AdoptTexts(RolloutStep& aStep);
-  asio::awaitable<Result<StepPtr>> TakeOver(std::string aId,
-                                            StepRecord aRecord,
+  asio::awaitable<Result<StepPtr>> TakeOver(std::string aId, StepRecord aRecord,
                                             int64_t aRevision);
   /// The same, while no other takeover of the step is under way here.
   asio::awaitable<Result<StepPtr>> TakeOverOnce(std::string aId,
--- a/src/include/rillwall/store_port.h
+++ b/src/include/rillwall/store_port.h
@@ -63,8 +63,8 @@
 /// Whether a change was made.
 struct StoreCommit {
   bool mApplied = false;
-  bool mLeaseGone = false;  ///< not applied, as a lease has ended
-  int64_t mRevision = 0;    ///< of the change, if applied
+  bool mLeaseGone = false;          ///< not applied, as a lease has ended
+  int64_t mRevision = 0;            ///< of the change, if applied
   std::vector<StoreItem> mCurrent;  ///< the guards' keys, if not applied
 
   /// \return a guard's key as it stood, or null if it did not exist
--- a/src/include/rillwall/upstream_call.h
+++ b/src/include/rillwall/upstream_call.h
@@ -25,8 +25,8 @@
 
 /// A replica's answer: whole, or its beginning and the rest as a stream.
 struct UpstreamAnswer {
-  HttpResponse mHead;                  ///< its body is what has come so far
-  std::unique_ptr<HttpStream> mRest;   ///< null if the answer is whole
+  HttpResponse mHead;                 ///< its body is what has come so far
+  std::unique_ptr<HttpStream> mRest;  ///< null if the answer is whole
   std::string mReplica;
   int mTries = 0;
 };
--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -79,7 +79,7 @@
   std::map<std::string, int64_t> mNamed;
   std::map<std::string, double> mDemand;
   std::map<std::string, LoadPlan> mPlans;  ///< by service
-  std::set<std::string> mLoading;  ///< ids of replicas
+  std::set<std::string> mLoading;          ///< ids of replicas
 };
 
 }  // namespace rillwall
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -136,9 +136,9 @@
   }
   State& state = found->second;
   const double before = PaceOf(state, aNow);
-  state.mPace = before == 0 ? aMsPerEvent
-                            : before * (1 - kPaceWeight) +
-                                  aMsPerEvent * kPaceWeight;
+  state.mPace = before == 0
+                    ? aMsPerEvent
+                    : before * (1 - kPaceWeight) + aMsPerEvent * kPaceWeight;
   state.mPaceAt = aNow;
 }
 
@@ -237,10 +237,10 @@
     if (aLatency == Millis(0)) {
       return;
     }
-    state.mLatency = state.mLatency == 0
-                         ? latency
-                         : state.mLatency * (1 - kLatencyWeight) +
-                               latency * kLatencyWeight;
+    state.mLatency =
+        state.mLatency == 0
+            ? latency
+            : state.mLatency * (1 - kLatencyWeight) + latency * kLatencyWeight;
     return;
   }
   ++state.mFailures;
--- /dev/null
+++ b/src/librillwall_coordination/replica_pool_test.cpp
@@ -0,0 +1,210 @@
+/// \file
+/// Tests of the choice of replicas, one behaviour each.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "rillwall/replica_pool.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr Millis kNow{1000};
+
+Replica ReplicaOf(std::string aId, std::string aZone = "z") {
+  Replica replica;
+  replica.mId = std::move(aId);
+  replica.mService = "s";
+  replica.mZone = std::move(aZone);
+  replica.mSlots = 2;
+  replica.mModels = {{"m", 5}};
+  return replica;
+}
+
+ReplicaWish Wish() {
+  ReplicaWish wish;
+  wish.mService = "s";
+  wish.mZone = "z";
+  return wish;
+}
+
+ReplicaWish ModelWish(int64_t aMinVersion) {
+  ReplicaWish wish = Wish();
+  wish.mModel = "m";
+  wish.mMinVersion = aMinVersion;
+  wish.mWithinSlots = true;
+  return wish;
+}
+
+std::string Chosen(const ReplicaPool& aPool, const ReplicaWish& aWish,
+                   Millis aNow = kNow) {
+  return aPool.Choose(aWish, aNow).value_or("none");
+}
+
+}  // namespace
+
+class ReplicaPoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaPoolTest);
+  CPPUNIT_TEST(PrefersOwnZoneUntilItIsBusier);
+  CPPUNIT_TEST(DrainingAndGoneGetNothing);
+  CPPUNIT_TEST(MissingEntriesAreKeptWhenAsked);
+  CPPUNIT_TEST(ExcludedAreLeftOut);
+  CPPUNIT_TEST(SlotsBoundModelRequests);
+  CPPUNIT_TEST(OldWeightsGetNothing);
+  CPPUNIT_TEST(FailuresPauseAndGrow);
+  CPPUNIT_TEST(PausedOneServesIfItIsTheOnlyOne);
+  CPPUNIT_TEST(ModelPauseLeavesOtherModels);
+  CPPUNIT_TEST(ResumeEndsPauses);
+  CPPUNIT_TEST(KnownVersionDoesNotFall);
+  CPPUNIT_TEST(SlowStreamsShow);
+  CPPUNIT_TEST(OldPaceIsForgotten);
+  CPPUNIT_TEST(SlowReplicaComesLast);
+  CPPUNIT_TEST(TellsWhatChanged);
+  CPPUNIT_TEST_SUITE_END();
+
+  ReplicaPool mPool;
+
+  void PrefersOwnZoneUntilItIsBusier() {
+    mPool.Update({ReplicaOf("far", "y"), ReplicaOf("near")}, false);
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), Chosen(mPool, Wish()));
+    mPool.Start("near");
+    CPPUNIT_ASSERT_EQUAL(std::string("far"), Chosen(mPool, Wish()));
+  }
+
+  void DrainingAndGoneGetNothing() {
+    Replica leaving = ReplicaOf("a");
+    mPool.Update({leaving, ReplicaOf("b", "y")}, false);
+    leaving.mDraining = true;
+    mPool.Update({leaving, ReplicaOf("b", "y")}, false);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Chosen(mPool, Wish()));
+    CPPUNIT_ASSERT(!mPool.Sendable("a"));
+    mPool.Update({leaving}, false);
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(mPool, Wish()));
+    CPPUNIT_ASSERT(!mPool.Sendable("b"));
+  }
+
+  void MissingEntriesAreKeptWhenAsked() {
+    mPool.Update({ReplicaOf("a")}, false);
+    mPool.Update({}, true);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, Wish()));
+    mPool.Update({}, false);
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(mPool, Wish()));
+  }
+
+  void ExcludedAreLeftOut() {
+    mPool.Update({ReplicaOf("a"), ReplicaOf("b")}, false);
+    ReplicaWish wish = Wish();
+    wish.mExcluded = {"a"};
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Chosen(mPool, wish));
+  }
+
+  void SlotsBoundModelRequests() {
+    mPool.Update({ReplicaOf("a")}, false);
+    mPool.Start("a");
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, ModelWish(1)));
+    mPool.Start("a");
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(mPool, ModelWish(1)));
+    mPool.End("a", ReplicaOutcome::Abandoned, Millis(0), kNow);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, ModelWish(1)));
+  }
+
+  void OldWeightsGetNothing() {
+    mPool.Update({ReplicaOf("a")}, false);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, ModelWish(5)));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(mPool, ModelWish(6)));
+    mPool.Learn("a", "m", 6);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, ModelWish(6)));
+  }
+
+  void FailuresPauseAndGrow() {
+    mPool.Update({ReplicaOf("a"), ReplicaOf("b", "y")}, false);
+    mPool.End("a", ReplicaOutcome::Failed, Millis(0), kNow);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Chosen(mPool, Wish()));
+    const Millis after = kNow + Millis(150);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, Wish(), after));
+    mPool.End("a", ReplicaOutcome::Failed, Millis(0), after);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         Chosen(mPool, Wish(), after + Millis(150)));
+  }
+
+  void PausedOneServesIfItIsTheOnlyOne() {
+    mPool.Update({ReplicaOf("a")}, false);
+    mPool.End("a", ReplicaOutcome::Unreachable, Millis(0), kNow);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, Wish()));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(mPool, ModelWish(1)));
+  }
+
+  void ModelPauseLeavesOtherModels() {
+    Replica replica = ReplicaOf("a");
+    replica.mModels.push_back({"n", 5});
+    mPool.Update({replica}, false);
+    mPool.PauseModel("a", "m", kNow + Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(mPool, ModelWish(1)));
+    ReplicaWish other = ModelWish(1);
+    other.mModel = "n";
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, other));
+  }
+
+  void ResumeEndsPauses() {
+    mPool.Update({ReplicaOf("a")}, false);
+    mPool.PauseModel("a", "m", kNow + Millis(100));
+    mPool.End("a", ReplicaOutcome::Failed, Millis(0), kNow);
+    mPool.Resume("a");
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, ModelWish(1)));
+  }
+
+  void KnownVersionDoesNotFall() {
+    mPool.Update({ReplicaOf("a")}, false);
+    mPool.Learn("a", "m", 7);
+    mPool.Update({ReplicaOf("a")}, false);
+    CPPUNIT_ASSERT_EQUAL(int64_t{7}, mPool.Find("a")->VersionOf("m"));
+  }
+
+  void ObserveThree(double aThird) {
+    mPool.Update({ReplicaOf("a"), ReplicaOf("b"), ReplicaOf("c")}, false);
+    for (int i = 0; i < 20; ++i) {
+      mPool.ObservePace("a", 40, kNow);
+      mPool.ObservePace("b", 50, kNow);
+      mPool.ObservePace("c", aThird, kNow);
+    }
+  }
+
+  void SlowStreamsShow() {
+    ObserveThree(150);
+    CPPUNIT_ASSERT(mPool.Slow("c", kNow));
+    CPPUNIT_ASSERT(!mPool.Slow("a", kNow));
+    CPPUNIT_ASSERT(!mPool.Slow("b", kNow));
+  }
+
+  void OldPaceIsForgotten() {
+    ObserveThree(150);
+    CPPUNIT_ASSERT(!mPool.Slow("c", kNow + Millis(10000)));
+  }
+
+  void SlowReplicaComesLast() {
+    ObserveThree(150);
+    mPool.Start("a");
+    mPool.Start("b");
+    CPPUNIT_ASSERT(Chosen(mPool, ModelWish(1)) != "c");
+    mPool.Start("a");
+    mPool.Start("b");
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), Chosen(mPool, ModelWish(1)));
+  }
+
+  void TellsWhatChanged() {
+    ReplicaChanges changes =
+        mPool.Update({ReplicaOf("a"), ReplicaOf("b")}, false);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, changes.mAdded.size());
+    Replica leaving = ReplicaOf("a");
+    leaving.mDraining = true;
+    changes = mPool.Update({leaving}, false);
+    CPPUNIT_ASSERT(changes.mDraining == std::vector<std::string>{"a"});
+    CPPUNIT_ASSERT(changes.mGone == std::vector<std::string>{"b"});
+    changes = mPool.Update({leaving}, false);
+    CPPUNIT_ASSERT(changes.mDraining.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaPoolTest);
+
+}  // namespace rillwall
--- a/src/librillwall_coordination/route_table.cpp
+++ b/src/librillwall_coordination/route_table.cpp
@@ -36,11 +36,11 @@
 
 const Route* RouteTable::Find(std::string_view aHost,
                               std::string_view aPath) const {
-  const auto first = std::lower_bound(
-      mRoutes.begin(), mRoutes.end(), aHost,
-      [](const Route& aRoute, std::string_view aName) {
-        return aRoute.mHost < aName;
-      });
+  const auto first =
+      std::lower_bound(mRoutes.begin(), mRoutes.end(), aHost,
+                       [](const Route& aRoute, std::string_view aName) {
+                         return aRoute.mHost < aName;
+                       });
   for (auto at = first; at != mRoutes.end() && at->mHost == aHost; ++at) {
     if (aPath.starts_with(at->mPrefix)) {
       return &*at;
--- a/src/librillwall_protocol/rollout_record.cpp
+++ b/src/librillwall_protocol/rollout_record.cpp
@@ -33,8 +33,8 @@
 RolloutResult ResultFrom(JsonReader& aReader, const json::object& aObject) {
   RolloutResult result;
   result.mItem = aReader.String("item");
-  result.mEnd = aReader.Bool("whole") ? RolloutEnd::Completed
-                                      : RolloutEnd::Terminated;
+  result.mEnd =
+      aReader.Bool("whole") ? RolloutEnd::Completed : RolloutEnd::Terminated;
   result.mOutput = aReader.String("output", "");
   result.mScore = aReader.String("score", "");
   const json::value* versions = aObject.if_contains("versions");
--- /dev/null
+++ b/src/librillwall_protocol/rollout_record_test.cpp
@@ -0,0 +1,47 @@
+/// \file
+/// Tests of what the store keeps of a step.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "rillwall/rollout_record.h"
+
+namespace rillwall {
+
+class RolloutRecordTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RolloutRecordTest);
+  CPPUNIT_TEST(RecordComesBack);
+  CPPUNIT_TEST(PageComesBack);
+  CPPUNIT_TEST(BrokenTextIsAnError);
+  CPPUNIT_TEST(KeysSortByPosition);
+  CPPUNIT_TEST_SUITE_END();
+
+  void RecordComesBack() {
+    const StepRecord record{"n1", "1.2.3.4:5", "run", "h", "/p/", 77, 4, true};
+    CPPUNIT_ASSERT(record == *DecodeStepRecord(EncodeStepRecord(record)));
+  }
+
+  void PageComesBack() {
+    RolloutResult whole{"i1", RolloutEnd::Completed, "a\nb\"", {3, 4}, "sig"};
+    RolloutResult dead{"i2", RolloutEnd::Terminated, "", {}, ""};
+    const ResultPage page{12, {whole, dead}};
+    CPPUNIT_ASSERT(page == *DecodeResultPage(EncodeResultPage(page)));
+  }
+
+  void BrokenTextIsAnError() {
+    CPPUNIT_ASSERT(!DecodeStepRecord("{}"));
+    CPPUNIT_ASSERT(!DecodeStepRecord("nonsense"));
+    CPPUNIT_ASSERT(!DecodeResultPage(R"({"first":1,"results":[7]})"));
+    CPPUNIT_ASSERT(!DecodeResultPage(R"({"first":1,"results":[{}]})"));
+  }
+
+  void KeysSortByPosition() {
+    CPPUNIT_ASSERT(PageKey("s", 9) < PageKey("s", 10));
+    CPPUNIT_ASSERT(PageKey("s", 99) < PageKey("s", 1000));
+    CPPUNIT_ASSERT(BodyKey("s", 2) < BodyKey("s", 10));
+    CPPUNIT_ASSERT(PageKey("s", 1).starts_with(PagePrefix("s")));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RolloutRecordTest);
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -45,8 +45,7 @@
   }
   request.mHeaders.push_back({names.mRequestId, item.mId});
   request.mHeaders.push_back({names.mExpectReplica, aReplica.mId});
-  const Millis left =
-      std::max(Millis(1), aStep.mGiveUpAt - aNode.Now());
+  const Millis left = std::max(Millis(1), aStep.mGiveUpAt - aNode.Now());
   request.mHeaders.push_back({names.mTimeLeft, std::to_string(left.Count())});
   const RolloutText& text = aStep.mBook.Text(aItem);
   if (text.mEvents > 0) {
@@ -119,16 +118,16 @@
   if (aVersion < aStep.mBook.Spec().mMinVersion) {
     return false;
   }
-  const bool other = !aText.mVersions.empty() &&
-                     aText.mVersions.back() != aVersion;
+  const bool other =
+      !aText.mVersions.empty() && aText.mVersions.back() != aVersion;
   return !(aStep.mRoute.mSingleVersion && other);
 }
 
 }  // namespace
 
-asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode,
-                                         RolloutStep& aStep, size_t aItem,
-                                         Replica aReplica, std::string& aWhy) {
+asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode, RolloutStep& aStep,
+                                         size_t aItem, Replica aReplica,
+                                         std::string& aWhy) {
   const Result<Endpoint> endpoint = Endpoint::Parse(aReplica.mAddress);
   if (!endpoint) {
     aWhy = endpoint.error().Detail();
@@ -152,8 +151,7 @@
     co_return verdict;
   }
   RolloutText& text = aStep.mBook.Text(aItem);
-  const int64_t version =
-      NumberOr(head.Find(aNode.mHeaders.mWeightVersion), 0);
+  const int64_t version = NumberOr(head.Find(aNode.mHeaders.mWeightVersion), 0);
   aNode.mReplicas.Learn(aReplica.mId, aStep.mBook.Spec().mModel, version);
   if (!VersionFits(aStep, text, version)) {
     aWhy = "weights of version " + std::to_string(version);
@@ -194,8 +192,8 @@
     const int64_t events = text.mEvents - before;
     if (lastAt > Millis(0) && events > 0) {
       const auto span = static_cast<double>((now - lastAt).Count());
-      aNode.mReplicas.ObservePace(
-          aReplica.mId, span / static_cast<double>(events), now);
+      aNode.mReplicas.ObservePace(aReplica.mId,
+                                  span / static_cast<double>(events), now);
     }
     lastAt = now;
   }
--- a/src/librillwall_rollout/item_run.h
+++ b/src/librillwall_rollout/item_run.h
@@ -25,8 +25,8 @@
 /// Sends the item and takes in events until the stream ends. What is there of
 /// its text is not generated again.
 /// \param aWhy set to what happened, for the log
-asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode,
-                                         RolloutStep& aStep, size_t aItem,
-                                         Replica aReplica, std::string& aWhy);
+asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode, RolloutStep& aStep,
+                                         size_t aItem, Replica aReplica,
+                                         std::string& aWhy);
 
 }  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/lead_claim_test.cpp
@@ -0,0 +1,183 @@
+/// \file
+/// Tests of the lead claim and of the orders under it.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "rillwall/lead_claim.h"
+#include "rillwall/weight_orders.h"
+#include "rollout_test_support.h"
+
+namespace rillwall {
+
+namespace {
+
+/// Replicas that keep orders in memory.
+class FakeControl final : public ReplicaControl {
+ public:
+  explicit FakeControl(asio::io_context& aIo) : mIo(aIo) {}
+  asio::awaitable<Result<ReplicaReport>> Report(Replica aReplica) override {
+    ReplicaReport report;
+    report.mModels = {{"m", mVersion}};
+    report.mSequence = mSequence;
+    co_return report;
+  }
+  asio::awaitable<Result<OrderAnswer>> Order(Replica aReplica,
+                                             VersionOrder aOrder) override {
+    mOrders.push_back(aOrder);
+    if (aOrder.mExpected != mSequence) {
+      co_return OrderAnswer::Conflict;
+    }
+    if (mLoseOrders > 0) {
+      --mLoseOrders;
+      co_return Error(ErrorKind::Timeout, "no answer", RunState::Unknown);
+    }
+    ++mSequence;
+    mVersion = aOrder.mVersion;
+    co_return OrderAnswer::Started;
+  }
+  asio::io_context& mIo;
+  std::vector<VersionOrder> mOrders;
+  int64_t mVersion = 1;
+  int64_t mSequence = 3;
+  int mLoseOrders = 0;
+};
+
+}  // namespace
+
+class LeadClaimTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeadClaimTest);
+  CPPUNIT_TEST(OneOfTwoWins);
+  CPPUNIT_TEST(LapsedClaimGoesToTheOther);
+  CPPUNIT_TEST(ResignedClaimGoesAtOnce);
+  CPPUNIT_TEST(NewHolderWaitsBeforeItOrders);
+  CPPUNIT_TEST(UnreachableStoreStopsOrders);
+  CPPUNIT_TEST(HolderIsRead);
+  CPPUNIT_TEST(OrdersCarryFenceAndSequence);
+  CPPUNIT_TEST(LostOrderIsReadBackAndRepeated);
+  CPPUNIT_TEST(NoOrdersWithoutTheClaim);
+  CPPUNIT_TEST_SUITE_END();
+
+  TestWorld mWorld;
+  TestNode mTest{mWorld};
+  int mWon = 0;
+  LeadClaim mOne{mTest.mNode, [this] { ++mWon; }};
+  LeadClaim mTwo{mTest.mNode, [this] { ++mWon; }};
+  FakeControl mControl{mTest.mIo};
+  ScriptedReplica mReplica{mWorld.mIo, "r1", TestHeaders()};
+
+ public:
+  void setUp() override { mTest.mNode.mBounds.mLease = Millis(100); }
+
+ private:
+  void StartBoth() {
+    Launch(mTest.mIo, "one", mOne.Run());
+    Launch(mTest.mIo, "two", mTwo.Run());
+    mTest.RunUntil([&] { return mWon == 1; });
+  }
+
+  void OneOfTwoWins() {
+    StartBoth();
+    mTest.RunFor(Millis(200));
+    CPPUNIT_ASSERT_EQUAL(1, mWon);
+    CPPUNIT_ASSERT(mOne.Held() != mTwo.Held());
+  }
+
+  void LapsedClaimGoesToTheOther() {
+    StartBoth();
+    const int64_t fence = mOne.Fence() + mTwo.Fence();
+    mWorld.mStore.Lapse(101);
+    mWorld.mStore.Lapse(102);
+    mTest.RunUntil([&] { return mWon == 2; });
+    CPPUNIT_ASSERT(std::max(mOne.Fence(), mTwo.Fence()) > fence);
+    mTest.RunUntil([&] { return mOne.Held() != mTwo.Held(); });
+  }
+
+  void ResignedClaimGoesAtOnce() {
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    Launch(mTest.mIo, "two", mTwo.Run());
+    mTest.RunFor(Millis(50));
+    const auto resign = [&]() -> asio::awaitable<bool> {
+      co_await mOne.Resign();
+      co_return true;
+    };
+    mTest.Run(resign());
+    CPPUNIT_ASSERT(!mOne.Held());
+    mTest.RunUntil([&] { return mWon == 2; });
+  }
+
+  void NewHolderWaitsBeforeItOrders() {
+    mTest.mNode.mBounds.mLease = Millis(60000);
+    StartBoth();
+    mTest.RunFor(Millis(50));
+    CPPUNIT_ASSERT(!mOne.MayOrder());
+    CPPUNIT_ASSERT(!mTwo.MayOrder());
+  }
+
+  void UnreachableStoreStopsOrders() {
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.MayOrder(); });
+    mWorld.mStore.mDown = true;
+    mTest.RunUntil([&] { return !mOne.MayOrder(); });
+    // Orders stop before the lease can have ended and another may hold it.
+    CPPUNIT_ASSERT(mOne.Held());
+  }
+
+  void HolderIsRead() {
+    CPPUNIT_ASSERT(!mTest.Run(mTwo.Holder())->has_value());
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    const auto holder = mTest.Run(mTwo.Holder());
+    CPPUNIT_ASSERT_EQUAL(std::string("n1-address"), (*holder)->mAddress);
+  }
+
+  void OrdersCarryFenceAndSequence() {
+    RunOrders();
+    const VersionOrder& order = mControl.mOrders.at(0);
+    CPPUNIT_ASSERT_EQUAL(mOne.Fence(), order.mFence);
+    CPPUNIT_ASSERT_EQUAL(int64_t{3}, order.mExpected);
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, order.mVersion);
+    CPPUNIT_ASSERT_EQUAL(std::string("n1"), order.mHolder);
+  }
+
+  void RunOrders() {
+    RouteTable table(1, {}, {{"s", 0, true, {"m"}}}, {});
+    mTest.mNode.mRoutes.Publish(std::make_shared<const RouteTable>(table));
+    mReplica.mVersion = 1;
+    mTest.Add(mReplica, "s");
+    mOrders.emplace(mTest.mNode, mOne, mControl);
+    mOrders->Name("m", 2);
+    mOrders->Name("m", 1);  // an older one changes nothing
+    Launch(mTest.mIo, "one", mOne.Run());
+    Launch(mTest.mIo, "orders", mOrders->Run());
+    mTest.RunUntil(
+        [&] { return mTest.mNode.mReplicas.Find("r1")->VersionOf("m") == 2; });
+  }
+
+  void LostOrderIsReadBackAndRepeated() {
+    mControl.mLoseOrders = 1;
+    RunOrders();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mControl.mOrders.size());
+    // The same sequence number: if the first comes late, it is refused.
+    CPPUNIT_ASSERT(mControl.mOrders[0].mExpected ==
+                   mControl.mOrders[1].mExpected);
+  }
+
+  void NoOrdersWithoutTheClaim() {
+    RouteTable table(1, {}, {{"s", 0, true, {"m"}}}, {});
+    mTest.mNode.mRoutes.Publish(std::make_shared<const RouteTable>(table));
+    mReplica.mVersion = 1;
+    mTest.Add(mReplica, "s");
+    mOrders.emplace(mTest.mNode, mOne, mControl);
+    mOrders->Name("m", 2);
+    Launch(mTest.mIo, "orders", mOrders->Run());
+    mTest.RunFor(Millis(200));
+    CPPUNIT_ASSERT(mControl.mOrders.empty());
+  }
+
+  std::optional<WeightOrders> mOrders;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeadClaimTest);
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -141,9 +141,8 @@
     co_await Refuse(aNode, id, answer.error(), aExchange);
     co_return;
   }
-  const std::string labels =
-      "route=\"" + aRoute.mName + "\",status=\"" +
-      std::to_string(answer->mHead.mStatus) + "\"";
+  const std::string labels = "route=\"" + aRoute.mName + "\",status=\"" +
+                             std::to_string(answer->mHead.mStatus) + "\"";
   aNode.mMetrics.Count("requests_total", labels);
   aNode.mMetrics.Measure("answer_ms", aNode.Now() - aStarted);
   co_await PassAnswer(std::move(*answer), id, aExchange);
@@ -226,9 +225,10 @@
                                    HttpExchange& aExchange) {
   const std::string* id = RequestId(aNode, aRequest);
   if (id == nullptr) {
-    Error error(ErrorKind::BadRequest, "The request has no identity; send the "
-                                       "header " +
-                                           aNode.mHeaders.mRequestId + ".");
+    Error error(ErrorKind::BadRequest,
+                "The request has no identity; send the "
+                "header " +
+                    aNode.mHeaders.mRequestId + ".");
     co_await Refuse(aNode, std::string(), std::move(error), aExchange);
     co_return;
   }
@@ -247,7 +247,7 @@
   if (aExchange.PeerGone()) {
     gone.cancel();
   }
-  const auto ended = co_await(
+  const auto ended = co_await (
       CallAndAnswer(aNode, std::move(call), aRoute, started, aExchange) ||
       gone.async_wait(asio::as_tuple(asio::use_awaitable)));
   aExchange.OnPeerGone(nullptr);
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -82,9 +82,11 @@
   if (!listed) {
     co_return listed.error();
   }
-  mArchives[aId] =
-      Archive{std::move(*listed), record->mTotal, mNode.Now()};
-  Event("archive-loaded").Id(aId).Number("revision", (*item)->mRevision).Write();
+  mArchives[aId] = Archive{std::move(*listed), record->mTotal, mNode.Now()};
+  Event("archive-loaded")
+      .Id(aId)
+      .Number("revision", (*item)->mRevision)
+      .Write();
   co_return std::nullopt;
 }
 
@@ -177,7 +179,10 @@
     const Result<StepPtr> step =
         co_await TakeOverOnce(id, *record, item.mRevision);
     if (!step) {
-      Event("take-over-failed").Id(id).Text("why", step.error().Detail()).Write();
+      Event("take-over-failed")
+          .Id(id)
+          .Text("why", step.error().Detail())
+          .Write();
     }
   }
 }
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -196,8 +196,9 @@
     const auto routes = mNode.mRoutes.Read();
     const Route* route = routes->Find(scorer->mHost, scorer->mPath);
     const std::string* service =
-        route == nullptr ? nullptr
-                         : PickService(*route, std::hash<std::string>()(scorer->mId));
+        route == nullptr
+            ? nullptr
+            : PickService(*route, std::hash<std::string>()(scorer->mId));
     if (service == nullptr) {
       co_await Sleep(mNode.mIo, kScorerPause);
       continue;
@@ -211,8 +212,8 @@
     call.mRequest.mHeaders.push_back({mNode.mHeaders.mRequestId, scorer->mId});
     call.mService = *service;
     call.mKind = RequestKind::Idempotent;
-    call.mDue = mNode.Now() + std::max(kScorerLimit, route->mTargetLatency *
-                                                         kScorerTargets);
+    call.mDue = mNode.Now() +
+                std::max(kScorerLimit, route->mTargetLatency * kScorerTargets);
     const int most = std::max(route->mAttempts, aStep->mRoute.mAttempts);
     const Result<UpstreamAnswer> answer =
         co_await CallUpstream(mNode, std::move(call));
@@ -271,8 +272,9 @@
     page.mFirst = static_cast<int64_t>(aStep->mListed.size());
     size_t bytes = 0;
     size_t count = 0;
-    while (count < waiting.size() &&
-           (count == 0 || bytes + waiting[count].mOutput.size() < kMaxPageBytes)) {
+    while (
+        count < waiting.size() &&
+        (count == 0 || bytes + waiting[count].mOutput.size() < kMaxPageBytes)) {
       bytes += waiting[count].mOutput.size();
       ++count;
     }
@@ -309,7 +311,8 @@
           .Id(aStep->Id())
           .Number("first", aPage.mFirst)
           .Number("results", static_cast<int64_t>(aPage.mResults.size()))
-          .Number("whole_groups", static_cast<int64_t>(aStep->mBook.WholeGroups()))
+          .Number("whole_groups",
+                  static_cast<int64_t>(aStep->mBook.WholeGroups()))
           .Number("store_ms", (mNode.Now() - asked).Count())
           .Write();
       mNode.mMetrics.Measure("page_ms", mNode.Now() - asked);
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -89,8 +89,8 @@
   const Millis wait =
       aRoute.mMaxWait > Millis(0) ? aRoute.mMaxWait : kDefaultMaxWait;
   const Millis age(std::max<int64_t>(0, WallClockMs() - aRecord.mAcceptedMs));
-  auto step = std::make_shared<RolloutStep>(
-      mNode.mIo, std::move(book), aRoute, std::move(aRecord), aRevision);
+  auto step = std::make_shared<RolloutStep>(mNode.mIo, std::move(book), aRoute,
+                                            std::move(aRecord), aRevision);
   step->mGiveUpAt = mNode.Now() + wait - age;
   step->mVerifiedAt = mNode.Now();
   mSteps[id] = step;
@@ -109,15 +109,21 @@
     co_return std::nullopt;
   }
   const NodeIdentity& self = mNode.mIdentity;
-  StepRecord record{self.mName,     self.mAddress,  self.mRun,
-                    aSpec.mHost,    aSpec.mPath,    WallClockMs(),
-                    static_cast<int64_t>(aSpec.mItems.size()), false};
+  StepRecord record{self.mName,
+                    self.mAddress,
+                    self.mRun,
+                    aSpec.mHost,
+                    aSpec.mPath,
+                    WallClockMs(),
+                    static_cast<int64_t>(aSpec.mItems.size()),
+                    false};
   StoreChange change;
   change.mGuards.push_back({StepKey(id), 0});
   change.mPuts.push_back({StepKey(id), EncodeStepRecord(record), 0});
   constexpr size_t kPartBytes = 700 * 1000;  // under the store's 1 MiB values
   for (size_t at = 0, part = 0; at < aBody.size(); at += kPartBytes, ++part) {
-    change.mPuts.push_back({BodyKey(id, part), aBody.substr(at, kPartBytes), 0});
+    change.mPuts.push_back(
+        {BodyKey(id, part), aBody.substr(at, kPartBytes), 0});
   }
   const Millis asked = mNode.Now();
   const Result<int64_t> revision = co_await CommitNew(id, std::move(change));
@@ -163,8 +169,8 @@
           item == nullptr ? Error(ErrorKind::Internal, "no record")
                           : DecodeStepRecord(item->mValue);
       // An earlier try of this call got through, and its answer was lost.
-      const bool ours = record && !record->mEnded &&
-                        record->mRun == mNode.mIdentity.mRun;
+      const bool ours =
+          record && !record->mEnded && record->mRun == mNode.mIdentity.mRun;
       co_return ours ? item->mRevision : 0;
     }
     unsure = unsure || done.error().Kind() != ErrorKind::KvUnavailable;
@@ -340,9 +346,9 @@
   const auto found = mSteps.find(aId);
   if (found == mSteps.end()) {
     const bool ended = mArchives.contains(aId);
-    co_return ended ? std::nullopt
-                    : std::optional(Error(ErrorKind::Unavailable,
-                                          "The step has moved."));
+    co_return ended
+        ? std::nullopt
+        : std::optional(Error(ErrorKind::Unavailable, "The step has moved."));
   }
   const StepPtr step = found->second;
   StopRuns(*step);
@@ -363,7 +369,8 @@
   if (!done) {
     co_return done.error().With(RunState::Unknown);
   }
-  const StoreItem* current = done->mApplied ? nullptr : done->Find(StepKey(aId));
+  const StoreItem* current =
+      done->mApplied ? nullptr : done->Find(StepKey(aId));
   if (!done->mApplied && current != nullptr) {
     const Result<StepRecord> now = DecodeStepRecord(current->mValue);
     if (now && !now->mEnded) {
--- /dev/null
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -0,0 +1,430 @@
+/// \file
+/// Tests of a step's owner: acceptance, running, listing, ending and takeover,
+/// with a store in memory and scripted replicas.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <set>
+
+#include "rillwall/json.h"
+#include "rillwall/rollout_service.h"
+#include "rollout_test_support.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr char kBody[] = "the submission";
+
+RolloutSpec Spec() {
+  RolloutSpec spec;
+  spec.mId = "s1";
+  spec.mHost = "h";
+  spec.mPath = "/r/";
+  spec.mModel = "m";
+  spec.mMinVersion = 4;
+  for (const char* id : {"i1", "i2"}) {
+    RolloutItem item;
+    item.mId = id;
+    item.mGroup = "g";
+    item.mPath = "/r/x";
+    item.mScorer = ScorerCall{std::string(id) + "-score", "h", "/score/", "b"};
+    spec.mItems.push_back(item);
+  }
+  return spec;
+}
+
+RouteTable Table() {
+  Route rollout;
+  rollout.mHost = "h";
+  rollout.mPrefix = "/r/";
+  rollout.mKind = RequestKind::Rollout;
+  rollout.mAttempts = 3;
+  rollout.mTargets = {{"engine", 1}};
+  Route score;
+  score.mHost = "h";
+  score.mPrefix = "/score/";
+  score.mAttempts = 2;
+  score.mTargets = {{"scorer", 1}};
+  return RouteTable(1, {rollout, score}, {{"engine", 0, true, {"m"}}}, {});
+}
+
+}  // namespace
+
+class RolloutServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RolloutServiceTest);
+  CPPUNIT_TEST(ListsWholeScoredTexts);
+  CPPUNIT_TEST(AcceptedOnlyOnce);
+  CPPUNIT_TEST(LostAcceptAnswerIsSettled);
+  CPPUNIT_TEST(StoreThatIsDownRefusesTruly);
+  CPPUNIT_TEST(BrokenStreamGoesOnAtItsEvent);
+  CPPUNIT_TEST(MissingEventIsNoText);
+  CPPUNIT_TEST(OtherRequestsStreamIsNoText);
+  CPPUNIT_TEST(FailingItemIsGivenUpAfterAttempts);
+  CPPUNIT_TEST(ImpossibleItemIsGivenUpAtOnce);
+  CPPUNIT_TEST(RefusedItemRunsElsewhere);
+  CPPUNIT_TEST(VersionsComeFromTheEvents);
+  CPPUNIT_TEST(OldWeightsAddNothing);
+  CPPUNIT_TEST(FailingScorerTerminates);
+  CPPUNIT_TEST(LostPageAnswerListsOnce);
+  CPPUNIT_TEST(PagesWaitForTheStore);
+  CPPUNIT_TEST(ReplacedOwnerAppendsNothing);
+  CPPUNIT_TEST(UnsureOwnerDoesNotAnswer);
+  CPPUNIT_TEST(EndStopsRuns);
+  CPPUNIT_TEST(EndedStepStaysReadable);
+  CPPUNIT_TEST(RestartedNodeTakesItsStepOver);
+  CPPUNIT_TEST(TakeoversRunOnce);
+  CPPUNIT_TEST(LeadAdoptsOrphans);
+  CPPUNIT_TEST(UnknownStepIsUnknown);
+  CPPUNIT_TEST(TextsAreCarriedOver);
+  CPPUNIT_TEST(OverdueItemsAreGivenUp);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// A node's process with its rollout service.
+  struct Process {
+    Process(TestWorld& aWorld, std::string aRun)
+        : mNode(aWorld, std::move(aRun)) {}
+    TestNode mNode;
+    LeadClaim mLead{mNode.mNode, [] {}};
+    RolloutService mService{
+        mNode.mNode, mLead,
+        [](const std::string&, const StepRecord&,
+           const std::string& aBody) -> Result<RolloutSpec> {
+          CPPUNIT_ASSERT_EQUAL(std::string(kBody), aBody);
+          return Spec();
+        }};
+  };
+
+  TestWorld mWorld;
+  ScriptedReplica mEngine{mWorld.mIo, "engine1", TestHeaders()};
+  ScriptedReplica mOther{mWorld.mIo, "engine2", TestHeaders()};
+  ScriptedReplica mScorer{mWorld.mIo, "scorer1", TestHeaders()};
+  std::vector<std::unique_ptr<Process>> mProcesses;  ///< the last one runs
+
+ public:
+  void setUp() override {
+    mScorer.mStreams = false;
+    Restart("n1-run");
+  }
+
+ private:
+  TestNode& Test() { return mProcesses.back()->mNode; }
+  RolloutService& Service() { return mProcesses.back()->mService; }
+
+  /// Starts the node anew: what it had in memory is gone.
+  void Restart(const std::string& aRun,
+               const std::string& aAddress = "n1-address") {
+    mProcesses.push_back(std::make_unique<Process>(mWorld, aRun));
+    Test().mNode.mIdentity.mAddress = aAddress;
+    Test().mNode.mRoutes.Publish(std::make_shared<const RouteTable>(Table()));
+    Test().Add(mEngine, "engine");
+    Test().Add(mScorer, "scorer");
+    Launch(Test().mIo, "steps", Service().Run());
+  }
+  std::optional<Error> Accept(RolloutSpec aSpec = Spec()) {
+    const Route route = *Test().mNode.mRoutes.Read()->Find("h", "/r/");
+    return Test().Run(Service().Accept(std::move(aSpec), route, kBody));
+  }
+  Result<RolloutRead> Read(int64_t aAfter = 0, int64_t aWaitMs = 0) {
+    return Test().Run(Service().Read("s1", aAfter, Millis(aWaitMs)));
+  }
+  /// Runs until so many results are listed. \return all of them
+  std::vector<RolloutResult> Listed(size_t aCount) {
+    std::vector<RolloutResult> results;
+    Test().RunUntil([&] {
+      const Result<RolloutRead> read = Read();
+      results = read ? read->mResults : std::vector<RolloutResult>();
+      return results.size() >= aCount;
+    });
+    return results;
+  }
+  RolloutPlace::Kind Place(bool aAdopt = false) {
+    return Test().Run(Service().Locate("s1", aAdopt))->mKind;
+  }
+
+  void ListsWholeScoredTexts() {
+    CPPUNIT_ASSERT(!Accept());
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT(result.mEnd == RolloutEnd::Completed);
+      CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3"), result.mOutput);
+      CPPUNIT_ASSERT_EQUAL("signed-" + result.mItem + "-score", result.mScore);
+      CPPUNIT_ASSERT(result.mVersions == std::vector<int64_t>{5});
+    }
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, Read()->mTotal);
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, Read()->mNext);
+    CPPUNIT_ASSERT(mWorld.mStore.CountOf(PagePrefix("s1")) > 0);
+  }
+
+  void AcceptedOnlyOnce() {
+    CPPUNIT_ASSERT(!Accept());
+    CPPUNIT_ASSERT(!Accept());
+    Listed(2);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mEngine.mRequests.size());
+    Restart("n1-again");
+    CPPUNIT_ASSERT(!Accept());
+    Test().RunFor(Millis(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mEngine.mRequests.size());
+  }
+
+  void LostAcceptAnswerIsSettled() {
+    mWorld.mStore.mFaults = {StoreFault::LostApplied};
+    CPPUNIT_ASSERT(!Accept());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Listed(2).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mWorld.mStore.CountOf("rillwall/step/"));
+  }
+
+  void StoreThatIsDownRefusesTruly() {
+    mWorld.mStore.mDown = true;
+    const std::optional<Error> refused = Accept();
+    CPPUNIT_ASSERT(refused && refused->Run() == RunState::NotRun);
+    mWorld.mStore.mDown = false;
+    for (int i = 0; i < 100; ++i) {
+      mWorld.mStore.mFaults.push_back(StoreFault::LostDropped);
+    }
+    const std::optional<Error> unsure = Accept();
+    CPPUNIT_ASSERT(unsure && unsure->Run() == RunState::Unknown);
+    CPPUNIT_ASSERT(mEngine.mRequests.empty());
+  }
+
+  void BrokenStreamGoesOnAtItsEvent() {
+    mEngine.mScripts = {{}, {}};
+    mEngine.mScripts[0].mBreakAfter = 2;
+    Accept();
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3"), result.mOutput);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, mEngine.mRequests.size());
+    const std::string* last = mEngine.mRequests[2].Find("Last-Event");
+    CPPUNIT_ASSERT(last != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), *last);
+  }
+
+  void MissingEventIsNoText() {
+    mEngine.mScripts = {{}};
+    mEngine.mScripts[0].mSkipEvent = 2;
+    Accept();
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3"), result.mOutput);
+    }
+  }
+
+  void OtherRequestsStreamIsNoText() {
+    mEngine.mScripts = {{}};
+    mEngine.mScripts[0].mOtherId = true;
+    Accept();
+    Listed(2);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, mEngine.mRequests.size());
+  }
+
+  void FailingItemIsGivenUpAfterAttempts() {
+    mEngine.mOtherwise.mStatus = 500;
+    Accept();
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT(result.mEnd == RolloutEnd::Terminated);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{6}, mEngine.mRequests.size());
+  }
+
+  void ImpossibleItemIsGivenUpAtOnce() {
+    mEngine.mOtherwise.mStatus = 422;
+    Accept();
+    CPPUNIT_ASSERT(Listed(2)[0].mEnd == RolloutEnd::Terminated);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mEngine.mRequests.size());
+  }
+
+  void RefusedItemRunsElsewhere() {
+    mEngine.mOtherwise = {503, true};
+    Test().Add(mOther, "engine");
+    Accept();
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT(result.mEnd == RolloutEnd::Completed);
+    }
+  }
+
+  void VersionsComeFromTheEvents() {
+    mEngine.mOtherwise.mVersionAt = 3;
+    // The name of the version's line is that of the header.
+    Accept();
+    const std::vector<int64_t> expected = {5, 6};
+    CPPUNIT_ASSERT(expected == Listed(2)[0].mVersions);
+  }
+
+  void OldWeightsAddNothing() {
+    mEngine.mVersion = 3;  // listed with 5
+    Accept();
+    Test().RunFor(Millis(60));
+    CPPUNIT_ASSERT(Read()->mResults.empty());
+    mEngine.mVersion = 5;
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT(result.mVersions == std::vector<int64_t>{5});
+    }
+  }
+
+  void FailingScorerTerminates() {
+    mScorer.mOtherwise.mStatus = 500;
+    Accept();
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT(result.mEnd == RolloutEnd::Terminated);
+      CPPUNIT_ASSERT(result.mScore.empty());
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{6}, mScorer.mRequests.size());
+  }
+
+  void LostPageAnswerListsOnce() {
+    for (const StoreFault fault :
+         {StoreFault::LostApplied, StoreFault::LostDropped}) {
+      mWorld.mStore.mFaults = {StoreFault::None, fault, fault};
+      Accept();
+      Listed(2);
+      Test().RunFor(Millis(100));
+      std::set<std::string> items;
+      const Result<RolloutRead> read = Read();
+      for (const RolloutResult& result : read->mResults) {
+        CPPUNIT_ASSERT(items.insert(result.mItem).second);
+      }
+      CPPUNIT_ASSERT_EQUAL(size_t{2}, items.size());
+    }
+  }
+
+  void PagesWaitForTheStore() {
+    Accept();
+    mWorld.mStore.mDown = true;
+    Test().RunFor(Millis(150));
+    mWorld.mStore.mDown = false;
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Listed(2).size());
+  }
+
+  void Steal() {
+    StepRecord record =
+        *DecodeStepRecord(mWorld.mStore.Items().at(StepKey("s1")).mValue);
+    record.mOwner = "thief";
+    record.mAddress = "127.0.0.1:1";
+    mWorld.mStore.Write(StepKey("s1"), EncodeStepRecord(record));
+  }
+
+  void ReplacedOwnerAppendsNothing() {
+    mEngine.mOtherwise.mEventTime = Millis(30);
+    Accept();
+    Steal();
+    Test().RunUntil([&] { return !Service().Owns("s1"); });
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mWorld.mStore.CountOf(PagePrefix("s1")));
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::There);
+  }
+
+  void UnsureOwnerDoesNotAnswer() {
+    mEngine.mOtherwise.mEventTime = Millis(2000);
+    Accept();
+    CPPUNIT_ASSERT(Read().has_value());
+    mWorld.mStore.mDown = true;
+    Test().RunFor(Millis(800));
+    CPPUNIT_ASSERT(!Read().has_value());
+  }
+
+  void EndStopsRuns() {
+    mEngine.mOtherwise.mEventTime = Millis(1000);
+    Accept();
+    Test().RunUntil([&] { return mEngine.mRunning == 2; });
+    CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
+    CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
+    Test().RunUntil([&] { return mEngine.mRunning == 0; });
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mEngine.mRequests.size());
+    const StepRecord record =
+        *DecodeStepRecord(mWorld.mStore.Items().at(StepKey("s1")).mValue);
+    CPPUNIT_ASSERT(record.mEnded);
+  }
+
+  void EndedStepStaysReadable() {
+    Accept();
+    const std::vector<RolloutResult> listed = Listed(2);
+    Test().Run(Service().End("s1"));
+    CPPUNIT_ASSERT(listed == Read()->mResults);
+    Restart("n1-again");
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::Here);
+    CPPUNIT_ASSERT(listed == Read()->mResults);
+    CPPUNIT_ASSERT(Read(1)->mResults.at(0) == listed[1]);
+  }
+
+  void RestartedNodeTakesItsStepOver() {
+    mEngine.mScripts = {{}, {}};
+    mEngine.mScripts[1].mEventTime = Millis(3000);
+    Accept();
+    const std::vector<RolloutResult> before = Listed(1);
+    Restart("n1-again");
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::Here);
+    const std::vector<RolloutResult> after = Listed(2);
+    CPPUNIT_ASSERT(before[0] == after[0]);
+    CPPUNIT_ASSERT(after[0].mItem != after[1].mItem);
+  }
+
+  void TakeoversRunOnce() {
+    mEngine.mOtherwise.mEventTime = Millis(500);
+    Accept();
+    Restart("n1-again");
+    int found = 0;
+    const auto look = [&]() -> asio::awaitable<void> {
+      co_await Service().Locate("s1", false);
+      ++found;
+    };
+    Launch(Test().mIo, "one", look());
+    Launch(Test().mIo, "two", look());
+    Test().RunUntil([&] { return found == 2; });
+    Test().RunUntil([&] { return mEngine.mRequests.size() >= 4; });
+    Test().RunFor(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, mEngine.mRequests.size());
+  }
+
+  void LeadAdoptsOrphans() {
+    mEngine.mOtherwise.mEventTime = Millis(300);
+    Accept();
+    Restart("n2-run", "127.0.0.1:2");
+    Steal();  // its owner's address refuses connections
+    const auto adopt = [&]() -> asio::awaitable<bool> {
+      co_await Service().AdoptOrphans();
+      co_return true;
+    };
+    Test().Run(adopt());
+    CPPUNIT_ASSERT(Service().Owns("s1"));
+  }
+
+  void UnknownStepIsUnknown() {
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::Unknown);
+    mWorld.mStore.mDown = true;
+    CPPUNIT_ASSERT(!Test().Run(Service().Locate("s1", false)).has_value());
+  }
+
+  void TextsAreCarriedOver() {
+    mEngine.mScripts = {{}, {}};
+    mEngine.mScripts[0].mBreakAfter = 2;
+    mEngine.mScripts[1].mEventTime = Millis(2000);
+    mEngine.mOtherwise.mEventTime = Millis(2000);
+    Accept();
+    Test().RunUntil([&] { return mEngine.mRequests.size() == 3; });
+    Test().Run(Service().End("s1"));
+    mEngine.mOtherwise.mEventTime = Millis(1);
+    RolloutSpec next = Spec();
+    next.mId = "s2";
+    Accept(next);
+    Test().RunUntil([&] { return mEngine.mRequests.size() == 5; });
+    bool resumed = false;
+    for (size_t i = 3; i < 5; ++i) {
+      const std::string* last = mEngine.mRequests[i].Find("Last-Event");
+      resumed = resumed || (last != nullptr && *last == "2");
+    }
+    CPPUNIT_ASSERT(resumed);
+  }
+
+  void OverdueItemsAreGivenUp() {
+    Route route = *Test().mNode.mRoutes.Read()->Find("h", "/r/");
+    route.mMaxWait = Millis(150);
+    mEngine.mOtherwise.mEventTime = Millis(2000);
+    CPPUNIT_ASSERT(!Test().Run(Service().Accept(Spec(), route, kBody)));
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT(result.mEnd == RolloutEnd::Terminated);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RolloutServiceTest);
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -34,16 +34,16 @@
   RolloutBook mBook;
   const Route mRoute;
   StepRecord mRecord;
-  int64_t mRevision;  ///< of the record; guards every append
+  int64_t mRevision;                   ///< of the record; guards every append
   std::vector<RolloutResult> mListed;  ///< in the store, by position
   size_t mWholeListed = 0;  ///< groups that were whole at the last page
-  bool mRunning = true;    ///< owned here, and not ended
-  bool mFlushing = false;  ///< a page is being gathered or written
-  bool mUnsettled = false; ///< a page may or may not be in the store
+  bool mRunning = true;     ///< owned here, and not ended
+  bool mFlushing = false;   ///< a page is being gathered or written
+  bool mUnsettled = false;  ///< a page may or may not be in the store
   std::map<size_t, HttpStream*> mStreams;  ///< by item
   std::set<size_t> mMoving;  ///< items whose stream is ended to go elsewhere
-  Millis mGiveUpAt;     ///< then unfinished items are given up
-  Millis mVerifiedAt;   ///< when the store was last asked and named this owner
+  Millis mGiveUpAt;          ///< then unfinished items are given up
+  Millis mVerifiedAt;  ///< when the store was last asked and named this owner
   asio::steady_timer mChanged;
 };
 
--- /dev/null
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -0,0 +1,289 @@
+/// \file
+/// The parts of rollout_test_support.h.
+
+#include <boost/asio/as_tuple.hpp>
+
+#include "rollout_test_support.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr Millis kWatchLook{2};
+
+Error Lost() { return {ErrorKind::KvUncertain, "the answer is lost"}; }
+
+}  // namespace
+
+HeaderNames TestHeaders() {
+  return {"Id",     "Left",    "Expected",   "Not-Run",
+          "Signed", "Weights", "Last-Event", "Priority"};
+}
+
+std::optional<Error> FakeStore::Down() const {
+  return mDown ? std::optional(Error(ErrorKind::KvUnavailable, "down"))
+               : std::nullopt;
+}
+
+asio::awaitable<Result<std::optional<StoreItem>>> FakeStore::Get(
+    std::string aKey) {
+  ++mCounts.mReads;
+  if (const auto down = Down()) {
+    co_return *down;
+  }
+  const auto found = mItems.find(aKey);
+  co_return found == mItems.end() ? std::nullopt : std::optional(found->second);
+}
+
+asio::awaitable<Result<StoreList>> FakeStore::List(std::string aPrefix,
+                                                   std::string aAfter) {
+  ++mCounts.mReads;
+  if (const auto down = Down()) {
+    co_return *down;
+  }
+  constexpr size_t kPage = 2;  // small, so that every reader meets pages
+  StoreList list;
+  list.mRevision = mRevision;
+  for (const auto& [key, item] : mItems) {
+    if (!key.starts_with(aPrefix) || key <= aAfter) {
+      continue;
+    }
+    if (list.mItems.size() == kPage) {
+      list.mMore = true;
+      break;
+    }
+    list.mItems.push_back(item);
+  }
+  co_return list;
+}
+
+asio::awaitable<Result<StoreEvents>> FakeStore::Watch(std::string aPrefix,
+                                                      int64_t aAfter,
+                                                      Millis aWait) {
+  ++mCounts.mWatches;
+  StoreEvents events;
+  for (Millis waited; events.mEvents.empty() && waited < aWait;
+       waited += kWatchLook) {
+    if (const auto down = Down()) {
+      co_return *down;
+    }
+    for (const StoreEvent& event : mHistory) {
+      if (event.mItem.mRevision > aAfter &&
+          event.mItem.mKey.starts_with(aPrefix)) {
+        events.mEvents.push_back(event);
+      }
+    }
+    if (events.mEvents.empty()) {
+      co_await Sleep(mIo, kWatchLook);
+    }
+  }
+  events.mRevision = mRevision;
+  co_return events;
+}
+
+StoreCommit FakeStore::Apply(const StoreChange& aChange) {
+  StoreCommit commit;
+  commit.mApplied = true;
+  for (const StoreGuard& guard : aChange.mGuards) {
+    const auto found = mItems.find(guard.mKey);
+    const int64_t revision =
+        found == mItems.end() ? 0 : found->second.mRevision;
+    commit.mApplied = commit.mApplied && revision == guard.mRevision;
+    if (found != mItems.end()) {
+      commit.mCurrent.push_back(found->second);
+    }
+  }
+  if (!commit.mApplied) {
+    return commit;
+  }
+  commit.mCurrent.clear();
+  commit.mRevision = ++mRevision;
+  for (const StorePut& put : aChange.mPuts) {
+    StoreItem& item = mItems[put.mKey];
+    const int64_t created = item.mCreated == 0 ? mRevision : item.mCreated;
+    item = {put.mKey, put.mValue, mRevision, created};
+    mKeyLeases[put.mKey] = put.mLease;
+    mHistory.push_back({false, item});
+  }
+  for (const std::string& key : aChange.mRemoves) {
+    mItems.erase(key);
+    mHistory.push_back({true, {key, {}, mRevision, 0}});
+  }
+  return commit;
+}
+
+asio::awaitable<Result<StoreCommit>> FakeStore::Commit(StoreChange aChange) {
+  ++mCounts.mWrites;
+  if (const auto down = Down()) {
+    co_return *down;
+  }
+  StoreFault fault = StoreFault::None;
+  if (!mFaults.empty()) {
+    fault = mFaults.front();
+    mFaults.pop_front();
+  }
+  if (fault == StoreFault::Refused) {
+    co_return Error(ErrorKind::KvUnavailable, "refused");
+  }
+  if (fault == StoreFault::LostDropped) {
+    co_return Lost();
+  }
+  StoreCommit commit = Apply(aChange);
+  if (fault == StoreFault::LostApplied) {
+    co_return Lost();
+  }
+  co_return commit;
+}
+
+asio::awaitable<Result<StoreLease>> FakeStore::Grant(Millis aTtl) {
+  if (const auto down = Down()) {
+    co_return *down;
+  }
+  mLeases[++mNextLease] = true;
+  co_return StoreLease{mNextLease, aTtl};
+}
+
+asio::awaitable<Result<bool>> FakeStore::Renew(int64_t aLease) {
+  ++mCounts.mRenewals;
+  if (const auto down = Down()) {
+    co_return *down;
+  }
+  co_return mLeases[aLease];
+}
+
+asio::awaitable<std::optional<Error>> FakeStore::Release(int64_t aLease) {
+  Lapse(aLease);
+  co_return std::nullopt;
+}
+
+void FakeStore::Lapse(int64_t aLease) {
+  mLeases[aLease] = false;
+  StoreChange change;
+  for (const auto& [key, lease] : mKeyLeases) {
+    if (lease == aLease && mItems.contains(key)) {
+      change.mRemoves.push_back(key);
+    }
+  }
+  Apply(change);
+}
+
+void FakeStore::Write(const std::string& aKey, const std::string& aValue) {
+  StoreChange change;
+  change.mPuts.push_back({aKey, aValue, 0});
+  Apply(change);
+}
+
+size_t FakeStore::CountOf(const std::string& aPrefix) const {
+  size_t count = 0;
+  for (const auto& [key, item] : mItems) {
+    count += key.starts_with(aPrefix) ? 1 : 0;
+  }
+  return count;
+}
+
+ScriptedReplica::ScriptedReplica(asio::io_context& aIo, std::string aId,
+                                 HeaderNames aNames)
+    : mIo(aIo),
+      mId(std::move(aId)),
+      mNames(std::move(aNames)),
+      mServer(aIo, HttpLimits(),
+              [this](const HttpRequest& aRequest, HttpExchange& aExchange) {
+                return Handle(aRequest, aExchange);
+              }) {
+  const Result<Endpoint> bound = mServer.Listen({"127.0.0.1", 0});
+  CPPUNIT_ASSERT(bound.has_value());
+  mEndpoint = *bound;
+}
+
+Replica ScriptedReplica::Entry(const std::string& aService) const {
+  Replica entry;
+  entry.mId = mId;
+  entry.mService = aService;
+  entry.mAddress = mEndpoint.Text();
+  entry.mSlots = 8;
+  entry.mModels = {{"m", mVersion}};
+  return entry;
+}
+
+asio::awaitable<void> ScriptedReplica::Handle(const HttpRequest& aRequest,
+                                              HttpExchange& aExchange) {
+  mRequests.push_back(aRequest);
+  ReplicaScript script = mOtherwise;
+  if (!mScripts.empty()) {
+    script = mScripts.front();
+    mScripts.pop_front();
+  }
+  ++mRunning;
+  while (script.mSilent && !aExchange.PeerGone()) {
+    co_await Sleep(mIo, Millis(5));
+  }
+  HttpResponse head;
+  head.mStatus = script.mStatus;
+  const std::string* id = aRequest.Find(mNames.mRequestId);
+  const std::string echo = script.mOtherId ? "other" : id ? *id : "";
+  head.mHeaders.push_back({mNames.mRequestId, echo});
+  head.mHeaders.push_back({mNames.mSignature, "signed-" + echo});
+  head.mHeaders.push_back({mNames.mWeightVersion, std::to_string(mVersion)});
+  if (script.mNotRun) {
+    head.mHeaders.push_back({mNames.mNotRun, "1"});
+  }
+  if (mStreams && script.mStatus == 200 && !script.mSilent) {
+    co_await Stream(aRequest, script, std::move(head), aExchange);
+  } else if (!script.mSilent) {
+    head.mBody = "answer of " + mId;
+    co_await aExchange.Respond(std::move(head));
+  }
+  --mRunning;
+}
+
+asio::awaitable<void> ScriptedReplica::Stream(const HttpRequest& aRequest,
+                                              ReplicaScript aScript,
+                                              HttpResponse aHead,
+                                              HttpExchange& aExchange) {
+  co_await aExchange.Begin(std::move(aHead));
+  const std::string* last = aRequest.Find(mNames.mLastEvent);
+  int64_t at = last == nullptr ? 0 : std::stoll(*last);
+  int64_t sent = 0;
+  while (at < mEvents) {
+    ++at;
+    if (sent == aScript.mBreakAfter) {
+      aExchange.Cut();
+      co_return;
+    }
+    ++sent;
+    std::string event;
+    if (at == aScript.mVersionAt) {
+      event = "weights: " + std::to_string(mVersion + 1) + "\n";
+    }
+    event +=
+        "id: " + std::to_string(at) + "\ndata: e" + std::to_string(at) + "\n\n";
+    if (at != aScript.mSkipEvent) {
+      const std::error_code failed = co_await aExchange.Write(std::move(event));
+      if (failed) {
+        aExchange.Cut();
+        co_return;
+      }
+    }
+    co_await Sleep(mIo, aScript.mEventTime);
+  }
+  co_await aExchange.End();
+}
+
+TestNode::TestNode(TestWorld& aWorld, std::string aRun) : mWorld(aWorld) {
+  mNode.mIdentity = {"n1", "z", "n1-address", std::move(aRun), false};
+  mNode.mHeaders = TestHeaders();
+  mNode.mClient.SetConnectTimeout(Millis(300));
+}
+
+void TestNode::RunFor(Millis aSpan) {
+  const Millis end = mNode.Now() + aSpan;
+  RunUntil([&] { return mNode.Now() >= end; });
+}
+
+void TestNode::Add(const ScriptedReplica& aReplica,
+                   const std::string& aService) {
+  mListed.push_back(aReplica.Entry(aService));
+  mNode.mReplicas.Update(mListed, false);
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -0,0 +1,179 @@
+/// \file
+/// What the tests of the serving path share: a store in memory with faults, a
+/// replica that follows a script, and a node on one thread.
+
+#pragma once
+
+#include <cppunit/TestAssert.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "rillwall/node_context.h"
+
+namespace rillwall {
+
+/// What happens to the next change of the store.
+enum class StoreFault {
+  None,
+  Refused,      ///< nothing is done, and that is said
+  LostApplied,  ///< done, and the answer is lost
+  LostDropped,  ///< not done, and the answer is lost
+};
+
+/// The store in memory.
+class FakeStore final : public StorePort {
+ public:
+  explicit FakeStore(asio::io_context& aIo) : mIo(aIo) {}
+
+  asio::awaitable<Result<std::optional<StoreItem>>> Get(
+      std::string aKey) override;
+  asio::awaitable<Result<StoreList>> List(std::string aPrefix,
+                                          std::string aAfter) override;
+  asio::awaitable<Result<StoreEvents>> Watch(std::string aPrefix,
+                                             int64_t aAfter,
+                                             Millis aWait) override;
+  asio::awaitable<Result<StoreCommit>> Commit(StoreChange aChange) override;
+  asio::awaitable<Result<StoreLease>> Grant(Millis aTtl) override;
+  asio::awaitable<Result<bool>> Renew(int64_t aLease) override;
+  asio::awaitable<std::optional<Error>> Release(int64_t aLease) override;
+  StoreCounts Counts() const override { return mCounts; }
+
+  /// Ends a lease, as when it was not renewed.
+  void Lapse(int64_t aLease);
+  /// Writes a key, as another writer would.
+  void Write(const std::string& aKey, const std::string& aValue);
+  const std::map<std::string, StoreItem>& Items() const { return mItems; }
+  size_t CountOf(const std::string& aPrefix) const;
+
+  std::deque<StoreFault> mFaults;  ///< of the next changes, in order
+  bool mDown = false;              ///< every call is refused
+
+ private:
+  std::optional<Error> Down() const;
+  StoreCommit Apply(const StoreChange& aChange);
+
+  asio::io_context& mIo;
+  StoreCounts mCounts;
+  std::map<std::string, StoreItem> mItems;
+  std::map<std::string, int64_t> mKeyLeases;
+  std::map<int64_t, bool> mLeases;
+  std::vector<StoreEvent> mHistory;
+  int64_t mRevision = 1;
+  int64_t mNextLease = 100;
+};
+
+/// How a scripted replica answers one request.
+struct ReplicaScript {
+  int mStatus = 200;
+  bool mNotRun = false;      ///< says that it did not run it
+  bool mOtherId = false;     ///< echoes the identity of another request
+  bool mSilent = false;      ///< never answers
+  int64_t mBreakAfter = -1;  ///< events after which the stream is cut
+  int64_t mSkipEvent = -1;   ///< id of an event that is left out
+  Millis mEventTime{1};      ///< between two events
+  int64_t mVersionAt = -1;   ///< event at which the version grows by one
+};
+
+/// A replica on a port of its own.
+class ScriptedReplica {
+ public:
+  ScriptedReplica(asio::io_context& aIo, std::string aId, HeaderNames aNames);
+  ~ScriptedReplica() { mServer.Stop(); }
+
+  Replica Entry(const std::string& aService) const;
+  std::deque<ReplicaScript> mScripts;  ///< of the next requests
+  ReplicaScript mOtherwise;            ///< of all later ones
+  std::vector<HttpRequest> mRequests;  ///< as they came
+  int64_t mEvents = 3;                 ///< of a whole stream
+  int64_t mVersion = 5;
+  bool mStreams = true;  ///< answers with events, else with a plain body
+  int mRunning = 0;
+
+ private:
+  asio::awaitable<void> Handle(const HttpRequest& aRequest,
+                               HttpExchange& aExchange);
+  asio::awaitable<void> Stream(const HttpRequest& aRequest,
+                               ReplicaScript aScript, HttpResponse aHead,
+                               HttpExchange& aExchange);
+
+  asio::io_context& mIo;
+  const std::string mId;
+  const HeaderNames mNames;
+  HttpServer mServer;
+  Endpoint mEndpoint;
+};
+
+/// What outlives a node: the store and the thread that replicas run on.
+struct TestWorld {
+  asio::io_context mIo;
+  FakeStore mStore{mIo};
+};
+
+/// An io_context whose pending coroutines can be destroyed while what they
+/// refer to still lives.
+class TestContext : public asio::io_context {
+ public:
+  void Close() { shutdown(); }
+};
+
+/// A node's process. One that is not run any more is as good as dead.
+class TestNode {
+ public:
+  explicit TestNode(TestWorld& aWorld, std::string aRun = "n1-run");
+  ~TestNode() { mIo.Close(); }
+
+  /// Runs a coroutine to its end.
+  template <class Value>
+  Value Run(asio::awaitable<Value> aWork) {
+    std::optional<Value> result;
+    std::exception_ptr thrown;
+    asio::co_spawn(mIo, std::move(aWork),
+                   [&](std::exception_ptr aThrown, Value aValue) {
+                     thrown = aThrown;
+                     result.emplace(std::move(aValue));
+                   });
+    RunUntil([&] { return result.has_value(); });
+    if (thrown) {
+      std::rethrow_exception(thrown);
+    }
+    return std::move(*result);
+  }
+  /// Runs until something holds; fails after long.
+  template <class Condition>
+  void RunUntil(Condition aCondition) {
+    constexpr int kGenerousMs = 20000;
+    const Millis end = mNode.Now() + Millis(kGenerousMs);
+    while (!aCondition()) {
+      CPPUNIT_ASSERT_MESSAGE("waited too long", mNode.Now() < end);
+      const size_t done = mIo.poll() + mWorld.mIo.poll();
+      if (done == 0) {
+        std::this_thread::sleep_for(std::chrono::microseconds(300));
+      }
+      mIo.restart();
+      mWorld.mIo.restart();
+    }
+  }
+  /// Runs for some time.
+  void RunFor(Millis aSpan);
+  /// Lists a replica as the registry would.
+  void Add(const ScriptedReplica& aReplica, const std::string& aService);
+
+  TestWorld& mWorld;
+  TestContext mIo;
+  NodeContext mNode{mIo, mWorld.mStore};
+
+ private:
+  std::vector<Replica> mListed;
+};
+
+/// Names of headers for tests.
+HeaderNames TestHeaders();
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -47,8 +47,7 @@
   HttpRequest request = aRun.mCall.mRequest;
   const HeaderNames& names = aRun.mNode.mHeaders;
   request.mHeaders.push_back({names.mExpectReplica, aReplica});
-  request.mHeaders.push_back(
-      {names.mTimeLeft, std::to_string(aLeft.Count())});
+  request.mHeaders.push_back({names.mTimeLeft, std::to_string(aLeft.Count())});
   return request;
 }
 
@@ -109,9 +108,8 @@
     const Millis left = std::max(Millis(1), aDue - aNode.Now());
     Result<std::string> part = co_await aStream->Read(left);
     if (!part) {
-      result.mEnd = part.error().Kind() == ErrorKind::Timeout
-                        ? TryEnd::TimedOut
-                        : TryEnd::Lost;
+      result.mEnd = part.error().Kind() == ErrorKind::Timeout ? TryEnd::TimedOut
+                                                              : TryEnd::Lost;
       result.mWhy = part.error().Detail();
       co_return result;
     }
--- /dev/null
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -0,0 +1,170 @@
+/// \file
+/// Tests of calls to services, with real connections to scripted replicas.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "rillwall/relay.h"
+#include "rillwall/upstream_call.h"
+#include "rollout_test_support.h"
+
+namespace rillwall {
+
+class UpstreamCallTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UpstreamCallTest);
+  CPPUNIT_TEST(SendsWhatTheReplicaNeeds);
+  CPPUNIT_TEST(IdempotentGoesToAnotherReplica);
+  CPPUNIT_TEST(NonIdempotentIsNotSentTwice);
+  CPPUNIT_TEST(RefusedByAllIsNotRun);
+  CPPUNIT_TEST(AnswerOfAnotherRequestIsNotDelivered);
+  CPPUNIT_TEST(SilentReplicaCostsOneTry);
+  CPPUNIT_TEST(TimeUpIsNoRefusal);
+  CPPUNIT_TEST(OwnFailureIsDeliveredIfNoneIsBetter);
+  CPPUNIT_TEST(UnreachableIsNotRun);
+  CPPUNIT_TEST(NoReplicaIsNotRun);
+  CPPUNIT_TEST(ErrorStatusTellsTheTruth);
+  CPPUNIT_TEST(ConnectionHeadersStay);
+  CPPUNIT_TEST_SUITE_END();
+
+  TestWorld mWorld;
+  ScriptedReplica mOne{mWorld.mIo, "one", TestHeaders()};
+  ScriptedReplica mTwo{mWorld.mIo, "two", TestHeaders()};
+  TestNode mTest{mWorld};
+
+ public:
+  void setUp() override {
+    mOne.mStreams = false;
+    mTwo.mStreams = false;
+    mTest.Add(mOne, "s");
+    mTest.Add(mTwo, "s");
+  }
+
+ private:
+  UpstreamCall CallOf(RequestKind aKind, int aAttempts) {
+    UpstreamCall call;
+    call.mId = "id7";
+    call.mRequest.mMethod = "POST";
+    call.mRequest.mTarget = "/p";
+    call.mRequest.mBody = "body";
+    call.mRequest.mHeaders = {{TestHeaders().mRequestId, "id7"}};
+    call.mService = "s";
+    call.mKind = aKind;
+    call.mAttempts = aAttempts;
+    call.mDue = mTest.mNode.Now() + Millis(1500);
+    call.mTargetLatency = Millis(100);
+    return call;
+  }
+  Result<UpstreamAnswer> Call(RequestKind aKind, int aAttempts) {
+    return mTest.Run(CallUpstream(mTest.mNode, CallOf(aKind, aAttempts)));
+  }
+  size_t Sent() const { return mOne.mRequests.size() + mTwo.mRequests.size(); }
+  void Both(const ReplicaScript& aScript) {
+    mOne.mOtherwise = aScript;
+    mTwo.mOtherwise = aScript;
+  }
+
+  void SendsWhatTheReplicaNeeds() {
+    const auto answer = Call(RequestKind::NonIdempotent, 1);
+    CPPUNIT_ASSERT_EQUAL(200, answer->mHead.mStatus);
+    const ScriptedReplica& used = mOne.mRequests.empty() ? mTwo : mOne;
+    const HttpRequest& sent = used.mRequests.at(0);
+    CPPUNIT_ASSERT_EQUAL(answer->mReplica, *sent.Find("Expected"));
+    CPPUNIT_ASSERT(std::stoll(*sent.Find("Left")) <= 1500);
+    CPPUNIT_ASSERT(std::stoll(*sent.Find("Left")) > 0);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.mBody);
+  }
+
+  void IdempotentGoesToAnotherReplica() {
+    for (const int status : {500, 503}) {
+      const bool notRun = status == 503;
+      mOne.mOtherwise = {status, notRun};
+      mTwo.mOtherwise = {};
+      const auto answer = Call(RequestKind::Idempotent, 2);
+      CPPUNIT_ASSERT_EQUAL(std::string("two"), answer->mReplica);
+      CPPUNIT_ASSERT_EQUAL(200, answer->mHead.mStatus);
+    }
+  }
+
+  void NonIdempotentIsNotSentTwice() {
+    ReplicaScript lost;
+    lost.mOtherId = true;
+    Both(lost);
+    const auto answer = Call(RequestKind::NonIdempotent, 4);
+    CPPUNIT_ASSERT(answer.error().Run() == RunState::Unknown);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Sent());
+  }
+
+  void RefusedByAllIsNotRun() {
+    Both({503, true});
+    const auto answer = Call(RequestKind::NonIdempotent, 1);
+    CPPUNIT_ASSERT(answer.error().Run() == RunState::NotRun);
+    CPPUNIT_ASSERT(answer.error().RetryAfter() > Millis(0));
+    CPPUNIT_ASSERT(Sent() >= 2);
+  }
+
+  void AnswerOfAnotherRequestIsNotDelivered() {
+    ReplicaScript other;
+    other.mOtherId = true;
+    Both(other);
+    CPPUNIT_ASSERT(!Call(RequestKind::Idempotent, 2));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Sent());
+  }
+
+  void SilentReplicaCostsOneTry() {
+    mOne.mOtherwise.mSilent = true;
+    const auto answer = Call(RequestKind::Idempotent, 2);
+    CPPUNIT_ASSERT_EQUAL(std::string("two"), answer->mReplica);
+  }
+
+  void TimeUpIsNoRefusal() {
+    ReplicaScript silent;
+    silent.mSilent = true;
+    Both(silent);
+    const auto answer = Call(RequestKind::NonIdempotent, 1);
+    CPPUNIT_ASSERT(answer.error().Kind() == ErrorKind::Timeout);
+    CPPUNIT_ASSERT(answer.error().Run() == RunState::Unknown);
+    CPPUNIT_ASSERT_EQUAL(504, ErrorAnswer(answer.error()).mStatus);
+  }
+
+  void OwnFailureIsDeliveredIfNoneIsBetter() {
+    Both({500, false});
+    const auto answer = Call(RequestKind::Idempotent, 2);
+    CPPUNIT_ASSERT_EQUAL(500, answer->mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("signed-id7"),
+                         *answer->mHead.Find("Signed"));
+  }
+
+  void UnreachableIsNotRun() {
+    Replica gone = mOne.Entry("s");
+    gone.mAddress = "127.0.0.1:1";
+    mTest.mNode.mReplicas.Update({gone}, false);
+    const auto answer = Call(RequestKind::NonIdempotent, 1);
+    CPPUNIT_ASSERT(answer.error().Run() == RunState::NotRun);
+    CPPUNIT_ASSERT_EQUAL(503, ErrorAnswer(answer.error()).mStatus);
+  }
+
+  void NoReplicaIsNotRun() {
+    mTest.mNode.mReplicas.Update({}, false);
+    const auto answer = Call(RequestKind::Idempotent, 2);
+    CPPUNIT_ASSERT(answer.error().Run() == RunState::NotRun);
+  }
+
+  void ErrorStatusTellsTheTruth() {
+    const Error unknown(ErrorKind::Overloaded, "x", RunState::Unknown);
+    CPPUNIT_ASSERT_EQUAL(502, ErrorAnswer(unknown).mStatus);
+    const Error refused(ErrorKind::Overloaded, "x", RunState::NotRun);
+    const HttpResponse answer = ErrorAnswer(refused.After(Millis(250)));
+    CPPUNIT_ASSERT_EQUAL(503, answer.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("0.250"), *answer.Find("Retry-After"));
+  }
+
+  void ConnectionHeadersStay() {
+    const auto kept = EndToEndHeaders(
+        {{"Connection", "close, X-Hop"}, {"x-hop", "1"}, {"X-Own", "2"}});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, kept.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("X-Own"), kept[0].mName);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamCallTest);
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -23,8 +23,8 @@
 constexpr Millis kRetryPause{300};
 
 size_t LoadsAtOnce(size_t aReplicas) {
-  return std::max<size_t>(1, (aReplicas + kReplicasPerLoad / 2) /
-                                 kReplicasPerLoad);
+  return std::max<size_t>(
+      1, (aReplicas + kReplicasPerLoad / 2) / kReplicasPerLoad);
 }
 
 void LogOrder(const Replica& aReplica, const VersionOrder& aOrder,
@@ -73,7 +73,10 @@
     return;
   }
   named = aVersion;
-  Event("version-named").Text("model", aModel).Number("version", aVersion).Write();
+  Event("version-named")
+      .Text("model", aModel)
+      .Number("version", aVersion)
+      .Write();
 }
 
 int64_t WeightOrders::Named(const std::string& aModel) const {
@@ -211,8 +214,7 @@
           .Write();
       co_return version >= aVersion;
     }
-    mNode.mReplicas.PauseModel(aReplica.mId, aModel,
-                               mNode.Now() + kLookEvery);
+    mNode.mReplicas.PauseModel(aReplica.mId, aModel, mNode.Now() + kLookEvery);
     co_await Sleep(mNode.mIo, kLookEvery);
   }
   co_return false;
--- a/src/librillwall_state/event_log.cpp
+++ b/src/librillwall_state/event_log.cpp
@@ -112,9 +112,10 @@
   EventSink& sink = Sink();
   if (sink.mDropped > sink.mDroppedTold) {
     const uint64_t missing = sink.mDropped - sink.mDroppedTold;
-    std::string line = "{\"time_ms\":" + std::to_string(WallClockMs()) +
-                       ",\"event\":\"log-dropped\",\"lines\":" +
-                       std::to_string(missing) + "}\n";
+    std::string line =
+        "{\"time_ms\":" + std::to_string(WallClockMs()) +
+        ",\"event\":\"log-dropped\",\"lines\":" + std::to_string(missing) +
+        "}\n";
     sink.mPending += line;
     sink.mDroppedTold = sink.mDropped;
   }
--- /dev/null
+++ b/src/librillwall_state/event_log_test.cpp
@@ -0,0 +1,102 @@
+/// \file
+/// Tests of structured events: form, bound, and that writing never blocks.
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/json.hpp>
+#include <sstream>
+
+#include "rillwall/event_log.h"
+
+namespace rillwall {
+
+class EventLogTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EventLogTest);
+  CPPUNIT_TEST(WritesOneJsonObjectALine);
+  CPPUNIT_TEST(FullPipeNeverBlocks);
+  CPPUNIT_TEST(AsksOnceForAFlush);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    CPPUNIT_ASSERT_EQUAL(0, ::pipe(mPipe.data()));
+    ::fcntl(mPipe[0], F_SETFL, O_NONBLOCK);
+    mAsked = 0;
+    EventLogOptions options;
+    options.mDescriptor = mPipe[1];
+    options.mMaxPending = 4096;
+    options.mOnPending = [this] { ++mAsked; };
+    StartEventLog(options);
+  }
+  void tearDown() override {
+    Drain();
+    FlushEvents();
+    EventLogOptions none;
+    none.mDescriptor = -1;
+    StartEventLog(none);
+    ::close(mPipe[0]);
+    ::close(mPipe[1]);
+  }
+
+ private:
+  std::array<int, 2> mPipe{};
+  int mAsked = 0;
+
+  /// Reads what is there without waiting for more.
+  std::string Drain() {
+    std::string all;
+    while (true) {
+      const bool done = FlushEvents();
+      std::array<char, 65536> buffer;
+      const ssize_t size = ::read(mPipe[0], buffer.data(), buffer.size());
+      all.append(buffer.data(), size > 0 ? static_cast<size_t>(size) : 0);
+      if (done) {
+        return all;
+      }
+    }
+  }
+
+  void WritesOneJsonObjectALine() {
+    Event("routed").Id("a\"b").Number("left_ms", -3).Flag("ok", true).Write();
+    const std::string text = Drain();
+    const auto line = boost::json::parse(text.substr(0, text.find('\n')));
+    CPPUNIT_ASSERT_EQUAL(std::string("a\"b"),
+                         std::string(line.at("id").as_string()));
+    CPPUNIT_ASSERT_EQUAL(int64_t{-3}, line.at("left_ms").as_int64());
+    CPPUNIT_ASSERT(line.at("ok").as_bool());
+    CPPUNIT_ASSERT(line.at("time_ms").as_int64() > 0);
+  }
+
+  void FullPipeNeverBlocks() {
+    const uint64_t before = DroppedEvents();
+    const std::string filler(500, 'x');
+    for (int i = 0; i < 1000; ++i) {
+      Event("filler").Text("text", filler).Write();
+      FlushEvents();
+    }
+    CPPUNIT_ASSERT(DroppedEvents() > before);
+    const std::string text = Drain();
+    CPPUNIT_ASSERT(text.find("log-dropped") != std::string::npos);
+    std::istringstream lines(text);
+    std::string line;
+    while (std::getline(lines, line)) {
+      boost::json::parse(line);  // throws if a line was cut
+    }
+  }
+
+  void AsksOnceForAFlush() {
+    Event("one").Write();
+    Event("two").Write();
+    CPPUNIT_ASSERT_EQUAL(1, mAsked);
+    FlushEvents();
+    Event("three").Write();
+    CPPUNIT_ASSERT_EQUAL(2, mAsked);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventLogTest);
+
+}  // namespace rillwall
--- a/src/librillwall_transport/http_server_connection.h
+++ b/src/librillwall_transport/http_server_connection.h
@@ -106,7 +106,7 @@
   bool mInputEnded = false;
   std::atomic<bool> mPeerGone{false};
   std::function<void()> mOnPeerGone;  ///< of the present handler
-  bool mIdle = false;  ///< between two requests
+  bool mIdle = false;                 ///< between two requests
 
   AnswerState mAnswer = AnswerState::None;
   bool mKeepAlive = false;
--- a/src/librillwall_transport/http_socket.cpp
+++ b/src/librillwall_transport/http_socket.cpp
@@ -43,8 +43,8 @@
   mDeadline->Attach(mSocket.native_handle());
 }
 
-asio::awaitable<error_code> HttpSocket::Connect(
-    asio::ip::tcp::endpoint aTo, Millis aLimit) {
+asio::awaitable<error_code> HttpSocket::Connect(asio::ip::tcp::endpoint aTo,
+                                                Millis aLimit) {
   error_code code;
   mSocket.open(aTo.protocol(), code);
   if (code) {
@@ -55,7 +55,7 @@
   // deadline alone would not do.
   asio::steady_timer limit(mSocket.get_executor());
   limit.expires_after(std::chrono::milliseconds(aLimit.Count()));
-  const auto ended = co_await(
+  const auto ended = co_await (
       mSocket.async_connect(aTo, asio::as_tuple(asio::use_awaitable)) ||
       limit.async_wait(asio::as_tuple(asio::use_awaitable)));
   if (ended.index() != 0) {
