--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -5,7 +5,8 @@
 /// The claim is a key of the store under a lease. Its revision is the fencing
 /// token of all orders under it. A node that cannot renew the lease stops
 /// ordering before the lease can have ended; a new holder waits until no order
-/// of its predecessor can still be under way.
+/// of its predecessor can still be under way. A host that was its own
+/// predecessor need not wait.
 
 #pragma once
 
@@ -46,12 +47,14 @@
   void Forget() { mKnown.reset(); }
 
  private:
-  asio::awaitable<void> TryClaim();
+  /// \param aGuard revision of the claim's key that is replaced; 0: none
+  /// \param aOwnBefore no other host can have given orders since this one did
+  asio::awaitable<void> TryClaim(int64_t aGuard, bool aOwnBefore);
   asio::awaitable<void> Renew();
-  /// Waits until nobody holds the claim.
-  asio::awaitable<void> AwaitVacancy();
-  /// \return whether the claim ended; else it is to be read again
-  asio::awaitable<bool> WatchClaim(int64_t aRevision);
+  /// Claims if nobody holds the claim, else waits for a change of it.
+  asio::awaitable<void> AwaitAndClaim();
+  /// Waits until the claim is to be read again.
+  asio::awaitable<void> WatchClaim(int64_t aRevision);
   void Lose(const char* aWhy);
 
   NodeContext& mNode;
--- a/src/include/rillwall/rollout_record.h
+++ b/src/include/rillwall/rollout_record.h
@@ -39,6 +39,7 @@
 struct ResultPage {
   int64_t mFirst = 0;  ///< position of its first result
   std::vector<RolloutResult> mResults;
+  int64_t mTotal = 0;  ///< items of the step
   bool operator==(const ResultPage&) const = default;
 };
 
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -41,6 +41,12 @@
   std::vector<RolloutResult> mResults;
 };
 
+/// \param aListed results of a step
+/// \param aFirst position of the first of them
+/// \return those from aAfter on, as many as one answer holds
+RolloutRead ReadFrom(const std::vector<RolloutResult>& aListed, int64_t aFirst,
+                     int64_t aTotal, int64_t aAfter);
+
 struct RolloutStep;
 
 class RolloutService {
--- a/src/librillwall_protocol/rollout_record.cpp
+++ b/src/librillwall_protocol/rollout_record.cpp
@@ -89,6 +89,7 @@
   }
   json::object object;
   object["first"] = aPage.mFirst;
+  object["total"] = aPage.mTotal;
   object["results"] = std::move(results);
   return json::serialize(object);
 }
@@ -101,6 +102,7 @@
   JsonReader reader(*object, "result page");
   ResultPage page;
   page.mFirst = reader.Int("first");
+  page.mTotal = reader.Int("total");
   const json::array* results = reader.Array("results");
   for (size_t i = 0; results != nullptr && i < results->size(); ++i) {
     const json::object* each = (*results)[i].if_object();
--- a/src/librillwall_protocol/rollout_record_test.cpp
+++ b/src/librillwall_protocol/rollout_record_test.cpp
@@ -23,15 +23,16 @@
   void PageComesBack() {
     RolloutResult whole{"i1", RolloutEnd::Completed, "a\nb\"", {3, 4}, "sig"};
     RolloutResult dead{"i2", RolloutEnd::Terminated, "", {}, ""};
-    const ResultPage page{12, {whole, dead}};
+    const ResultPage page{12, {whole, dead}, 40};
     CPPUNIT_ASSERT(page == *DecodeResultPage(EncodeResultPage(page)));
   }
 
   void BrokenTextIsAnError() {
     CPPUNIT_ASSERT(!DecodeStepRecord("{}"));
     CPPUNIT_ASSERT(!DecodeStepRecord("nonsense"));
-    CPPUNIT_ASSERT(!DecodeResultPage(R"({"first":1,"results":[7]})"));
-    CPPUNIT_ASSERT(!DecodeResultPage(R"({"first":1,"results":[{}]})"));
+    CPPUNIT_ASSERT(!DecodeResultPage(R"({"first":1,"total":2,"results":[7]})"));
+    CPPUNIT_ASSERT(
+        !DecodeResultPage(R"({"first":1,"total":2,"results":[{}]})"));
   }
 
   void KeysSortByPosition() {
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr char kLeadKey[] = "rillwall/lead";
+/// Name of the host that held the claim last; stays when the claim lapses.
+/// Listed together with the claim, as it begins with its key.
+constexpr char kLastKey[] = "rillwall/lead-last";
 /// Life of the claim without a renewal: short, as a step without an owner
 /// stands still; long enough to outlast two lost renewals.
 constexpr Millis kClaimTtl{2400};
@@ -60,14 +63,11 @@
       co_await Renew();
       continue;
     }
-    co_await AwaitVacancy();
-    if (!mNode.mStopping) {
-      co_await TryClaim();
-    }
+    co_await AwaitAndClaim();
   }
 }
 
-asio::awaitable<void> LeadClaim::TryClaim() {
+asio::awaitable<void> LeadClaim::TryClaim(int64_t aGuard, bool aOwnBefore) {
   const Millis asked = mNode.Now();
   const Result<StoreLease> lease = co_await mNode.mStore.Grant(kClaimTtl);
   if (!lease) {
@@ -76,9 +76,10 @@
   }
   const NodeIdentity& self = mNode.mIdentity;
   StoreChange change;
-  change.mGuards.push_back({kLeadKey, 0});
+  change.mGuards.push_back({kLeadKey, aGuard});
   const LeadHolder holder{self.mName, self.mAddress, self.mRun};
   change.mPuts.push_back({kLeadKey, Encode(holder), lease->mId});
+  change.mPuts.push_back({kLastKey, self.mName, 0});
   const Result<StoreCommit> done = co_await mNode.mStore.Commit(change);
   if (!done || !done->mApplied) {
     // An uncertain claim ends with its lease, which nobody renews.
@@ -87,9 +88,14 @@
   mLease = lease->mId;
   mFence = done->mRevision;
   mRenewedAt = asked;
-  mOrdersFrom = mNode.Now() + mNode.mBounds.mLease;
+  const Millis wait = aOwnBefore ? Millis(0) : mNode.mBounds.mLease;
+  mOrdersFrom = mNode.Now() + wait;
   mKnown = holder;
-  Event("claim-won").Text("claim", "lead").Number("fence", mFence).Write();
+  Event("claim-won")
+      .Text("claim", "lead")
+      .Number("fence", mFence)
+      .Number("orders_in_ms", wait.Count())
+      .Write();
   mNode.mMetrics.Count("claims_total");
   mOnWon();
 }
@@ -113,38 +119,49 @@
   }
 }
 
-asio::awaitable<void> LeadClaim::AwaitVacancy() {
-  while (!mNode.mStopping) {
-    const Result<StoreList> list = co_await mNode.mStore.List(kLeadKey, {});
-    if (!list) {
-      co_await Sleep(mNode.mIo, kRetryPause);
-      continue;
-    }
-    if (list->mItems.empty()) {
-      co_return;
-    }
-    // From the store's revision, as the key's own may be out of its history.
-    const bool vacant = co_await WatchClaim(list->mRevision);
-    if (vacant) {
-      co_return;
+asio::awaitable<void> LeadClaim::AwaitAndClaim() {
+  const Result<StoreList> list = co_await mNode.mStore.List(kLeadKey, {});
+  if (!list) {
+    co_await Sleep(mNode.mIo, kRetryPause);
+    co_return;
+  }
+  const NodeIdentity& self = mNode.mIdentity;
+  const StoreItem* claim = nullptr;
+  bool ownLast = false;
+  for (const StoreItem& item : list->mItems) {
+    if (item.mKey == kLeadKey) {
+      claim = &item;
+    } else if (item.mKey == kLastKey) {
+      ownLast = item.mValue == self.mName;
     }
   }
+  if (claim == nullptr) {
+    co_await TryClaim(0, ownLast);
+    co_return;
+  }
+  const Result<LeadHolder> holder = Decode(claim->mValue);
+  if (holder && holder->mName == self.mName && holder->mRun != self.mRun) {
+    // This host's process before this one: it has ended, and gives no orders.
+    co_await TryClaim(claim->mRevision, true);
+    co_return;
+  }
+  // From the store's revision, as the key's own may be out of its history.
+  co_await WatchClaim(list->mRevision);
 }
 
-asio::awaitable<bool> LeadClaim::WatchClaim(int64_t aRevision) {
+asio::awaitable<void> LeadClaim::WatchClaim(int64_t aRevision) {
   while (!mNode.mStopping) {
     const Result<StoreEvents> seen =
         co_await mNode.mStore.Watch(kLeadKey, aRevision, kWatchWait);
     if (!seen || seen->mCompacted) {
       co_await Sleep(mNode.mIo, kRetryPause);
-      co_return false;
+      co_return;
     }
     if (!seen->mEvents.empty()) {
-      co_return seen->mEvents.back().mDeleted;
+      co_return;
     }
     aRevision = std::max(aRevision, seen->mRevision);
   }
-  co_return false;
 }
 
 void LeadClaim::Lose(const char* aWhy) {
--- a/src/librillwall_rollout/lead_claim_test.cpp
+++ b/src/librillwall_rollout/lead_claim_test.cpp
@@ -50,6 +50,8 @@
   CPPUNIT_TEST(LapsedClaimGoesToTheOther);
   CPPUNIT_TEST(ResignedClaimGoesAtOnce);
   CPPUNIT_TEST(NewHolderWaitsBeforeItOrders);
+  CPPUNIT_TEST(RestartedHostNeedNotWait);
+  CPPUNIT_TEST(OtherHostDoesNotTakeALiveClaim);
   CPPUNIT_TEST(UnreachableStoreStopsOrders);
   CPPUNIT_TEST(HolderIsRead);
   CPPUNIT_TEST(OrdersCarryFenceAndSequence);
@@ -107,6 +109,7 @@
   }
 
   void NewHolderWaitsBeforeItOrders() {
+    mWorld.mStore.Write("rillwall/lead-last", "another host");
     mTest.mNode.mBounds.mLease = Millis(60000);
     StartBoth();
     mTest.RunFor(Millis(50));
@@ -114,6 +117,31 @@
     CPPUNIT_ASSERT(!mTwo.MayOrder());
   }
 
+  void RestartedHostNeedNotWait() {
+    mTest.mNode.mBounds.mLease = Millis(60000);
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    TestNode again(mWorld, "n1-again");
+    again.mNode.mBounds.mLease = Millis(60000);
+    LeadClaim claim(again.mNode, [] {});
+    Launch(again.mIo, "again", claim.Run());
+    // The claim of the host's process before has not lapsed.
+    again.RunUntil([&] { return claim.Held(); });
+    CPPUNIT_ASSERT(claim.MayOrder());
+    CPPUNIT_ASSERT(claim.Fence() > mOne.Fence());
+  }
+
+  void OtherHostDoesNotTakeALiveClaim() {
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    TestNode other(mWorld, "n2-run");
+    other.mNode.mIdentity.mName = "n2";
+    LeadClaim claim(other.mNode, [] {});
+    Launch(other.mIo, "other", claim.Run());
+    other.RunFor(Millis(100));
+    CPPUNIT_ASSERT(!claim.Held());
+  }
+
   void UnreachableStoreStopsOrders() {
     Launch(mTest.mIo, "one", mOne.Run());
     mTest.RunUntil([&] { return mOne.MayOrder(); });
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -270,6 +270,7 @@
     }
     ResultPage page;
     page.mFirst = static_cast<int64_t>(aStep->mListed.size());
+    page.mTotal = static_cast<int64_t>(aStep->mBook.Total());
     size_t bytes = 0;
     size_t count = 0;
     while (
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -54,12 +54,14 @@
   return aResult.mOutput.size() + aResult.mScore.size() + kFields;
 }
 
-RolloutRead ReadFrom(const std::vector<RolloutResult>& aListed, int64_t aTotal,
-                     int64_t aAfter) {
+}  // namespace
+
+RolloutRead ReadFrom(const std::vector<RolloutResult>& aListed, int64_t aFirst,
+                     int64_t aTotal, int64_t aAfter) {
   RolloutRead read;
   read.mTotal = aTotal;
   size_t bytes = 0;
-  size_t at = static_cast<size_t>(std::max<int64_t>(aAfter, 0));
+  size_t at = static_cast<size_t>(std::max<int64_t>(aAfter - aFirst, 0));
   while (at < aListed.size()) {
     bytes += SizeOf(aListed[at]);
     if (!read.mResults.empty() && bytes > kMaxReadBytes) {
@@ -72,8 +74,6 @@
   return read;
 }
 
-}  // namespace
-
 RolloutService::RolloutService(NodeContext& aNode, LeadClaim& aLead,
                                SpecDecoder aDecoder)
     : mNode(aNode), mLead(aLead), mDecoder(std::move(aDecoder)) {}
@@ -257,7 +257,7 @@
   const auto archive = mArchives.find(aId);
   if (archive != mArchives.end()) {
     const Archive& kept = archive->second;
-    co_return ReadFrom(kept.mListed, kept.mTotal, aAfter);
+    co_return ReadFrom(kept.mListed, 0, kept.mTotal, aAfter);
   }
   const auto found = mSteps.find(aId);
   if (found == mSteps.end()) {
@@ -283,7 +283,7 @@
     co_return *unsure;
   }
   const auto total = static_cast<int64_t>(step->mBook.Total());
-  co_return ReadFrom(step->mListed, total, aAfter);
+  co_return ReadFrom(step->mListed, 0, total, aAfter);
 }
 
 std::optional<std::string> RolloutService::Body(
