--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -2,6 +2,9 @@
 /// The parts of rollout_test_support.h.
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "rollout_test_support.h"
 
@@ -74,7 +77,11 @@
       }
     }
     if (events.mEvents.empty()) {
-      co_await Sleep(mIo, kWatchLook);
+      // On the caller's context: a caller that is destroyed leaves nothing
+      // here.
+      asio::steady_timer timer(co_await asio::this_coro::executor);
+      timer.expires_after(std::chrono::milliseconds(kWatchLook.Count()));
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
   }
   events.mRevision = mRevision;
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -30,8 +30,6 @@
 /// The store in memory.
 class FakeStore final : public StorePort {
  public:
-  explicit FakeStore(asio::io_context& aIo) : mIo(aIo) {}
-
   asio::awaitable<Result<std::optional<StoreItem>>> Get(
       std::string aKey) override;
   asio::awaitable<Result<StoreList>> List(std::string aPrefix,
@@ -59,7 +57,6 @@
   std::optional<Error> Down() const;
   StoreCommit Apply(const StoreChange& aChange);
 
-  asio::io_context& mIo;
   StoreCounts mCounts;
   std::map<std::string, StoreItem> mItems;
   std::map<std::string, int64_t> mKeyLeases;
@@ -113,7 +110,7 @@
 /// What outlives a node: the store and the thread that replicas run on.
 struct TestWorld {
   asio::io_context mIo;
-  FakeStore mStore{mIo};
+  FakeStore mStore;
 };
 
 /// An io_context whose pending coroutines can be destroyed while what they
--- a/src/rillwall/cli_local.cpp
+++ b/src/rillwall/cli_local.cpp
@@ -1,7 +1,11 @@
 /// \file
-/// Verbs that ask no node: `token make` and `settings`.
+/// Verbs that ask no node: `token make`, `settings` and `explain`.
+
+#include <filesystem>
+#include <fstream>
 
 #include "cli_verb.h"
+#include "log_trace.h"
 #include "rillwall/settings.h"
 #include "rillwall/token.h"
 
@@ -30,6 +34,29 @@
   return ExitCode::Done;
 }
 
+ExitCode Explain(const CliContext& aContext, const VerbArguments& aArguments) {
+  LogTrace trace(aArguments.mName);
+  for (const std::string& path : aArguments.mFiles) {
+    std::ifstream log(path);
+    if (!log) {
+      return Tell(aContext, {ExitCode::BadRequest,
+                             "The log " + path +
+                                 " can't be read. Give files of JSON lines."});
+    }
+    trace.Read(log, std::filesystem::path(path).filename().string());
+  }
+  const std::vector<TraceLine> lines = trace.Lines();
+  const int64_t first = lines.empty() ? 0 : lines.front().mTimeMs;
+  for (const TraceLine& line : lines) {
+    aContext.mOut << "+" << line.mTimeMs - first << " ms  " << line.mNode
+                  << "  " << line.mEvent << "  " << line.mText << "\n";
+  }
+  for (const std::string& gap : trace.Gaps()) {
+    aContext.mError << gap << "\n";
+  }
+  return lines.empty() ? ExitCode::NotFound : ExitCode::Done;
+}
+
 }  // namespace
 
 void AddLocalVerbs(CLI::App& aApp, const CliContext& aContext) {
@@ -47,6 +74,18 @@
       ->add_option("name", make.mArguments->mName,
                    "House, trainer or operator that the token stands for")
       ->required();
+  const Verb explain =
+      AddVerb(aApp, aContext, "explain",
+              "Follow one request, step or item through logs of nodes",
+              "rillwall explain 7c41e09b52d6a3f8 logs/*.log", &Explain);
+  explain.mApp
+      ->add_option("id", explain.mArguments->mName,
+                   "Its id, as the client sent it")
+      ->required();
+  explain.mApp
+      ->add_option("files", explain.mArguments->mFiles,
+                   "Logs of the nodes, one file each")
+      ->required();
   AddVerb(aApp, aContext, "settings", "Print the page of all settings",
           "rillwall settings > docs/SETTINGS.md", &Settings);
 }
--- a/src/rillwall/cli_verb.h
+++ b/src/rillwall/cli_verb.h
@@ -27,6 +27,7 @@
   std::string mFile;
   std::string mScope;
   std::string mRevision;
+  std::vector<std::string> mFiles;
   bool mNoWait = false;
 };
 
--- /dev/null
+++ b/src/rillwall/log_trace.cpp
@@ -0,0 +1,124 @@
+#include "log_trace.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <sstream>
+
+namespace rillwall {
+
+namespace json = boost::json;
+
+namespace {
+
+/// \return whether a field of the line is the id, or a path that ends with it
+bool TellsOf(const json::object& aLine, const std::string& aId) {
+  return std::any_of(aLine.begin(), aLine.end(), [&](const auto& aField) {
+    const json::string* text = aField.value().if_string();
+    if (text == nullptr) {
+      return false;
+    }
+    const std::string_view value = *text;
+    const size_t at = value.find(aId);
+    const bool path = value.starts_with('/') && at != std::string_view::npos;
+    return value == aId || path;
+  });
+}
+
+std::string OtherFields(const json::object& aLine) {
+  std::string out;
+  for (const auto& field : aLine) {
+    if (field.key() == "time_ms" || field.key() == "event") {
+      continue;
+    }
+    out += out.empty() ? "" : " ";
+    out += std::string(field.key()) + "=";
+    const json::string* text = field.value().if_string();
+    out +=
+        text != nullptr ? std::string(*text) : json::serialize(field.value());
+  }
+  return out;
+}
+
+/// \return the last word before the JSON, or the file's name
+std::string NodeOf(const std::string& aBefore, const std::string& aName) {
+  std::istringstream words(aBefore);
+  std::string word;
+  std::string last;
+  while (words >> word) {
+    last = word;
+  }
+  return last.empty() ? aName : last;
+}
+
+int64_t TimeOf(const json::object& aLine) {
+  const json::value* time = aLine.if_contains("time_ms");
+  return time != nullptr && time->is_int64() ? time->get_int64() : 0;
+}
+
+std::string TextOf(const json::object& aLine, std::string_view aName) {
+  const json::value* value = aLine.if_contains(aName);
+  return value != nullptr && value->is_string()
+             ? std::string(value->get_string())
+             : std::string();
+}
+
+}  // namespace
+
+void LogTrace::Read(std::istream& aLog, const std::string& aName) {
+  ++mFiles;
+  std::string text;
+  while (std::getline(aLog, text)) {
+    const size_t begin = text.find("{\"time_ms\"");
+    if (begin == std::string::npos) {
+      continue;
+    }
+    json::error_code failed;
+    const json::value value =
+        json::parse(std::string_view(text).substr(begin), failed);
+    if (failed || !value.is_object()) {
+      ++mBroken;
+      continue;
+    }
+    const json::object& line = value.get_object();
+    const std::string event = TextOf(line, "event");
+    if (event == "log-dropped") {
+      mDropped += line.contains("lines")
+                      ? static_cast<uint64_t>(line.at("lines").as_int64())
+                      : 0;
+    }
+    if (TellsOf(line, mId)) {
+      mLines.push_back({TimeOf(line), NodeOf(text.substr(0, begin), aName),
+                        event, OtherFields(line)});
+    }
+  }
+}
+
+std::vector<TraceLine> LogTrace::Lines() const {
+  std::vector<TraceLine> lines = mLines;
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const TraceLine& aOne, const TraceLine& aOther) {
+                     return aOne.mTimeMs < aOther.mTimeMs;
+                   });
+  return lines;
+}
+
+std::vector<std::string> LogTrace::Gaps() const {
+  std::vector<std::string> gaps;
+  if (mLines.empty()) {
+    gaps.push_back(
+        "No line in " + std::to_string(mFiles) +
+        " files tells of it: it never came to these nodes, or a "
+        "node that had it was killed before it wrote its last lines. "
+        "Add the logs of the other nodes.");
+  }
+  if (mDropped > 0) {
+    gaps.push_back(std::to_string(mDropped) +
+                   " lines were dropped by nodes whose output was not read.");
+  }
+  if (mBroken > 0) {
+    gaps.push_back(std::to_string(mBroken) + " lines can't be read.");
+  }
+  return gaps;
+}
+
+}  // namespace rillwall
