rollout: long texts move to faster replicas in a step's tail

Cause: replicas of one service differ by a third, and a step is as long as its longest text. Change: with nothing left to start, a stream leaves for a replica that is faster by 15 %, two at a look, no text more than once in 0.7 s.

--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -92,8 +92,9 @@
   void Resume(const std::string& aId);
   /// Measures the time between two events of a stream, in ms.
   void ObservePace(const std::string& aId, double aMsPerEvent, Millis aNow);
-  /// \return whether its streams run much slower than those of its service
-  bool Slow(const std::string& aId, Millis aNow) const;
+  /// \return whether a stream at aId would run faster at aOther by so much
+  bool Faster(const std::string& aOther, const std::string& aId, double aFactor,
+              Millis aNow) const;
   /// An answer or an order told the version that a replica serves now.
   void Learn(const std::string& aId, const std::string& aModel,
              int64_t aVersion);
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -123,8 +123,8 @@
   bool StartNext(const StepPtr& aStep);
   std::optional<std::string> ChooseReplica(const RolloutStep& aStep,
                                            const RolloutPick& aPick) const;
-  /// Ends a stream at a much slower replica if a faster one has room; the item
-  /// goes on there.
+  /// Ends streams at slower replicas if a faster one has room; the items go on
+  /// there.
   void MoveFromSlow(const StepPtr& aStep);
   asio::awaitable<void> RunItem(StepPtr aStep, size_t aItem, Replica aReplica);
   asio::awaitable<void> ScoreItem(StepPtr aStep, size_t aItem);
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -26,8 +26,6 @@
 constexpr double kPaceWeight = 0.2;
 /// A pace that was not measured for so long may have changed.
 constexpr Millis kPaceAge{4000};
-/// Replicas of one service differ by a third; a fault slows them threefold.
-constexpr double kSlowFactor = 1.6;
 
 Millis PauseAfter(int aFailures) {
   const int doublings = std::min(aFailures - 1, kMaxDoublings);
@@ -142,13 +140,19 @@
   state.mPaceAt = aNow;
 }
 
-bool ReplicaPool::Slow(const std::string& aId, Millis aNow) const {
-  const auto found = mStates.find(aId);
-  if (found == mStates.end()) {
+bool ReplicaPool::Faster(const std::string& aOther, const std::string& aId,
+                         double aFactor, Millis aNow) const {
+  const auto here = mStates.find(aId);
+  const auto there = mStates.find(aOther);
+  if (here == mStates.end() || there == mStates.end()) {
     return false;
   }
-  const double typical = TypicalPace(found->second.mReplica.mService, aNow);
-  return typical > 0 && PaceOf(found->second, aNow) > typical * kSlowFactor;
+  double other = PaceOf(there->second, aNow);
+  if (other == 0) {
+    // Not measured lately: it is taken for one like most.
+    other = TypicalPace(there->second.mReplica.mService, aNow);
+  }
+  return other > 0 && PaceOf(here->second, aNow) > other * aFactor;
 }
 
 void ReplicaPool::PauseModel(const std::string& aId, const std::string& aModel,
--- a/src/librillwall_coordination/replica_pool_test.cpp
+++ b/src/librillwall_coordination/replica_pool_test.cpp
@@ -171,14 +171,17 @@
 
   void SlowStreamsShow() {
     ObserveThree(150);
-    CPPUNIT_ASSERT(mPool.Slow("c", kNow));
-    CPPUNIT_ASSERT(!mPool.Slow("a", kNow));
-    CPPUNIT_ASSERT(!mPool.Slow("b", kNow));
+    CPPUNIT_ASSERT(mPool.Faster("a", "c", 1.6, kNow));
+    CPPUNIT_ASSERT(mPool.Faster("b", "c", 1.6, kNow));
+    CPPUNIT_ASSERT(!mPool.Faster("a", "b", 1.6, kNow));
+    CPPUNIT_ASSERT(mPool.Faster("a", "b", 1.2, kNow));
+    CPPUNIT_ASSERT(!mPool.Faster("c", "a", 1.0, kNow));
+    CPPUNIT_ASSERT(!mPool.Faster("none", "c", 1.0, kNow));
   }
 
   void OldPaceIsForgotten() {
     ObserveThree(150);
-    CPPUNIT_ASSERT(!mPool.Slow("c", kNow + Millis(10000)));
+    CPPUNIT_ASSERT(!mPool.Faster("a", "c", 1.6, kNow + Millis(10000)));
   }
 
   void SlowReplicaComesLast() {
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -29,6 +29,13 @@
 constexpr int64_t kScorerTargets = 4;
 constexpr Millis kScorerPause{50};
 constexpr int kServerError = 500;
+/// A stream leaves a replica for one that is faster by this. Replicas of one
+/// service differ by a third, which is worth a move only in a step's tail: it
+/// costs the prompt and the text being read again, some 20 ms.
+constexpr double kSlowFactor = 1.6;
+constexpr double kTailFactor = 1.15;
+constexpr Millis kMoveEvery{700};
+constexpr size_t kMovesAtOnce = 2;
 
 ReplicaOutcome OutcomeOf(ItemRunEnd aEnd) {
   switch (aEnd) {
@@ -171,20 +178,29 @@
 
 void RolloutService::MoveFromSlow(const StepPtr& aStep) {
   const Millis now = mNode.Now();
+  // With nothing left to start, a step is as long as its longest texts.
+  const bool tail = aStep->mBook.Waiting() == 0;
+  const double factor = tail ? kTailFactor : kSlowFactor;
+  size_t moved = 0;
   for (auto& [item, stream] : aStep->mStreams) {
-    const std::string& replica = aStep->mBook.ReplicaOf(item);
-    if (aStep->mMoving.contains(item) || !mNode.mReplicas.Slow(replica, now)) {
+    const auto last = aStep->mMovedAt.find(item);
+    if (last != aStep->mMovedAt.end() && now - last->second < kMoveEvery) {
       continue;
     }
-    RolloutPick pick{item, replica, {}};
+    const std::string& replica = aStep->mBook.ReplicaOf(item);
+    const RolloutPick pick{item, replica, {}};
     const std::optional<std::string> other = ChooseReplica(*aStep, pick);
-    if (!other || *other == replica || mNode.mReplicas.Slow(*other, now)) {
-      return;
+    if (!other || *other == replica ||
+        !mNode.mReplicas.Faster(*other, replica, factor, now)) {
+      continue;
     }
-    // One at a time: the next look sees the slot that this one takes.
+    aStep->mMovedAt[item] = now;
     aStep->mMoving.insert(item);
     stream->Abort();
-    return;
+    // Few at a time: the next look sees the slots that these take.
+    if (++moved == kMovesAtOnce) {
+      return;
+    }
   }
 }
 
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -42,7 +42,8 @@
   bool mUnsettled = false;  ///< a page may or may not be in the store
   std::map<size_t, HttpStream*> mStreams;  ///< by item
   std::set<size_t> mMoving;  ///< items whose stream is ended to go elsewhere
-  Millis mGiveUpAt;          ///< then unfinished items are given up
+  std::map<size_t, Millis> mMovedAt;  ///< by item, the last such move
+  Millis mGiveUpAt;                   ///< then unfinished items are given up
   Millis mVerifiedAt;  ///< when the store was last asked and named this owner
   asio::steady_timer mChanged;
 };
