testsuite: the platform path against stand-ins, with a randomized fault soak

Before its first pass the readiness check failed for want of a Host header in the soak's own client.

--- /dev/null
+++ b/testsuite/platform/soak.py
@@ -0,0 +1,464 @@
+#!/usr/bin/env python3
+"""A randomized fault soak of the platform path, and its calm run as a case.
+
+Runs `rillwall serve` processes against stand-ins of the platform on loopback,
+injects faults from outside (signals, proxies, the store's and replicas' own)
+by a seeded schedule, and checks from what clients and replicas see:
+  whole      an answer of 2xx is the replica's own, for this request
+  truth      what was answered 429 or 503 did not run, and does not run later
+  once       a non-idempotent request runs at most once
+  positions  a result that was read stays at its position, at every node
+  text       a completed text is whole and in order, its score the scorer's
+  labels     each version of a text made one of its events, none is too old
+  end        after an end nothing new of the step runs
+  kept       what was accepted can be read at every node when all is over
+  recovers   after all faults, requests and a new step are served
+  processes  no process ends by itself
+
+usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N]
+               [--faults none|all|NAME,...] [--keep DIR]
+Ends with "N passed, N failed"; the logs of a failed run stay in its folder.
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import tempfile
+import time
+
+from standins import Engine, Service, Store, events_of, text_of
+from web import Proxy, call
+
+ZONES = ["z1", "z2", "z3"]
+MODEL = "model1"
+HOST = "soak.example"
+GRACE_S = 8
+CHECKS = ["whole", "truth", "once", "positions", "text", "labels", "end", "kept", "recovers", "processes"]
+
+
+class Node:
+    """One process with an address of its own on loopback and a proxy to the store."""
+
+    def __init__(self, soak, number, entry):
+        self.soak, self.entry, self.zone = soak, entry, ZONES[number % len(ZONES)]
+        self.name = f"{'entry' if entry else 'lead'}-{number}"
+        self.ip, self.process, self.wanted, self.paused = f"127.1.{soak.args.seed % 250}.{10 + number}", None, False, False
+        self.log = soak.folder / f"{self.name}.log"
+
+    def address(self):
+        return (self.ip, 8161)
+
+    async def start(self):
+        self.proxy = await Proxy(self.soak.store.server.port).start()
+        path = self.soak.folder / f"{self.name}.toml"
+        path.write_text(f'''node-name = "{self.name}"
+ip = "{self.ip}"
+zone = "{self.zone}"
+serves = ["{'edge' if self.entry else 'storage'}"]
+internal-ports = [7720,7735]
+[listen]
+frontend = "{self.ip}:8161"
+readiness = "{self.ip}:8167"
+[limits]
+max-fds = 4100
+[bounds]
+lease-ms = 3000
+grace-s = {GRACE_S}
+status-s = 120
+[platform]
+address = "127.0.0.1:{self.proxy.port}"
+''')
+        await self.launch()
+
+    async def launch(self):
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.soak.args.binary, "serve", stdout=log, stderr=log,
+                env={"RILLWALL_NODE_FILE": str(self.soak.folder / f"{self.name}.toml"), "PATH": os.environ["PATH"]})
+        self.wanted = True
+        asyncio.create_task(self.watch(self.process))
+
+    async def watch(self, process):
+        code = await process.wait()
+        self.soak.check("processes", not self.wanted or process is not self.process,
+                        f"{self.name} ended by itself with {code}")
+
+    def send(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number):
+        """Sends a signal that ends the process, kills it after its grace, and waits."""
+        self.wanted = False
+        self.send(signal.SIGCONT)
+        self.send(number)
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE_S)
+        except asyncio.TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+    async def ready(self):
+        got = await call((self.ip, 8167), "GET", "/rillwall/readyz", limit=2)
+        return got is not None and got[0] == 200
+
+
+class Soak:
+    """One run: the world, its clients and trainer, the faults and the checks."""
+
+    def __init__(self, args):
+        self.args, self.rng = args, random.Random(args.seed)
+        self.folder = pathlib.Path(args.keep or tempfile.mkdtemp(prefix="platform-soak-"))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.store = Store(self.rng)
+        self.made, self.runs, self.refused, self.counts, self.faults = {}, {}, set(), {}, {}
+        self.failed, self.positions, self.ended, self.served = [], {}, {}, 0
+        self.named, self.stopping, self.config_version = 1, False, 0
+        self.whole_steps = 0
+
+    def check(self, name, holds, what):
+        self.counts[name] = self.counts.get(name, 0) + 1
+        if not holds:
+            self.failed.append((name, what))
+            print(f"soak: FAILED {name}: {what} (after {time.monotonic() - self.begun:.1f} s)", flush=True)
+
+    async def build(self):
+        self.begun = time.monotonic()
+        await self.store.server.start()
+        self.engines = [Engine(self.store, self.rng, "engine", ZONES[i % 3], {MODEL: 1}, self.made) for i in range(4)]
+        self.services = [Service(self.store, self.rng, "plain", ZONES[i % 3], self.runs) for i in range(3)]
+        for replica in self.engines + self.services:
+            await self.start_replica(replica)
+        self.configure()
+        self.nodes = [Node(self, i, i < self.args.entries) for i in range(self.args.entries + self.args.leads)]
+        await asyncio.gather(*(node.start() for node in self.nodes))
+        self.entries = [node for node in self.nodes if node.entry]
+
+    async def start_replica(self, replica):
+        await replica.server.start()
+        replica.proxy = await Proxy(replica.server.port).start()
+        replica.register()
+
+    def configure(self):
+        self.config_version += self.rng.randint(1, 3)
+        def route(name, prefix, kind, service, **more):
+            return {"name": name, "host": HOST, "prefix": prefix, "type": kind, "service": service,
+                    "timeout-ms": 1500, "target-latency-ms": 150, "priority": 2, "attempts": 3} | more
+        routes = [route("r1", "/status/", "idempotent", "plain"),
+                  route("r2", "/charge/", "non_idempotent", "plain"),
+                  route("r3", "/steps/", "rollout", "engine", **{"due-ms": 7500, "max-wait-s": 60})]
+        routes += [route(f"x{i}", f"/x{i}/", "idempotent", "plain") for i in range(self.config_version)]
+        self.store.write("op/config", {
+            "version": self.config_version, "routes": routes,
+            "services": [{"name": "plain", "max-conns": 100},
+                         {"name": "engine", "max-conns": 100, "engine": {"slots": 6, "models": [{"name": MODEL}]}}]})
+
+    # Clients.
+
+    async def client(self, kind):
+        while not self.stopping:
+            name = f"{self.rng.getrandbits(64):016x}"
+            await self.request(kind, name)
+            await asyncio.sleep(self.rng.uniform(0.02, 0.15))
+
+    async def request(self, kind, name):
+        node = self.rng.choice(self.entries)
+        got = await call(node.address(), "POST", f"/{kind}/a", {
+            "Host": HOST, "X-Rillwall-Request-Id": name, "X-Rillwall-Deadline-Ms": "1500"}, b"x" * 100, 4)
+        if got is None:
+            return False
+        status, headers, body = got
+        if status == 200:
+            self.served += 1
+            self.check("whole", body == b"body of " + name.encode() and headers.get(
+                "x-rillwall-server-stamp") == "stamp-" + name, f"{name} got {body[:60]}")
+        if status in (408, 421, 429, 503):
+            self.refused.add(name)
+            self.check("truth", name not in self.runs, f"{name} was refused with {status} and ran")
+        return status == 200
+
+    # The trainer.
+
+    def make_step(self, number):
+        items = []
+        for group in range(8):
+            for member in range(3):
+                name = f"{self.rng.getrandbits(64):016x}"
+                items.append({
+                    "id": name, "path": "/steps/x", "group": f"g{number}-{group}", "tokens": 100,
+                    "headers": {"X-Rillwall-Model": MODEL, "X-Rillwall-Length-Hint": str(events_of(name))},
+                    "body": base64.b64encode(name.encode()).decode(),
+                    "scorer": {"id": name + "5c", "host": HOST, "path": "/status/score", "body": ""}})
+        return {"step": number, "model": MODEL, "min-version": max(1, self.named - 1),
+                "target-groups": 7, "items": items}
+
+    async def trainer(self):
+        number = 0
+        while not self.stopping:
+            await self.one_step(number, 25)
+            number += 1
+
+    async def one_step(self, number, limit):
+        """Submits a step and reads it until enough groups are whole. Returns whether they were."""
+        step, name = self.make_step(number), f"{self.rng.getrandbits(64):016x}"
+        end = time.monotonic() + limit
+        accepted = False
+        while not accepted and time.monotonic() < end:
+            got = await call(self.rng.choice(self.entries).address(), "POST", "/steps/s", {
+                "Host": HOST, "X-Rillwall-Request-Id": name}, json.dumps(step).encode(), 6)
+            accepted = got is not None and got[0] == 202
+            if not accepted:
+                await asyncio.sleep(0.3)
+        if not accepted:
+            return False
+        self.positions[name] = {}
+        self.ended[name] = (step, None)
+        whole = False
+        while not whole and time.monotonic() < end:
+            await self.read(name, self.rng.choice(self.entries), len(self.positions[name]))
+            done = {row["id"] for row in self.positions[name].values()}
+            groups = {}
+            for item in step["items"]:
+                groups.setdefault(item["group"], []).append(item["id"] in done)
+            whole = sum(all(each) for each in groups.values()) >= step["target-groups"]
+        await self.end_step(name, step)
+        if whole:
+            self.whole_steps += 1
+            self.named += 1
+            self.store.write(f"op/version/{MODEL}", {"model": MODEL, "version": self.named})
+        return whole
+
+    async def end_step(self, name, step):
+        for _ in range(60):
+            got = await call(self.rng.choice(self.entries).address(), "DELETE", f"/rillwall/lots/{name}",
+                             {"Host": HOST}, b"", 6)
+            if got is not None and got[0] == 200:
+                self.ended[name] = (step, time.monotonic())
+                asyncio.create_task(self.after_end(step))
+                return
+            await asyncio.sleep(0.3)
+
+    async def after_end(self, step):
+        await asyncio.sleep(3.0)
+        count = lambda: sum(sum(len(v) for v in self.made.get(i["id"], {}).values()) for i in step["items"])
+        before = count()
+        await asyncio.sleep(1.0)
+        # Paused nodes learn of it when they run again.
+        calm = not any(node.paused for node in self.nodes) and self.store.mode == "ok"
+        self.check("end", count() == before or not calm, f"step {step['step']} ran on after its end")
+
+    async def read(self, name, node, after):
+        got = await call(node.address(), "GET", f"/rillwall/lots/{name}?after={after}", {
+            "Host": HOST, "X-Rillwall-Wait-Ms": "500"}, b"", 4)
+        if got is None or got[0] != 200:
+            if got is not None and got[0] in (404, 410):
+                self.check("kept", False, f"{node.name} answered {got[0]} for {name}")
+            await asyncio.sleep(0.1)
+            return None
+        body = json.loads(got[2])
+        known, step = self.positions[name], self.ended[name][0]
+        self.check("positions", body["total"] == len(step["items"]), f"{name} has total {body['total']}")
+        for offset, row in enumerate(body["results"]):
+            at = after + offset
+            if at in known:
+                self.check("positions", known[at] == row, f"{name} position {at} changed at {node.name}")
+            else:
+                self.new_result(name, step, known, at, row)
+        return len(body["results"])
+
+    def new_result(self, name, step, known, at, row):
+        taken = {each["id"] for each in known.values()}
+        self.check("positions", row["id"] not in taken, f"{name} lists {row['id']} twice")
+        known[at] = row
+        if row["state"] != "completed":
+            return
+        self.check("text", row["output"] == text_of(row["id"]), f"{row['id']} is {row['output'][:80]}")
+        self.check("text", row["score"] == "stamp-" + row["id"] + "5c", f"{row['id']} has score {row['score']}")
+        made = set().union(*self.made.get(row["id"], {0: set()}).values())
+        self.check("labels", row["versions"] and set(row["versions"]) <= made and min(row["versions"]) >= step[
+            "min-version"], f"{row['id']} names {row['versions']} of {made}, at least {step['min-version']}")
+
+    async def reader(self):
+        """Reads from any position at any node, as other clients do."""
+        while not self.stopping:
+            await asyncio.sleep(self.rng.uniform(0.1, 0.6))
+            if self.positions:
+                name = self.rng.choice(list(self.positions))
+                await self.read(name, self.rng.choice(self.entries), self.rng.randint(0, len(self.positions[name])))
+
+    # Faults. Each heals itself; several overlap.
+
+    async def fault_kill(self):
+        node = self.rng.choice(self.nodes)
+        await node.end(signal.SIGKILL)
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        await node.launch()
+
+    async def fault_term(self):
+        node = self.rng.choice(self.nodes)
+        await node.end(signal.SIGTERM)
+        await node.launch()
+
+    async def fault_pause(self):
+        node = self.rng.choice(self.nodes)
+        node.paused = True
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.5, 5))
+        node.send(signal.SIGCONT)
+        node.paused = False
+
+    async def fault_reload(self):
+        self.rng.choice(self.nodes).send(signal.SIGHUP)
+
+    async def fault_kill_all(self):
+        await asyncio.gather(*(node.end(signal.SIGKILL) for node in self.nodes))
+        await asyncio.sleep(self.rng.uniform(0, 1))
+        await asyncio.gather(*(node.launch() for node in self.nodes))
+
+    async def fault_store(self):
+        self.store.mode = self.rng.choice(["busy", "silent", "slow", "lost", "late"])
+        await asyncio.sleep(self.rng.uniform(1, 5))
+        self.store.mode = "ok"
+
+    async def fault_forget(self):
+        self.store.forget(0)
+
+    async def fault_store_path(self):
+        proxy = self.rng.choice(self.nodes).proxy
+        proxy.set(self.rng.choice(["silent", "refuse", "reset", "in", "out", "delay"]))
+        await asyncio.sleep(self.rng.uniform(1, 6))
+        proxy.set("pass")
+
+    async def fault_replica_path(self):
+        proxy = self.rng.choice(self.engines + self.services).proxy
+        proxy.set(self.rng.choice(["silent", "refuse", "reset", "in", "out", "delay"]))
+        await asyncio.sleep(self.rng.uniform(0.5, 4))
+        proxy.set("pass")
+
+    async def fault_replica(self):
+        replica = self.rng.choice(self.engines + self.services)
+        replica.fault = self.rng.choice(["slow", "full", "lost", "errors", "garble"])
+        await asyncio.sleep(self.rng.uniform(1, 5))
+        replica.fault = ""
+
+    async def fault_replace(self):
+        """A replica crashes and another comes at its address."""
+        kind = self.rng.choice([self.engines, self.services])
+        old = self.rng.choice(kind)
+        old.server.stop()
+        self.store.revision += 1
+        self.store.remove(f"servers/{old.id}")
+        kind.remove(old)
+        await asyncio.sleep(self.rng.uniform(0, 2))
+        new = (Engine(self.store, self.rng, "engine", old.zone, {MODEL: self.named}, self.made)
+               if kind is self.engines else Service(self.store, self.rng, "plain", old.zone, self.runs))
+        new.server.port, new.proxy = old.server.port, old.proxy
+        await new.server.start()
+        new.register()
+        kind.append(new)
+
+    async def fault_config(self):
+        self.configure()
+
+    async def inject(self):
+        names = [name[6:] for name in dir(self) if name.startswith("fault_")]
+        if self.args.faults != "all":
+            names = [name for name in names if name in self.args.faults.split(",")]
+        busy = {}
+        while not self.stopping and names:
+            await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+            name = self.rng.choice(names)
+            if name not in busy or busy[name].done():
+                # Signals of one kind come in series, different kinds overlap.
+                self.faults[name] = self.faults.get(name, 0) + 1
+                busy[name] = asyncio.create_task(getattr(self, "fault_" + name)())
+        await asyncio.gather(*busy.values())
+
+    # The run.
+
+    async def all_ready(self, limit):
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            if all([await node.ready() for node in self.entries]):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def final_checks(self):
+        self.check("recovers", await self.all_ready(12), "not all nodes are ready again")
+        served = [await self.request("status", f"{i:016x}") for i in range(10)]
+        self.check("recovers", all(served), f"{served.count(False)} of 10 requests are not served")
+        self.check("recovers", await self.one_step(10000, 25), "a new step is not whole")
+        for name, known in self.positions.items():
+            for node in self.entries:
+                await self.read_all(name, known, node)
+        for name in self.refused:
+            self.check("truth", name not in self.runs, f"{name} was refused and ran later")
+        for name, count in self.runs.items():
+            if name in self.charges:
+                self.check("once", count <= 1, f"{name} ran {count} times")
+
+    async def read_all(self, name, known, node):
+        at = 0
+        for _ in range(60):
+            got = await self.read(name, node, at)
+            at += got or 0
+            if at >= len(known):
+                break
+        self.check("kept", at >= len(known), f"{node.name} gives {at} of {len(known)} results of {name}")
+
+    async def run(self):
+        await self.build()
+        self.charges = set()
+        request = self.request
+        async def noted(kind, name):
+            if kind == "charge":
+                self.charges.add(name)
+            return await request(kind, name)
+        self.request = noted
+        self.check("recovers", await self.all_ready(15), "not all nodes became ready")
+        await asyncio.sleep(3.5)
+        work = [asyncio.create_task(each) for each in (
+            self.client("status"), self.client("status"), self.client("charge"), self.client("charge"),
+            self.trainer(), self.reader(), self.reader())]
+        faults = asyncio.create_task(self.inject())
+        await asyncio.sleep(self.args.seconds)
+        self.stopping = True
+        await asyncio.gather(faults, *work)
+        await self.final_checks()
+        for node in self.nodes:
+            await node.end(signal.SIGKILL)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--binary", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--leads", type=int, default=3)
+    parser.add_argument("--faults", default="all")
+    parser.add_argument("--keep", help="folder for the logs")
+    soak = Soak(parser.parse_args())
+    asyncio.run(soak.run())
+    failed = {name for name, _ in soak.failed}
+    print(f"seed {soak.args.seed}: served {soak.served}, whole steps {soak.whole_steps}, faults {soak.faults}, "
+          f"checks {soak.counts}")
+    for name in CHECKS:
+        print(f"soak: {'FAILED' if name in failed else 'ok'} {name} ({soak.counts.get(name, 0)} checks)")
+    print(f"{len(CHECKS) - len(failed)} passed, {len(failed)} failed")
+    if not failed and not soak.args.keep:
+        shutil.rmtree(soak.folder)
+    elif failed:
+        print(f"logs: {soak.folder}")
+    raise SystemExit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testsuite/platform/standins.py
@@ -0,0 +1,277 @@
+"""Stand-ins of the users' platform: the store, model engines and a plain service, with faults."""
+
+import asyncio
+import base64
+import hashlib
+import json
+import random
+import time
+import urllib.parse
+
+from web import Cut, Server, answer
+
+
+def number_of(text, below):
+    """A number that depends on a text only."""
+    return int(hashlib.sha256(text.encode()).hexdigest()[:12], 16) % below
+
+
+class Store:
+    """The metadata store. mode: ok, busy, silent, slow, lost (changes are made, answers lost), late."""
+
+    def __init__(self, rng):
+        self.rng, self.mode, self.revision = rng, "ok", 1
+        self.items, self.leases, self.history, self.changed = {}, {}, [], asyncio.Event()
+        self.next_lease, self.forgotten = 100, 0
+        self.server = Server(self.handle)
+
+    async def handle(self, request, _writer):
+        if self.mode == "busy":
+            return answer(503)
+        while self.mode == "silent":
+            await asyncio.sleep(0.05)
+        if self.mode == "slow":
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(0.002)
+        name = request.path.removeprefix("/rillwall/kv-")
+        if request.method == "GET":
+            return await getattr(self, name)(request.query)
+        if self.mode == "late" and name == "txn" and self.rng.random() < 0.5:
+            asyncio.get_running_loop().call_later(1.0, self.change, request.json())
+            raise Cut
+        out = self.change(request.json()) if name == "txn" else self.lease_call(name, request)
+        if self.mode == "lost" and self.rng.random() < 0.4:
+            raise Cut
+        return out
+
+    @staticmethod
+    def text(query, name):
+        return urllib.parse.unquote(query.get(name, ""))
+
+    def row(self, key):
+        value, revision, created, lease = self.items[key]
+        return {"key": key, "value": base64.b64encode(value).decode(), "revision": revision,
+                "created": created, "lease": lease}
+
+    async def key(self, query):
+        self.expire()
+        key = self.text(query, "key")
+        found = key in self.items
+        return answer(200, self.row(key) | {"current-rev": self.revision}) if found else answer(404)
+
+    async def range(self, query):
+        self.expire()
+        prefix, after = self.text(query, "prefix"), self.text(query, "after")
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        return answer(200, {"items": [self.row(key) for key in keys[:20]],
+                            "more-pages": len(keys) > 20, "current-rev": self.revision})
+
+    async def watch(self, query):
+        prefix, after = self.text(query, "prefix"), int(query["after"])
+        end = time.monotonic() + int(query["wait-ms"]) / 1000
+        while True:
+            if after < self.forgotten:
+                return answer(410)
+            events = [row for row in self.history if row["revision"] > after and row["key"].startswith(prefix)]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return answer(200, {"events": events, "current-rev": self.revision})
+            self.expire()
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.2))
+            except asyncio.TimeoutError:
+                pass
+
+    def note(self, row):
+        self.history.append(row)
+        if len(self.history) > 400:
+            self.forget(200)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget(self, kept):
+        self.forgotten = max([self.forgotten] + [row["revision"] for row in self.history[:-kept or None]])
+        self.history = self.history[-kept:] if kept else []
+
+    def put(self, key, value, lease=0):
+        created = self.items[key][2] if key in self.items else self.revision
+        self.items[key] = (value, self.revision, created, lease)
+        self.note(self.row(key))
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.note({"key": key, "revision": self.revision, "deleted": True})
+
+    def write(self, key, value):
+        """What the operator, a trainer or a replica writes."""
+        self.revision += 1
+        self.put(key, json.dumps(value).encode())
+
+    def change(self, body):
+        self.expire()
+        guards = body.get("expected", [])
+        if any(self.items.get(g["key"], (0, 0))[1] != g["revision"] for g in guards):
+            return answer(412, {"items": [self.row(g["key"]) for g in guards if g["key"] in self.items]})
+        if any(p.get("lease", 0) and p["lease"] not in self.leases for p in body.get("puts", [])):
+            return answer(404)
+        self.revision += 1
+        for put in body.get("puts", []):
+            self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        return answer(200, {"revision": self.revision})
+
+    def lease_call(self, name, request):
+        self.expire()
+        kind, _, lease = name.partition("/")
+        if kind == "lease":
+            self.next_lease += 1
+            ttl = request.json()["ttl-ms"]
+            self.leases[self.next_lease] = (time.monotonic() + ttl / 1000, ttl)
+            return answer(200, {"lease": self.next_lease, "ttl-ms": ttl})
+        lease = int(lease)
+        if lease not in self.leases:
+            return answer(404)
+        if kind == "keep":
+            ttl = self.leases[lease][1]
+            self.leases[lease] = (time.monotonic() + ttl / 1000, ttl)
+            return answer(200, {"ttl-ms": ttl})
+        self.leases[lease] = (0, 0)
+        self.expire()
+        return answer(200, {})
+
+    def expire(self):
+        now = time.monotonic()
+        for lease in [each for each, (end, _) in self.leases.items() if end < now]:
+            del self.leases[lease]
+            self.revision += 1
+            for key in [key for key, item in self.items.items() if item[3] == lease]:
+                self.remove(key)
+
+
+class Replica:
+    """What engines and plain services share: registration, refusals, answers under their id."""
+
+    def __init__(self, store, rng, service, zone, slots):
+        self.store, self.rng, self.service, self.zone, self.slots = store, rng, service, zone, slots
+        self.id, self.running, self.fault, self.state, self.proxy = f"i-{rng.getrandbits(40):x}", 0, "", "ready", None
+        self.server = Server(self.handle)
+
+    def entry(self):
+        return {"service": self.service, "address": f"127.0.0.1:{self.proxy.port}", "zone": self.zone,
+                "version": "v1", "slots": self.slots, "state": self.state, "cold-remaining-ms": 0, "sequence": 1}
+
+    def register(self):
+        self.store.write(f"servers/{self.id}", self.entry())
+
+    def refused(self, request):
+        """An answer that says that nothing ran, or None."""
+        echo = {"X_Rillwall_Request_Id": request.headers.get("x-rillwall-request-id", "")}
+        if request.headers.get("x-rillwall-expect-instance", self.id) != self.id:
+            return answer(421, **echo)
+        if self.running >= self.slots or (self.fault == "full" and self.rng.random() < 0.5):
+            return answer(503, X_Rillwall_Not_Executed=1, **echo)
+        return None
+
+
+class Service(Replica):
+    """A plain service. It keeps how often each id ran."""
+
+    def __init__(self, store, rng, service, zone, runs):
+        super().__init__(store, rng, service, zone, 6)
+        self.runs = runs
+
+    async def handle(self, request, _writer):
+        if out := self.refused(request):
+            return out
+        name = request.headers["x-rillwall-request-id"]
+        self.running += 1
+        try:
+            self.runs[name] = self.runs.get(name, 0) + 1
+            await asyncio.sleep(0.02 * (4 if self.fault == "slow" else 1))
+        finally:
+            self.running -= 1
+        if self.fault == "lost" and self.rng.random() < 0.3:
+            raise Cut
+        status = 500 if self.fault == "errors" and self.rng.random() < 0.3 else 200
+        return answer(status, b"body of " + name.encode(), X_Rillwall_Request_Id=name,
+                      X_Rillwall_Server_Stamp="stamp-" + name)
+
+
+class Engine(Replica):
+    """A model engine. It keeps under which weights each event of each item was made."""
+
+    def __init__(self, store, rng, service, zone, models, made):
+        super().__init__(store, rng, service, zone, 6)
+        self.versions, self.made, self.sequence, self.busy, self.cut = dict(models), made, 0, set(), 0
+
+    def models(self):
+        return [{"name": name, "version": version, "adapters": []} for name, version in self.versions.items()]
+
+    def entry(self):
+        return super().entry() | {"stage": "both", "models": self.models()}
+
+    async def handle(self, request, writer):
+        if request.path == "/rillwall/report":
+            return answer(200, {"models": self.models(), "busy": bool(self.busy), "sequence": self.sequence})
+        if request.path == "/rillwall/order":
+            return await self.order(request)
+        if out := self.refused(request):
+            return out
+        if request.headers["x-rillwall-model"] in self.busy:
+            return answer(503, X_Rillwall_Not_Executed=1)
+        self.running += 1
+        try:
+            await self.stream(request, writer)
+        finally:
+            self.running -= 1
+
+    async def order(self, request):
+        order = request.json()
+        if order.get("expected", self.sequence) != self.sequence or self.busy:
+            return answer(409)
+        if self.versions[order["model"]] >= order["version"]:
+            return answer(200)
+        self.sequence += 1
+        self.busy.add(order["model"])
+        if order["mode"] == "truncate":
+            self.cut += 1
+        asyncio.get_running_loop().call_later(0.3, self.loaded, order["model"], order["version"])
+        if self.fault == "lost":
+            raise Cut
+        return answer(202)
+
+    def loaded(self, model, version):
+        self.busy.discard(model)
+        self.versions[model] = version
+        if self.state == "ready":
+            self.register()
+
+    async def stream(self, request, writer):
+        name, model = request.headers["x-rillwall-request-id"], request.headers["x-rillwall-model"]
+        at, cut, version = int(request.headers.get("last-event-id", 0)), self.cut, self.versions[model]
+        writer.write(f"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\nX-Rillwall-Request-Id: {name}\r\n"
+                     f"X-Rillwall-Server-Stamp: s\r\nX-Rillwall-Weight-Versions: {version}\r\n\r\n".encode())
+        while at < events_of(name):
+            await asyncio.sleep(0.01 * (5 if self.fault == "slow" else 1))
+            if cut != self.cut or (self.fault == "garble" and self.rng.random() < 0.05):
+                raise Cut
+            at += 1
+            line = ""
+            if self.versions[model] != version:
+                version = self.versions[model]
+                line = f"x-rillwall-weight-versions: {version}\n"
+            self.made.setdefault(name, {}).setdefault(at, set()).add(version)
+            event = f"{line}id: {at}\ndata: {name}-{at}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+def events_of(item):
+    """Events of an item's whole text: some are long."""
+    return 3 + number_of(item, 12) + (60 if number_of(item + "x", 12) == 0 else 0)
+
+
+def text_of(item):
+    return "\n".join(f"{item}-{n}" for n in range(1, events_of(item) + 1))
--- /dev/null
+++ b/testsuite/platform/web.py
@@ -0,0 +1,156 @@
+"""HTTP/1.1 and a faulty TCP proxy for the stand-ins of the platform, on loopback."""
+
+import asyncio
+import json
+
+
+class Cut(Exception):
+    """The connection is to be closed without an answer."""
+
+
+class Request:
+    """One request as a stand-in takes it."""
+
+    def __init__(self, method, target, headers, body):
+        self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.path, _, query = target.partition("?")
+        self.query = dict(part.partition("=")[::2] for part in query.split("&") if part)
+
+    def json(self):
+        return json.loads(self.body or b"{}")
+
+
+async def read_head(reader):
+    """Returns the first line and the headers, with names in lower case."""
+    first = (await reader.readline()).decode("latin-1").strip()
+    headers = {}
+    while True:
+        line = (await reader.readline()).decode("latin-1").strip()
+        if not line:
+            return first, headers
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+
+
+async def read_body(reader, headers):
+    if headers.get("transfer-encoding") == "chunked":
+        parts = []
+        while size := int((await reader.readline()) or b"0", 16):
+            parts.append(await reader.readexactly(size))
+            await reader.readline()
+        await reader.readline()
+        return b"".join(parts)
+    return await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+def answer(status, body=b"", **headers):
+    """The bytes of a whole answer; underscores of header names are dashes."""
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Server:
+    """Serves one handler: handler(request, writer) returns bytes, or None if it wrote itself."""
+
+    def __init__(self, handler):
+        self.handler, self.port, self.writers, self.server = handler, 0, set(), None
+
+    async def start(self, host="127.0.0.1"):
+        self.server = await asyncio.start_server(self.serve, host, self.port, limit=1 << 22)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def stop(self):
+        """Closes the port and resets all connections."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                first, headers = await read_head(reader)
+                if not first:
+                    break
+                method, target, _ = first.split(" ", 2)
+                request = Request(method, target, headers, await read_body(reader, headers))
+                out = await self.handler(request, writer)
+                if out is not None:
+                    writer.write(out)
+                await writer.drain()
+        except (Cut, ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+
+async def call(address, method, target, headers=None, body=b"", limit=10.0):
+    """Makes one call on a connection of its own: (status, headers, body), or None without a whole answer."""
+    async def run():
+        reader, writer = await asyncio.open_connection(*address, limit=1 << 22)
+        try:
+            lines = [f"{method} {target} HTTP/1.1", f"Content-Length: {len(body)}"]
+            lines += [f"{name}: {value}" for name, value in ({"Host": "x"} | (headers or {})).items()]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            first, got = await read_head(reader)
+            if not first:
+                return None
+            return int(first.split()[1]), got, await read_body(reader, got)
+        finally:
+            writer.transport.abort()
+    try:
+        return await asyncio.wait_for(run(), limit)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return None
+
+
+class Proxy:
+    """Stands between a node and one peer. mode: pass, delay, reset, refuse, silent, in, out (cut one way)."""
+
+    def __init__(self, port):
+        self.target, self.mode, self.server, self.port, self.writers = port, "pass", None, 0, set()
+
+    async def start(self, host="127.0.0.1"):
+        self.server = await asyncio.start_server(self.serve, host, 0, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def set(self, mode):
+        self.mode = mode
+        if mode in ("reset", "refuse"):
+            for writer in list(self.writers):
+                writer.transport.abort()
+            if mode == "reset":
+                self.mode = "pass"
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        other = None
+        try:
+            if self.mode == "refuse":
+                return
+            back, other = await asyncio.open_connection("127.0.0.1", self.target, limit=1 << 20)
+            self.writers.add(other)
+            await asyncio.gather(self.pump(reader, other, "out"), self.pump(back, writer, "in"))
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for each in (writer, other):
+                if each:
+                    self.writers.discard(each)
+                    each.transport.abort()
+
+    async def pump(self, reader, writer, way):
+        while data := await reader.read(1 << 16):
+            while self.mode in ("silent", way):
+                await asyncio.sleep(0.05)
+            if self.mode == "delay":
+                await asyncio.sleep(0.05)
+            writer.write(data)
+            await writer.drain()
+        writer.transport.abort()
