--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -50,6 +50,7 @@
         self.name = f"{'entry' if entry else 'lead'}-{number}"
         self.ip, self.process, self.wanted, self.paused = f"127.1.{soak.args.seed % 250}.{10 + number}", None, False, False
         self.log = soak.folder / f"{self.name}.log"
+        self.restarting = asyncio.Lock()  # faults overlap; one at a time starts the process anew
 
     def address(self):
         return (self.ip, 8161)
@@ -104,6 +105,12 @@
             self.send(signal.SIGKILL)
             await self.process.wait()
 
+    async def restart(self, number, pause=0.0):
+        async with self.restarting:
+            await self.end(number)
+            await asyncio.sleep(pause)
+            await self.launch()
+
     async def ready(self):
         got = await call((self.ip, 8167), "GET", "/rillwall/readyz", limit=2)
         return got is not None and got[0] == 200
@@ -295,15 +302,10 @@
     # Faults. Each heals itself; several overlap.
 
     async def fault_kill(self):
-        node = self.rng.choice(self.nodes)
-        await node.end(signal.SIGKILL)
-        await asyncio.sleep(self.rng.uniform(0.1, 3))
-        await node.launch()
+        await self.rng.choice(self.nodes).restart(signal.SIGKILL, self.rng.uniform(0.1, 3))
 
     async def fault_term(self):
-        node = self.rng.choice(self.nodes)
-        await node.end(signal.SIGTERM)
-        await node.launch()
+        await self.rng.choice(self.nodes).restart(signal.SIGTERM)
 
     async def fault_pause(self):
         node = self.rng.choice(self.nodes)
@@ -317,9 +319,8 @@
         self.rng.choice(self.nodes).send(signal.SIGHUP)
 
     async def fault_kill_all(self):
-        await asyncio.gather(*(node.end(signal.SIGKILL) for node in self.nodes))
-        await asyncio.sleep(self.rng.uniform(0, 1))
-        await asyncio.gather(*(node.launch() for node in self.nodes))
+        pause = self.rng.uniform(0, 1)
+        await asyncio.gather(*(node.restart(signal.SIGKILL, pause) for node in self.nodes))
 
     async def fault_store(self):
         self.store.mode = self.rng.choice(["busy", "silent", "slow", "lost", "late"])
