--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -45,6 +45,8 @@
   /// Reads who leads; remembers it until Forget().
   asio::awaitable<Result<std::optional<LeadHolder>>> Holder();
   void Forget() { mKnown.reset(); }
+  /// \return who leads as far as this node remembers; may be out of date
+  const std::optional<LeadHolder>& Known() const { return mKnown; }
 
  private:
   /// \param aGuard revision of the claim's key that is replaced; 0: none
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -70,6 +70,8 @@
                                                std::string aBody);
   /// \param aAdopt take the step over if its owner does not answer
   asio::awaitable<Result<RolloutPlace>> Locate(std::string aId, bool aAdopt);
+  /// \return whether the step is here, or its place is remembered
+  bool Knows(const std::string& aId) const;
   /// The node at this address did not answer for a step.
   void ForgetPlace(const std::string& aId);
 
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -14,12 +14,12 @@
 
 namespace {
 
-/// Results that end within this time go into one page: a page is one priced
-/// call, and a trainer asks about twice a second.
-constexpr Millis kGather{40};
-/// Without a whole group among them, results can wait longer: a trainer counts
-/// whole groups.
-constexpr Millis kGatherLonger{400};
+/// How often a page under way looks whether it is to be written now.
+constexpr Millis kGatherLook{20};
+/// Results that end within this time go into one page, which is one priced
+/// call: a trainer asks about twice a second, and goes on when a number of
+/// groups is whole. The page that makes them so is written at once.
+constexpr Millis kGatherMost{400};
 /// Text of one page; its encoded form stays under the store's 1 MiB values.
 constexpr size_t kMaxPageBytes = 600 * 1000;
 constexpr Millis kFirstRetry{30};
@@ -37,6 +37,15 @@
 constexpr Millis kMoveEvery{700};
 constexpr size_t kMovesAtOnce = 2;
 
+/// \return whether the trainer can go on with what is not listed yet
+bool PageIsUrgent(const RolloutStep& aStep) {
+  const RolloutBook& book = aStep.mBook;
+  const auto target =
+      static_cast<size_t>(std::max<int64_t>(book.Spec().mTargetGroups, 1));
+  const bool reached = book.WholeGroups() >= target;
+  return book.AllEnded() || (reached && aStep.mWholeListed < target);
+}
+
 ReplicaOutcome OutcomeOf(ItemRunEnd aEnd) {
   switch (aEnd) {
     case ItemRunEnd::Whole:
@@ -270,11 +279,10 @@
 
 asio::awaitable<void> RolloutService::FlushLoop(StepPtr aStep) {
   const Millis begun = mNode.Now();
-  const size_t wholeListed = aStep->mWholeListed;
   do {
-    co_await Sleep(mNode.mIo, kGather);
-  } while (aStep->mRunning && aStep->mBook.WholeGroups() == wholeListed &&
-           mNode.Now() - begun < kGatherLonger);
+    co_await Sleep(mNode.mIo, kGatherLook);
+  } while (aStep->mRunning && !PageIsUrgent(*aStep) &&
+           mNode.Now() - begun < kGatherMost);
   std::vector<RolloutResult> waiting;
   while (aStep->mRunning) {
     aStep->mWholeListed = aStep->mBook.WholeGroups();
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -249,6 +249,11 @@
   co_return RolloutPlace{RolloutPlace::Kind::Here, {}, record->mEnded};
 }
 
+bool RolloutService::Knows(const std::string& aId) const {
+  return mSteps.contains(aId) || mArchives.contains(aId) ||
+         mPlaces.contains(aId);
+}
+
 void RolloutService::ForgetPlace(const std::string& aId) { mPlaces.erase(aId); }
 
 asio::awaitable<Result<RolloutRead>> RolloutService::Read(std::string aId,
