--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -13,8 +13,8 @@
 constexpr char kLastKey[] = "rillwall/lead-last";
 /// Life of the claim without a renewal: short, as a step without an owner
 /// stands still; long enough to outlast two lost renewals.
-constexpr Millis kClaimTtl{2400};
-constexpr Millis kRenewEvery{700};
+constexpr Millis kClaimTtl{2000};
+constexpr Millis kRenewEvery{500};
 /// Orders stop so long before the lease can end: an order must have left and
 /// arrived by then.
 constexpr Millis kOrderMargin{500};
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 
 #include "item_run.h"
 #include "rillwall/event_log.h"
@@ -90,11 +91,18 @@
 }  // namespace
 
 void RolloutService::Pump() {
-  bool started = true;
-  while (started) {
-    started = false;
-    for (const auto& [id, step] : mSteps) {
-      started = StartNext(step) || started;
+  std::vector<StepPtr> steps;
+  for (const auto& [id, step] : mSteps) {
+    steps.push_back(step);
+  }
+  // The older first: a trainer names its next version when its older step ends.
+  std::sort(steps.begin(), steps.end(),
+            [](const StepPtr& aOne, const StepPtr& aOther) {
+              return std::tuple(aOne->mGiveUpAt, aOne->mRevision) <
+                     std::tuple(aOther->mGiveUpAt, aOther->mRevision);
+            });
+  for (const StepPtr& step : steps) {
+    while (StartNext(step)) {
     }
   }
 }
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(LeadAdoptsOrphans);
   CPPUNIT_TEST(UnknownStepIsUnknown);
   CPPUNIT_TEST(TextsAreCarriedOver);
+  CPPUNIT_TEST(OlderStepGoesFirst);
   CPPUNIT_TEST(OverdueItemsAreGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
@@ -414,6 +415,23 @@
     CPPUNIT_ASSERT(resumed);
   }
 
+  void OlderStepGoesFirst() {
+    mEngine.mSlots = 1;
+    Restart("n1-again");
+    Accept();
+    RolloutSpec later = Spec();
+    later.mId = "a0";  // before the other one in order of names
+    later.mItems[0].mId = "j1";
+    later.mItems[1].mId = "j2";
+    Accept(later);
+    Test().RunUntil([&] { return mEngine.mRequests.size() == 4; });
+    std::string order;
+    for (const HttpRequest& request : mEngine.mRequests) {
+      order += *request.Find("Id") + " ";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("i1 i2 j1 j2 "), order);
+  }
+
   void OverdueItemsAreGivenUp() {
     Route route = *Test().mNode.mRoutes.Read()->Find("h", "/r/");
     route.mMaxWait = Millis(150);
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -207,7 +207,7 @@
   entry.mId = mId;
   entry.mService = aService;
   entry.mAddress = mEndpoint.Text();
-  entry.mSlots = 8;
+  entry.mSlots = mSlots;
   entry.mModels = {{"m", mVersion}};
   return entry;
 }
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -90,6 +90,7 @@
   std::vector<HttpRequest> mRequests;  ///< as they came
   int64_t mEvents = 3;                 ///< of a whole stream
   int64_t mVersion = 5;
+  int64_t mSlots = 8;
   bool mStreams = true;  ///< answers with events, else with a plain body
   int mRunning = 0;
 
