--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -85,6 +85,8 @@
 
   /// Takes over all open steps whose owner does not answer; for a new lead.
   asio::awaitable<void> AdoptOrphans();
+  /// Removes steps from the store that ended long ago; for the lead.
+  asio::awaitable<void> Sweep();
   /// Loads an ended step from the store, to be read here.
   asio::awaitable<std::optional<Error>> LoadArchive(std::string aId);
   /// Starts items for which replicas have room.
@@ -120,6 +122,8 @@
   asio::awaitable<Result<std::vector<RolloutResult>>> LoadPages(
       std::string aId);
   asio::awaitable<Result<std::string>> LoadBody(std::string aId);
+  asio::awaitable<std::optional<Error>> Remove(std::string aId,
+                                               int64_t aRevision);
   asio::awaitable<bool> Answers(std::string aAddress);
 
   bool StartNext(const StepPtr& aStep);
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -1,6 +1,9 @@
 /// \file
 /// Taking over steps whose owner is gone, and reading what the store keeps.
 
+#include <algorithm>
+#include <chrono>
+
 #include "rillwall/event_log.h"
 #include "rillwall/rollout_service.h"
 #include "rollout_step.h"
@@ -14,8 +17,71 @@
 constexpr Millis kProbeLimit{500};
 constexpr int kOk = 200;
 
+/// Results must be readable for a while after they were asked for; ended steps
+/// are kept this many times as long.
+constexpr int64_t kKeepFactor = 5;
+/// Keys of one change of the store; the platform takes 32 entries.
+constexpr size_t kMaxRemoves = 30;
+
+int64_t WallClockMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 }  // namespace
 
+asio::awaitable<void> RolloutService::Sweep() {
+  const Result<StoreList> all = co_await ListAll(mNode.mStore, kStepPrefix);
+  if (!all) {
+    Event("sweep-failed").Text("why", all.error().Detail()).Write();
+    co_return;
+  }
+  const int64_t oldest =
+      WallClockMs() - mNode.mBounds.mStatus.Count() * kKeepFactor;
+  for (const StoreItem& item : all->mItems) {
+    const Result<StepRecord> record = DecodeStepRecord(item.mValue);
+    if (!record || !record->mEnded || record->mAcceptedMs > oldest) {
+      continue;
+    }
+    const std::string id = item.mKey.substr(sizeof(kStepPrefix) - 1);
+    const std::optional<Error> failed = co_await Remove(id, item.mRevision);
+    Event("step-removed")
+        .Id(id)
+        .Number("accepted_ms", record->mAcceptedMs)
+        .Text("why", failed ? failed->Detail() : "")
+        .Write();
+  }
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::Remove(
+    std::string aId, int64_t aRevision) {
+  std::vector<std::string> keys;
+  for (const std::string& prefix : {PagePrefix(aId), BodyPrefix(aId)}) {
+    const Result<StoreList> list = co_await ListAll(mNode.mStore, prefix);
+    if (!list) {
+      co_return list.error();
+    }
+    for (const StoreItem& item : list->mItems) {
+      keys.push_back(item.mKey);
+    }
+  }
+  // The record goes last, so that a sweep that was cut short is made again.
+  keys.push_back(StepKey(aId));
+  for (size_t at = 0; at < keys.size(); at += kMaxRemoves) {
+    const size_t end = std::min(keys.size(), at + kMaxRemoves);
+    StoreChange change;
+    change.mGuards.push_back({StepKey(aId), aRevision});
+    change.mRemoves.assign(keys.begin() + static_cast<std::ptrdiff_t>(at),
+                           keys.begin() + static_cast<std::ptrdiff_t>(end));
+    const Result<StoreCommit> done =
+        co_await mNode.mStore.Commit(std::move(change));
+    if (!done) {
+      co_return done.error();
+    }
+  }
+  co_return std::nullopt;
+}
+
 asio::awaitable<bool> RolloutService::Answers(std::string aAddress) {
   const Result<Endpoint> endpoint = Endpoint::Parse(aAddress);
   if (!endpoint) {
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -78,6 +78,8 @@
   CPPUNIT_TEST(LeadAdoptsOrphans);
   CPPUNIT_TEST(UnknownStepIsUnknown);
   CPPUNIT_TEST(TextsAreCarriedOver);
+  CPPUNIT_TEST(OldEndedStepsAreRemoved);
+  CPPUNIT_TEST(YoungEndedStepsAreKept);
   CPPUNIT_TEST(OlderStepGoesFirst);
   CPPUNIT_TEST(OverdueItemsAreGivenUp);
   CPPUNIT_TEST_SUITE_END();
@@ -415,6 +417,40 @@
     CPPUNIT_ASSERT(resumed);
   }
 
+  void OldEndedStepsAreRemoved() {
+    Accept();
+    Listed(2);
+    const auto sweep = [&]() -> asio::awaitable<bool> {
+      co_await Service().Sweep();
+      co_return true;
+    };
+    const auto age = [&](bool aEnded) {
+      StepRecord record =
+          *DecodeStepRecord(mWorld.mStore.Items().at(StepKey("s1")).mValue);
+      record.mAcceptedMs -= 3600 * 1000;
+      record.mEnded = aEnded;
+      mWorld.mStore.Write(StepKey("s1"), EncodeStepRecord(record));
+    };
+    age(false);
+    Test().Run(sweep());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mWorld.mStore.CountOf(StepKey("s1")));
+    age(true);
+    Test().Run(sweep());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mWorld.mStore.CountOf("rillwall/"));
+  }
+
+  void YoungEndedStepsAreKept() {
+    Accept();
+    Listed(2);
+    Test().Run(Service().End("s1"));
+    const auto sweep = [&]() -> asio::awaitable<bool> {
+      co_await Service().Sweep();
+      co_return true;
+    };
+    Test().Run(sweep());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mWorld.mStore.CountOf(StepKey("s1")));
+  }
+
   void OlderStepGoesFirst() {
     mEngine.mSlots = 1;
     Restart("n1-again");
