--- a/src/include/rillwall/millis.h
+++ b/src/include/rillwall/millis.h
@@ -60,6 +60,10 @@
   Millis Now() const override;
 };
 
+/// \return milliseconds since 1970 by the host's time of day, which may jump;
+/// for logs and for what must outlive a process
+int64_t WallClockMs();
+
 /// A clock that tests set by hand.
 class ManualClock final : public Clock {
  public:
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
-#include <charconv>
 
+#include "rillwall/numbers.h"
 #include "rillwall/sse.h"
 
 namespace rillwall {
@@ -23,12 +23,7 @@
 constexpr int kUnprocessable = 422;
 
 int64_t NumberOr(const std::string* aText, int64_t aDefault) {
-  if (aText == nullptr) {
-    return aDefault;
-  }
-  int64_t value = aDefault;
-  std::from_chars(aText->data(), aText->data() + aText->size(), value);
-  return value;
+  return aText == nullptr ? aDefault : ParseNumber(*aText).value_or(aDefault);
 }
 
 HttpRequest MakeRequest(const NodeContext& aNode, RolloutStep& aStep,
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -7,11 +7,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <charconv>
 #include <functional>
 
 #include "rillwall/event_log.h"
 #include "rillwall/json.h"
+#include "rillwall/numbers.h"
 #include "rillwall/upstream_call.h"
 
 namespace rillwall {
@@ -31,17 +31,6 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-std::optional<int64_t> Number(const std::string* aText) {
-  if (aText == nullptr) {
-    return std::nullopt;
-  }
-  int64_t value = 0;
-  const char* end = aText->data() + aText->size();
-  const auto [last, code] = std::from_chars(aText->data(), end, value);
-  return code == std::errc() && last == end ? std::optional(value)
-                                            : std::nullopt;
-}
-
 int StatusOf(const Error& aError) {
   if (aError.Run() == RunState::NotRun) {
     switch (aError.Kind()) {
@@ -178,8 +167,9 @@
 Millis DueOf(const NodeContext& aNode, const Route& aRoute,
              const HttpRequest& aRequest) {
   Millis span = aRoute.mTimeout > Millis(0) ? aRoute.mTimeout : kDefaultTimeout;
+  const std::string* left = aRequest.Find(aNode.mHeaders.mTimeLeft);
   const std::optional<int64_t> client =
-      Number(aRequest.Find(aNode.mHeaders.mTimeLeft));
+      left == nullptr ? std::nullopt : ParseNumber(*left);
   if (client) {
     span = std::min(span, Millis(*client));
   }
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -2,7 +2,6 @@
 /// Taking over steps whose owner is gone, and reading what the store keeps.
 
 #include <algorithm>
-#include <chrono>
 
 #include "rillwall/event_log.h"
 #include "rillwall/rollout_service.h"
@@ -23,11 +22,6 @@
 /// Keys of one change of the store; the platform takes 32 entries.
 constexpr size_t kMaxRemoves = 30;
 
-int64_t WallClockMs() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 }  // namespace
 
 asio::awaitable<void> RolloutService::Sweep() {
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -35,11 +35,6 @@
 constexpr Millis kArchiveMargin{30000};
 constexpr size_t kMaxPlaces = 4096;
 
-int64_t WallClockMs() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 /// \return tokens that a step is expected to generate
 double WorkOf(const RolloutSpec& aSpec) {
   int64_t tokens = 0;
--- a/src/librillwall_state/event_log.cpp
+++ b/src/librillwall_state/event_log.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <chrono>
+
+#include "rillwall/millis.h"
 
 namespace rillwall {
 
@@ -24,11 +25,6 @@
   return sSink;
 }
 
-int64_t WallClockMs() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 bool Plain(char aChar) {
   return aChar >= ' ' && aChar < 0x7f && aChar != '"' && aChar != '\\';
 }
--- a/src/librillwall_state/millis.cpp
+++ b/src/librillwall_state/millis.cpp
@@ -1,5 +1,6 @@
 #include "rillwall/millis.h"
 
+#include <chrono>
 #include <ctime>
 
 namespace rillwall {
@@ -12,4 +13,9 @@
   return Millis(now.tv_sec * kPerSecond + now.tv_nsec / kNanosPerMilli);
 }
 
+int64_t WallClockMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 }  // namespace rillwall
