rollout: a text of one version is made anew if the weights change under it

Cause, found in reading: the version was checked at a stream's head only; an event may bring another one. On a route that wants a single version such a text would have been listed. Test seen to fail without the check. The run of an item is split in four functions.

--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -118,6 +118,66 @@
   return !(aStep.mRoute.mSingleVersion && other);
 }
 
+/// Checks the version that a stream begins with.
+/// \return whether its events may be added
+bool TakeVersion(NodeContext& aNode, RolloutStep& aStep, size_t aItem,
+                 const Replica& aReplica, int64_t aVersion) {
+  const std::string& model = aStep.mBook.Spec().mModel;
+  aNode.mReplicas.Learn(aReplica.mId, model, aVersion);
+  RolloutText& text = aStep.mBook.Text(aItem);
+  if (VersionFits(aStep, text, aVersion)) {
+    return true;
+  }
+  aNode.mReplicas.PauseModel(aReplica.mId, model,
+                             aNode.Now() + kOldWeightsPause);
+  if (aStep.mRoute.mSingleVersion) {
+    text = RolloutText();
+  }
+  return false;
+}
+
+/// Measures a replica's pace by the events that one part brought.
+void ObservePace(NodeContext& aNode, const std::string& aReplica,
+                 int64_t aEvents, Millis& aLastAt) {
+  const Millis now = aNode.Now();
+  if (aLastAt > Millis(0) && aEvents > 0) {
+    const auto span = static_cast<double>((now - aLastAt).Count());
+    aNode.mReplicas.ObservePace(aReplica, span / static_cast<double>(aEvents),
+                                now);
+  }
+  aLastAt = now;
+}
+
+/// Takes events in until the stream ends.
+asio::awaitable<ItemRunEnd> TakeEvents(NodeContext& aNode, RolloutStep& aStep,
+                                       size_t aItem, const Replica& aReplica,
+                                       HttpStream& aStream, int64_t aVersion,
+                                       std::string& aWhy) {
+  RolloutText& text = aStep.mBook.Text(aItem);
+  EventIntake intake(aNode, text, aVersion);
+  Millis lastAt;
+  while (true) {
+    const int64_t before = text.mEvents;
+    const Result<std::string> part = co_await aStream.Read(kEventLimit);
+    if (!aStep.mRunning) {
+      co_return ItemRunEnd::Stopped;
+    }
+    if (!part) {
+      aWhy = part.error().Detail();
+      const bool moving = aStep.mMoving.contains(aItem);
+      co_return moving ? ItemRunEnd::Moved : ItemRunEnd::Broken;
+    }
+    if (part->empty()) {
+      co_return ItemRunEnd::Whole;
+    }
+    aWhy = intake.Feed(*part);
+    if (!aWhy.empty()) {
+      co_return ItemRunEnd::Broken;
+    }
+    ObservePace(aNode, aReplica.mId, text.mEvents - before, lastAt);
+  }
+}
+
 }  // namespace
 
 asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode, RolloutStep& aStep,
@@ -145,55 +205,24 @@
   if (verdict != ItemRunEnd::Whole) {
     co_return verdict;
   }
-  RolloutText& text = aStep.mBook.Text(aItem);
   const int64_t version = NumberOr(head.Find(aNode.mHeaders.mWeightVersion), 0);
-  aNode.mReplicas.Learn(aReplica.mId, aStep.mBook.Spec().mModel, version);
-  if (!VersionFits(aStep, text, version)) {
+  if (!TakeVersion(aNode, aStep, aItem, aReplica, version)) {
     aWhy = "weights of version " + std::to_string(version);
-    aNode.mReplicas.PauseModel(aReplica.mId, aStep.mBook.Spec().mModel,
-                               aNode.Now() + kOldWeightsPause);
-    if (aStep.mRoute.mSingleVersion) {
-      text = RolloutText();
-    }
     co_return ItemRunEnd::Broken;
   }
-  EventIntake intake(aNode, text, version);
   aStep.mStreams[aItem] = stream.get();
-  ItemRunEnd end = ItemRunEnd::Broken;
-  Millis lastAt;
-  while (true) {
-    const int64_t before = text.mEvents;
-    const Result<std::string> part = co_await stream->Read(kEventLimit);
-    if (!aStep.mRunning) {
-      end = ItemRunEnd::Stopped;
-      break;
-    }
-    if (!part) {
-      aWhy = part.error().Detail();
-      if (aStep.mMoving.erase(aItem) > 0) {
-        end = ItemRunEnd::Moved;
-      }
-      break;
-    }
-    if (part->empty()) {
-      end = ItemRunEnd::Whole;
-      break;
-    }
-    aWhy = intake.Feed(*part);
-    if (!aWhy.empty()) {
-      break;
-    }
-    const Millis now = aNode.Now();
-    const int64_t events = text.mEvents - before;
-    if (lastAt > Millis(0) && events > 0) {
-      const auto span = static_cast<double>((now - lastAt).Count());
-      aNode.mReplicas.ObservePace(aReplica.mId,
-                                  span / static_cast<double>(events), now);
-    }
-    lastAt = now;
-  }
-  aStep.mMoving.erase(aItem);
+  ItemRunEnd end = co_await TakeEvents(aNode, aStep, aItem, aReplica, *stream,
+                                       version, aWhy);
   aStep.mStreams.erase(aItem);
+  aStep.mMoving.erase(aItem);
+  RolloutText& text = aStep.mBook.Text(aItem);
+  const int64_t minVersion = aStep.mBook.Spec().mMinVersion;
+  if (!text.Fits(minVersion, aStep.mRoute.mSingleVersion)) {
+    // The weights changed under the stream: none of its text can be used.
+    aWhy = "the text is of several versions";
+    text = RolloutText();
+    end = end == ItemRunEnd::Stopped ? end : ItemRunEnd::Broken;
+  }
   text.mWhole = end == ItemRunEnd::Whole;
   co_return end;
 }
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(ImpossibleItemIsGivenUpAtOnce);
   CPPUNIT_TEST(RefusedItemRunsElsewhere);
   CPPUNIT_TEST(VersionsComeFromTheEvents);
+  CPPUNIT_TEST(SingleVersionTextIsMadeAnew);
   CPPUNIT_TEST(OldWeightsAddNothing);
   CPPUNIT_TEST(FailingScorerTerminates);
   CPPUNIT_TEST(LostPageAnswerListsOnce);
@@ -253,6 +254,19 @@
     CPPUNIT_ASSERT(expected == Listed(2)[0].mVersions);
   }
 
+  void SingleVersionTextIsMadeAnew() {
+    Route route = *Test().mNode.mRoutes.Read()->Find("h", "/r/");
+    route.mSingleVersion = true;
+    mEngine.mScripts = {{}, {}};
+    mEngine.mScripts[0].mVersionAt = 3;
+    CPPUNIT_ASSERT(!Test().Run(Service().Accept(Spec(), route, kBody)));
+    for (const RolloutResult& result : Listed(2)) {
+      CPPUNIT_ASSERT(result.mVersions == std::vector<int64_t>{5});
+      CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3"), result.mOutput);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, mEngine.mRequests.size());
+  }
+
   void OldWeightsAddNothing() {
     mEngine.mVersion = 3;  // listed with 5
     Accept();
