--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -208,12 +208,11 @@
   if (found != mSteps.end()) {
     co_return found->second;
   }
-  if (!mTaking.insert(aId).second) {
+  const TakingMark mark(mTaking, aId);
+  if (!mark.Own()) {
     co_return Error(ErrorKind::Unavailable, "The step is being taken over.");
   }
-  Result<StepPtr> step = co_await TakeOver(aId, std::move(aRecord), aRevision);
-  mTaking.erase(aId);
-  co_return step;
+  co_return co_await TakeOver(aId, std::move(aRecord), aRevision);
 }
 
 asio::awaitable<void> RolloutService::AdoptOrphans() {
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -108,11 +108,9 @@
     Event("step-known").Id(id).Write();
     co_return std::nullopt;
   }
-  mTaking.insert(id);
-  std::optional<Error> failed =
-      co_await AcceptNew(std::move(aSpec), std::move(aRoute), std::move(aBody));
-  mTaking.erase(id);
-  co_return failed;
+  const TakingMark mark(mTaking, id);
+  co_return co_await AcceptNew(std::move(aSpec), std::move(aRoute),
+                               std::move(aBody));
 }
 
 asio::awaitable<std::optional<Error>> RolloutService::AcceptNew(
