--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -298,6 +298,14 @@
             if self.positions:
                 name = self.rng.choice(list(self.positions))
                 await self.read(name, self.rng.choice(self.entries), self.rng.randint(0, len(self.positions[name])))
+                if self.rng.random() < 0.2:
+                    await self.send_again(list(self.positions)[-1])
+
+    async def send_again(self, name):
+        """Sends a step once more that was accepted: it is accepted again, and only once."""
+        got = await call(self.rng.choice(self.entries).address(), "POST", "/steps/s", {
+            "Host": HOST, "X-Rillwall-Request-Id": name}, json.dumps(self.ended[name][0]).encode(), 6)
+        self.check("kept", got is None or got[0] in (202, 502, 503, 504), f"{name} sent again got {got and got[0]}")
 
     # Faults. Each heals itself; several overlap.
 
