--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -83,6 +83,7 @@
                 self.soak.args.binary, "serve", stdout=log, stderr=log,
                 env={"RILLWALL_NODE_FILE": str(self.soak.folder / f"{self.name}.toml"), "PATH": os.environ["PATH"]})
         self.wanted = True
+        self.soak.started.append(self.process)
         asyncio.create_task(self.watch(self.process))
 
     async def watch(self, process):
@@ -127,7 +128,7 @@
         self.made, self.runs, self.refused, self.counts, self.faults = {}, {}, set(), {}, {}
         self.failed, self.positions, self.ended, self.served = [], {}, {}, 0
         self.named, self.stopping, self.config_version = 1, False, 0
-        self.whole_steps = 0
+        self.whole_steps, self.started = 0, []
 
     def check(self, name, holds, what):
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -443,6 +444,10 @@
         await self.final_checks()
         for node in self.nodes:
             await node.end(signal.SIGKILL)
+        for process in self.started:
+            self.check("processes", process.returncode is not None, f"process {process.pid} was left behind")
+            if process.returncode is None:
+                process.kill()
 
 
 def main():
