--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -92,9 +92,8 @@
 
 /// What to run next.
 struct RolloutPick {
-  size_t mItem = 0;        ///< index in the step
-  std::string mAvoid;      ///< replica that failed it last; may be empty
-  std::string mPreferred;  ///< replica that holds the group's prompt
+  size_t mItem = 0;    ///< index in the step
+  std::string mAvoid;  ///< replica that failed it last; may be empty
 };
 
 /// The state of one step's items: what runs next, what is finished, what may
@@ -157,7 +156,6 @@
   struct Group {
     size_t mSize = 0;
     size_t mEnded = 0;
-    std::string mReplica;  ///< where its prompt was read last
   };
   /// Place in the order of starts: lower runs sooner.
   struct Place {
--- a/src/librillwall_coordination/rollout_book.cpp
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -109,16 +109,14 @@
     return std::nullopt;
   }
   const size_t item = mWaiting.begin()->mItem;
-  const Group& group = mGroups.at(mSpec.mItems[item].mGroup);
   const std::string& last = mStates[item].mLastReplica;
-  return RolloutPick{item, last, group.mReplica};
+  return RolloutPick{item, last};
 }
 
 void RolloutBook::Started(size_t aItem, const std::string& aReplica) {
   mWaiting.erase(PlaceOf(aItem));
   mStates[aItem].mPhase = Phase::Running;
   mStates[aItem].mLastReplica = aReplica;
-  mGroups[mSpec.mItems[aItem].mGroup].mReplica = aReplica;
 }
 
 bool RolloutBook::Interrupted(size_t aItem, bool aFailed) {
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -205,7 +205,7 @@
       continue;
     }
     const std::string& replica = aStep->mBook.ReplicaOf(item);
-    const RolloutPick pick{item, replica, {}};
+    const RolloutPick pick{item, replica};
     const std::optional<std::string> other = ChooseReplica(*aStep, pick);
     if (!other || *other == replica ||
         !mNode.mReplicas.Faster(*other, replica, factor, now)) {
