rollout: unfinished texts are kept in the store; told loads count

Ruled out: weights (loads were ready in time) and slots (under half were taken). In the same log two texts waited 2 s at a replica that other owners had filled.

Change: an owner writes stretches of unfinished texts under rillwall/part/ID/ every 0.5 s if one of them has grown by 20 events; a later owner goes on from them. They go with the step's end. Replicas tell their load in answers; requests of other nodes now count against slots.

Seen to fail: LaterOwnerGoesOnWithUnfinishedTexts without the restoring, OtherNodesRequestsTakeSlots and OldLoadIsForgotten without the count.

--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -34,6 +34,7 @@
   std::string mWeightVersion;  ///< in answers and events: of the weights
   std::string mLastEvent;      ///< a stream goes on after this event
   std::string mPriority;       ///< 0 goes first
+  std::string mReplicaLoad;    ///< in answers: "running,waiting,slots"
 };
 
 /// Who this node is.
@@ -72,6 +73,10 @@
   Millis Now() const { return mClock.Now(); }
 };
 
+/// Takes in what an answer tells of its replica's load, if it tells any.
+void ObserveLoad(NodeContext& aNode, const std::string& aReplica,
+                 const HttpResponse& aHead);
+
 /// Waits. Ends early, without an error, if the coroutine is cancelled.
 asio::awaitable<void> Sleep(asio::io_context& aIo, Millis aSpan);
 /// Starts a coroutine that nobody waits for; what it throws is logged.
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -90,6 +90,9 @@
                   Millis aUntil);
   /// The replica takes requests again, whatever happened before.
   void Resume(const std::string& aId);
+  /// A replica told how many requests it runs and queues, those of this node
+  /// among them.
+  void ObserveLoad(const std::string& aId, int64_t aRequests, Millis aNow);
   /// Measures the time between two events of a stream, in ms.
   void ObservePace(const std::string& aId, double aMsPerEvent, Millis aNow);
   /// \return whether a stream at aId would run faster at aOther by so much
@@ -118,7 +121,11 @@
     double mLatency = 0;  ///< smoothed, in ms; 0: none measured
     double mPace = 0;     ///< of streams, smoothed, in ms an event; 0: none
     Millis mPaceAt;       ///< of its last measurement
+    int64_t mOthers = 0;  ///< requests there that other nodes sent
+    Millis mOthersAt;     ///< when it told so
   };
+  /// \return requests at the replica, as far as this node knows
+  static int64_t LoadOf(const State& aState, Millis aNow);
   /// \return the pace as far as it is recent, else 0
   static double PaceOf(const State& aState, Millis aNow);
   /// \return the median pace of a service's replicas, 0 if none is known
@@ -129,7 +136,7 @@
                      double aTypicalPace, Millis aNow);
   static bool Paused(const State& aState, const ReplicaWish& aWish,
                      Millis aNow);
-  static bool Suits(const State& aState, const ReplicaWish& aWish);
+  static bool Suits(const State& aState, const ReplicaWish& aWish, Millis aNow);
 
   std::map<std::string, State> mStates;
 };
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -68,6 +68,8 @@
   std::vector<int64_t> mVersions;  ///< weights that made them, each once
   bool mWhole = false;             ///< the last event has been received
   std::string mScore;              ///< signature of the scorer's answer
+  int64_t mKeptEvents = 0;         ///< of these, the store keeps so many
+  size_t mKeptBytes = 0;           ///< their share of mOutput
 
   /// Adds one event.
   /// \param aVersion weights that made it
@@ -77,6 +79,18 @@
   bool operator==(const RolloutText&) const = default;
 };
 
+/// A stretch of an unfinished text. Its owner writes such stretches down while
+/// it generates, so that a later owner goes on where the last one ended.
+struct RolloutPart {
+  std::string mItem;
+  int64_t mFrom = 0;    ///< events before it; 0: it begins the text anew
+  int64_t mTo = 0;      ///< events of the text including it
+  std::string mOutput;  ///< data of its events, joined
+  std::vector<int64_t> mVersions;  ///< weights of the text so far
+  bool mWhole = false;             ///< its last event ends the text
+  bool operator==(const RolloutPart&) const = default;
+};
+
 /// How an item ended.
 enum class RolloutEnd { Completed, Terminated };
 
@@ -113,6 +127,18 @@
   /// \return whether it was used
   bool Adopt(size_t aItem, RolloutText aText);
 
+  /// Stretches of unfinished texts that no store keeps yet; counts them as
+  /// kept. Nothing, unless one of them has so many events that it is worth a
+  /// write. \param aWorth events that take long enough to be generated again
+  /// \param aMaxBytes of text, at which the rest is left for the next time
+  std::vector<RolloutPart> TakeUnkept(int64_t aWorth, size_t aMaxBytes);
+  /// What TakeUnkept gave out may not be kept: it is given out again, whole.
+  void ForgetKept();
+  /// Takes over what an earlier owner kept. The parts come as they were
+  /// written. \return events of unfinished texts that need not be generated
+  /// again
+  int64_t RestoreTexts(const std::vector<RolloutPart>& aParts);
+
   /// \return the next item to run, or nothing if none waits
   std::optional<RolloutPick> Next() const;
   void Started(size_t aItem, const std::string& aReplica);
--- a/src/include/rillwall/rollout_record.h
+++ b/src/include/rillwall/rollout_record.h
@@ -5,6 +5,7 @@
 ///   rillwall/step/ID           StepRecord: who owns it, whether it has ended
 ///   rillwall/body/ID/NNN       the submission as it came, in parts
 ///   rillwall/page/ID/NNNNNNNN  results from position NNNNNNNN on
+///   rillwall/part/ID/NNNNNNNN  stretches of unfinished texts, as written
 /// The record and the parts are created by one change, guarded by the record
 /// not existing. A page is created by a change that is guarded by the record's
 /// revision and the page not existing, so that an owner that was replaced can
@@ -48,6 +49,9 @@
 std::string EncodeResultPage(const ResultPage& aPage);
 Result<ResultPage> DecodeResultPage(std::string_view aText);
 
+std::string EncodeParts(const std::vector<RolloutPart>& aParts);
+Result<std::vector<RolloutPart>> DecodeParts(std::string_view aText);
+
 std::string StepKey(std::string_view aId);
 /// The prefix of all parts of a submission.
 std::string BodyPrefix(std::string_view aId);
@@ -55,5 +59,8 @@
 /// The prefix of all pages of a step.
 std::string PagePrefix(std::string_view aId);
 std::string PageKey(std::string_view aId, int64_t aFirst);
+/// The prefix of all stretches of unfinished texts.
+std::string PartPrefix(std::string_view aId);
+std::string PartKey(std::string_view aId, int64_t aNumber);
 
 }  // namespace rillwall
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -106,6 +106,12 @@
     Millis mSince;
   };
 
+  /// Stretches of unfinished texts in the store.
+  struct KeptTexts {
+    std::vector<RolloutPart> mParts;
+    int64_t mNext = 0;  ///< number of the next write
+  };
+
   StepPtr MakeStep(RolloutSpec aSpec, const Route& aRoute, StepRecord aRecord,
                    int64_t aRevision);
   void AdoptTexts(RolloutStep& aStep);
@@ -126,6 +132,8 @@
   asio::awaitable<Result<std::vector<RolloutResult>>> LoadPages(
       std::string aId);
   asio::awaitable<Result<std::string>> LoadBody(std::string aId);
+  /// Reads what earlier owners kept of unfinished texts.
+  asio::awaitable<KeptTexts> LoadParts(std::string aId);
   asio::awaitable<std::optional<Error>> Remove(std::string aId,
                                                int64_t aRevision);
   asio::awaitable<bool> Answers(std::string aAddress);
@@ -141,6 +149,10 @@
   void ScheduleFlush(const StepPtr& aStep);
   asio::awaitable<void> FlushLoop(StepPtr aStep);
   asio::awaitable<bool> CommitPage(StepPtr aStep, ResultPage aPage);
+  /// Writes unfinished texts down if that is due.
+  void ScheduleKeep(const StepPtr& aStep);
+  asio::awaitable<void> KeepTexts(StepPtr aStep,
+                                  std::vector<RolloutPart> aParts);
   asio::awaitable<std::optional<Error>> Verify(StepPtr aStep);
   /// This node owns the step no more.
   void Drop(const StepPtr& aStep, const char* aWhy);
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -22,6 +22,10 @@
 /// Latency that counts as much as all slots taken once, in ms.
 constexpr double kLatencyScale = 200.0;
 
+/// What a replica told of other nodes' requests counts for so long: most of
+/// them have ended by then.
+constexpr Millis kLoadAge{1000};
+
 /// Weight of a new pace; a slowed replica shows within some five events.
 constexpr double kPaceWeight = 0.2;
 /// A pace that was not measured for so long may have changed.
@@ -87,7 +91,23 @@
   return model != aState.mModelPauses.end() && aNow < model->second;
 }
 
-bool ReplicaPool::Suits(const State& aState, const ReplicaWish& aWish) {
+int64_t ReplicaPool::LoadOf(const State& aState, Millis aNow) {
+  const bool recent = aNow - aState.mOthersAt < kLoadAge;
+  return aState.mInFlight + (recent ? aState.mOthers : 0);
+}
+
+void ReplicaPool::ObserveLoad(const std::string& aId, int64_t aRequests,
+                              Millis aNow) {
+  const auto found = mStates.find(aId);
+  if (found != mStates.end()) {
+    State& state = found->second;
+    state.mOthers = std::max<int64_t>(0, aRequests - state.mInFlight);
+    state.mOthersAt = aNow;
+  }
+}
+
+bool ReplicaPool::Suits(const State& aState, const ReplicaWish& aWish,
+                        Millis aNow) {
   const Replica& replica = aState.mReplica;
   if (replica.mService != aWish.mService || replica.mDraining) {
     return false;
@@ -96,7 +116,7 @@
       replica.VersionOf(aWish.mModel) < aWish.mMinVersion) {
     return false;
   }
-  if (aWish.mWithinSlots && aState.mInFlight >= replica.mSlots) {
+  if (aWish.mWithinSlots && LoadOf(aState, aNow) >= replica.mSlots) {
     return false;
   }
   const auto& excluded = aWish.mExcluded;
@@ -177,7 +197,7 @@
                          double aTypicalPace, Millis aNow) {
   const double slots =
       static_cast<double>(std::max<int64_t>(aState.mReplica.mSlots, 1));
-  double cost = static_cast<double>(aState.mInFlight) / slots;
+  double cost = static_cast<double>(LoadOf(aState, aNow)) / slots;
   cost += aState.mLatency / kLatencyScale;
   const double pace = PaceOf(aState, aNow);
   if (pace > 0 && aTypicalPace > 0) {
@@ -199,7 +219,7 @@
   const double typical =
       aWish.mModel.empty() ? 0 : TypicalPace(aWish.mService, aNow);
   for (const auto& [id, state] : mStates) {
-    if (!Suits(state, aWish)) {
+    if (!Suits(state, aWish, aNow)) {
       continue;
     }
     if (aWish.mWithinSlots && Paused(state, aWish, aNow)) {
--- a/src/librillwall_coordination/replica_pool_test.cpp
+++ b/src/librillwall_coordination/replica_pool_test.cpp
@@ -60,6 +60,8 @@
   CPPUNIT_TEST(OldPaceIsForgotten);
   CPPUNIT_TEST(SlowReplicaComesLast);
   CPPUNIT_TEST(TellsWhatChanged);
+  CPPUNIT_TEST(OtherNodesRequestsTakeSlots);
+  CPPUNIT_TEST(OldLoadIsForgotten);
   CPPUNIT_TEST_SUITE_END();
 
   ReplicaPool mPool;
@@ -206,6 +208,30 @@
     changes = mPool.Update({leaving}, false);
     CPPUNIT_ASSERT(changes.mDraining.empty());
   }
+
+  void OtherNodesRequestsTakeSlots() {
+    ReplicaPool pool;
+    pool.Update({ReplicaOf("far", "other"), ReplicaOf("near")}, false);
+    pool.Start("near");
+    pool.Start("far");
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), Chosen(pool, ModelWish(5)));
+    // Its own request is among the two.
+    pool.ObserveLoad("near", 2, kNow);
+    CPPUNIT_ASSERT_EQUAL(std::string("far"), Chosen(pool, ModelWish(5)));
+    CPPUNIT_ASSERT_EQUAL(std::string("far"), Chosen(pool, Wish()));
+    pool.ObserveLoad("near", 1, kNow);
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), Chosen(pool, ModelWish(5)));
+  }
+
+  void OldLoadIsForgotten() {
+    ReplicaPool pool;
+    pool.Update({ReplicaOf("far", "other"), ReplicaOf("near")}, false);
+    pool.ObserveLoad("near", 9, kNow);
+    pool.ObserveLoad("unknown", 9, kNow);
+    CPPUNIT_ASSERT_EQUAL(std::string("far"), Chosen(pool, ModelWish(5)));
+    CPPUNIT_ASSERT_EQUAL(std::string("near"),
+                         Chosen(pool, ModelWish(5), kNow + Millis(1000)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaPoolTest);
--- a/src/librillwall_coordination/rollout_book.cpp
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -96,6 +96,9 @@
   }
   mWaiting.erase(PlaceOf(aItem));
   state.mText = std::move(aText);
+  // Kept for its earlier step, under that step's keys.
+  state.mText.mKeptEvents = 0;
+  state.mText.mKeptBytes = 0;
   if (state.mText.mWhole && !state.mText.mScore.empty()) {
     End(aItem, RolloutEnd::Completed);
   } else {
@@ -104,6 +107,75 @@
   return true;
 }
 
+std::vector<RolloutPart> RolloutBook::TakeUnkept(int64_t aWorth,
+                                                 size_t aMaxBytes) {
+  const bool worth =
+      std::any_of(mStates.begin(), mStates.end(), [&](const State& aState) {
+        const RolloutText& text = aState.mText;
+        return aState.mPhase != Phase::Ended &&
+               text.mEvents - text.mKeptEvents >= aWorth;
+      });
+  std::vector<RolloutPart> parts;
+  size_t bytes = 0;
+  for (size_t i = 0; worth && bytes < aMaxBytes && i < mStates.size(); ++i) {
+    RolloutText& text = mStates[i].mText;
+    if (mStates[i].mPhase == Phase::Ended || text.mEvents <= text.mKeptEvents) {
+      continue;
+    }
+    RolloutPart part;
+    part.mItem = mSpec.mItems[i].mId;
+    part.mFrom = text.mKeptEvents;
+    part.mTo = text.mEvents;
+    // Without the line feed that joins it to what is kept already.
+    const size_t begin = text.mKeptEvents > 0 ? text.mKeptBytes + 1 : 0;
+    part.mOutput = text.mOutput.substr(begin);
+    part.mVersions = text.mVersions;
+    part.mWhole = text.mWhole;
+    bytes += part.mOutput.size();
+    text.mKeptEvents = text.mEvents;
+    text.mKeptBytes = text.mOutput.size();
+    parts.push_back(std::move(part));
+  }
+  return parts;
+}
+
+void RolloutBook::ForgetKept() {
+  for (State& state : mStates) {
+    state.mText.mKeptEvents = 0;
+    state.mText.mKeptBytes = 0;
+  }
+}
+
+int64_t RolloutBook::RestoreTexts(const std::vector<RolloutPart>& aParts) {
+  for (const RolloutPart& part : aParts) {
+    const std::optional<size_t> item = IndexOf(part.mItem);
+    if (!item || mStates[*item].mPhase != Phase::Waiting) {
+      continue;
+    }
+    RolloutText& text = mStates[*item].mText;
+    const bool begins = part.mFrom == 0;
+    if (!begins && part.mFrom != text.mEvents) {
+      continue;
+    }
+    mWaiting.erase(PlaceOf(*item));
+    text.mOutput = begins ? part.mOutput : text.mOutput + '\n' + part.mOutput;
+    text.mEvents = part.mTo;
+    text.mVersions = part.mVersions;
+    text.mWhole = part.mWhole;
+    text.mKeptEvents = text.mEvents;
+    text.mKeptBytes = text.mOutput.size();
+    if (!text.Fits(mSpec.mMinVersion, mSingleVersion)) {
+      text = RolloutText();
+    }
+    mWaiting.insert(PlaceOf(*item));
+  }
+  int64_t events = 0;
+  for (const State& state : mStates) {
+    events += state.mPhase == Phase::Waiting ? state.mText.mEvents : 0;
+  }
+  return events;
+}
+
 std::optional<RolloutPick> RolloutBook::Next() const {
   if (mWaiting.empty()) {
     return std::nullopt;
--- a/src/librillwall_coordination/rollout_book_test.cpp
+++ b/src/librillwall_coordination/rollout_book_test.cpp
@@ -73,6 +73,14 @@
   CPPUNIT_TEST(CarriesTextsOfOpenGroups);
   CPPUNIT_TEST(GivesUpRest);
   CPPUNIT_TEST(TextKeepsEachVersionOnce);
+  CPPUNIT_TEST(UnkeptTextIsGivenOutOnce);
+  CPPUNIT_TEST(ShortTextsAreNotWorthAWrite);
+  CPPUNIT_TEST(KeptTextsComeBack);
+  CPPUNIT_TEST(ForgottenPartsAreGivenOutWhole);
+  CPPUNIT_TEST(PartsWithAGapAreLeftOut);
+  CPPUNIT_TEST(TextMadeAnewReplacesWhatWasKept);
+  CPPUNIT_TEST(OldPartsDoNotFit);
+  CPPUNIT_TEST(CarriedTextIsKeptAnew);
   CPPUNIT_TEST_SUITE_END();
 
   RolloutBook mBook{Spec(), kAttempts, false};
@@ -218,6 +226,122 @@
     CPPUNIT_ASSERT(expected == text.mVersions);
     CPPUNIT_ASSERT_EQUAL(std::string("e\ne\nx\ny"), text.mOutput);
   }
+
+  static constexpr size_t kAnySize = 1000000;
+
+  /// A book whose first item runs and has some events.
+  static RolloutBook Running(int64_t aEvents) {
+    RolloutBook book(Spec(), kAttempts, false);
+    StartNext(book);
+    Grow(book, aEvents);
+    return book;
+  }
+  /// Adds events to the running item b1, numbered.
+  static void Grow(RolloutBook& aBook, int64_t aEvents) {
+    RolloutText& text = aBook.Text(*aBook.IndexOf("b1"));
+    for (int64_t i = 0; i < aEvents; ++i) {
+      text.Append("e" + std::to_string(text.mEvents + 1), 5);
+    }
+  }
+  static RolloutText Restored(const std::vector<RolloutPart>& aParts) {
+    RolloutBook book(Spec(), kAttempts, false);
+    book.RestoreTexts(aParts);
+    return book.Text(*book.IndexOf("b1"));
+  }
+
+  void UnkeptTextIsGivenOutOnce() {
+    RolloutBook book = Running(3);
+    const std::vector<RolloutPart> first = book.TakeUnkept(2, kAnySize);
+    const RolloutPart expected{"b1", 0, 3, "e1\ne2\ne3", {5}, false};
+    CPPUNIT_ASSERT(first == std::vector<RolloutPart>{expected});
+    CPPUNIT_ASSERT(book.TakeUnkept(1, kAnySize).empty());
+    Grow(book, 2);
+    const std::vector<RolloutPart> second = book.TakeUnkept(2, kAnySize);
+    const RolloutPart rest{"b1", 3, 5, "e4\ne5", {5}, false};
+    CPPUNIT_ASSERT(second == std::vector<RolloutPart>{rest});
+  }
+
+  void ShortTextsAreNotWorthAWrite() {
+    RolloutBook book = Running(3);
+    CPPUNIT_ASSERT(book.TakeUnkept(4, kAnySize).empty());
+    Grow(book, 1);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, book.TakeUnkept(4, kAnySize).size());
+    Finish(book, "b1");
+    CPPUNIT_ASSERT(book.TakeUnkept(1, kAnySize).empty());
+  }
+
+  void KeptTextsComeBack() {
+    RolloutBook book = Running(3);
+    std::vector<RolloutPart> parts = book.TakeUnkept(1, kAnySize);
+    Grow(book, 2);
+    book.Text(*book.IndexOf("b1")).mWhole = true;
+    for (const RolloutPart& part : book.TakeUnkept(1, kAnySize)) {
+      parts.push_back(part);
+    }
+    RolloutBook later(Spec(), kAttempts, false);
+    CPPUNIT_ASSERT_EQUAL(int64_t{5}, later.RestoreTexts(parts));
+    const RolloutText& text = later.Text(*later.IndexOf("b1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3\ne4\ne5"), text.mOutput);
+    CPPUNIT_ASSERT(text.mWhole);
+    CPPUNIT_ASSERT(text.mVersions == std::vector<int64_t>{5});
+    // It is in the store already, and goes first.
+    CPPUNIT_ASSERT(later.TakeUnkept(1, kAnySize).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("b1"), StartNext(later));
+  }
+
+  void ForgottenPartsAreGivenOutWhole() {
+    RolloutBook book = Running(3);
+    book.TakeUnkept(1, kAnySize);
+    book.ForgetKept();
+    Grow(book, 1);
+    const std::vector<RolloutPart> again = book.TakeUnkept(1, kAnySize);
+    const RolloutPart expected{"b1", 0, 4, "e1\ne2\ne3\ne4", {5}, false};
+    CPPUNIT_ASSERT(again == std::vector<RolloutPart>{expected});
+  }
+
+  void PartsWithAGapAreLeftOut() {
+    const RolloutPart first{"b1", 0, 2, "e1\ne2", {5}, false};
+    const RolloutPart gap{"b1", 3, 4, "e4", {5}, false};
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, Restored({first, gap}).mEvents);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2"), Restored({first, gap}).mOutput);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, Restored({gap}).mEvents);
+    const RolloutPart other{"of another step", 0, 1, "x", {5}, false};
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, Restored({other}).mEvents);
+  }
+
+  void TextMadeAnewReplacesWhatWasKept() {
+    RolloutBook book = Running(3);
+    std::vector<RolloutPart> parts = book.TakeUnkept(1, kAnySize);
+    RolloutText& text = book.Text(*book.IndexOf("b1"));
+    text = RolloutText();
+    text.Append("other", 6);
+    for (const RolloutPart& part : book.TakeUnkept(1, kAnySize)) {
+      parts.push_back(part);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), Restored(parts).mOutput);
+    CPPUNIT_ASSERT(Restored(parts).mVersions == std::vector<int64_t>{6});
+  }
+
+  void OldPartsDoNotFit() {
+    const RolloutPart old{"b1", 0, 2, "e1\ne2", {3}, false};
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, Restored({old}).mEvents);
+    RolloutBook single(Spec(), kAttempts, true);
+    single.RestoreTexts({{"b1", 0, 2, "e1\ne2", {4, 5}, false}});
+    CPPUNIT_ASSERT_EQUAL(int64_t{0},
+                         single.Text(*single.IndexOf("b1")).mEvents);
+  }
+
+  void CarriedTextIsKeptAnew() {
+    RolloutBook book = Running(3);
+    book.TakeUnkept(1, kAnySize);
+    RolloutText text = book.TextsOfOpenGroups().at("b1");
+    RolloutBook next(Spec(), kAttempts, false);
+    next.Adopt(*next.IndexOf("b1"), std::move(text));
+    const std::vector<RolloutPart> parts = next.TakeUnkept(1, kAnySize);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, parts.size());
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, parts[0].mFrom);
+    CPPUNIT_ASSERT_EQUAL(int64_t{3}, parts[0].mTo);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutBookTest);
--- a/src/librillwall_protocol/rollout_record.cpp
+++ b/src/librillwall_protocol/rollout_record.cpp
@@ -30,6 +30,17 @@
   return object;
 }
 
+std::vector<int64_t> VersionsFrom(const json::object& aObject) {
+  std::vector<int64_t> versions;
+  const json::value* field = aObject.if_contains("versions");
+  if (field != nullptr && field->is_array()) {
+    for (const json::value& version : field->get_array()) {
+      versions.push_back(version.to_number<int64_t>());
+    }
+  }
+  return versions;
+}
+
 RolloutResult ResultFrom(JsonReader& aReader, const json::object& aObject) {
   RolloutResult result;
   result.mItem = aReader.String("item");
@@ -37,15 +48,21 @@
       aReader.Bool("whole") ? RolloutEnd::Completed : RolloutEnd::Terminated;
   result.mOutput = aReader.String("output", "");
   result.mScore = aReader.String("score", "");
-  const json::value* versions = aObject.if_contains("versions");
-  if (versions != nullptr && versions->is_array()) {
-    for (const json::value& version : versions->get_array()) {
-      result.mVersions.push_back(version.to_number<int64_t>());
-    }
-  }
+  result.mVersions = VersionsFrom(aObject);
   return result;
 }
 
+json::object ToJson(const RolloutPart& aPart) {
+  json::object object;
+  object["item"] = aPart.mItem;
+  object["from"] = aPart.mFrom;
+  object["to"] = aPart.mTo;
+  object["output"] = aPart.mOutput;
+  object["versions"] = json::value_from(aPart.mVersions);
+  object["whole"] = aPart.mWhole;
+  return object;
+}
+
 }  // namespace
 
 std::string EncodeStepRecord(const StepRecord& aRecord) {
@@ -121,6 +138,45 @@
   return page;
 }
 
+std::string EncodeParts(const std::vector<RolloutPart>& aParts) {
+  json::array parts;
+  for (const RolloutPart& part : aParts) {
+    parts.push_back(ToJson(part));
+  }
+  json::object object;
+  object["parts"] = std::move(parts);
+  return json::serialize(object);
+}
+
+Result<std::vector<RolloutPart>> DecodeParts(std::string_view aText) {
+  const Result<json::object> object = ParseJsonObject(aText, kPageLimits);
+  if (!object) {
+    return object.error();
+  }
+  JsonReader reader(*object, "text parts");
+  std::vector<RolloutPart> parts;
+  const json::array* rows = reader.Array("parts");
+  for (size_t i = 0; rows != nullptr && i < rows->size(); ++i) {
+    const json::object* each = (*rows)[i].if_object();
+    if (each == nullptr) {
+      return Error(ErrorKind::Internal, "A part of a text is no object.");
+    }
+    JsonReader inner(*each, "part");
+    RolloutPart part;
+    part.mItem = inner.String("item");
+    part.mFrom = inner.Int("from");
+    part.mTo = inner.Int("to");
+    part.mOutput = inner.String("output");
+    part.mWhole = inner.Bool("whole");
+    part.mVersions = VersionsFrom(*each);
+    if (inner.Failed()) {
+      return inner.Failure();
+    }
+    parts.push_back(std::move(part));
+  }
+  return parts;
+}
+
 std::string StepKey(std::string_view aId) {
   return "rillwall/step/" + std::string(aId);
 }
@@ -143,4 +199,13 @@
   return PagePrefix(aId) + Padded(aFirst, kDigits);
 }
 
+std::string PartPrefix(std::string_view aId) {
+  return "rillwall/part/" + std::string(aId) + "/";
+}
+
+std::string PartKey(std::string_view aId, int64_t aNumber) {
+  constexpr int kDigits = 8;
+  return PartPrefix(aId) + Padded(aNumber, kDigits);
+}
+
 }  // namespace rillwall
--- a/src/librillwall_protocol/rollout_record_test.cpp
+++ b/src/librillwall_protocol/rollout_record_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(RolloutRecordTest);
   CPPUNIT_TEST(RecordComesBack);
   CPPUNIT_TEST(PageComesBack);
+  CPPUNIT_TEST(PartsComeBack);
   CPPUNIT_TEST(BrokenTextIsAnError);
   CPPUNIT_TEST(KeysSortByPosition);
   CPPUNIT_TEST_SUITE_END();
@@ -27,6 +28,17 @@
     CPPUNIT_ASSERT(page == *DecodeResultPage(EncodeResultPage(page)));
   }
 
+  void PartsComeBack() {
+    const std::vector<RolloutPart> parts = {
+        {"i1", 0, 2, "a\nb", {3}, false},
+        {"i2", 7, 9, "c\n\"d\"", {3, 4}, true}};
+    CPPUNIT_ASSERT(parts == *DecodeParts(EncodeParts(parts)));
+    CPPUNIT_ASSERT(DecodeParts(R"({"parts":[]})")->empty());
+    CPPUNIT_ASSERT(!DecodeParts(R"({"parts":[{"item":"i1"}]})"));
+    CPPUNIT_ASSERT(!DecodeParts(R"({"parts":[7]})"));
+    CPPUNIT_ASSERT(!DecodeParts("nonsense"));
+  }
+
   void BrokenTextIsAnError() {
     CPPUNIT_ASSERT(!DecodeStepRecord("{}"));
     CPPUNIT_ASSERT(!DecodeStepRecord("nonsense"));
@@ -40,6 +52,8 @@
     CPPUNIT_ASSERT(PageKey("s", 99) < PageKey("s", 1000));
     CPPUNIT_ASSERT(BodyKey("s", 2) < BodyKey("s", 10));
     CPPUNIT_ASSERT(PageKey("s", 1).starts_with(PagePrefix("s")));
+    CPPUNIT_ASSERT(PartKey("s", 9) < PartKey("s", 10));
+    CPPUNIT_ASSERT(PartKey("s", 1).starts_with(PartPrefix("s")));
   }
 };
 
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -201,6 +201,7 @@
   }
   const std::unique_ptr<HttpStream> stream = std::move(*opened);
   const HttpResponse& head = stream->Head();
+  ObserveLoad(aNode, aReplica.mId, head);
   const ItemRunEnd verdict = JudgeHead(aNode, aStep, aItem, head, aWhy);
   if (verdict != ItemRunEnd::Whole) {
     co_return verdict;
--- a/src/librillwall_rollout/node_context.cpp
+++ b/src/librillwall_rollout/node_context.cpp
@@ -1,15 +1,38 @@
 #include "rillwall/node_context.h"
 
+#include <boost/algorithm/string/split.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <vector>
 
 #include "rillwall/event_log.h"
+#include "rillwall/numbers.h"
 
 namespace rillwall {
 
+void ObserveLoad(NodeContext& aNode, const std::string& aReplica,
+                 const HttpResponse& aHead) {
+  const std::string* load = aHead.Find(aNode.mHeaders.mReplicaLoad);
+  if (load == nullptr) {
+    return;
+  }
+  std::vector<std::string> fields;
+  boost::split(fields, *load, [](char aChar) { return aChar == ','; });
+  constexpr size_t kFields = 3;
+  if (fields.size() != kFields) {
+    return;
+  }
+  const std::optional<int64_t> running = ParseNumber(fields[0]);
+  const std::optional<int64_t> waiting = ParseNumber(fields[1]);
+  if (running && waiting) {
+    aNode.mReplicas.ObserveLoad(aReplica, *running + *waiting, aNode.Now());
+  }
+}
+
 asio::awaitable<void> Sleep(asio::io_context& aIo, Millis aSpan) {
   asio::steady_timer timer(aIo);
   timer.expires_after(std::chrono::milliseconds(aSpan.Count()));
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "rillwall/event_log.h"
+#include "rillwall/numbers.h"
 #include "rillwall/rollout_service.h"
 #include "rollout_step.h"
 
@@ -50,7 +51,8 @@
 asio::awaitable<std::optional<Error>> RolloutService::Remove(
     std::string aId, int64_t aRevision) {
   std::vector<std::string> keys;
-  for (const std::string& prefix : {PagePrefix(aId), BodyPrefix(aId)}) {
+  for (const std::string& prefix :
+       {PagePrefix(aId), BodyPrefix(aId), PartPrefix(aId)}) {
     const Result<StoreList> list = co_await ListAll(mNode.mStore, prefix);
     if (!list) {
       co_return list.error();
@@ -108,6 +110,29 @@
   co_return listed;
 }
 
+asio::awaitable<RolloutService::KeptTexts> RolloutService::LoadParts(
+    std::string aId) {
+  KeptTexts kept;
+  const Result<StoreList> items =
+      co_await ListAll(mNode.mStore, PartPrefix(aId));
+  if (!items) {
+    // The texts are generated again: slower, and as right.
+    Event("texts-unread").Id(aId).Text("why", items.error().Detail()).Write();
+    co_return kept;
+  }
+  for (const StoreItem& item : items->mItems) {
+    const Result<std::vector<RolloutPart>> parts = DecodeParts(item.mValue);
+    if (!parts) {
+      Event("texts-unread").Id(aId).Text("why", parts.error().Detail()).Write();
+      continue;
+    }
+    kept.mParts.insert(kept.mParts.end(), parts->begin(), parts->end());
+    const std::string number = item.mKey.substr(PartPrefix(aId).size());
+    kept.mNext = ParseNumber(number).value_or(kept.mNext) + 1;
+  }
+  co_return kept;
+}
+
 asio::awaitable<Result<std::string>> RolloutService::LoadBody(std::string aId) {
   const Result<StoreList> parts =
       co_await ListAll(mNode.mStore, BodyPrefix(aId));
@@ -177,6 +202,7 @@
   if (!listed) {
     co_return listed.error();
   }
+  const KeptTexts kept = co_await LoadParts(aId);
   Result<RolloutSpec> spec = mDecoder(aId, aRecord, *body);
   if (!spec) {
     co_return spec.error();
@@ -190,12 +216,15 @@
       MakeStep(std::move(*spec), *route, aRecord, done->mRevision);
   step->mBook.Restore(*listed);
   step->mListed = std::move(*listed);
+  step->mNextPart = kept.mNext;
+  const int64_t restored = step->mBook.RestoreTexts(kept.mParts);
   Event("step-taken-over")
       .Id(aId)
       .Text("from", before)
       .Number("revision", done->mRevision)
       .Number("listed", static_cast<int64_t>(step->mListed.size()))
       .Number("total", static_cast<int64_t>(step->mBook.Total()))
+      .Number("restored_events", restored)
       .Write();
   mNode.mMetrics.Count("steps_taken_over_total");
   Pump();
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -23,6 +23,11 @@
 constexpr Millis kGatherMost{400};
 /// Text of one page; its encoded form stays under the store's 1 MiB values.
 constexpr size_t kMaxPageBytes = 600 * 1000;
+/// An owner that is lost costs what it generated since its last write of
+/// unfinished texts. A write is one priced call: it is made if a text has grown
+/// by so many events, some 0.8 s of generation, and not sooner than this.
+constexpr int64_t kWorthKeeping = 20;
+constexpr Millis kKeepEvery{500};
 constexpr Millis kFirstRetry{30};
 constexpr Millis kLongestRetry{400};
 /// Time for one call of a scorer when its route sets no target latency.
@@ -326,6 +331,48 @@
   aStep->mFlushing = false;
 }
 
+void RolloutService::ScheduleKeep(const StepPtr& aStep) {
+  const Millis now = mNode.Now();
+  if (!aStep->mRunning || aStep->mKeeping ||
+      now - aStep->mKeptAt < kKeepEvery) {
+    return;
+  }
+  std::vector<RolloutPart> parts =
+      aStep->mBook.TakeUnkept(kWorthKeeping, kMaxPageBytes);
+  if (parts.empty()) {
+    return;
+  }
+  aStep->mKeeping = true;
+  aStep->mKeptAt = now;
+  Launch(mNode.mIo, "keep", KeepTexts(aStep, std::move(parts)));
+}
+
+asio::awaitable<void> RolloutService::KeepTexts(
+    StepPtr aStep, std::vector<RolloutPart> aParts) {
+  // Each write has a key of its own, so that one that the store carries out
+  // late replaces nothing newer.
+  const std::string key = PartKey(aStep->Id(), aStep->mNextPart++);
+  StoreChange change;
+  change.mGuards.push_back({StepKey(aStep->Id()), aStep->mRevision});
+  change.mGuards.push_back({key, 0});
+  change.mPuts.push_back({key, EncodeParts(aParts), 0});
+  const Millis asked = mNode.Now();
+  const Result<StoreCommit> done =
+      co_await mNode.mStore.Commit(std::move(change));
+  const bool kept = done && done->mApplied;
+  if (!kept) {
+    aStep->mBook.ForgetKept();
+  }
+  aStep->mKeeping = false;
+  Event("texts-kept")
+      .Id(aStep->Id())
+      .Flag("kept", kept)
+      .Number("texts", static_cast<int64_t>(aParts.size()))
+      .Number("store_ms", (mNode.Now() - asked).Count())
+      .Text("why", done ? "" : done.error().Detail())
+      .Write();
+}
+
 asio::awaitable<bool> RolloutService::CommitPage(StepPtr aStep,
                                                  ResultPage aPage) {
   const std::string step = StepKey(aStep->Id());
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -35,6 +35,8 @@
 /// Archives outlive the time for which results must be readable by this.
 constexpr Millis kArchiveMargin{30000};
 constexpr size_t kMaxPlaces = 4096;
+/// One change of the platform's store takes 32 entries.
+constexpr int64_t kMaxPartRemoves = 28;
 
 /// \return tokens that a step is expected to generate
 double WorkOf(const RolloutSpec& aSpec) {
@@ -377,6 +379,11 @@
   StoreChange change;
   change.mGuards.push_back({StepKey(aId), step->mRevision});
   change.mPuts.push_back({StepKey(aId), EncodeStepRecord(record), 0});
+  // What is left of unfinished texts is of no more use; more than one change
+  // removes goes with the step itself.
+  for (int64_t i = 0; i < std::min(step->mNextPart, kMaxPartRemoves); ++i) {
+    change.mRemoves.push_back(PartKey(aId, i));
+  }
   const Result<StoreCommit> done =
       co_await mNode.mStore.Commit(std::move(change));
   if (!done) {
@@ -444,6 +451,7 @@
              }(this, step));
     }
     ScheduleFlush(step);
+    ScheduleKeep(step);
     if (step->mRunning) {
       MoveFromSlow(step);
     }
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -75,6 +75,9 @@
   CPPUNIT_TEST(EndStopsRuns);
   CPPUNIT_TEST(EndedStepStaysReadable);
   CPPUNIT_TEST(RestartedNodeTakesItsStepOver);
+  CPPUNIT_TEST(LaterOwnerGoesOnWithUnfinishedTexts);
+  CPPUNIT_TEST(EndedStepLeavesNoUnfinishedTexts);
+  CPPUNIT_TEST(ReplacedOwnerKeepsNoTexts);
   CPPUNIT_TEST(TakeoversRunOnce);
   CPPUNIT_TEST(RepeatedSubmissionDuringTakeover);
   CPPUNIT_TEST(ReaderDuringAcceptance);
@@ -376,6 +379,49 @@
     CPPUNIT_ASSERT(after[0].mItem != after[1].mItem);
   }
 
+  /// Runs both items slowly, until the store keeps some of their texts.
+  void AcceptLongTexts() {
+    mEngine.mEvents = 60;
+    mEngine.mOtherwise.mEventTime = Millis(20);
+    Accept();
+    Test().RunUntil(
+        [&] { return mWorld.mStore.CountOf(PartPrefix("s1")) > 0; });
+  }
+
+  void LaterOwnerGoesOnWithUnfinishedTexts() {
+    AcceptLongTexts();
+    Restart("n1-again");
+    const size_t before = mEngine.mRequests.size();
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::Here);
+    Test().RunUntil([&] { return mEngine.mRequests.size() == before + 2; });
+    for (size_t i = before; i < before + 2; ++i) {
+      const std::string* last = mEngine.mRequests[i].Find("Last-Event");
+      CPPUNIT_ASSERT(last != nullptr && std::stoi(*last) >= 20);
+    }
+    for (const RolloutResult& result : Listed(2)) {
+      std::string whole = "e1";
+      for (int i = 2; i <= 60; ++i) {
+        whole += "\ne" + std::to_string(i);
+      }
+      CPPUNIT_ASSERT_EQUAL(whole, result.mOutput);
+    }
+  }
+
+  void EndedStepLeavesNoUnfinishedTexts() {
+    AcceptLongTexts();
+    CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mWorld.mStore.CountOf(PartPrefix("s1")));
+  }
+
+  void ReplacedOwnerKeepsNoTexts() {
+    AcceptLongTexts();
+    const size_t kept = mWorld.mStore.CountOf(PartPrefix("s1"));
+    mWorld.mStore.Write(StepKey("s1"),
+                        mWorld.mStore.Items().at(StepKey("s1")).mValue);
+    Test().RunFor(Millis(900));
+    CPPUNIT_ASSERT_EQUAL(kept, mWorld.mStore.CountOf(PartPrefix("s1")));
+  }
+
   void TakeoversRunOnce() {
     mEngine.mOtherwise.mEventTime = Millis(500);
     Accept();
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -64,6 +64,9 @@
   std::map<size_t, HttpStream*> mStreams;  ///< by item
   std::set<size_t> mMoving;  ///< items whose stream is ended to go elsewhere
   std::map<size_t, Millis> mMovedAt;  ///< by item, the last such move
+  int64_t mNextPart = 0;  ///< number of the next write of unfinished texts
+  bool mKeeping = false;  ///< such a write is under way
+  Millis mKeptAt;         ///< when the last one began
   Millis mGiveUpAt;                   ///< then unfinished items are given up
   Millis mVerifiedAt;  ///< when the store was last asked and named this owner
   asio::steady_timer mChanged;
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -148,6 +148,7 @@
     result.mWhy = "the answer belongs to another request";
     co_return result;
   }
+  ObserveLoad(node, aReplica.mId, head);
   if (Refusal(aRun, head)) {
     result.mEnd = TryEnd::Refused;
     result.mWhy = "refused with status " + std::to_string(head.mStatus);
