views: nodes ask one another for replicas and configuration

Change: the lead tells what changed since a node last asked (ReplicaLog, numbered by change), who the nodes are, who leads, and the revision of the configuration, whose text is fetched when it is new. While nobody leads, entry hosts ask the candidates, which then ask the store. Nodes no longer register in the store: who asks is known. Intervals follow from the operator's bound for leaving replicas.

--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -15,17 +15,10 @@
 #include <string>
 
 #include "rillwall/node_context.h"
+#include "rillwall/shared_view.h"
 
 namespace rillwall {
 
-/// Who leads, as written in the store.
-struct LeadHolder {
-  std::string mName;
-  std::string mAddress;  ///< where it answers other nodes, ip:port
-  std::string mRun;
-  bool operator==(const LeadHolder&) const = default;
-};
-
 class LeadClaim {
  public:
   /// \param aOnWon called after each claim that this node wins
@@ -45,7 +38,9 @@
   /// Reads who leads; remembers it until Forget().
   asio::awaitable<Result<std::optional<LeadHolder>>> Holder();
   void Forget() { mKnown.reset(); }
-  /// \return who leads as far as this node remembers; may be out of date
+  /// Another node told who leads. A holder of the claim knows better.
+  void Learn(const LeadHolder& aHolder);
+  /// \return who leads as far as this node knows; may be out of date
   const std::optional<LeadHolder>& Known() const { return mKnown; }
 
  private:
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -50,6 +50,7 @@
 struct ServingBounds {
   bool operator==(const ServingBounds&) const = default;
   Millis mLease{3000};     ///< between the orders of two holders of a claim
+  Millis mDrain{2000};     ///< then a leaving replica gets nothing new
   Millis mGrace{8000};     ///< from the stop signal to the kill
   Millis mStatus{120000};  ///< results stay readable so long
 };
--- a/src/include/rillwall/node_directory.h
+++ b/src/include/rillwall/node_directory.h
@@ -1,33 +1,53 @@
 /// \file
-/// The other nodes, as the store lists them.
+/// The other nodes, as far as this one has heard of them.
 ///
-/// Each node writes its address once, at its start. The list is no membership:
-/// nobody counts on a node that it names. It serves to find nodes that can pass
-/// calls on to the store for a node that is cut off from it.
+/// Nodes ask the lead what is new, several times within a second each; so it
+/// knows which nodes there are, and tells them all. The list is no membership:
+/// nobody counts on a node that it names. It serves to find nodes that pass
+/// calls on to the store, and the candidates for the lead while there is none.
+/// Pure: the instant is an argument.
 
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
-#include "rillwall/node_context.h"
+#include "rillwall/millis.h"
 
 namespace rillwall {
 
+/// One node.
+struct NodeEntry {
+  std::string mAddress;  ///< where it answers other nodes, ip:port
+  bool mTakesClients = false;
+  bool operator==(const NodeEntry&) const = default;
+};
+
 class NodeDirectory {
  public:
-  explicit NodeDirectory(NodeContext& aNode) : mNode(aNode) {}
-  /// Registers this node and reads the list now and then.
-  asio::awaitable<void> Run();
-  /// \return addresses of other nodes, ip:port
-  const std::vector<std::string>& Others() const { return mOthers; }
+  /// A node has asked this one.
+  void Heard(const NodeEntry& aNode, Millis aNow);
+  /// Takes over another node's list, in place of this one's.
+  void Adopt(const std::vector<NodeEntry>& aNodes, Millis aNow);
+  /// \return nodes heard of lately, in the order of their addresses
+  std::vector<NodeEntry> List(Millis aNow) const;
+  /// \return a number that differs if the list does
+  uint64_t Tag(Millis aNow) const;
+  /// \param aSelf left out
+  /// \return addresses to pass calls through: entry hosts first, since a host
+  /// with a disk that is cut off is most often cut off from the others too
+  std::vector<std::string> Relays(const std::string& aSelf, Millis aNow) const;
+  /// \return addresses of the candidates for the lead
+  std::vector<std::string> Candidates(const std::string& aSelf,
+                                      Millis aNow) const;
 
  private:
-  asio::awaitable<bool> Register();
-  asio::awaitable<void> Refresh();
-
-  NodeContext& mNode;
-  std::vector<std::string> mOthers;
+  struct State {
+    bool mTakesClients = false;
+    Millis mHeardAt;
+  };
+  std::map<std::string, State> mNodes;  ///< by address
 };
 
 }  // namespace rillwall
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -108,6 +108,8 @@
   bool Sendable(const std::string& aId) const;
   int64_t InFlight(const std::string& aId) const;
   std::vector<const Replica*> OfService(std::string_view aService) const;
+  /// \return all entries, as listed or with what was learned since
+  std::vector<Replica> All() const;
   bool Empty() const { return mStates.empty(); }
   size_t Size() const { return mStates.size(); }
 
--- /dev/null
+++ b/src/include/rillwall/shared_view.h
@@ -0,0 +1,63 @@
+/// \file
+/// What a node that asks the store itself tells other nodes, so that these need
+/// not ask it: replicas, nodes, who leads, and whether the configuration is
+/// new. Messages between nodes, in rillwall's own format.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rillwall/error.h"
+#include "rillwall/node_directory.h"
+#include "rillwall/replica_log.h"
+
+namespace rillwall {
+
+/// Who leads, as written in the store.
+struct LeadHolder {
+  std::string mName;
+  std::string mAddress;  ///< where it answers other nodes, ip:port
+  std::string mRun;
+  bool operator==(const LeadHolder&) const = default;
+};
+
+std::string EncodeLead(const LeadHolder& aHolder);
+Result<LeadHolder> DecodeLead(std::string_view aText);
+
+/// What a node asks, with what it knows already.
+struct ViewQuestion {
+  NodeEntry mFrom;
+  std::string mRun;       ///< of the node whose replicas it knows
+  int64_t mReplicas = 0;  ///< newest change of these
+  uint64_t mNodes = 0;    ///< tag of the list of nodes
+  bool operator==(const ViewQuestion&) const = default;
+};
+
+struct SharedView {
+  std::string mRun;  ///< of the node that answers
+  ReplicaDelta mReplicas;
+  /// Revision of the configuration; 0 if the node does not follow it itself.
+  int64_t mConfig = 0;
+  std::optional<std::vector<NodeEntry>> mNodes;  ///< unless they are the same
+  std::optional<LeadHolder> mLead;
+  bool operator==(const SharedView&) const = default;
+};
+
+/// Path of the questions, and of the configuration's text.
+inline constexpr char kViewPath[] = "/node/view";
+inline constexpr char kViewConfigPath[] = "/node/config";
+
+/// \return path and query
+std::string EncodeQuestion(const ViewQuestion& aQuestion);
+/// \param aField reads a field of the query
+ViewQuestion DecodeQuestion(
+    const std::function<std::string(std::string_view)>& aField);
+std::string EncodeView(const SharedView& aView);
+Result<SharedView> DecodeView(std::string_view aText);
+
+}  // namespace rillwall
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -306,6 +306,14 @@
   return found == mStates.end() ? 0 : found->second.mInFlight;
 }
 
+std::vector<Replica> ReplicaPool::All() const {
+  std::vector<Replica> replicas;
+  for (const auto& [id, state] : mStates) {
+    replicas.push_back(state.mReplica);
+  }
+  return replicas;
+}
+
 std::vector<const Replica*> ReplicaPool::OfService(
     std::string_view aService) const {
   std::vector<const Replica*> replicas;
--- /dev/null
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -0,0 +1,194 @@
+#include "rillwall/shared_view.h"
+
+#include "rillwall/json.h"
+#include "rillwall/numbers.h"
+
+namespace rillwall {
+
+namespace {
+
+/// Some thousand replicas of 200 bytes each.
+constexpr JsonLimits kViewLimits{16 * 1024 * 1024, 16};
+
+json::object ToJson(const LeadHolder& aHolder) {
+  json::object object;
+  object["name"] = aHolder.mName;
+  object["address"] = aHolder.mAddress;
+  object["run"] = aHolder.mRun;
+  return object;
+}
+
+LeadHolder LeadFrom(JsonReader& aReader) {
+  LeadHolder holder;
+  holder.mName = aReader.String("name");
+  holder.mAddress = aReader.String("address");
+  holder.mRun = aReader.String("run");
+  return holder;
+}
+
+json::object ToJson(const Replica& aReplica) {
+  json::object models;
+  for (const ModelVersion& model : aReplica.mModels) {
+    models[model.mModel] = model.mVersion;
+  }
+  json::object object;
+  object["id"] = aReplica.mId;
+  object["service"] = aReplica.mService;
+  object["address"] = aReplica.mAddress;
+  object["zone"] = aReplica.mZone;
+  object["slots"] = aReplica.mSlots;
+  object["draining"] = aReplica.mDraining;
+  object["models"] = std::move(models);
+  return object;
+}
+
+Replica ReplicaFrom(JsonReader& aReader) {
+  Replica replica;
+  replica.mId = aReader.String("id");
+  replica.mService = aReader.String("service");
+  replica.mAddress = aReader.String("address");
+  replica.mZone = aReader.String("zone");
+  replica.mSlots = aReader.Int("slots");
+  replica.mDraining = aReader.Bool("draining");
+  const json::object* models = aReader.Object("models");
+  if (models == nullptr) {
+    return replica;
+  }
+  JsonReader versions(*models, "models");
+  for (const auto& [name, version] : *models) {
+    replica.mModels.push_back({std::string(name), versions.Int(name)});
+  }
+  if (versions.Failed()) {
+    aReader.Fail("models", "holds something else than versions");
+  }
+  return replica;
+}
+
+json::object ToJson(const NodeEntry& aNode) {
+  json::object object;
+  object["address"] = aNode.mAddress;
+  object["clients"] = aNode.mTakesClients;
+  return object;
+}
+
+NodeEntry NodeFrom(JsonReader& aReader) {
+  return {aReader.String("address"), aReader.Bool("clients")};
+}
+
+template <class Value>
+json::array ToArray(const std::vector<Value>& aValues) {
+  json::array rows;
+  for (const Value& value : aValues) {
+    rows.push_back(ToJson(value));
+  }
+  return rows;
+}
+
+/// Reads an array of objects; a fault is noted in the outer reader.
+template <class Value>
+std::vector<Value> FromArray(JsonReader& aReader, std::string_view aName,
+                             Value (*aRead)(JsonReader&)) {
+  std::vector<Value> values;
+  const json::array* rows = aReader.Array(aName);
+  for (size_t i = 0; rows != nullptr && i < rows->size(); ++i) {
+    const json::object* row = (*rows)[i].if_object();
+    if (row == nullptr) {
+      aReader.Fail(aName, "holds something else than objects");
+      break;
+    }
+    JsonReader fields(*row, std::string(aName));
+    values.push_back(aRead(fields));
+    if (fields.Failed()) {
+      aReader.Fail(aName, fields.Failure().Detail());
+      break;
+    }
+  }
+  return values;
+}
+
+}  // namespace
+
+std::string EncodeLead(const LeadHolder& aHolder) {
+  return json::serialize(ToJson(aHolder));
+}
+
+Result<LeadHolder> DecodeLead(std::string_view aText) {
+  const Result<json::object> object = ParseJsonObject(aText);
+  if (!object) {
+    return object.error();
+  }
+  JsonReader reader(*object, "lead");
+  LeadHolder holder = LeadFrom(reader);
+  if (reader.Failed()) {
+    return reader.Failure();
+  }
+  return holder;
+}
+
+std::string EncodeQuestion(const ViewQuestion& aQuestion) {
+  return std::string(kViewPath) + "?from=" + aQuestion.mFrom.mAddress +
+         "&clients=" + (aQuestion.mFrom.mTakesClients ? "1" : "0") +
+         "&run=" + aQuestion.mRun +
+         "&replicas=" + std::to_string(aQuestion.mReplicas) +
+         "&nodes=" + std::to_string(aQuestion.mNodes);
+}
+
+ViewQuestion DecodeQuestion(
+    const std::function<std::string(std::string_view)>& aField) {
+  ViewQuestion question;
+  question.mFrom = {aField("from"), aField("clients") == "1"};
+  question.mRun = aField("run");
+  question.mReplicas = ParseNumber(aField("replicas")).value_or(0);
+  const std::string nodes = aField("nodes");
+  std::from_chars(nodes.data(), nodes.data() + nodes.size(), question.mNodes);
+  return question;
+}
+
+std::string EncodeView(const SharedView& aView) {
+  json::object object;
+  object["run"] = aView.mRun;
+  object["number"] = aView.mReplicas.mNumber;
+  object["full"] = aView.mReplicas.mFull;
+  object["changed"] = ToArray(aView.mReplicas.mChanged);
+  object["gone"] = json::value_from(aView.mReplicas.mGone);
+  object["config"] = aView.mConfig;
+  if (aView.mNodes) {
+    object["nodes"] = ToArray(*aView.mNodes);
+  }
+  if (aView.mLead) {
+    object["lead"] = ToJson(*aView.mLead);
+  }
+  return json::serialize(object);
+}
+
+Result<SharedView> DecodeView(std::string_view aText) {
+  const Result<json::object> object = ParseJsonObject(aText, kViewLimits);
+  if (!object) {
+    return object.error();
+  }
+  JsonReader reader(*object, "view");
+  SharedView view;
+  view.mRun = reader.String("run");
+  view.mReplicas.mNumber = reader.Int("number");
+  view.mReplicas.mFull = reader.Bool("full");
+  view.mReplicas.mChanged = FromArray(reader, "changed", ReplicaFrom);
+  view.mReplicas.mGone = reader.Strings("gone");
+  view.mConfig = reader.Int("config");
+  if (reader.Has("nodes")) {
+    view.mNodes = FromArray(reader, "nodes", NodeFrom);
+  }
+  const json::object* lead = reader.Object("lead");
+  if (lead != nullptr) {
+    JsonReader fields(*lead, "lead");
+    view.mLead = LeadFrom(fields);
+    if (fields.Failed()) {
+      return fields.Failure();
+    }
+  }
+  if (reader.Failed()) {
+    return reader.Failure();
+  }
+  return view;
+}
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_protocol/shared_view_test.cpp
@@ -0,0 +1,76 @@
+/// \file
+/// Tests of the messages by which nodes share what they know of the store.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+#include "rillwall/shared_view.h"
+
+namespace rillwall {
+
+class SharedViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SharedViewTest);
+  CPPUNIT_TEST(ViewComesBack);
+  CPPUNIT_TEST(QuestionComesBack);
+  CPPUNIT_TEST(LeadComesBack);
+  CPPUNIT_TEST(BrokenViewIsAnError);
+  CPPUNIT_TEST_SUITE_END();
+
+  static SharedView View() {
+    Replica replica;
+    replica.mId = "i-1";
+    replica.mService = "s";
+    replica.mAddress = "10.0.0.1:80";
+    replica.mZone = "z";
+    replica.mSlots = 12;
+    replica.mDraining = true;
+    replica.mModels = {{"m", 3}, {"n", 0}};
+    SharedView view;
+    view.mRun = "run";
+    view.mReplicas = {9, false, {replica}, {"i-2"}};
+    view.mConfig = 77;
+    return view;
+  }
+
+  void ViewComesBack() {
+    SharedView view = View();
+    CPPUNIT_ASSERT(view == *DecodeView(EncodeView(view)));
+    view.mNodes =
+        std::vector<NodeEntry>{{"10.0.0.2:1", true}, {"10.0.0.3:1", false}};
+    view.mLead = LeadHolder{"n", "10.0.0.3:1", "r"};
+    CPPUNIT_ASSERT(view == *DecodeView(EncodeView(view)));
+  }
+
+  void QuestionComesBack() {
+    const ViewQuestion question{{"10.0.0.2:1", true}, "r-1", 5, ~uint64_t{0}};
+    const std::string target = EncodeQuestion(question);
+    CPPUNIT_ASSERT(target.starts_with(std::string(kViewPath) + "?"));
+    const auto field = [&](std::string_view aName) {
+      const size_t at = target.find(std::string(aName) + "=");
+      const size_t begin = at + aName.size() + 1;
+      return target.substr(begin, target.find('&', begin) - begin);
+    };
+    CPPUNIT_ASSERT(question == DecodeQuestion(field));
+    const auto none = [](std::string_view) { return std::string(); };
+    CPPUNIT_ASSERT(ViewQuestion() == DecodeQuestion(none));
+  }
+
+  void LeadComesBack() {
+    const LeadHolder lead{"n", "10.0.0.3:1", "r"};
+    CPPUNIT_ASSERT(lead == *DecodeLead(EncodeLead(lead)));
+    CPPUNIT_ASSERT(!DecodeLead("{}"));
+  }
+
+  void BrokenViewIsAnError() {
+    CPPUNIT_ASSERT(!DecodeView("{}"));
+    CPPUNIT_ASSERT(!DecodeView("no JSON"));
+    std::string text = EncodeView(View());
+    text.replace(text.find("\"slots\":12"), 10, "\"slots\":\"\"");
+    CPPUNIT_ASSERT(!DecodeView(text));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SharedViewTest);
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -1,7 +1,6 @@
 #include "rillwall/lead_claim.h"
 
 #include "rillwall/event_log.h"
-#include "rillwall/json.h"
 
 namespace rillwall {
 
@@ -21,30 +20,6 @@
 constexpr Millis kRetryPause{200};
 constexpr Millis kWatchWait{25000};
 
-std::string Encode(const LeadHolder& aHolder) {
-  json::object object;
-  object["name"] = aHolder.mName;
-  object["address"] = aHolder.mAddress;
-  object["run"] = aHolder.mRun;
-  return json::serialize(object);
-}
-
-Result<LeadHolder> Decode(const std::string& aText) {
-  const Result<json::object> object = ParseJsonObject(aText);
-  if (!object) {
-    return object.error();
-  }
-  JsonReader reader(*object, "lead");
-  LeadHolder holder;
-  holder.mName = reader.String("name");
-  holder.mAddress = reader.String("address");
-  holder.mRun = reader.String("run");
-  if (reader.Failed()) {
-    return reader.Failure();
-  }
-  return holder;
-}
-
 }  // namespace
 
 LeadClaim::LeadClaim(NodeContext& aNode, std::function<void()> aOnWon)
@@ -78,7 +53,7 @@
   StoreChange change;
   change.mGuards.push_back({kLeadKey, aGuard});
   const LeadHolder holder{self.mName, self.mAddress, self.mRun};
-  change.mPuts.push_back({kLeadKey, Encode(holder), lease->mId});
+  change.mPuts.push_back({kLeadKey, EncodeLead(holder), lease->mId});
   change.mPuts.push_back({kLastKey, self.mName, 0});
   const Result<StoreCommit> done = co_await mNode.mStore.Commit(change);
   if (!done || !done->mApplied) {
@@ -136,10 +111,14 @@
     }
   }
   if (claim == nullptr) {
+    mKnown.reset();
     co_await TryClaim(0, ownLast);
     co_return;
   }
-  const Result<LeadHolder> holder = Decode(claim->mValue);
+  const Result<LeadHolder> holder = DecodeLead(claim->mValue);
+  if (holder) {
+    mKnown = *holder;
+  }
   if (holder && holder->mName == self.mName && holder->mRun != self.mRun) {
     // This host's process before this one: it has ended, and gives no orders.
     co_await TryClaim(claim->mRevision, true);
@@ -187,6 +166,12 @@
   }
 }
 
+void LeadClaim::Learn(const LeadHolder& aHolder) {
+  if (!Held()) {
+    mKnown = aHolder;
+  }
+}
+
 asio::awaitable<Result<std::optional<LeadHolder>>> LeadClaim::Holder() {
   if (mKnown) {
     co_return mKnown;
@@ -199,7 +184,7 @@
   if (!*item) {
     co_return std::optional<LeadHolder>();
   }
-  const Result<LeadHolder> holder = Decode((*item)->mValue);
+  const Result<LeadHolder> holder = DecodeLead((*item)->mValue);
   if (!holder) {
     co_return holder.error();
   }
