rollout: fewer writes: a listing plan, one read verifies all steps

A step wrote some twelve pages, and beside them its unfinished texts; each open step asked every 0.7 s whether it was still owned here.

Change: ListingPlan (pure) gathers results while the trainer has to wait anyway and writes at once when it can go on, or soon when results are due; unfinished texts go into the same write. A takeover also writes a key that names the owner before, so that one read of its own key tells an owner about all its steps.

--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -128,12 +128,11 @@
   bool Adopt(size_t aItem, RolloutText aText);
 
   /// Stretches of unfinished texts that no store keeps yet; counts them as
-  /// kept. Nothing, unless one of them has so many events that it is worth a
-  /// write. \param aWorth events that take long enough to be generated again
+  /// kept. \param aWorth events that take long enough to be generated again
   /// \param aMaxBytes of text, at which the rest is left for the next time
   std::vector<RolloutPart> TakeUnkept(int64_t aWorth, size_t aMaxBytes);
-  /// What TakeUnkept gave out may not be kept: it is given out again, whole.
-  void ForgetKept();
+  /// \return whether TakeUnkept would give anything out
+  bool HasUnkept(int64_t aWorth) const;
   /// Takes over what an earlier owner kept. The parts come as they were
   /// written. \return events of unfinished texts that need not be generated
   /// again
@@ -191,6 +190,7 @@
     bool operator<(const Place& aOther) const;
   };
   Place PlaceOf(size_t aItem) const;
+  static bool WorthKeeping(const State& aState, int64_t aWorth);
   void End(size_t aItem, RolloutEnd aEnd);
   RolloutResult ResultOf(size_t aItem, RolloutEnd aEnd) const;
 
--- a/src/include/rillwall/rollout_record.h
+++ b/src/include/rillwall/rollout_record.h
@@ -5,6 +5,8 @@
 ///   rillwall/step/ID           StepRecord: who owns it, whether it has ended
 ///   rillwall/body/ID/NNN       the submission as it came, in parts
 ///   rillwall/page/ID/NNNNNNNN  results from position NNNNNNNN on
+///   rillwall/taken/RUN         written when a step is taken from the owner
+///                              whose start is RUN; its value is the wall clock
 ///   rillwall/part/ID/NNNNNNNN  stretches of unfinished texts, as written
 /// The record and the parts are created by one change, guarded by the record
 /// not existing. A page is created by a change that is guarded by the record's
@@ -59,6 +61,7 @@
 /// The prefix of all pages of a step.
 std::string PagePrefix(std::string_view aId);
 std::string PageKey(std::string_view aId, int64_t aFirst);
+std::string TakenKey(std::string_view aRun);
 /// The prefix of all stretches of unfinished texts.
 std::string PartPrefix(std::string_view aId);
 std::string PartKey(std::string_view aId, int64_t aNumber);
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -134,6 +134,8 @@
   asio::awaitable<Result<std::string>> LoadBody(std::string aId);
   /// Reads what earlier owners kept of unfinished texts.
   asio::awaitable<KeptTexts> LoadParts(std::string aId);
+  /// Removes the marks of takeovers from owners that are long gone.
+  asio::awaitable<void> SweepTaken(int64_t aOldestMs);
   asio::awaitable<std::optional<Error>> Remove(std::string aId,
                                                int64_t aRevision);
   asio::awaitable<bool> Answers(std::string aAddress);
@@ -146,16 +148,22 @@
   void MoveFromSlow(const StepPtr& aStep);
   asio::awaitable<void> RunItem(StepPtr aStep, size_t aItem, Replica aReplica);
   asio::awaitable<void> ScoreItem(StepPtr aStep, size_t aItem);
+  /// Writes results and unfinished texts down if that is due.
   void ScheduleFlush(const StepPtr& aStep);
-  asio::awaitable<void> FlushLoop(StepPtr aStep);
-  asio::awaitable<bool> CommitPage(StepPtr aStep, ResultPage aPage);
-  /// Writes unfinished texts down if that is due.
-  void ScheduleKeep(const StepPtr& aStep);
-  asio::awaitable<void> KeepTexts(StepPtr aStep,
-                                  std::vector<RolloutPart> aParts);
+  asio::awaitable<void> Flush(StepPtr aStep);
+  /// Makes one write, as often as it takes. \return whether it is done
+  asio::awaitable<bool> CommitWrite(StepPtr aStep, StoreChange aChange);
+  /// Makes sure that this node still owns a step, by the store's word of less
+  /// than a second ago.
   asio::awaitable<std::optional<Error>> Verify(StepPtr aStep);
+  /// The same for one step by its own record.
+  asio::awaitable<std::optional<Error>> VerifyRecord(StepPtr aStep);
+  /// Asks once for all steps whether one was taken from this node.
+  asio::awaitable<std::optional<Error>> VerifyAll();
+  asio::awaitable<std::optional<Error>> AskTaken();
   /// This node owns the step no more.
   void Drop(const StepPtr& aStep, const char* aWhy);
+  std::vector<StepPtr> RunningSteps() const;
   void StopRuns(RolloutStep& aStep);
   void Tick();
 
@@ -168,6 +176,9 @@
   /// the other goes on: both end with the step in mSteps.
   std::set<std::string> mTaking;
   std::map<std::string, std::string> mPlaces;  ///< addresses of other owners
+  bool mVerifying = false;  ///< the store is being asked about all steps
+  std::optional<Error> mVerifyFailure;  ///< of the last such call
+  int64_t mTakenRevision = 0;  ///< of the key that tells of takeovers from us
   /// Texts of groups that were not whole when their step ended.
   std::map<std::string, RolloutText> mCarried;
 };
--- a/src/librillwall_coordination/rollout_book.cpp
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -107,21 +107,27 @@
   return true;
 }
 
+bool RolloutBook::WorthKeeping(const State& aState, int64_t aWorth) {
+  const RolloutText& text = aState.mText;
+  return aState.mPhase != Phase::Ended &&
+         text.mEvents - text.mKeptEvents >= aWorth;
+}
+
+bool RolloutBook::HasUnkept(int64_t aWorth) const {
+  return std::any_of(mStates.begin(), mStates.end(), [=](const State& aState) {
+    return WorthKeeping(aState, aWorth);
+  });
+}
+
 std::vector<RolloutPart> RolloutBook::TakeUnkept(int64_t aWorth,
                                                  size_t aMaxBytes) {
-  const bool worth =
-      std::any_of(mStates.begin(), mStates.end(), [&](const State& aState) {
-        const RolloutText& text = aState.mText;
-        return aState.mPhase != Phase::Ended &&
-               text.mEvents - text.mKeptEvents >= aWorth;
-      });
   std::vector<RolloutPart> parts;
   size_t bytes = 0;
-  for (size_t i = 0; worth && bytes < aMaxBytes && i < mStates.size(); ++i) {
-    RolloutText& text = mStates[i].mText;
-    if (mStates[i].mPhase == Phase::Ended || text.mEvents <= text.mKeptEvents) {
+  for (size_t i = 0; bytes < aMaxBytes && i < mStates.size(); ++i) {
+    if (!WorthKeeping(mStates[i], aWorth)) {
       continue;
     }
+    RolloutText& text = mStates[i].mText;
     RolloutPart part;
     part.mItem = mSpec.mItems[i].mId;
     part.mFrom = text.mKeptEvents;
@@ -139,13 +145,6 @@
   return parts;
 }
 
-void RolloutBook::ForgetKept() {
-  for (State& state : mStates) {
-    state.mText.mKeptEvents = 0;
-    state.mText.mKeptBytes = 0;
-  }
-}
-
 int64_t RolloutBook::RestoreTexts(const std::vector<RolloutPart>& aParts) {
   for (const RolloutPart& part : aParts) {
     const std::optional<size_t> item = IndexOf(part.mItem);
--- a/src/librillwall_protocol/rollout_record.cpp
+++ b/src/librillwall_protocol/rollout_record.cpp
@@ -199,6 +199,10 @@
   return PagePrefix(aId) + Padded(aFirst, kDigits);
 }
 
+std::string TakenKey(std::string_view aRun) {
+  return "rillwall/taken/" + std::string(aRun);
+}
+
 std::string PartPrefix(std::string_view aId) {
   return "rillwall/part/" + std::string(aId) + "/";
 }
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -46,6 +46,31 @@
         .Text("why", failed ? failed->Detail() : "")
         .Write();
   }
+  co_await SweepTaken(oldest);
+}
+
+asio::awaitable<void> RolloutService::SweepTaken(int64_t aOldestMs) {
+  const Result<StoreList> all = co_await ListAll(mNode.mStore, TakenKey(""));
+  if (!all) {
+    Event("sweep-failed").Text("why", all.error().Detail()).Write();
+    co_return;
+  }
+  StoreChange change;
+  for (const StoreItem& item : all->mItems) {
+    const bool old = ParseNumber(item.mValue).value_or(0) < aOldestMs;
+    if (old && change.mRemoves.size() < kMaxRemoves) {
+      change.mRemoves.push_back(item.mKey);
+    }
+  }
+  if (change.mRemoves.empty()) {
+    co_return;
+  }
+  const Result<StoreCommit> done =
+      co_await mNode.mStore.Commit(std::move(change));
+  if (!done) {
+    // Tried again at the next sweep.
+    Event("sweep-failed").Text("why", done.error().Detail()).Write();
+  }
 }
 
 asio::awaitable<std::optional<Error>> RolloutService::Remove(
@@ -179,12 +204,16 @@
     std::string aId, StepRecord aRecord, int64_t aRevision) {
   const NodeIdentity& self = mNode.mIdentity;
   const std::string before = aRecord.mOwner;
+  const std::string takenFrom = aRecord.mRun;
   aRecord.mOwner = self.mName;
   aRecord.mAddress = self.mAddress;
   aRecord.mRun = self.mRun;
   StoreChange change;
   change.mGuards.push_back({StepKey(aId), aRevision});
   change.mPuts.push_back({StepKey(aId), EncodeStepRecord(aRecord), 0});
+  // Tells the owner before, if it still lives, that it owns less.
+  change.mPuts.push_back(
+      {TakenKey(takenFrom), std::to_string(WallClockMs()), 0});
   const Result<StoreCommit> done =
       co_await mNode.mStore.Commit(std::move(change));
   if (!done) {
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -7,6 +7,7 @@
 
 #include "item_run.h"
 #include "rillwall/event_log.h"
+#include "rillwall/listing_plan.h"
 #include "rillwall/rollout_service.h"
 #include "rillwall/upstream_call.h"
 #include "rollout_step.h"
@@ -15,19 +16,17 @@
 
 namespace {
 
-/// How often a page under way looks whether it is to be written now.
+/// Texts that end together go into one write.
 constexpr Millis kGatherLook{20};
-/// Results that end within this time go into one page, which is one priced
-/// call: a trainer asks about twice a second, and goes on when a number of
-/// groups is whole. The page that makes them so is written at once.
-constexpr Millis kGatherMost{400};
 /// Text of one page; its encoded form stays under the store's 1 MiB values.
 constexpr size_t kMaxPageBytes = 600 * 1000;
-/// An owner that is lost costs what it generated since its last write of
-/// unfinished texts. A write is one priced call: it is made if a text has grown
-/// by so many events, some 0.8 s of generation, and not sooner than this.
+/// Both together stay under the 1 MB that the store takes in one change.
+constexpr size_t kMaxPartBytes = 100 * 1000;
+/// An owner that is lost costs what it generated since its last write. Texts
+/// are written down while they are unfinished if they have grown by so many
+/// events, some 0.8 s of generation, but not sooner than this after a write.
 constexpr int64_t kWorthKeeping = 20;
-constexpr Millis kKeepEvery{500};
+constexpr Millis kKeepEvery{1000};
 constexpr Millis kFirstRetry{30};
 constexpr Millis kLongestRetry{400};
 /// Time for one call of a scorer when its route sets no target latency.
@@ -43,13 +42,35 @@
 constexpr Millis kMoveEvery{700};
 constexpr size_t kMovesAtOnce = 2;
 
-/// \return whether the trainer can go on with what is not listed yet
-bool PageIsUrgent(const RolloutStep& aStep) {
+ListingState StateOf(const RolloutStep& aStep, Millis aNow) {
   const RolloutBook& book = aStep.mBook;
-  const auto target =
+  ListingState state;
+  state.mAllEnded = book.AllEnded();
+  state.mWhole = book.WholeGroups();
+  state.mWholeListed = aStep.mWholeListed;
+  state.mTarget =
       static_cast<size_t>(std::max<int64_t>(book.Spec().mTargetGroups, 1));
-  const bool reached = book.WholeGroups() >= target;
-  return book.AllEnded() || (reached && aStep.mWholeListed < target);
+  state.mWaited = aNow - aStep.mGatherFrom.value_or(aNow);
+  state.mHasDue = aStep.mDueAt.has_value();
+  state.mPastDue = aNow - aStep.mDueAt.value_or(aNow);
+  return state;
+}
+
+/// Takes results off the front, as many as one page holds.
+std::vector<RolloutResult> TakePage(std::vector<RolloutResult>& aWaiting) {
+  size_t bytes = 0;
+  size_t count = 0;
+  while (
+      count < aWaiting.size() &&
+      (count == 0 || bytes + aWaiting[count].mOutput.size() < kMaxPageBytes)) {
+    bytes += aWaiting[count].mOutput.size();
+    ++count;
+  }
+  const auto middle = aWaiting.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<RolloutResult> page(std::make_move_iterator(aWaiting.begin()),
+                                  std::make_move_iterator(middle));
+  aWaiting.erase(aWaiting.begin(), middle);
+  return page;
 }
 
 ReplicaOutcome OutcomeOf(ItemRunEnd aEnd) {
@@ -96,10 +117,7 @@
 }  // namespace
 
 void RolloutService::Pump() {
-  std::vector<StepPtr> steps;
-  for (const auto& [id, step] : mSteps) {
-    steps.push_back(step);
-  }
+  std::vector<StepPtr> steps = RunningSteps();
   // The older first: a trainer names its next version when its older step ends.
   std::sort(steps.begin(), steps.end(),
             [](const StepPtr& aOne, const StepPtr& aOther) {
@@ -283,119 +301,84 @@
 }
 
 void RolloutService::ScheduleFlush(const StepPtr& aStep) {
-  if (aStep->mFlushing || !aStep->mRunning || !aStep->mBook.HasUnlisted()) {
+  if (aStep->mFlushing || !aStep->mRunning) {
     return;
   }
-  aStep->mFlushing = true;
-  Launch(mNode.mIo, "flush", FlushLoop(aStep));
+  const Millis now = mNode.Now();
+  const bool results = aStep->mBook.HasUnlisted();
+  if (results && !aStep->mGatherFrom) {
+    aStep->mGatherFrom = now;
+  }
+  const bool texts = now - aStep->mWrittenAt >= kKeepEvery &&
+                     aStep->mBook.HasUnkept(kWorthKeeping);
+  if (texts || (results && ListNow(StateOf(*aStep, now)))) {
+    aStep->mFlushing = true;
+    Launch(mNode.mIo, "flush", Flush(aStep));
+  }
 }
 
-asio::awaitable<void> RolloutService::FlushLoop(StepPtr aStep) {
-  const Millis begun = mNode.Now();
-  do {
-    co_await Sleep(mNode.mIo, kGatherLook);
-  } while (aStep->mRunning && !PageIsUrgent(*aStep) &&
-           mNode.Now() - begun < kGatherMost);
-  std::vector<RolloutResult> waiting;
-  while (aStep->mRunning) {
-    aStep->mWholeListed = aStep->mBook.WholeGroups();
-    for (RolloutResult& result : aStep->mBook.TakeUnlisted()) {
-      waiting.push_back(std::move(result));
-    }
-    if (waiting.empty()) {
-      break;
-    }
+asio::awaitable<void> RolloutService::Flush(StepPtr aStep) {
+  co_await Sleep(mNode.mIo, kGatherLook);
+  const std::string& id = aStep->Id();
+  std::vector<RolloutResult> waiting = aStep->mBook.TakeUnlisted();
+  aStep->mGatherFrom.reset();
+  aStep->mWholeListed = aStep->mBook.WholeGroups();
+  bool first = true;
+  while (aStep->mRunning && (first || !waiting.empty())) {
+    first = false;
+    const Millis asked = mNode.Now();
+    aStep->mWrittenAt = asked;
+    StoreChange change;
+    change.mGuards.push_back({StepKey(id), aStep->mRevision});
     ResultPage page;
     page.mFirst = static_cast<int64_t>(aStep->mListed.size());
     page.mTotal = static_cast<int64_t>(aStep->mBook.Total());
-    size_t bytes = 0;
-    size_t count = 0;
-    while (
-        count < waiting.size() &&
-        (count == 0 || bytes + waiting[count].mOutput.size() < kMaxPageBytes)) {
-      bytes += waiting[count].mOutput.size();
-      ++count;
+    page.mResults = TakePage(waiting);
+    if (!page.mResults.empty()) {
+      const std::string key = PageKey(id, page.mFirst);
+      change.mGuards.push_back({key, 0});
+      change.mPuts.push_back({key, EncodeResultPage(page), 0});
+    }
+    const std::vector<RolloutPart> parts =
+        aStep->mBook.TakeUnkept(kWorthKeeping, kMaxPartBytes);
+    if (!parts.empty()) {
+      const std::string key = PartKey(id, aStep->mNextPart++);
+      change.mGuards.push_back({key, 0});
+      change.mPuts.push_back({key, EncodeParts(parts), 0});
     }
-    const auto middle = waiting.begin() + static_cast<std::ptrdiff_t>(count);
-    page.mResults.assign(waiting.begin(), middle);
-    waiting.erase(waiting.begin(), middle);
-    const bool listed = co_await CommitPage(aStep, page);
-    if (!listed) {
+    if (change.mPuts.empty() ||
+        !co_await CommitWrite(aStep, std::move(change))) {
       break;
     }
+    Event("page-listed")
+        .Id(id)
+        .Number("first", page.mFirst)
+        .Number("results", static_cast<int64_t>(page.mResults.size()))
+        .Number("unfinished", static_cast<int64_t>(parts.size()))
+        .Number("whole_groups",
+                static_cast<int64_t>(aStep->mBook.WholeGroups()))
+        .Number("store_ms", (mNode.Now() - asked).Count())
+        .Write();
+    mNode.mMetrics.Measure("page_ms", mNode.Now() - asked);
     for (RolloutResult& result : page.mResults) {
       aStep->mListed.push_back(std::move(result));
     }
     aStep->Notify();
   }
   aStep->mFlushing = false;
+  ScheduleFlush(aStep);
 }
 
-void RolloutService::ScheduleKeep(const StepPtr& aStep) {
-  const Millis now = mNode.Now();
-  if (!aStep->mRunning || aStep->mKeeping ||
-      now - aStep->mKeptAt < kKeepEvery) {
-    return;
-  }
-  std::vector<RolloutPart> parts =
-      aStep->mBook.TakeUnkept(kWorthKeeping, kMaxPageBytes);
-  if (parts.empty()) {
-    return;
-  }
-  aStep->mKeeping = true;
-  aStep->mKeptAt = now;
-  Launch(mNode.mIo, "keep", KeepTexts(aStep, std::move(parts)));
-}
-
-asio::awaitable<void> RolloutService::KeepTexts(
-    StepPtr aStep, std::vector<RolloutPart> aParts) {
-  // Each write has a key of its own, so that one that the store carries out
-  // late replaces nothing newer.
-  const std::string key = PartKey(aStep->Id(), aStep->mNextPart++);
-  StoreChange change;
-  change.mGuards.push_back({StepKey(aStep->Id()), aStep->mRevision});
-  change.mGuards.push_back({key, 0});
-  change.mPuts.push_back({key, EncodeParts(aParts), 0});
-  const Millis asked = mNode.Now();
-  const Result<StoreCommit> done =
-      co_await mNode.mStore.Commit(std::move(change));
-  const bool kept = done && done->mApplied;
-  if (!kept) {
-    aStep->mBook.ForgetKept();
-  }
-  aStep->mKeeping = false;
-  Event("texts-kept")
-      .Id(aStep->Id())
-      .Flag("kept", kept)
-      .Number("texts", static_cast<int64_t>(aParts.size()))
-      .Number("store_ms", (mNode.Now() - asked).Count())
-      .Text("why", done ? "" : done.error().Detail())
-      .Write();
-}
-
-asio::awaitable<bool> RolloutService::CommitPage(StepPtr aStep,
-                                                 ResultPage aPage) {
+asio::awaitable<bool> RolloutService::CommitWrite(StepPtr aStep,
+                                                  StoreChange aChange) {
   const std::string step = StepKey(aStep->Id());
-  const std::string key = PageKey(aStep->Id(), aPage.mFirst);
-  StoreChange change;
-  change.mGuards.push_back({step, aStep->mRevision});
-  change.mGuards.push_back({key, 0});
-  change.mPuts.push_back({key, EncodeResultPage(aPage), 0});
   Millis pause = kFirstRetry;
   while (true) {
     const Millis asked = mNode.Now();
-    const Result<StoreCommit> done = co_await mNode.mStore.Commit(change);
+    const Result<StoreCommit> done = co_await mNode.mStore.Commit(aChange);
     if (done && done->mApplied) {
       aStep->mVerifiedAt = std::max(aStep->mVerifiedAt, asked);
-      Event("page-listed")
-          .Id(aStep->Id())
-          .Number("first", aPage.mFirst)
-          .Number("results", static_cast<int64_t>(aPage.mResults.size()))
-          .Number("whole_groups",
-                  static_cast<int64_t>(aStep->mBook.WholeGroups()))
-          .Number("store_ms", (mNode.Now() - asked).Count())
-          .Write();
-      mNode.mMetrics.Measure("page_ms", mNode.Now() - asked);
+      aStep->mUnsettled = false;
       co_return true;
     }
     if (done) {
@@ -403,8 +386,9 @@
       const bool owner =
           record != nullptr && record->mRevision == aStep->mRevision;
       if (owner) {
-        // Only this owner writes here: an earlier try of this page got through.
+        // Only this owner writes here: an earlier try got through.
         aStep->mVerifiedAt = std::max(aStep->mVerifiedAt, asked);
+        aStep->mUnsettled = false;
         co_return true;
       }
       aStep->mUnsettled = true;
@@ -416,7 +400,7 @@
     aStep->mUnsettled = true;
     Event("page-retry")
         .Id(aStep->Id())
-        .Number("first", aPage.mFirst)
+        .Number("first", static_cast<int64_t>(aStep->mListed.size()))
         .Text("why", done.error().Detail())
         .Write();
     if (!aStep->mRunning) {
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -17,6 +17,7 @@
 constexpr Millis kAcceptLimit{2000};
 constexpr Millis kAcceptPause{100};
 constexpr Millis kTakingPoll{10};
+constexpr Millis kVerifyPoll{5};
 /// Look at open steps; far under the bounds that it keeps.
 constexpr Millis kTick{100};
 /// An owner that has not heard from the store for so long asks whether it is
@@ -90,6 +91,9 @@
   auto step = std::make_shared<RolloutStep>(mNode.mIo, std::move(book), aRoute,
                                             std::move(aRecord), aRevision);
   step->mGiveUpAt = mNode.Now() + wait - age;
+  if (aRoute.mDueIn > Millis(0)) {
+    step->mDueAt = mNode.Now() + aRoute.mDueIn - age;
+  }
   step->mVerifiedAt = mNode.Now();
   mSteps[id] = step;
   mPlaces.erase(id);
@@ -320,10 +324,61 @@
                     : std::optional(Error(ErrorKind::Unavailable,
                                           "The step is not owned here."));
   }
-  const Millis asked = mNode.Now();
-  if (asked - aStep->mVerifiedAt < kVerifyAfter) {
+  if (mNode.Now() - aStep->mVerifiedAt < kVerifyAfter) {
     co_return std::nullopt;
   }
+  const std::optional<Error> failed = co_await VerifyAll();
+  if (failed) {
+    co_return failed;
+  }
+  const bool verified =
+      aStep->mRunning && mNode.Now() - aStep->mVerifiedAt < kVerifyAfter;
+  co_return verified
+      ? std::nullopt
+      : std::optional(Error(ErrorKind::Unavailable, "The step has moved."));
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::VerifyAll() {
+  if (mVerifying) {
+    // Whoever asks meanwhile shares the call.
+    while (mVerifying) {
+      co_await Sleep(mNode.mIo, kVerifyPoll);
+    }
+    co_return mVerifyFailure;
+  }
+  mVerifying = true;
+  mVerifyFailure = co_await AskTaken();
+  mVerifying = false;
+  co_return mVerifyFailure;
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::AskTaken() {
+  const Millis asked = mNode.Now();
+  const std::vector<StepPtr> steps = RunningSteps();
+  const Result<std::optional<StoreItem>> taken =
+      co_await mNode.mStore.Get(TakenKey(mNode.mIdentity.mRun));
+  if (!taken) {
+    co_return taken.error();
+  }
+  const int64_t revision = *taken ? (*taken)->mRevision : 0;
+  const bool same = revision == mTakenRevision;
+  for (const StepPtr& step : steps) {
+    if (same) {
+      step->mVerifiedAt = std::max(step->mVerifiedAt, asked);
+    } else if (step->mRunning) {
+      const std::optional<Error> failed = co_await VerifyRecord(step);
+      if (failed && step->mRunning) {
+        co_return failed;
+      }
+    }
+  }
+  mTakenRevision = std::max(mTakenRevision, revision);
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::VerifyRecord(
+    StepPtr aStep) {
+  const Millis asked = mNode.Now();
   const Result<std::optional<StoreItem>> item =
       co_await mNode.mStore.Get(StepKey(aStep->Id()));
   if (!item) {
@@ -430,31 +485,37 @@
   }
 }
 
-void RolloutService::Tick() {
-  const Millis now = mNode.Now();
+std::vector<RolloutService::StepPtr> RolloutService::RunningSteps() const {
   std::vector<StepPtr> steps;
   for (const auto& [id, step] : mSteps) {
-    steps.push_back(step);
+    if (step->mRunning) {
+      steps.push_back(step);
+    }
   }
-  for (const StepPtr& step : steps) {
-    if (step->mRunning && now > step->mGiveUpAt && !step->mBook.AllEnded()) {
+  return steps;
+}
+
+void RolloutService::Tick() {
+  const Millis now = mNode.Now();
+  bool verify = false;
+  for (const StepPtr& step : RunningSteps()) {
+    if (now > step->mGiveUpAt && !step->mBook.AllEnded()) {
       Event("step-overdue")
           .Id(step->Id())
           .Number("ended", static_cast<int64_t>(step->mBook.Ended()))
           .Write();
       step->mBook.GiveUpRest();
     }
-    if (step->mRunning && now - step->mVerifiedAt > kVerifyIdle) {
-      Launch(mNode.mIo, "verify",
-             [](RolloutService* aSelf, StepPtr aStep) -> asio::awaitable<void> {
-               co_await aSelf->Verify(aStep);
-             }(this, step));
-    }
+    verify = verify || now - step->mVerifiedAt > kVerifyIdle;
     ScheduleFlush(step);
-    ScheduleKeep(step);
-    if (step->mRunning) {
-      MoveFromSlow(step);
-    }
+    MoveFromSlow(step);
+  }
+  if (verify && !mVerifying) {
+    Launch(mNode.mIo, "verify",
+           [](RolloutService* aSelf) -> asio::awaitable<void> {
+             // What fails is asked again at the next look.
+             co_await aSelf->VerifyAll();
+           }(this));
   }
   std::erase_if(mArchives, [&](const auto& aEntry) {
     return now - aEntry.second.mSince > mNode.mBounds.mStatus + kArchiveMargin;
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -72,6 +72,9 @@
   CPPUNIT_TEST(PagesWaitForTheStore);
   CPPUNIT_TEST(ReplacedOwnerAppendsNothing);
   CPPUNIT_TEST(UnsureOwnerDoesNotAnswer);
+  CPPUNIT_TEST(OwnerNoticesThatAStepWasTaken);
+  CPPUNIT_TEST(OneCallVerifiesAllSteps);
+  CPPUNIT_TEST(TakeoverTellsTheOwnerBefore);
   CPPUNIT_TEST(EndStopsRuns);
   CPPUNIT_TEST(EndedStepStaysReadable);
   CPPUNIT_TEST(RestartedNodeTakesItsStepOver);
@@ -334,6 +337,35 @@
     CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::There);
   }
 
+  void OwnerNoticesThatAStepWasTaken() {
+    mEngine.mOtherwise.mEventTime = Millis(20000);
+    Accept();
+    Steal();
+    mWorld.mStore.Write(TakenKey("n1-run"), "0");
+    Test().RunUntil([&] { return !Service().Owns("s1"); });
+  }
+
+  void OneCallVerifiesAllSteps() {
+    mEngine.mOtherwise.mEventTime = Millis(20000);
+    Accept();
+    RolloutSpec second = Spec();
+    second.mId = "s2";
+    Accept(second);
+    Test().RunFor(Millis(800));
+    const uint64_t before = mWorld.mStore.Counts().mReads;
+    CPPUNIT_ASSERT(Read().has_value());
+    CPPUNIT_ASSERT(Test().Run(Service().Read("s2", 0, Millis(0))).has_value());
+    CPPUNIT_ASSERT_EQUAL(before + 1, mWorld.mStore.Counts().mReads);
+  }
+
+  void TakeoverTellsTheOwnerBefore() {
+    mEngine.mOtherwise.mEventTime = Millis(20000);
+    Accept();
+    Restart("n1-again");
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::Here);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mWorld.mStore.CountOf(TakenKey("n1-run")));
+  }
+
   void UnsureOwnerDoesNotAnswer() {
     mEngine.mOtherwise.mEventTime = Millis(2000);
     Accept();
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,14 +60,15 @@
   std::vector<RolloutResult> mListed;  ///< in the store, by position
   size_t mWholeListed = 0;  ///< groups that were whole at the last page
   bool mRunning = true;     ///< owned here, and not ended
-  bool mFlushing = false;   ///< a page is being gathered or written
+  bool mFlushing = false;   ///< results or texts are being written
   bool mUnsettled = false;  ///< a page may or may not be in the store
   std::map<size_t, HttpStream*> mStreams;  ///< by item
   std::set<size_t> mMoving;  ///< items whose stream is ended to go elsewhere
   std::map<size_t, Millis> mMovedAt;  ///< by item, the last such move
   int64_t mNextPart = 0;  ///< number of the next write of unfinished texts
-  bool mKeeping = false;  ///< such a write is under way
-  Millis mKeptAt;         ///< when the last one began
+  Millis mWrittenAt;      ///< when the last write began
+  std::optional<Millis> mGatherFrom;  ///< since when a result is unwritten
+  std::optional<Millis> mDueAt;       ///< when the trainer wants its results
   Millis mGiveUpAt;                   ///< then unfinished items are given up
   Millis mVerifiedAt;  ///< when the store was last asked and named this owner
   asio::steady_timer mChanged;
