lead: a holder that nobody reaches is released; orders are marked first

Change: candidates ask the holder for a sign of life; after two misses they ask up to three entry hosts whether these reach it, and end its lease if some answer and none does. A holder that loses its lease so stands back. As a claim can now change hands right after a renewal, a new holder waits for that reach too.

Found while reading: a host restarted within the wait for its predecessor's orders took its own earlier claim for proof that nobody else had ordered, and began at once. The store now names the host that orders before its first order. RestartedHostWaitsIfAnotherOrderedLast failed before.

--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -6,7 +6,9 @@
 /// token of all orders under it. A node that cannot renew the lease stops
 /// ordering before the lease can have ended; a new holder waits until no order
 /// of its predecessor can still be under way. A host that was its own
-/// predecessor need not wait.
+/// predecessor need not wait. A holder that other nodes do not reach either has
+/// its lease ended by a candidate, so that the claim does not stand idle until
+/// the lease lapses.
 
 #pragma once
 
@@ -23,6 +25,13 @@
  public:
   /// \param aOnWon called after each claim that this node wins
   LeadClaim(NodeContext& aNode, std::function<void()> aOnWon);
+  /// Asks other nodes whether they reach an address that this one does not.
+  /// \return whether some answered, and none of them reaches it
+  using Witnesses = std::function<asio::awaitable<bool>(std::string aAddress)>;
+  /// Without witnesses a claim is left until its lease lapses.
+  void SetWitnesses(Witnesses aWitnesses) {
+    mWitnesses = std::move(aWitnesses);
+  }
 
   /// Claims and renews until the node stops. For candidates only.
   asio::awaitable<void> Run();
@@ -45,21 +54,28 @@
 
  private:
   /// \param aGuard revision of the claim's key that is replaced; 0: none
-  /// \param aOwnBefore no other host can have given orders since this one did
-  asio::awaitable<void> TryClaim(int64_t aGuard, bool aOwnBefore);
+  /// \param aNoOthers no other host can have given orders since this one did
+  asio::awaitable<void> TryClaim(int64_t aGuard, bool aNoOthers);
+  /// Writes down that this host gives orders from now on.
+  asio::awaitable<void> MarkOrders();
   asio::awaitable<void> Renew();
   /// Claims if nobody holds the claim, else waits for a change of it.
   asio::awaitable<void> AwaitAndClaim();
   /// Waits until the claim is to be read again.
   asio::awaitable<void> WatchClaim(int64_t aRevision);
+  /// Ends the holder's lease if neither this node nor others reach it.
+  asio::awaitable<void> WatchHolder(std::string aAddress, int64_t aLease);
   void Lose(const char* aWhy);
 
   NodeContext& mNode;
   const std::function<void()> mOnWon;
+  Witnesses mWitnesses;
   int64_t mLease = 0;
   int64_t mFence = 0;
-  Millis mRenewedAt;   ///< when the last renewal that succeeded was sent
-  Millis mOrdersFrom;  ///< no order before
+  Millis mRenewedAt;     ///< when the last renewal that succeeded was sent
+  Millis mOrdersFrom;    ///< no order before
+  bool mMarked = false;  ///< the store names this host as the one that orders
+  std::optional<Millis> mLostAt;  ///< when the lease was found ended
   std::optional<LeadHolder> mKnown;
 };
 
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -78,6 +78,13 @@
 void ObserveLoad(NodeContext& aNode, const std::string& aReplica,
                  const HttpResponse& aHead);
 
+/// Path under which a node says that it lives: 200, or 503 if it is no good as
+/// an owner of steps, as the store has not answered it for some time.
+inline constexpr char kHealthPath[] = "/node/health";
+/// \return whether a node answers at all
+asio::awaitable<bool> Reaches(NodeContext& aNode, std::string aAddress,
+                              Millis aLimit);
+
 /// Waits. Ends early, without an error, if the coroutine is cancelled.
 asio::awaitable<void> Sleep(asio::io_context& aIo, Millis aSpan);
 /// Starts a coroutine that nobody waits for; what it throws is logged.
--- a/src/include/rillwall/node_directory.h
+++ b/src/include/rillwall/node_directory.h
@@ -30,17 +30,19 @@
   void Heard(const NodeEntry& aNode, Millis aNow);
   /// Takes over another node's list, in place of this one's.
   void Adopt(const std::vector<NodeEntry>& aNodes, Millis aNow);
-  /// \return nodes heard of lately, in the order of their addresses
-  std::vector<NodeEntry> List(Millis aNow) const;
+  /// \return nodes in the order of their addresses, without those that were
+  /// silent while others were heard
+  std::vector<NodeEntry> List() const;
+  /// \return whether List() names it
+  bool Knows(const std::string& aAddress) const;
   /// \return a number that differs if the list does
-  uint64_t Tag(Millis aNow) const;
+  uint64_t Tag() const;
   /// \param aSelf left out
   /// \return addresses to pass calls through: entry hosts first, since a host
   /// with a disk that is cut off is most often cut off from the others too
-  std::vector<std::string> Relays(const std::string& aSelf, Millis aNow) const;
+  std::vector<std::string> Relays(const std::string& aSelf) const;
   /// \return addresses of the candidates for the lead
-  std::vector<std::string> Candidates(const std::string& aSelf,
-                                      Millis aNow) const;
+  std::vector<std::string> Candidates(const std::string& aSelf) const;
 
  private:
   struct State {
@@ -48,6 +50,7 @@
     Millis mHeardAt;
   };
   std::map<std::string, State> mNodes;  ///< by address
+  Millis mNewest;                       ///< when the last node was heard of
 };
 
 }  // namespace rillwall
--- a/src/include/rillwall/shared_view.h
+++ b/src/include/rillwall/shared_view.h
@@ -51,6 +51,8 @@
 /// Path of the questions, and of the configuration's text.
 inline constexpr char kViewPath[] = "/node/view";
 inline constexpr char kViewConfigPath[] = "/node/config";
+/// Path of the question whether a node reaches another one.
+inline constexpr char kReachPath[] = "/node/reach";
 
 /// \return path and query
 std::string EncodeQuestion(const ViewQuestion& aQuestion);
--- a/src/include/rillwall/store_port.h
+++ b/src/include/rillwall/store_port.h
@@ -27,6 +27,7 @@
   std::string mValue;
   int64_t mRevision = 0;  ///< of its last change
   int64_t mCreated = 0;   ///< revision of its creation
+  int64_t mLease = 0;     ///< it goes with this lease; 0: it has none
   bool operator==(const StoreItem&) const = default;
 };
 
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -36,6 +36,9 @@
 class ViewExchange {
  public:
   ViewExchange(NodeContext& aNode, LeadClaim& aLead, NodeDirectory& aNodes);
+  /// The whole system starts for the first time: somebody will lead soon, which
+  /// is worth waiting for. Not so when all nodes come back, as clients wait.
+  void ExpectLead() { mToldAt = mNode.Now(); }
 
   /// \return how often the store's list of replicas is to be read
   Millis PollEvery() const;
@@ -56,6 +59,13 @@
   /// Gives out the text of the configuration.
   HttpResponse AnswerConfig() const;
 
+  /// Says whether this node reaches a node that it knows: 200, or 404.
+  asio::awaitable<HttpResponse> AnswerReach(const HttpRequest& aRequest);
+  /// Asks some entry hosts, in different availability zones as far as that can
+  /// be told, whether they reach a node.
+  /// \return whether some answered, and none of them reaches it
+  asio::awaitable<bool> NobodyReaches(std::string aAddress);
+
   /// Asks the lead or, as an entry host, a candidate.
   /// \return what it told; nothing if none of them has a current view
   asio::awaitable<std::optional<ViewNews>> Ask();
@@ -75,7 +85,8 @@
   ReplicaLog mLog;        ///< what this node listed itself
   ReplicaMirror mMirror;  ///< what another node told
   std::optional<Millis> mListedAt;
-  Millis mToldAt;  ///< when the node was asked that answered last
+  std::optional<Millis>
+      mToldAt;  ///< when the last node that answered was asked
   ConfigText mConfig;
   bool mFollows = false;
 };
--- a/src/librillwall_coordination/listing_plan.cpp
+++ b/src/librillwall_coordination/listing_plan.cpp
@@ -6,7 +6,7 @@
 
 /// While the trainer has to wait anyway. What is lost with an owner is bounded
 /// by this.
-constexpr Millis kGatherLong{1000};
+constexpr Millis kGatherLong{700};
 /// While it may wait for certain groups only, or the results are due: readers
 /// ask about twice a second.
 constexpr Millis kGatherShort{200};
--- a/src/librillwall_coordination/listing_plan_test.cpp
+++ b/src/librillwall_coordination/listing_plan_test.cpp
@@ -24,8 +24,8 @@
   }
 
   void GathersWhileTheTrainerWaits() {
-    CPPUNIT_ASSERT(!After(999));
-    CPPUNIT_ASSERT(After(1000));
+    CPPUNIT_ASSERT(!After(699));
+    CPPUNIT_ASSERT(After(700));
   }
 
   void TargetIsWrittenAtOnce() {
--- a/src/librillwall_coordination/node_directory_test.cpp
+++ b/src/librillwall_coordination/node_directory_test.cpp
@@ -31,37 +31,39 @@
 
  private:
   void EntryHostsPassCallsOnFirst() {
-    CPPUNIT_ASSERT(mNodes.Relays("self", kNow) ==
+    CPPUNIT_ASSERT(mNodes.Relays("self") ==
                    std::vector<std::string>({kEntry.mAddress, kDisk.mAddress}));
-    CPPUNIT_ASSERT(mNodes.Relays(kEntry.mAddress, kNow) ==
+    CPPUNIT_ASSERT(mNodes.Relays(kEntry.mAddress) ==
                    std::vector<std::string>{kDisk.mAddress});
   }
 
   void CandidatesTakeNoClients() {
-    CPPUNIT_ASSERT(mNodes.Candidates("self", kNow) ==
+    CPPUNIT_ASSERT(mNodes.Candidates("self") ==
                    std::vector<std::string>{kDisk.mAddress});
-    CPPUNIT_ASSERT(mNodes.Candidates(kDisk.mAddress, kNow).empty());
+    CPPUNIT_ASSERT(mNodes.Candidates(kDisk.mAddress).empty());
   }
 
   void SilentNodesAreForgotten() {
-    const Millis later = kNow + Millis(7000);
-    mNodes.Heard(kEntry, later);
-    CPPUNIT_ASSERT_EQUAL(size_t{2}, mNodes.List(later).size());
-    CPPUNIT_ASSERT(mNodes.List(later + Millis(2000)) ==
-                   std::vector<NodeEntry>{kEntry});
+    mNodes.Heard(kEntry, kNow + Millis(7000));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mNodes.List().size());
+    CPPUNIT_ASSERT(mNodes.Knows(kDisk.mAddress));
+    mNodes.Heard(kEntry, kNow + Millis(9000));
+    CPPUNIT_ASSERT(mNodes.List() == std::vector<NodeEntry>{kEntry});
+    CPPUNIT_ASSERT(!mNodes.Knows(kDisk.mAddress));
+    CPPUNIT_ASSERT(!mNodes.Knows("never heard of"));
   }
 
   void TagFollowsTheList() {
-    const uint64_t tag = mNodes.Tag(kNow);
+    const uint64_t tag = mNodes.Tag();
     mNodes.Heard(kEntry, kNow);
-    CPPUNIT_ASSERT_EQUAL(tag, mNodes.Tag(kNow));
+    CPPUNIT_ASSERT_EQUAL(tag, mNodes.Tag());
     mNodes.Heard({"10.0.0.3:1", true}, kNow);
-    CPPUNIT_ASSERT(tag != mNodes.Tag(kNow));
+    CPPUNIT_ASSERT(tag != mNodes.Tag());
   }
 
   void AdoptedListReplacesTheOwn() {
     mNodes.Adopt({kEntry}, kNow);
-    CPPUNIT_ASSERT(mNodes.Candidates("self", kNow).empty());
+    CPPUNIT_ASSERT(mNodes.Candidates("self").empty());
   }
 };
 
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -1,24 +1,41 @@
 #include "rillwall/lead_claim.h"
 
+#include <algorithm>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
 #include "rillwall/event_log.h"
 
 namespace rillwall {
 
 namespace {
 
+using asio::experimental::awaitable_operators::operator||;
+
 constexpr char kLeadKey[] = "rillwall/lead";
-/// Name of the host that held the claim last; stays when the claim lapses.
-/// Listed together with the claim, as it begins with its key.
+/// Name of the host that gave orders last; stays when the claim lapses, and is
+/// written before the first order. Listed together with the claim, as it begins
+/// with its key.
 constexpr char kLastKey[] = "rillwall/lead-last";
 /// Life of the claim without a renewal: short, as a step without an owner
 /// stands still; long enough to outlast two lost renewals.
 constexpr Millis kClaimTtl{2000};
 constexpr Millis kRenewEvery{500};
-/// Orders stop so long before the lease can end: an order must have left and
-/// arrived by then.
-constexpr Millis kOrderMargin{500};
+/// Orders stop so long after the last renewal. A claim can change hands right
+/// after one, so a new holder waits for this too.
+constexpr Millis kOrderReach{1000};
 constexpr Millis kRetryPause{200};
 constexpr Millis kWatchWait{25000};
+/// A holder that does not answer so often in a row is asked for elsewhere. A
+/// live one on a quarter of a core answers within some ms.
+constexpr Millis kProbeEvery{300};
+constexpr Millis kProbeLimit{300};
+constexpr int kMisses = 2;
+/// Before the store is asked again to end a lease.
+constexpr Millis kReleasePause{700};
+/// A holder whose lease was ended while it lived lets others go first: nodes
+/// did not reach it, and perhaps still don't.
+constexpr Millis kStandBack{5000};
+constexpr Millis kStandBackPause{1000};
 
 }  // namespace
 
@@ -27,14 +44,19 @@
 
 bool LeadClaim::MayOrder() const {
   const Millis now = mNode.Now();
-  return Held() && now >= mOrdersFrom &&
-         now + kOrderMargin < mRenewedAt + kClaimTtl;
+  return Held() && mMarked && now >= mOrdersFrom &&
+         now < mRenewedAt + kOrderReach;
 }
 
 asio::awaitable<void> LeadClaim::Run() {
   while (!mNode.mStopping) {
     if (Held()) {
-      co_await Sleep(mNode.mIo, kRenewEvery);
+      if (!mMarked && mNode.Now() >= mOrdersFrom) {
+        co_await MarkOrders();
+      }
+      const Millis untilOrders = std::max(Millis(1), mOrdersFrom - mNode.Now());
+      co_await Sleep(mNode.mIo, mMarked ? kRenewEvery
+                                        : std::min(kRenewEvery, untilOrders));
       co_await Renew();
       continue;
     }
@@ -42,7 +64,21 @@
   }
 }
 
-asio::awaitable<void> LeadClaim::TryClaim(int64_t aGuard, bool aOwnBefore) {
+asio::awaitable<void> LeadClaim::MarkOrders() {
+  StoreChange change;
+  change.mGuards.push_back({kLeadKey, mFence});
+  change.mPuts.push_back({kLastKey, mNode.mIdentity.mName, 0});
+  const Result<StoreCommit> done =
+      co_await mNode.mStore.Commit(std::move(change));
+  mMarked = done && done->mApplied;
+  Event("claim-orders")
+      .Text("claim", "lead")
+      .Number("fence", mFence)
+      .Flag("marked", mMarked)
+      .Write();
+}
+
+asio::awaitable<void> LeadClaim::TryClaim(int64_t aGuard, bool aNoOthers) {
   const Millis asked = mNode.Now();
   const Result<StoreLease> lease = co_await mNode.mStore.Grant(kClaimTtl);
   if (!lease) {
@@ -54,7 +90,9 @@
   change.mGuards.push_back({kLeadKey, aGuard});
   const LeadHolder holder{self.mName, self.mAddress, self.mRun};
   change.mPuts.push_back({kLeadKey, EncodeLead(holder), lease->mId});
-  change.mPuts.push_back({kLastKey, self.mName, 0});
+  if (aNoOthers) {
+    change.mPuts.push_back({kLastKey, self.mName, 0});
+  }
   const Result<StoreCommit> done = co_await mNode.mStore.Commit(change);
   if (!done || !done->mApplied) {
     // An uncertain claim ends with its lease, which nobody renews.
@@ -63,7 +101,9 @@
   mLease = lease->mId;
   mFence = done->mRevision;
   mRenewedAt = asked;
-  const Millis wait = aOwnBefore ? Millis(0) : mNode.mBounds.mLease;
+  mMarked = aNoOthers;
+  const Millis wait =
+      aNoOthers ? Millis(0) : mNode.mBounds.mLease + kOrderReach;
   mOrdersFrom = mNode.Now() + wait;
   mKnown = holder;
   Event("claim-won")
@@ -87,6 +127,7 @@
   }
   if (alive && !*alive) {
     Lose("the lease has ended");
+    mLostAt = mNode.Now();
   } else if (alive) {
     mRenewedAt = asked;
   } else if (mNode.Now() > mRenewedAt + kClaimTtl) {
@@ -102,17 +143,23 @@
   }
   const NodeIdentity& self = mNode.mIdentity;
   const StoreItem* claim = nullptr;
-  bool ownLast = false;
+  // Nobody has ever given orders if nobody is named.
+  bool noOthers = true;
   for (const StoreItem& item : list->mItems) {
     if (item.mKey == kLeadKey) {
       claim = &item;
     } else if (item.mKey == kLastKey) {
-      ownLast = item.mValue == self.mName;
+      noOthers = item.mValue == self.mName;
     }
   }
   if (claim == nullptr) {
     mKnown.reset();
-    co_await TryClaim(0, ownLast);
+    if (mLostAt && mNode.Now() - *mLostAt < kStandBack) {
+      mLostAt.reset();
+      co_await Sleep(mNode.mIo, kStandBackPause);
+      co_return;
+    }
+    co_await TryClaim(0, noOthers);
     co_return;
   }
   const Result<LeadHolder> holder = DecodeLead(claim->mValue);
@@ -121,11 +168,53 @@
   }
   if (holder && holder->mName == self.mName && holder->mRun != self.mRun) {
     // This host's process before this one: it has ended, and gives no orders.
-    co_await TryClaim(claim->mRevision, true);
+    co_await TryClaim(claim->mRevision, noOthers);
     co_return;
   }
   // From the store's revision, as the key's own may be out of its history.
-  co_await WatchClaim(list->mRevision);
+  const int64_t revision = list->mRevision;
+  if (!holder || !mWitnesses) {
+    co_await WatchClaim(revision);
+    co_return;
+  }
+  co_await (WatchClaim(revision) ||
+            WatchHolder(holder->mAddress, claim->mLease));
+}
+
+asio::awaitable<void> LeadClaim::WatchHolder(std::string aAddress,
+                                             int64_t aLease) {
+  int misses = 0;
+  while (true) {
+    co_await Sleep(mNode.mIo, kProbeEvery);
+    const bool cancelled = co_await Cancelled();
+    if (cancelled || mNode.mStopping) {
+      co_return;
+    }
+    const bool answers = co_await Reaches(mNode, aAddress, kProbeLimit);
+    misses = answers ? 0 : misses + 1;
+    if (misses < kMisses) {
+      continue;
+    }
+    const bool confirmed = co_await mWitnesses(aAddress);
+    if (!confirmed) {
+      misses = 0;
+      continue;
+    }
+    const std::optional<Error> failed = co_await mNode.mStore.Release(aLease);
+    Event("claim-released")
+        .Text("claim", "lead")
+        .Text("holder", aAddress)
+        .Number("lease", aLease)
+        .Number("misses", misses)
+        .Text("why", failed ? failed->Detail()
+                            : "neither this node nor others "
+                              "reach its holder")
+        .Write();
+    if (!failed) {
+      co_return;
+    }
+    co_await Sleep(mNode.mIo, kReleasePause);
+  }
 }
 
 asio::awaitable<void> LeadClaim::WatchClaim(int64_t aRevision) {
--- a/src/librillwall_rollout/lead_claim_test.cpp
+++ b/src/librillwall_rollout/lead_claim_test.cpp
@@ -51,6 +51,10 @@
   CPPUNIT_TEST(ResignedClaimGoesAtOnce);
   CPPUNIT_TEST(NewHolderWaitsBeforeItOrders);
   CPPUNIT_TEST(RestartedHostNeedNotWait);
+  CPPUNIT_TEST(RestartedHostWaitsIfAnotherOrderedLast);
+  CPPUNIT_TEST(HolderThatNobodyReachesIsReleased);
+  CPPUNIT_TEST(HolderThatOthersReachIsLeft);
+  CPPUNIT_TEST(ReleasedHolderStandsBack);
   CPPUNIT_TEST(OtherHostDoesNotTakeALiveClaim);
   CPPUNIT_TEST(UnreachableStoreStopsOrders);
   CPPUNIT_TEST(HolderIsRead);
@@ -131,6 +135,60 @@
     CPPUNIT_ASSERT(claim.Fence() > mOne.Fence());
   }
 
+  void RestartedHostWaitsIfAnotherOrderedLast() {
+    mWorld.mStore.Write("rillwall/lead-last", "another host");
+    mTest.mNode.mBounds.mLease = Millis(60000);
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    // It ends before it may order; the other host's orders may be young still.
+    TestNode again(mWorld, "n1-again");
+    again.mNode.mBounds.mLease = Millis(60000);
+    LeadClaim claim(again.mNode, [] {});
+    Launch(again.mIo, "again", claim.Run());
+    again.RunUntil([&] { return claim.Held(); });
+    again.RunFor(Millis(50));
+    CPPUNIT_ASSERT(!claim.MayOrder());
+  }
+
+  /// Runs a candidate on another host beside the holder mOne.
+  /// \return whether it has the claim in the end
+  bool CandidateWins(bool aNobodyReachesHolder, Millis aSpan) {
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    TestNode other(mWorld, "n2-run");
+    other.mNode.mIdentity.mName = "n2";
+    LeadClaim claim(other.mNode, [] {});
+    claim.SetWitnesses([&](std::string aAddress) -> asio::awaitable<bool> {
+      CPPUNIT_ASSERT_EQUAL(std::string("n1-address"), aAddress);
+      co_return aNobodyReachesHolder;
+    });
+    Launch(other.mIo, "other", claim.Run());
+    const Millis end = other.mNode.Now() + aSpan;
+    while (!claim.Held() && other.mNode.Now() < end) {
+      other.RunFor(Millis(50));
+    }
+    return claim.Held();
+  }
+
+  void HolderThatNobodyReachesIsReleased() {
+    CPPUNIT_ASSERT(CandidateWins(true, Millis(20000)));
+    mTest.RunUntil([&] { return !mOne.Held(); });
+  }
+
+  void HolderThatOthersReachIsLeft() {
+    CPPUNIT_ASSERT(!CandidateWins(false, Millis(1200)));
+  }
+
+  void ReleasedHolderStandsBack() {
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    mWorld.mStore.Lapse(101);
+    mTest.RunUntil([&] { return !mOne.Held(); });
+    Launch(mTest.mIo, "two", mTwo.Run());
+    mTest.RunUntil([&] { return mWon == 2; });
+    CPPUNIT_ASSERT(mTwo.Held());
+  }
+
   void OtherHostDoesNotTakeALiveClaim() {
     Launch(mTest.mIo, "one", mOne.Run());
     mTest.RunUntil([&] { return mOne.Held(); });
--- a/src/librillwall_rollout/node_context.cpp
+++ b/src/librillwall_rollout/node_context.cpp
@@ -33,6 +33,19 @@
   }
 }
 
+asio::awaitable<bool> Reaches(NodeContext& aNode, std::string aAddress,
+                              Millis aLimit) {
+  const Result<Endpoint> endpoint = Endpoint::Parse(aAddress);
+  if (!endpoint) {
+    co_return false;
+  }
+  HttpRequest request;
+  request.mTarget = kHealthPath;
+  const Result<HttpResponse> answer =
+      co_await aNode.mClient.Send(*endpoint, std::move(request), aLimit);
+  co_return answer.has_value();
+}
+
 asio::awaitable<void> Sleep(asio::io_context& aIo, Millis aSpan) {
   asio::steady_timer timer(aIo);
   timer.expires_after(std::chrono::milliseconds(aSpan.Count()));
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -109,7 +109,7 @@
     co_return false;
   }
   HttpRequest request;
-  request.mTarget = "/node/health";
+  request.mTarget = kHealthPath;
   const Result<HttpResponse> answer =
       co_await mNode.mClient.Send(*endpoint, std::move(request), kProbeLimit);
   co_return answer && answer->mStatus == kOk;
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -26,7 +26,7 @@
 /// are written down while they are unfinished if they have grown by so many
 /// events, some 0.8 s of generation, but not sooner than this after a write.
 constexpr int64_t kWorthKeeping = 20;
-constexpr Millis kKeepEvery{1000};
+constexpr Millis kKeepEvery{700};
 constexpr Millis kFirstRetry{30};
 constexpr Millis kLongestRetry{400};
 /// Time for one call of a scorer when its route sets no target latency.
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -113,13 +113,13 @@
   for (const StorePut& put : aChange.mPuts) {
     StoreItem& item = mItems[put.mKey];
     const int64_t created = item.mCreated == 0 ? mRevision : item.mCreated;
-    item = {put.mKey, put.mValue, mRevision, created};
+    item = {put.mKey, put.mValue, mRevision, created, put.mLease};
     mKeyLeases[put.mKey] = put.mLease;
     mHistory.push_back({false, item});
   }
   for (const std::string& key : aChange.mRemoves) {
     mItems.erase(key);
-    mHistory.push_back({true, {key, {}, mRevision, 0}});
+    mHistory.push_back({true, {key, {}, mRevision, 0, 0}});
   }
   return commit;
 }
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -26,7 +26,12 @@
 constexpr Millis kConfigLimit{1000};
 /// Candidates asked in a row before the store is asked directly.
 constexpr size_t kMaxCandidates = 2;
+/// For one node to reach another.
+constexpr Millis kReachLimit{250};
+/// Nodes asked whether they reach one that does not answer here.
+constexpr size_t kWitnesses = 3;
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr char kRevisionHeader[] = "Rillwall-Revision";
 
@@ -34,7 +39,7 @@
 
 ViewExchange::ViewExchange(NodeContext& aNode, LeadClaim& aLead,
                            NodeDirectory& aNodes)
-    : mNode(aNode), mLead(aLead), mNodes(aNodes), mToldAt(aNode.Now()) {}
+    : mNode(aNode), mLead(aLead), mNodes(aNodes) {}
 
 Millis ViewExchange::PollEvery() const {
   return Millis(mNode.mBounds.mDrain.Count() / kPollShare);
@@ -71,8 +76,8 @@
   view.mReplicas = mLog.Since(known ? question.mReplicas : 0);
   view.mConfig = mFollows ? mConfig.mRevision : 0;
   view.mLead = mLead.Known();
-  if (mNodes.Tag(now) != question.mNodes) {
-    view.mNodes = mNodes.List(now);
+  if (mNodes.Tag() != question.mNodes) {
+    view.mNodes = mNodes.List();
   }
   return HttpResponse::Json(kOk, EncodeView(view));
 }
@@ -86,6 +91,40 @@
   return response;
 }
 
+asio::awaitable<HttpResponse> ViewExchange::AnswerReach(
+    const HttpRequest& aRequest) {
+  const std::string address = aRequest.Query("address");
+  HttpResponse response;
+  response.mStatus = kNotFound;
+  if (mNodes.Knows(address) && co_await Reaches(mNode, address, kReachLimit)) {
+    response.mStatus = kOk;
+  }
+  co_return response;
+}
+
+asio::awaitable<bool> ViewExchange::NobodyReaches(std::string aAddress) {
+  const std::vector<std::string> nodes =
+      mNodes.Relays(mNode.mIdentity.mAddress);
+  // Spread over the list, which is in the order of addresses.
+  const size_t step = std::max<size_t>(1, nodes.size() / kWitnesses);
+  bool answered = false;
+  for (size_t i = 0; i < nodes.size(); i += step) {
+    const Result<Endpoint> endpoint = Endpoint::Parse(nodes[i]);
+    if (!endpoint || nodes[i] == aAddress) {
+      continue;
+    }
+    HttpRequest request;
+    request.mTarget = std::string(kReachPath) + "?address=" + aAddress;
+    const Result<HttpResponse> answer = co_await mNode.mClient.Send(
+        *endpoint, std::move(request), kReachLimit * 2);
+    answered = answered || (answer && answer->mStatus == kNotFound);
+    if (answer && answer->mStatus == kOk) {
+      co_return false;
+    }
+  }
+  co_return answered;
+}
+
 std::vector<std::string> ViewExchange::Sources() const {
   const NodeIdentity& self = mNode.mIdentity;
   std::vector<std::string> sources;
@@ -97,8 +136,7 @@
     // Candidates ask the store themselves while nobody leads.
     return sources;
   }
-  std::vector<std::string> candidates =
-      mNodes.Candidates(self.mAddress, mNode.Now());
+  std::vector<std::string> candidates = mNodes.Candidates(self.mAddress);
   std::erase_if(candidates, [&](const std::string& aAddress) {
     return lead && aAddress == lead->mAddress;
   });
@@ -117,7 +155,8 @@
 
 bool ViewExchange::MayAskAgain() const {
   const Millis patience(mNode.mBounds.mDrain.Count() / kPatienceShare);
-  return mNode.mIdentity.mTakesClients && mNode.Now() - mToldAt < patience;
+  return mNode.mIdentity.mTakesClients && mToldAt &&
+         mNode.Now() - *mToldAt < patience;
 }
 
 asio::awaitable<std::optional<ViewNews>> ViewExchange::Ask() {
@@ -147,7 +186,7 @@
   const ViewQuestion question{{self.mAddress, self.mTakesClients},
                               mMirror.Run(),
                               mMirror.Number(mMirror.Run()),
-                              mNodes.Tag(mNode.Now())};
+                              mNodes.Tag()};
   HttpRequest request;
   request.mTarget = EncodeQuestion(question);
   const Result<HttpResponse> answer =
@@ -172,7 +211,7 @@
   mMirror.Take(view->mRun, view->mReplicas);
   const Millis now = mNode.Now();
   // What stays the same is heard again.
-  mNodes.Adopt(view->mNodes ? *view->mNodes : mNodes.List(now), now);
+  mNodes.Adopt(view->mNodes ? *view->mNodes : mNodes.List(), now);
   if (view->mLead) {
     mLead.Learn(*view->mLead);
   }
