transport: silent pooled connections are not tried one by one

Cause: an open connection may go silent without a reset while new ones work. The client took pooled connections one after the other, each for a whole timeout, and a watch on one waited for up to 26 s.

Change: after a reused connection gave no answer in time the other idle ones to that endpoint are closed; keep-alive probes (2 s, then twice 1 s) end a connection that waits.

--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -104,8 +104,6 @@
 
   /// \return the entry, or null if it is not (or no longer) listed
   const Replica* Find(const std::string& aId) const;
-  /// \return whether a new request may still be sent to it
-  bool Sendable(const std::string& aId) const;
   int64_t InFlight(const std::string& aId) const;
   std::vector<const Replica*> OfService(std::string_view aService) const;
   /// \return all entries, as listed or with what was learned since
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -15,7 +15,6 @@
 #include <set>
 #include <string>
 
-#include "rillwall/lead_claim.h"
 #include "rillwall/node_context.h"
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
@@ -56,7 +55,7 @@
       const std::string& aId, const StepRecord& aRecord,
       const std::string& aBody)>;
 
-  RolloutService(NodeContext& aNode, LeadClaim& aLead, SpecDecoder aDecoder);
+  RolloutService(NodeContext& aNode, SpecDecoder aDecoder);
   ~RolloutService();
 
   /// Called with the model and the work of each step that this node takes.
@@ -168,7 +167,6 @@
   void Tick();
 
   NodeContext& mNode;
-  LeadClaim& mLead;
   const SpecDecoder mDecoder;
   std::map<std::string, StepPtr> mSteps;
   std::map<std::string, Archive> mArchives;
--- a/src/include/rillwall/route_table.h
+++ b/src/include/rillwall/route_table.h
@@ -90,8 +90,6 @@
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
   /// \return the service of that name, or null
   const ServiceSpec* Service(std::string_view aName) const;
-  /// \return the services that serve a model
-  std::vector<std::string> ServicesOfModel(std::string_view aModel) const;
   bool operator==(const RouteTable&) const = default;
 
  private:
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -296,11 +296,6 @@
   return found == mStates.end() ? nullptr : &found->second.mReplica;
 }
 
-bool ReplicaPool::Sendable(const std::string& aId) const {
-  const Replica* replica = Find(aId);
-  return replica != nullptr && !replica->mDraining;
-}
-
 int64_t ReplicaPool::InFlight(const std::string& aId) const {
   const auto found = mStates.find(aId);
   return found == mStates.end() ? 0 : found->second.mInFlight;
--- a/src/librillwall_coordination/replica_pool_test.cpp
+++ b/src/librillwall_coordination/replica_pool_test.cpp
@@ -79,10 +79,10 @@
     leaving.mDraining = true;
     mPool.Update({leaving, ReplicaOf("b", "y")}, false);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), Chosen(mPool, Wish()));
-    CPPUNIT_ASSERT(!mPool.Sendable("a"));
+    CPPUNIT_ASSERT(mPool.Find("a")->mDraining);
     mPool.Update({leaving}, false);
     CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(mPool, Wish()));
-    CPPUNIT_ASSERT(!mPool.Sendable("b"));
+    CPPUNIT_ASSERT(mPool.Find("b") == nullptr);
   }
 
   void MissingEntriesAreKeptWhenAsked() {
--- a/src/librillwall_coordination/route_table.cpp
+++ b/src/librillwall_coordination/route_table.cpp
@@ -58,18 +58,6 @@
   return nullptr;
 }
 
-std::vector<std::string> RouteTable::ServicesOfModel(
-    std::string_view aModel) const {
-  std::vector<std::string> names;
-  for (const ServiceSpec& service : mServices) {
-    const auto& models = service.mModels;
-    if (std::find(models.begin(), models.end(), aModel) != models.end()) {
-      names.push_back(service.mName);
-    }
-  }
-  return names;
-}
-
 const std::string* PickService(const Route& aRoute, uint64_t aKey) {
   uint64_t total = 0;
   for (const RouteTarget& target : aRoute.mTargets) {
--- a/src/librillwall_coordination/route_table_test.cpp
+++ b/src/librillwall_coordination/route_table_test.cpp
@@ -26,7 +26,7 @@
   CPPUNIT_TEST(OtherHostsDoNotMatch);
   CPPUNIT_TEST(WeightsShareOutKeys);
   CPPUNIT_TEST(NoWeightGivesNoService);
-  CPPUNIT_TEST(FindsServicesOfAModel);
+  CPPUNIT_TEST(FindsServices);
   CPPUNIT_TEST_SUITE_END();
 
   void LongestPrefixOfTheHostWins() {
@@ -70,13 +70,11 @@
     CPPUNIT_ASSERT(PickService(route, 7) == nullptr);
   }
 
-  void FindsServicesOfAModel() {
+  void FindsServices() {
     ServiceSpec one{"one", 0, true, {"m", "n"}};
     ServiceSpec two{"two", 0, true, {"n"}};
     const RouteTable table(1, {}, {one, two}, {});
-    CPPUNIT_ASSERT_EQUAL(size_t{2}, table.ServicesOfModel("n").size());
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, table.ServicesOfModel("m").size());
-    CPPUNIT_ASSERT(table.Service("two") != nullptr);
+    CPPUNIT_ASSERT(*table.Service("two") == two);
     CPPUNIT_ASSERT(table.Service("three") == nullptr);
   }
 };
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -73,9 +73,8 @@
   return read;
 }
 
-RolloutService::RolloutService(NodeContext& aNode, LeadClaim& aLead,
-                               SpecDecoder aDecoder)
-    : mNode(aNode), mLead(aLead), mDecoder(std::move(aDecoder)) {}
+RolloutService::RolloutService(NodeContext& aNode, SpecDecoder aDecoder)
+    : mNode(aNode), mDecoder(std::move(aDecoder)) {}
 
 RolloutService::~RolloutService() = default;
 
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -98,9 +98,8 @@
     Process(TestWorld& aWorld, std::string aRun)
         : mNode(aWorld, std::move(aRun)) {}
     TestNode mNode;
-    LeadClaim mLead{mNode.mNode, [] {}};
     RolloutService mService{
-        mNode.mNode, mLead,
+        mNode.mNode,
         [](const std::string&, const StepRecord&,
            const std::string& aBody) -> Result<RolloutSpec> {
           CPPUNIT_ASSERT_EQUAL(std::string(kBody), aBody);
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -59,6 +59,9 @@
                                              Millis aTimeout);
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
       Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout);
+  /// A reused connection gave no answer. It may have gone silent, and the other
+  /// idle ones to that endpoint with it: they are not tried one by one.
+  void DropIdle(const Endpoint& aEndpoint);
   /// Closes connections that were idle for too long; under the lock.
   void Sweep(TimePoint aNow);
 
@@ -100,6 +103,11 @@
                 [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
+void HttpClient::Impl::DropIdle(const Endpoint& aEndpoint) {
+  const std::lock_guard lock(mMutex);
+  mIdle.erase(aEndpoint);
+}
+
 Connection HttpClient::Impl::Reuse(const Endpoint& aEndpoint) {
   while (true) {
     Connection connection;
@@ -176,7 +184,8 @@
   const TimePoint due = std::chrono::steady_clock::now() +
                         std::chrono::milliseconds(aTimeout.Count());
   Connection connection = Reuse(aEndpoint);
-  if (connection) {
+  const bool reused = connection != nullptr;
+  if (reused) {
     connection->mSocket.Deadline().Set(aTimeout);
   } else {
     Result<Connection> made = co_await Connect(aEndpoint, due);
@@ -191,6 +200,9 @@
   if (!error) {
     error = co_await call->ReadHead();
   }
+  if (error && reused && error->Kind() == ErrorKind::Timeout) {
+    DropIdle(aEndpoint);
+  }
   if (error) {
     co_return std::move(*error);
   }
--- a/src/librillwall_transport/http_client_test.cpp
+++ b/src/librillwall_transport/http_client_test.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <random>
 
 #include "http_test_support.h"
@@ -20,6 +22,7 @@
   CPPUNIT_TEST(TestCutAnswers);
   CPPUNIT_TEST(TestAnswerUntilClose);
   CPPUNIT_TEST(TestStalePooledConnection);
+  CPPUNIT_TEST(TestSilentPooledConnections);
   CPPUNIT_TEST(TestBytesAfterTheAnswer);
   CPPUNIT_TEST(TestInformational);
   CPPUNIT_TEST(TestHeaderInjection);
@@ -79,6 +82,42 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), Body(upstream.Where()));
   }
 
+  void TestSilentPooledConnections() {
+    // Connections on which two requests have come give no answer any more.
+    std::mutex mutex;
+    std::map<std::string, int> requests;
+    HttpServer server(mThreads.Context(), HttpLimits(),
+                      [&](const HttpRequest&,
+                          HttpExchange& aExchange) -> asio::awaitable<void> {
+                        int count = 0;
+                        {
+                          const std::lock_guard lock(mutex);
+                          count = ++requests[aExchange.Peer()];
+                        }
+                        if (count > 1) {
+                          co_await Sleep(Millis(600));
+                          aExchange.Cut();
+                          co_return;
+                        }
+                        co_await Sleep(Millis(20));
+                        HttpResponse response;
+                        co_await aExchange.Respond(std::move(response));
+                      });
+    const Endpoint where = server.Listen({"127.0.0.1", 0}).value();
+    const auto send = [&]() {
+      return asio::co_spawn(mThreads.Context(),
+                            mClient.Send(where, {}, Millis(300)),
+                            asio::use_future);
+    };
+    auto first = send();
+    auto second = send();
+    CPPUNIT_ASSERT(first.get().has_value());
+    CPPUNIT_ASSERT(second.get().has_value());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mClient.Connections());
+    CPPUNIT_ASSERT(send().get().error().Kind() == ErrorKind::Timeout);
+    CPPUNIT_ASSERT(send().get().has_value());
+  }
+
   void TestBytesAfterTheAnswer() {
     RawUpstream upstream(
         {std::string(kWhole) +
--- a/src/librillwall_transport/http_socket.cpp
+++ b/src/librillwall_transport/http_socket.cpp
@@ -1,5 +1,6 @@
 #include "http_socket.h"
 
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -15,6 +16,19 @@
 
 using asio::experimental::awaitable_operators::operator||;
 
+using KeepAliveIdle =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepAliveInterval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepAliveProbes =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+/// A watch that waits on a silent connection is to be begun anew well before a
+/// change has to be in force (2 s after calm has come back, which takes 3 s).
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
 /// Drops the first bytes of the buffers.
 void Consume(WriteBuffers& aBuffers, size_t aBytes) {
   for (asio::const_buffer& buffer : aBuffers) {
@@ -38,6 +52,11 @@
 
 void HttpSocket::Prepare() {
   error_code ignored;
+  // A connection can go silent without a reset; a waiting call sees it by this.
+  mSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  mSocket.set_option(KeepAliveIdle(kKeepAliveIdleSeconds), ignored);
+  mSocket.set_option(KeepAliveInterval(kKeepAliveIntervalSeconds), ignored);
+  mSocket.set_option(KeepAliveProbes(kKeepAliveProbes), ignored);
   mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
   mSocket.non_blocking(true, ignored);
   mDeadline->Attach(mSocket.native_handle());
