--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -337,6 +337,8 @@
   }
 
   void OwnerNoticesThatAStepWasTaken() {
+    // Nothing of the step is written, which would show it too.
+    mEngine.mEvents = 100000;
     mEngine.mOtherwise.mEventTime = Millis(20000);
     Accept();
     Steal();
