rollout: unlisted texts go to the host's own disk while the store is away

Change: StepSpool appends texts that are not listed, with their scores, to a file for each step, synced, on a thread of its own, so that a disk that hangs holds nothing up. The next owner on the same host takes over what is longer than what the store kept. No platform's promise rests on it.

Found: the age of files by the process's clock is worth nothing (all were removed at the start); they are compared with one another now.

--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -61,6 +61,14 @@
   bool operator==(const RolloutSpec&) const = default;
 };
 
+/// How far a text is written down somewhere.
+struct TextMark {
+  int64_t mEvents = 0;
+  size_t mBytes = 0;     ///< of the output
+  bool mScored = false;  ///< with the score
+  bool operator==(const TextMark&) const = default;
+};
+
 /// The text of an item as far as it was generated.
 struct RolloutText {
   int64_t mEvents = 0;  ///< whole events received; the last one's id
@@ -68,8 +76,8 @@
   std::vector<int64_t> mVersions;  ///< weights that made them, each once
   bool mWhole = false;             ///< the last event has been received
   std::string mScore;              ///< signature of the scorer's answer
-  int64_t mKeptEvents = 0;         ///< of these, the store keeps so many
-  size_t mKeptBytes = 0;           ///< their share of mOutput
+  TextMark mKept;                  ///< what the store keeps of it
+  TextMark mSpooled;               ///< what the host's disk keeps of it
 
   /// Adds one event.
   /// \param aVersion weights that made it
@@ -88,6 +96,7 @@
   std::string mOutput;  ///< data of its events, joined
   std::vector<int64_t> mVersions;  ///< weights of the text so far
   bool mWhole = false;             ///< its last event ends the text
+  std::string mScore;              ///< signature of the scorer's answer, if any
   bool operator==(const RolloutPart&) const = default;
 };
 
@@ -133,6 +142,11 @@
   std::vector<RolloutPart> TakeUnkept(int64_t aWorth, size_t aMaxBytes);
   /// \return whether TakeUnkept would give anything out
   bool HasUnkept(int64_t aWorth) const;
+  /// The same for the host's disk, of all texts that are not listed: also those
+  /// that have ended.
+  std::vector<RolloutPart> TakeUnspooled(int64_t aWorth, size_t aMaxBytes);
+  /// These results are in the store.
+  void Listed(const std::vector<RolloutResult>& aResults);
   /// Takes over what an earlier owner kept. The parts come as they were
   /// written. \return events of unfinished texts that need not be generated
   /// again
@@ -175,6 +189,7 @@
   struct State {
     Phase mPhase = Phase::Waiting;
     int mFailures = 0;
+    bool mListed = false;  ///< its result is in the store
     std::string mLastReplica;
     RolloutText mText;
   };
@@ -191,6 +206,11 @@
   };
   Place PlaceOf(size_t aItem) const;
   static bool WorthKeeping(const State& aState, int64_t aWorth);
+  static bool WorthSpooling(const State& aState, int64_t aWorth);
+  /// \return what a mark does not cover yet; the mark then does
+  static RolloutPart Stretch(std::string aItem, RolloutText& aText,
+                             TextMark RolloutText::*aMark);
+  void AdoptRestored(size_t aItem, RolloutText aText);
   void End(size_t aItem, RolloutEnd aEnd);
   RolloutResult ResultOf(size_t aItem, RolloutEnd aEnd) const;
 
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -18,6 +18,7 @@
 #include "rillwall/node_context.h"
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
+#include "rillwall/step_spool.h"
 
 namespace rillwall {
 
@@ -58,6 +59,9 @@
   RolloutService(NodeContext& aNode, SpecDecoder aDecoder);
   ~RolloutService();
 
+  /// Texts are kept there while the store is away; unused until it is opened.
+  StepSpool mSpool;
+
   /// Called with the model and the work of each step that this node takes.
   std::function<void(const std::string&, double)> mOnStep;
 
@@ -150,6 +154,9 @@
   /// Writes results and unfinished texts down if that is due.
   void ScheduleFlush(const StepPtr& aStep);
   asio::awaitable<void> Flush(StepPtr aStep);
+  /// Writes texts to the disk while the store takes none.
+  void ScheduleSpool(const StepPtr& aStep);
+  asio::awaitable<void> Spool(StepPtr aStep, std::vector<RolloutPart> aParts);
   /// Makes one write, as often as it takes. \return whether it is done
   asio::awaitable<bool> CommitWrite(StepPtr aStep, StoreChange aChange);
   /// Makes sure that this node still owns a step, by the store's word of less
--- a/src/librillwall_coordination/rollout_book.cpp
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -84,6 +84,7 @@
     state.mText.mScore = result.mScore;
     state.mText.mWhole = result.mEnd == RolloutEnd::Completed;
     End(*item, result.mEnd);
+    state.mListed = true;
     mUnlisted.pop_back();
   }
 }
@@ -97,8 +98,8 @@
   mWaiting.erase(PlaceOf(aItem));
   state.mText = std::move(aText);
   // Kept for its earlier step, under that step's keys.
-  state.mText.mKeptEvents = 0;
-  state.mText.mKeptBytes = 0;
+  state.mText.mKept = TextMark();
+  state.mText.mSpooled = TextMark();
   if (state.mText.mWhole && !state.mText.mScore.empty()) {
     End(aItem, RolloutEnd::Completed);
   } else {
@@ -110,7 +111,14 @@
 bool RolloutBook::WorthKeeping(const State& aState, int64_t aWorth) {
   const RolloutText& text = aState.mText;
   return aState.mPhase != Phase::Ended &&
-         text.mEvents - text.mKeptEvents >= aWorth;
+         text.mEvents - text.mKept.mEvents >= aWorth;
+}
+
+bool RolloutBook::WorthSpooling(const State& aState, int64_t aWorth) {
+  const RolloutText& text = aState.mText;
+  const bool scored = !text.mScore.empty() && !text.mSpooled.mScored;
+  return !aState.mListed && text.mEvents > 0 &&
+         (scored || text.mEvents - text.mSpooled.mEvents >= aWorth);
 }
 
 bool RolloutBook::HasUnkept(int64_t aWorth) const {
@@ -119,58 +127,107 @@
   });
 }
 
+RolloutPart RolloutBook::Stretch(std::string aItem, RolloutText& aText,
+                                 TextMark RolloutText::*aMark) {
+  TextMark& mark = aText.*aMark;
+  RolloutPart part;
+  part.mItem = std::move(aItem);
+  part.mFrom = mark.mEvents;
+  part.mTo = aText.mEvents;
+  if (part.mTo > part.mFrom) {
+    // Without the line feed that joins it to what is written already.
+    const size_t begin = mark.mEvents > 0 ? mark.mBytes + 1 : 0;
+    part.mOutput = aText.mOutput.substr(begin);
+  }
+  part.mVersions = aText.mVersions;
+  part.mWhole = aText.mWhole;
+  part.mScore = aText.mScore;
+  mark = {aText.mEvents, aText.mOutput.size(), !aText.mScore.empty()};
+  return part;
+}
+
 std::vector<RolloutPart> RolloutBook::TakeUnkept(int64_t aWorth,
                                                  size_t aMaxBytes) {
   std::vector<RolloutPart> parts;
   size_t bytes = 0;
   for (size_t i = 0; bytes < aMaxBytes && i < mStates.size(); ++i) {
-    if (!WorthKeeping(mStates[i], aWorth)) {
-      continue;
+    if (WorthKeeping(mStates[i], aWorth)) {
+      parts.push_back(
+          Stretch(mSpec.mItems[i].mId, mStates[i].mText, &RolloutText::mKept));
+      bytes += parts.back().mOutput.size();
+    }
+  }
+  return parts;
+}
+
+std::vector<RolloutPart> RolloutBook::TakeUnspooled(int64_t aWorth,
+                                                    size_t aMaxBytes) {
+  std::vector<RolloutPart> parts;
+  size_t bytes = 0;
+  for (size_t i = 0; bytes < aMaxBytes && i < mStates.size(); ++i) {
+    if (WorthSpooling(mStates[i], aWorth)) {
+      parts.push_back(Stretch(mSpec.mItems[i].mId, mStates[i].mText,
+                              &RolloutText::mSpooled));
+      bytes += parts.back().mOutput.size();
     }
-    RolloutText& text = mStates[i].mText;
-    RolloutPart part;
-    part.mItem = mSpec.mItems[i].mId;
-    part.mFrom = text.mKeptEvents;
-    part.mTo = text.mEvents;
-    // Without the line feed that joins it to what is kept already.
-    const size_t begin = text.mKeptEvents > 0 ? text.mKeptBytes + 1 : 0;
-    part.mOutput = text.mOutput.substr(begin);
-    part.mVersions = text.mVersions;
-    part.mWhole = text.mWhole;
-    bytes += part.mOutput.size();
-    text.mKeptEvents = text.mEvents;
-    text.mKeptBytes = text.mOutput.size();
-    parts.push_back(std::move(part));
   }
   return parts;
 }
 
+void RolloutBook::Listed(const std::vector<RolloutResult>& aResults) {
+  for (const RolloutResult& result : aResults) {
+    const std::optional<size_t> item = IndexOf(result.mItem);
+    if (item) {
+      mStates[*item].mListed = true;
+    }
+  }
+}
+
+void RolloutBook::AdoptRestored(size_t aItem, RolloutText aText) {
+  State& state = mStates[aItem];
+  const RolloutText& here = state.mText;
+  const bool more = std::tuple(aText.mEvents, aText.mScore.size()) >
+                    std::tuple(here.mEvents, here.mScore.size());
+  if (state.mPhase != Phase::Waiting || !more ||
+      !aText.Fits(mSpec.mMinVersion, mSingleVersion)) {
+    return;
+  }
+  mWaiting.erase(PlaceOf(aItem));
+  state.mText = std::move(aText);
+  mWaiting.insert(PlaceOf(aItem));
+  if (state.mText.mWhole && !state.mText.mScore.empty()) {
+    End(aItem, RolloutEnd::Completed);
+  }
+}
+
 int64_t RolloutBook::RestoreTexts(const std::vector<RolloutPart>& aParts) {
+  std::map<size_t, RolloutText> texts;
   for (const RolloutPart& part : aParts) {
     const std::optional<size_t> item = IndexOf(part.mItem);
-    if (!item || mStates[*item].mPhase != Phase::Waiting) {
+    if (!item) {
       continue;
     }
-    RolloutText& text = mStates[*item].mText;
-    const bool begins = part.mFrom == 0;
-    if (!begins && part.mFrom != text.mEvents) {
+    RolloutText& text = texts[*item];
+    if (part.mFrom == 0) {
+      text = RolloutText();
+    } else if (part.mFrom != text.mEvents) {
       continue;
     }
-    mWaiting.erase(PlaceOf(*item));
-    text.mOutput = begins ? part.mOutput : text.mOutput + '\n' + part.mOutput;
+    if (part.mTo > part.mFrom) {
+      text.mOutput += (part.mFrom > 0 ? "\n" : "") + part.mOutput;
+    }
     text.mEvents = part.mTo;
     text.mVersions = part.mVersions;
     text.mWhole = part.mWhole;
-    text.mKeptEvents = text.mEvents;
-    text.mKeptBytes = text.mOutput.size();
-    if (!text.Fits(mSpec.mMinVersion, mSingleVersion)) {
-      text = RolloutText();
-    }
-    mWaiting.insert(PlaceOf(*item));
+    text.mScore = part.mScore;
+    text.mKept = {text.mEvents, text.mOutput.size(), false};
+  }
+  for (auto& [item, text] : texts) {
+    AdoptRestored(item, std::move(text));
   }
   int64_t events = 0;
   for (const State& state : mStates) {
-    events += state.mPhase == Phase::Waiting ? state.mText.mEvents : 0;
+    events += state.mListed ? 0 : state.mText.mEvents;
   }
   return events;
 }
--- a/src/librillwall_coordination/rollout_book_test.cpp
+++ b/src/librillwall_coordination/rollout_book_test.cpp
@@ -80,6 +80,9 @@
   CPPUNIT_TEST(TextMadeAnewReplacesWhatWasKept);
   CPPUNIT_TEST(OldPartsDoNotFit);
   CPPUNIT_TEST(CarriedTextIsKeptAnew);
+  CPPUNIT_TEST(SpooledTextsHaveTheirScores);
+  CPPUNIT_TEST(ListedTextsAreNotSpooled);
+  CPPUNIT_TEST(LongerOfTwoTextsIsRestored);
   CPPUNIT_TEST_SUITE_END();
 
   RolloutBook mBook{Spec(), kAttempts, false};
@@ -251,12 +254,12 @@
   void UnkeptTextIsGivenOutOnce() {
     RolloutBook book = Running(3);
     const std::vector<RolloutPart> first = book.TakeUnkept(2, kAnySize);
-    const RolloutPart expected{"b1", 0, 3, "e1\ne2\ne3", {5}, false};
+    const RolloutPart expected{"b1", 0, 3, "e1\ne2\ne3", {5}, false, ""};
     CPPUNIT_ASSERT(first == std::vector<RolloutPart>{expected});
     CPPUNIT_ASSERT(book.TakeUnkept(1, kAnySize).empty());
     Grow(book, 2);
     const std::vector<RolloutPart> second = book.TakeUnkept(2, kAnySize);
-    const RolloutPart rest{"b1", 3, 5, "e4\ne5", {5}, false};
+    const RolloutPart rest{"b1", 3, 5, "e4\ne5", {5}, false, ""};
     CPPUNIT_ASSERT(second == std::vector<RolloutPart>{rest});
   }
 
@@ -291,12 +294,12 @@
   }
 
   void PartsWithAGapAreLeftOut() {
-    const RolloutPart first{"b1", 0, 2, "e1\ne2", {5}, false};
-    const RolloutPart gap{"b1", 3, 4, "e4", {5}, false};
+    const RolloutPart first{"b1", 0, 2, "e1\ne2", {5}, false, ""};
+    const RolloutPart gap{"b1", 3, 4, "e4", {5}, false, ""};
     CPPUNIT_ASSERT_EQUAL(int64_t{2}, Restored({first, gap}).mEvents);
     CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2"), Restored({first, gap}).mOutput);
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, Restored({gap}).mEvents);
-    const RolloutPart other{"of another step", 0, 1, "x", {5}, false};
+    const RolloutPart other{"of another step", 0, 1, "x", {5}, false, ""};
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, Restored({other}).mEvents);
   }
 
@@ -314,10 +317,10 @@
   }
 
   void OldPartsDoNotFit() {
-    const RolloutPart old{"b1", 0, 2, "e1\ne2", {3}, false};
+    const RolloutPart old{"b1", 0, 2, "e1\ne2", {3}, false, ""};
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, Restored({old}).mEvents);
     RolloutBook single(Spec(), kAttempts, true);
-    single.RestoreTexts({{"b1", 0, 2, "e1\ne2", {4, 5}, false}});
+    single.RestoreTexts({{"b1", 0, 2, "e1\ne2", {4, 5}, false, ""}});
     CPPUNIT_ASSERT_EQUAL(int64_t{0},
                          single.Text(*single.IndexOf("b1")).mEvents);
   }
@@ -333,6 +336,43 @@
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, parts[0].mFrom);
     CPPUNIT_ASSERT_EQUAL(int64_t{3}, parts[0].mTo);
   }
+
+  void SpooledTextsHaveTheirScores() {
+    RolloutBook book = Running(3);
+    std::vector<RolloutPart> parts = book.TakeUnspooled(1, kAnySize);
+    CPPUNIT_ASSERT(book.TakeUnspooled(1, kAnySize).empty());
+    RolloutText& text = book.Text(*book.IndexOf("b1"));
+    text.mWhole = true;
+    text.mScore = "signed";
+    book.Finished(*book.IndexOf("b1"));
+    for (const RolloutPart& part : book.TakeUnspooled(1, kAnySize)) {
+      parts.push_back(part);
+    }
+    RolloutBook later(Spec(), kAttempts, false);
+    later.RestoreTexts(parts);
+    const std::vector<RolloutResult> ended = later.TakeUnlisted();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, ended.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3"), ended[0].mOutput);
+    CPPUNIT_ASSERT_EQUAL(std::string("signed"), ended[0].mScore);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, later.Ended());
+  }
+
+  void ListedTextsAreNotSpooled() {
+    RolloutBook book = Running(3);
+    Finish(book, "b1");
+    book.Listed(book.TakeUnlisted());
+    CPPUNIT_ASSERT(book.TakeUnspooled(1, kAnySize).empty());
+  }
+
+  void LongerOfTwoTextsIsRestored() {
+    const RolloutPart store{"b1", 0, 2, "e1\ne2", {5}, false, ""};
+    const RolloutPart disk{"b1", 0, 3, "d1\nd2\nd3", {5}, false, ""};
+    RolloutBook book(Spec(), kAttempts, false);
+    book.RestoreTexts({disk});
+    book.RestoreTexts({store});
+    CPPUNIT_ASSERT_EQUAL(std::string("d1\nd2\nd3"),
+                         book.Text(*book.IndexOf("b1")).mOutput);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutBookTest);
--- a/src/librillwall_protocol/rollout_record.cpp
+++ b/src/librillwall_protocol/rollout_record.cpp
@@ -60,6 +60,7 @@
   object["output"] = aPart.mOutput;
   object["versions"] = json::value_from(aPart.mVersions);
   object["whole"] = aPart.mWhole;
+  object["score"] = aPart.mScore;
   return object;
 }
 
@@ -168,6 +169,7 @@
     part.mTo = inner.Int("to");
     part.mOutput = inner.String("output");
     part.mWhole = inner.Bool("whole");
+    part.mScore = inner.String("score", "");
     part.mVersions = VersionsFrom(*each);
     if (inner.Failed()) {
       return inner.Failure();
--- a/src/librillwall_protocol/rollout_record_test.cpp
+++ b/src/librillwall_protocol/rollout_record_test.cpp
@@ -31,7 +31,7 @@
   void PartsComeBack() {
     const std::vector<RolloutPart> parts = {
         {"i1", 0, 2, "a\nb", {3}, false},
-        {"i2", 7, 9, "c\n\"d\"", {3, 4}, true}};
+        {"i2", 7, 9, "c\n\"d\"", {3, 4}, true, "sig"}};
     CPPUNIT_ASSERT(parts == *DecodeParts(EncodeParts(parts)));
     CPPUNIT_ASSERT(DecodeParts(R"({"parts":[]})")->empty());
     CPPUNIT_ASSERT(!DecodeParts(R"({"parts":[{"item":"i1"}]})"));
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -232,6 +232,7 @@
     co_return listed.error();
   }
   const KeptTexts kept = co_await LoadParts(aId);
+  const std::vector<RolloutPart> spooled = co_await mSpool.Load(aId);
   Result<RolloutSpec> spec = mDecoder(aId, aRecord, *body);
   if (!spec) {
     co_return spec.error();
@@ -247,6 +248,7 @@
   step->mListed = std::move(*listed);
   step->mNextPart = kept.mNext;
   const int64_t restored = step->mBook.RestoreTexts(kept.mParts);
+  const int64_t withDisk = step->mBook.RestoreTexts(spooled);
   Event("step-taken-over")
       .Id(aId)
       .Text("from", before)
@@ -254,6 +256,7 @@
       .Number("listed", static_cast<int64_t>(step->mListed.size()))
       .Number("total", static_cast<int64_t>(step->mBook.Total()))
       .Number("restored_events", restored)
+      .Number("with_disk", withDisk)
       .Write();
   mNode.mMetrics.Count("steps_taken_over_total");
   Pump();
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -27,6 +27,10 @@
 /// events, some 0.8 s of generation, but not sooner than this after a write.
 constexpr int64_t kWorthKeeping = 20;
 constexpr Millis kKeepEvery{700};
+/// While the store is away, some 0.4 s of generation are worth a write to the
+/// host's own disk, which costs a ms or two.
+constexpr int64_t kWorthSpooling = 10;
+constexpr Millis kSpoolEvery{500};
 constexpr Millis kFirstRetry{30};
 constexpr Millis kLongestRetry{400};
 /// Time for one call of a scorer when its route sets no target latency.
@@ -360,6 +364,7 @@
         .Number("store_ms", (mNode.Now() - asked).Count())
         .Write();
     mNode.mMetrics.Measure("page_ms", mNode.Now() - asked);
+    aStep->mBook.Listed(page.mResults);
     for (RolloutResult& result : page.mResults) {
       aStep->mListed.push_back(std::move(result));
     }
@@ -369,6 +374,38 @@
   ScheduleFlush(aStep);
 }
 
+void RolloutService::ScheduleSpool(const StepPtr& aStep) {
+  const Millis now = mNode.Now();
+  // Unsettled: the last write has failed, and is being made again.
+  if (!mSpool.Usable() || !aStep->mUnsettled || aStep->mSpooling ||
+      now - aStep->mSpooledAt < kSpoolEvery) {
+    return;
+  }
+  std::vector<RolloutPart> parts =
+      aStep->mBook.TakeUnspooled(kWorthSpooling, kMaxPageBytes);
+  if (parts.empty()) {
+    return;
+  }
+  aStep->mSpooling = true;
+  aStep->mSpooledAt = now;
+  Launch(mNode.mIo, "spool", Spool(aStep, std::move(parts)));
+}
+
+asio::awaitable<void> RolloutService::Spool(StepPtr aStep,
+                                            std::vector<RolloutPart> aParts) {
+  const Millis begun = mNode.Now();
+  const auto texts = static_cast<int64_t>(aParts.size());
+  const std::string failed =
+      co_await mSpool.Append(aStep->Id(), std::move(aParts));
+  aStep->mSpooling = false;
+  Event("texts-spooled")
+      .Id(aStep->Id())
+      .Number("texts", texts)
+      .Number("disk_ms", (mNode.Now() - begun).Count())
+      .Text("why", failed)
+      .Write();
+}
+
 asio::awaitable<bool> RolloutService::CommitWrite(StepPtr aStep,
                                                   StoreChange aChange) {
   const std::string step = StepKey(aStep->Id());
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -74,7 +74,7 @@
 }
 
 RolloutService::RolloutService(NodeContext& aNode, SpecDecoder aDecoder)
-    : mNode(aNode), mDecoder(std::move(aDecoder)) {}
+    : mSpool(aNode.mIo), mNode(aNode), mDecoder(std::move(aDecoder)) {}
 
 RolloutService::~RolloutService() = default;
 
@@ -402,6 +402,7 @@
 }
 
 void RolloutService::Drop(const StepPtr& aStep, const char* aWhy) {
+  mSpool.Remove(aStep->Id());
   Event("step-lost").Id(aStep->Id()).Text("why", aWhy).Write();
   mNode.mMetrics.Count("steps_lost_total");
   StopRuns(*aStep);
@@ -453,6 +454,7 @@
     }
   }
   step->mRecord = record;
+  mSpool.Remove(aId);
   Event("step-ended")
       .Id(aId)
       .Number("listed", static_cast<int64_t>(step->mListed.size()))
@@ -507,6 +509,7 @@
     }
     verify = verify || now - step->mVerifiedAt > kVerifyIdle;
     ScheduleFlush(step);
+    ScheduleSpool(step);
     MoveFromSlow(step);
   }
   if (verify && !mVerifying) {
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -4,6 +4,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
 #include <memory>
 #include <set>
 
@@ -81,6 +85,7 @@
   CPPUNIT_TEST(LaterOwnerGoesOnWithUnfinishedTexts);
   CPPUNIT_TEST(EndedStepLeavesNoUnfinishedTexts);
   CPPUNIT_TEST(ReplacedOwnerKeepsNoTexts);
+  CPPUNIT_TEST(TextsOutliveAnOutageAndARestart);
   CPPUNIT_TEST(TakeoversRunOnce);
   CPPUNIT_TEST(RepeatedSubmissionDuringTakeover);
   CPPUNIT_TEST(ReaderDuringAcceptance);
@@ -455,6 +460,37 @@
     CPPUNIT_ASSERT_EQUAL(kept, mWorld.mStore.CountOf(PartPrefix("s1")));
   }
 
+  void TextsOutliveAnOutageAndARestart() {
+    const std::filesystem::path folder =
+        std::filesystem::temp_directory_path() /
+        ("rillwall-spool-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(folder);
+    constexpr size_t kAnySize = 1000000;
+    Service().mSpool.Open(folder, kAnySize);
+    Accept();
+    mWorld.mStore.mDown = true;
+    // Both texts are generated, scored and on the disk, and not listed.
+    Test().RunUntil([&] {
+      std::string text;
+      for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+        std::ifstream file(entry.path());
+        text.append(std::istreambuf_iterator<char>(file), {});
+      }
+      return text.find("signed-i1-score") != std::string::npos &&
+             text.find("signed-i2-score") != std::string::npos;
+    });
+    const size_t before = mEngine.mRequests.size();
+    Restart("n1-again");
+    Service().mSpool.Open(folder, kAnySize);
+    mWorld.mStore.mDown = false;
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::Here);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Listed(2).size());
+    CPPUNIT_ASSERT_EQUAL(before, mEngine.mRequests.size());
+    CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
+    Test().RunUntil([&] { return std::filesystem::is_empty(folder); });
+    std::filesystem::remove_all(folder);
+  }
+
   void TakeoversRunOnce() {
     mEngine.mOtherwise.mEventTime = Millis(500);
     Accept();
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -65,8 +65,10 @@
   std::map<size_t, HttpStream*> mStreams;  ///< by item
   std::set<size_t> mMoving;  ///< items whose stream is ended to go elsewhere
   std::map<size_t, Millis> mMovedAt;  ///< by item, the last such move
-  int64_t mNextPart = 0;  ///< number of the next write of unfinished texts
-  Millis mWrittenAt;      ///< when the last write began
+  int64_t mNextPart = 0;   ///< number of the next write of unfinished texts
+  bool mSpooling = false;  ///< texts are being written to the disk
+  Millis mSpooledAt;       ///< when that last began
+  Millis mWrittenAt;       ///< when the last write began
   std::optional<Millis> mGatherFrom;  ///< since when a result is unwritten
   std::optional<Millis> mDueAt;       ///< when the trainer wants its results
   Millis mGiveUpAt;                   ///< then unfinished items are given up
--- /dev/null
+++ b/src/librillwall_rollout/step_spool.cpp
@@ -0,0 +1,183 @@
+#include "rillwall/step_spool.h"
+
+#define XXH_INLINE_ALL
+#include <fcntl.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <optional>
+
+#include "rillwall/event_log.h"
+#include "rillwall/node_context.h"
+#include "rillwall/rollout_record.h"
+
+namespace rillwall {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+/// Steps are given up after a minute or so; a file is not needed for longer.
+constexpr std::chrono::minutes kMaxAge{10};
+/// For reading a step's file, some MB at the most.
+constexpr Millis kLoadLimit{400};
+constexpr Millis kLoadLook{5};
+constexpr char kSuffix[] = ".texts";
+constexpr size_t kHashDigits = 16;
+
+std::string Hash(std::string_view aText) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  uint64_t hash = XXH64(aText.data(), aText.size(), 0);
+  std::string digits(kHashDigits, '0');
+  for (size_t i = kHashDigits; i > 0; --i) {
+    digits[i - 1] = kDigits[hash % 16];
+    hash /= 16;
+  }
+  return digits;
+}
+
+/// One line: checksum, space, JSON.
+std::string LineOf(const std::vector<RolloutPart>& aParts) {
+  const std::string text = EncodeParts(aParts);
+  return Hash(text) + " " + text + "\n";
+}
+
+std::string LastError(const char* aWhat) {
+  return std::string(aWhat) + ": " + std::strerror(errno);
+}
+
+/// \return what went wrong, empty if all is on the disk
+std::string AppendToFile(const std::string& aPath, std::string_view aLine) {
+  const int file =
+      ::open(aPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (file < 0) {
+    return LastError("open");
+  }
+  std::string failed;
+  while (failed.empty() && !aLine.empty()) {
+    const ssize_t done = ::write(file, aLine.data(), aLine.size());
+    if (done < 0) {
+      failed = LastError("write");
+    } else {
+      aLine.remove_prefix(static_cast<size_t>(done));
+    }
+  }
+  if (failed.empty() && ::fdatasync(file) != 0) {
+    failed = LastError("sync");
+  }
+  ::close(file);
+  return failed;
+}
+
+std::vector<RolloutPart> ReadFile(const std::string& aPath) {
+  std::vector<RolloutPart> all;
+  std::ifstream input(aPath);
+  std::string line;
+  while (std::getline(input, line)) {
+    const bool framed = line.size() > kHashDigits && line[kHashDigits] == ' ';
+    const std::string text = framed ? line.substr(kHashDigits + 1) : "";
+    if (!framed || line.substr(0, kHashDigits) != Hash(text)) {
+      break;
+    }
+    const Result<std::vector<RolloutPart>> parts = DecodeParts(text);
+    if (!parts) {
+      break;
+    }
+    all.insert(all.end(), parts->begin(), parts->end());
+  }
+  return all;
+}
+
+/// Removes files that were written long before the newest one: the clocks of
+/// files and of the process may differ.
+/// \return bytes of those that stay
+size_t RemoveOldFiles(const std::string& aFolder) {
+  std::vector<fs::directory_entry> files;
+  fs::file_time_type newest = fs::file_time_type::min();
+  std::error_code ignored;
+  for (const fs::directory_entry& entry :
+       fs::directory_iterator(aFolder, ignored)) {
+    if (entry.path().extension() == kSuffix) {
+      files.push_back(entry);
+      newest = std::max(newest, entry.last_write_time(ignored));
+    }
+  }
+  size_t bytes = 0;
+  for (const fs::directory_entry& entry : files) {
+    if (newest - entry.last_write_time(ignored) > kMaxAge) {
+      fs::remove(entry.path(), ignored);
+    } else {
+      bytes += entry.file_size(ignored);
+    }
+  }
+  return bytes;
+}
+
+}  // namespace
+
+void StepSpool::Open(std::string aFolder, size_t aMaxBytes) {
+  mFolder = std::move(aFolder);
+  mMaxBytes = aMaxBytes;
+  if (Usable()) {
+    asio::post(mDisk, [this] { mBytes = RemoveOldFiles(mFolder); });
+  }
+}
+
+std::string StepSpool::PathOf(const std::string& aStep) const {
+  // Identities come from clients; a file's name must not.
+  return mFolder + "/" + Hash(aStep) + kSuffix;
+}
+
+asio::awaitable<std::string> StepSpool::Append(
+    std::string aStep, std::vector<RolloutPart> aParts) {
+  const auto append = [](StepSpool* aSelf, std::string aPath,
+                         std::string aLine) -> asio::awaitable<std::string> {
+    if (aSelf->mBytes + aLine.size() > aSelf->mMaxBytes) {
+      co_return std::string("the files are as large as they may be");
+    }
+    aSelf->mBytes += aLine.size();
+    co_return AppendToFile(aPath, aLine);
+  };
+  co_return co_await asio::co_spawn(
+      mDisk, append(this, PathOf(aStep), LineOf(aParts)), asio::use_awaitable);
+}
+
+asio::awaitable<std::vector<RolloutPart>> StepSpool::Load(std::string aStep) {
+  using Parts = std::vector<RolloutPart>;
+  if (!Usable()) {
+    co_return Parts();
+  }
+  // Not awaited by itself: a disk that hangs must not hold a takeover up.
+  const auto loaded = std::make_shared<std::optional<Parts>>();
+  asio::post(mDisk, [this, loaded, path = PathOf(aStep)] {
+    asio::post(mIo, [loaded, parts = ReadFile(path)] { *loaded = parts; });
+  });
+  for (Millis waited; !*loaded && waited < kLoadLimit; waited += kLoadLook) {
+    co_await Sleep(mIo, kLoadLook);
+  }
+  if (!*loaded) {
+    Event("spool-unread").Id(aStep).Text("why", "the disk hangs").Write();
+    co_return Parts();
+  }
+  co_return std::move(**loaded);
+}
+
+void StepSpool::Remove(const std::string& aStep) {
+  if (Usable()) {
+    asio::post(mDisk, [path = PathOf(aStep)] {
+      std::error_code ignored;  // most steps have none
+      fs::remove(path, ignored);
+    });
+  }
+}
+
+}  // namespace rillwall
