--- /dev/null
+++ b/src/librillwall_rollout/rollout_listing.cpp
@@ -0,0 +1,212 @@
+/// \file
+/// Writing the results of steps, and texts that are not finished, to the store,
+/// and to the host's disk while the store takes nothing.
+
+#include <algorithm>
+#include <iterator>
+
+#include "rillwall/event_log.h"
+#include "rillwall/listing_plan.h"
+#include "rillwall/rollout_service.h"
+#include "rollout_step.h"
+
+namespace rillwall {
+
+namespace {
+
+/// Texts that end together go into one write.
+constexpr Millis kGatherLook{20};
+/// Text of one page; its encoded form stays under the store's 1 MiB values.
+constexpr size_t kMaxPageBytes = 600 * 1000;
+/// Both together stay under the 1 MB that the store takes in one change.
+constexpr size_t kMaxPartBytes = 100 * 1000;
+/// An owner that is lost costs what it generated since its last write. Texts
+/// are written down while they are unfinished if they have grown by so many
+/// events, some 0.8 s of generation, but not sooner than this after a write.
+constexpr int64_t kWorthKeeping = 20;
+constexpr Millis kKeepEvery{700};
+/// While the store is away, some 0.4 s of generation are worth a write to the
+/// host's own disk, which costs a ms or two.
+constexpr int64_t kWorthSpooling = 10;
+constexpr Millis kSpoolEvery{500};
+constexpr Millis kFirstRetry{30};
+constexpr Millis kLongestRetry{400};
+
+ListingState StateOf(const RolloutStep& aStep, Millis aNow) {
+  const RolloutBook& book = aStep.mBook;
+  ListingState state;
+  state.mAllEnded = book.AllEnded();
+  state.mWhole = book.WholeGroups();
+  state.mWholeListed = aStep.mWholeListed;
+  state.mTarget =
+      static_cast<size_t>(std::max<int64_t>(book.Spec().mTargetGroups, 1));
+  state.mWaited = aNow - aStep.mGatherFrom.value_or(aNow);
+  state.mHasDue = aStep.mDueAt.has_value();
+  state.mPastDue = aNow - aStep.mDueAt.value_or(aNow);
+  return state;
+}
+
+/// Takes results off the front, as many as one page holds.
+std::vector<RolloutResult> TakePage(std::vector<RolloutResult>& aWaiting) {
+  size_t bytes = 0;
+  size_t count = 0;
+  while (
+      count < aWaiting.size() &&
+      (count == 0 || bytes + aWaiting[count].mOutput.size() < kMaxPageBytes)) {
+    bytes += aWaiting[count].mOutput.size();
+    ++count;
+  }
+  const auto middle = aWaiting.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<RolloutResult> page(std::make_move_iterator(aWaiting.begin()),
+                                  std::make_move_iterator(middle));
+  aWaiting.erase(aWaiting.begin(), middle);
+  return page;
+}
+
+}  // namespace
+
+void RolloutService::ScheduleFlush(const StepPtr& aStep) {
+  if (aStep->mFlushing || !aStep->mRunning) {
+    return;
+  }
+  const Millis now = mNode.Now();
+  const bool results = aStep->mBook.HasUnlisted();
+  if (results && !aStep->mGatherFrom) {
+    aStep->mGatherFrom = now;
+  }
+  const bool texts = now - aStep->mWrittenAt >= kKeepEvery &&
+                     aStep->mBook.HasUnkept(kWorthKeeping);
+  if (texts || (results && ListNow(StateOf(*aStep, now)))) {
+    aStep->mFlushing = true;
+    Launch(mNode.mIo, "flush", Flush(aStep));
+  }
+}
+
+asio::awaitable<void> RolloutService::Flush(StepPtr aStep) {
+  co_await Sleep(mNode.mIo, kGatherLook);
+  const std::string& id = aStep->Id();
+  std::vector<RolloutResult> waiting = aStep->mBook.TakeUnlisted();
+  aStep->mGatherFrom.reset();
+  aStep->mWholeListed = aStep->mBook.WholeGroups();
+  bool first = true;
+  while (aStep->mRunning && (first || !waiting.empty())) {
+    first = false;
+    const Millis asked = mNode.Now();
+    aStep->mWrittenAt = asked;
+    StoreChange change;
+    change.mGuards.push_back({StepKey(id), aStep->mRevision});
+    ResultPage page;
+    page.mFirst = static_cast<int64_t>(aStep->mListed.size());
+    page.mTotal = static_cast<int64_t>(aStep->mBook.Total());
+    page.mResults = TakePage(waiting);
+    if (!page.mResults.empty()) {
+      const std::string key = PageKey(id, page.mFirst);
+      change.mGuards.push_back({key, 0});
+      change.mPuts.push_back({key, EncodeResultPage(page), 0});
+    }
+    const std::vector<RolloutPart> parts =
+        aStep->mBook.TakeUnkept(kWorthKeeping, kMaxPartBytes);
+    if (!parts.empty()) {
+      const std::string key = PartKey(id, aStep->mNextPart++);
+      change.mGuards.push_back({key, 0});
+      change.mPuts.push_back({key, EncodeParts(parts), 0});
+    }
+    if (change.mPuts.empty() ||
+        !co_await CommitWrite(aStep, std::move(change))) {
+      break;
+    }
+    Event("page-listed")
+        .Id(id)
+        .Number("first", page.mFirst)
+        .Number("results", static_cast<int64_t>(page.mResults.size()))
+        .Number("unfinished", static_cast<int64_t>(parts.size()))
+        .Number("whole_groups",
+                static_cast<int64_t>(aStep->mBook.WholeGroups()))
+        .Number("store_ms", (mNode.Now() - asked).Count())
+        .Write();
+    mNode.mMetrics.Measure("page_ms", mNode.Now() - asked);
+    aStep->mBook.Listed(page.mResults);
+    for (RolloutResult& result : page.mResults) {
+      aStep->mListed.push_back(std::move(result));
+    }
+    aStep->Notify();
+  }
+  aStep->mFlushing = false;
+  ScheduleFlush(aStep);
+}
+
+void RolloutService::ScheduleSpool(const StepPtr& aStep) {
+  const Millis now = mNode.Now();
+  // Unsettled: the last write has failed, and is being made again.
+  if (!mSpool.Usable() || !aStep->mUnsettled || aStep->mSpooling ||
+      now - aStep->mSpooledAt < kSpoolEvery) {
+    return;
+  }
+  std::vector<RolloutPart> parts =
+      aStep->mBook.TakeUnspooled(kWorthSpooling, kMaxPageBytes);
+  if (parts.empty()) {
+    return;
+  }
+  aStep->mSpooling = true;
+  aStep->mSpooledAt = now;
+  Launch(mNode.mIo, "spool", Spool(aStep, std::move(parts)));
+}
+
+asio::awaitable<void> RolloutService::Spool(StepPtr aStep,
+                                            std::vector<RolloutPart> aParts) {
+  const Millis begun = mNode.Now();
+  const auto texts = static_cast<int64_t>(aParts.size());
+  const std::string failed =
+      co_await mSpool.Append(aStep->Id(), std::move(aParts));
+  aStep->mSpooling = false;
+  Event("texts-spooled")
+      .Id(aStep->Id())
+      .Number("texts", texts)
+      .Number("disk_ms", (mNode.Now() - begun).Count())
+      .Text("why", failed)
+      .Write();
+}
+
+asio::awaitable<bool> RolloutService::CommitWrite(StepPtr aStep,
+                                                  StoreChange aChange) {
+  const std::string step = StepKey(aStep->Id());
+  Millis pause = kFirstRetry;
+  while (true) {
+    const Millis asked = mNode.Now();
+    const Result<StoreCommit> done = co_await mNode.mStore.Commit(aChange);
+    if (done && done->mApplied) {
+      aStep->mVerifiedAt = std::max(aStep->mVerifiedAt, asked);
+      aStep->mUnsettled = false;
+      co_return true;
+    }
+    if (done) {
+      const StoreItem* record = done->Find(step);
+      const bool owner =
+          record != nullptr && record->mRevision == aStep->mRevision;
+      if (owner) {
+        // Only this owner writes here: an earlier try got through.
+        aStep->mVerifiedAt = std::max(aStep->mVerifiedAt, asked);
+        aStep->mUnsettled = false;
+        co_return true;
+      }
+      aStep->mUnsettled = true;
+      if (aStep->mRunning) {
+        Drop(aStep, "a page was refused, as the step has moved or ended");
+      }
+      co_return false;
+    }
+    aStep->mUnsettled = true;
+    Event("page-retry")
+        .Id(aStep->Id())
+        .Number("first", static_cast<int64_t>(aStep->mListed.size()))
+        .Text("why", done.error().Detail())
+        .Write();
+    if (!aStep->mRunning) {
+      co_return false;
+    }
+    co_await Sleep(mNode.mIo, pause);
+    pause = std::min(kLongestRetry, pause * 2);
+  }
+}
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(UnsureOwnerDoesNotAnswer);
   CPPUNIT_TEST(OwnerNoticesThatAStepWasTaken);
   CPPUNIT_TEST(OneCallVerifiesAllSteps);
+  CPPUNIT_TEST(SlowStoreStillVerifies);
   CPPUNIT_TEST(TakeoverTellsTheOwnerBefore);
   CPPUNIT_TEST(EndStopsRuns);
   CPPUNIT_TEST(EndedStepStaysReadable);
@@ -364,6 +365,15 @@
     CPPUNIT_ASSERT_EQUAL(before + 1, mWorld.mStore.Counts().mReads);
   }
 
+  void SlowStoreStillVerifies() {
+    mEngine.mOtherwise.mEventTime = Millis(20000);
+    Accept();
+    Test().RunFor(Millis(800));
+    mWorld.mStore.mDelay = Millis(900);
+    CPPUNIT_ASSERT(Read().has_value());
+    mWorld.mStore.mDelay = Millis(0);
+  }
+
   void TakeoverTellsTheOwnerBefore() {
     mEngine.mOtherwise.mEventTime = Millis(20000);
     Accept();
--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -50,6 +50,8 @@
         self.name = f"{'entry' if entry else 'lead'}-{number}"
         self.ip, self.process, self.wanted, self.paused = f"127.1.{soak.args.seed % 250}.{10 + number}", None, False, False
         self.log = soak.folder / f"{self.name}.log"
+        self.disk = soak.folder / f"{self.name}.disk"
+        self.disk.mkdir(exist_ok=True)
         self.restarting = asyncio.Lock()  # faults overlap; one at a time starts the process anew
 
     def address(self):
@@ -63,12 +65,15 @@
 zone = "{self.zone}"
 serves = ["{'edge' if self.entry else 'storage'}"]
 internal-ports = [7720,7735]
+{'' if self.entry else f'data-dir = "{self.disk}"'}
 [listen]
 frontend = "{self.ip}:8161"
 readiness = "{self.ip}:8167"
 [limits]
 max-fds = 4100
+disk-mb = 40
 [bounds]
+drain-ms = 2000
 lease-ms = 3000
 grace-s = {GRACE_S}
 status-s = 120
@@ -336,6 +341,20 @@
         await asyncio.sleep(self.rng.uniform(1, 5))
         self.store.mode = "ok"
 
+    async def fault_outage(self):
+        """All processes end while the store is away: texts are on the disks only."""
+        self.store.mode = self.rng.choice(["busy", "silent"])
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        await asyncio.gather(*(node.restart(self.rng.choice([signal.SIGKILL, signal.SIGTERM])) for node in self.nodes))
+        await asyncio.sleep(self.rng.uniform(0, 1))
+        self.store.mode = "ok"
+
+    async def fault_disk(self):
+        """A disk loses its files, or keeps the beginning of one and rubbish after it."""
+        for file in self.rng.choice(self.nodes).disk.glob("*"):
+            kept = file.read_bytes()[:self.rng.randint(0, 2000)]
+            file.unlink() if self.rng.random() < 0.5 else file.write_bytes(kept + b"\x00 torn\n")
+
     async def fault_forget(self):
         self.store.forget(0)
 
--- a/testsuite/platform/standins.py
+++ b/testsuite/platform/standins.py
@@ -251,6 +251,7 @@
         name, model = request.headers["x-rillwall-request-id"], request.headers["x-rillwall-model"]
         at, cut, version = int(request.headers.get("last-event-id", 0)), self.cut, self.versions[model]
         writer.write(f"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\nX-Rillwall-Request-Id: {name}\r\n"
+                     f"X-Rillwall-Replica-Load: {self.running},0,{self.slots}\r\n"
                      f"X-Rillwall-Server-Stamp: s\r\nX-Rillwall-Weight-Versions: {version}\r\n\r\n".encode())
         while at < events_of(name):
             await asyncio.sleep(0.01 * (5 if self.fault == "slow" else 1))
