rollout: the older step is told by its acceptance

OlderStepGoesFirst failed once in eight runs, beside clang-tidy on all cores; its output names only the assertion. By reading: the order went by the instant of giving up, which is reckoned from two clocks rounded to ms, so that two steps accepted within a ms may change places. Now by the time of acceptance and the record's revision. Not reproduced in six more runs, so the cause is not shown.

--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -76,8 +76,8 @@
   // The older first: a trainer names its next version when its older step ends.
   std::sort(steps.begin(), steps.end(),
             [](const StepPtr& aOne, const StepPtr& aOther) {
-              return std::tuple(aOne->mGiveUpAt, aOne->mRevision) <
-                     std::tuple(aOther->mGiveUpAt, aOther->mRevision);
+              return std::tuple(aOne->mRecord.mAcceptedMs, aOne->mRevision) <
+                     std::tuple(aOther->mRecord.mAcceptedMs, aOther->mRevision);
             });
   for (const StepPtr& step : steps) {
     while (StartNext(step)) {
