rollout: a step that is half taken over is not accepted anew

A process that had just started took a step over before it knew the routes: the record in the store named it, and the takeover then failed ("The step's route is gone"). The same step was submitted again; the guard on the record failed, and as the record bore this process's start, the acceptance took it for its own lost answer and began with an empty book. Its first page met the one in the store; the refusal was taken for a lost answer too, and other results were listed over it. All three faults are older; that routes come a little later after a restart now brought them together. Ruled out: the disk's texts (they were used only after it).

Change: the route is looked up before anything is changed, and a new lead waits for its routes; an acceptance is its own lost answer only if a try was uncertain and the record is what was written, and never written since; a refused write got through only if the store holds just what it puts, else the step is given up and read anew. A takeover that can't read the kept texts fails, as their numbers must be known.

Seen to fail before: TakeoverWithoutARouteChangesNothing, SubmissionAfterAHalfTakeover, OtherResultsInTheStoreAreNotListedOver.

--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -136,7 +136,7 @@
       std::string aId);
   asio::awaitable<Result<std::string>> LoadBody(std::string aId);
   /// Reads what earlier owners kept of unfinished texts.
-  asio::awaitable<KeptTexts> LoadParts(std::string aId);
+  asio::awaitable<Result<KeptTexts>> LoadParts(std::string aId);
   /// Removes the marks of takeovers from owners that are long gone.
   asio::awaitable<void> SweepTaken(int64_t aOldestMs);
   asio::awaitable<std::optional<Error>> Remove(std::string aId,
--- a/src/librillwall_rollout/rollout_listing.cpp
+++ b/src/librillwall_rollout/rollout_listing.cpp
@@ -46,6 +46,15 @@
   return state;
 }
 
+/// \return whether all that a change puts is in the store already
+bool Holds(const StoreCommit& aRefused, const StoreChange& aChange) {
+  return std::all_of(aChange.mPuts.begin(), aChange.mPuts.end(),
+                     [&](const StorePut& aPut) {
+                       const StoreItem* item = aRefused.Find(aPut.mKey);
+                       return item != nullptr && item->mValue == aPut.mValue;
+                     });
+}
+
 /// Takes results off the front, as many as one page holds.
 std::vector<RolloutResult> TakePage(std::vector<RolloutResult>& aWaiting) {
   size_t bytes = 0;
@@ -183,7 +192,7 @@
       const StoreItem* record = done->Find(step);
       const bool owner =
           record != nullptr && record->mRevision == aStep->mRevision;
-      if (owner) {
+      if (owner && Holds(*done, aChange)) {
         // Only this owner writes here: an earlier try got through.
         aStep->mVerifiedAt = std::max(aStep->mVerifiedAt, asked);
         aStep->mUnsettled = false;
@@ -191,7 +200,9 @@
       }
       aStep->mUnsettled = true;
       if (aStep->mRunning) {
-        Drop(aStep, "a page was refused, as the step has moved or ended");
+        Drop(aStep, owner ? "the store holds something else than is known here"
+                          : "a page was refused, as the step has moved or "
+                            "ended");
       }
       co_return false;
     }
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -15,6 +15,7 @@
 constexpr char kStepPrefix[] = "rillwall/step/";
 /// A live owner on a quarter of a core answers well within this.
 constexpr Millis kProbeLimit{500};
+constexpr Millis kRoutesPoll{20};
 constexpr int kOk = 200;
 
 /// Results must be readable for a while after they were asked for; ended steps
@@ -135,16 +136,15 @@
   co_return listed;
 }
 
-asio::awaitable<RolloutService::KeptTexts> RolloutService::LoadParts(
+asio::awaitable<Result<RolloutService::KeptTexts>> RolloutService::LoadParts(
     std::string aId) {
-  KeptTexts kept;
   const Result<StoreList> items =
       co_await ListAll(mNode.mStore, PartPrefix(aId));
   if (!items) {
-    // The texts are generated again: slower, and as right.
-    Event("texts-unread").Id(aId).Text("why", items.error().Detail()).Write();
-    co_return kept;
+    // Their numbers must be known before a further one is written.
+    co_return items.error();
   }
+  KeptTexts kept;
   for (const StoreItem& item : items->mItems) {
     const Result<std::vector<RolloutPart>> parts = DecodeParts(item.mValue);
     if (!parts) {
@@ -202,6 +202,13 @@
 
 asio::awaitable<Result<RolloutService::StepPtr>> RolloutService::TakeOver(
     std::string aId, StepRecord aRecord, int64_t aRevision) {
+  // Looked up before anything is changed: a step that is taken over and can't
+  // be run here would have an owner that does not know it.
+  const auto routes = mNode.mRoutes.Read();
+  const Route* route = routes->Find(aRecord.mHost, aRecord.mPath);
+  if (route == nullptr) {
+    co_return Error(ErrorKind::Unavailable, "The step's route is not known.");
+  }
   const NodeIdentity& self = mNode.mIdentity;
   const std::string before = aRecord.mOwner;
   const std::string takenFrom = aRecord.mRun;
@@ -231,23 +238,21 @@
   if (!listed) {
     co_return listed.error();
   }
-  const KeptTexts kept = co_await LoadParts(aId);
+  const Result<KeptTexts> kept = co_await LoadParts(aId);
+  if (!kept) {
+    co_return kept.error();
+  }
   const std::vector<RolloutPart> spooled = co_await mSpool.Load(aId);
   Result<RolloutSpec> spec = mDecoder(aId, aRecord, *body);
   if (!spec) {
     co_return spec.error();
   }
-  const auto routes = mNode.mRoutes.Read();
-  const Route* route = routes->Find(aRecord.mHost, aRecord.mPath);
-  if (route == nullptr) {
-    co_return Error(ErrorKind::Unavailable, "The step's route is gone.");
-  }
   const StepPtr step =
       MakeStep(std::move(*spec), *route, aRecord, done->mRevision);
   step->mBook.Restore(*listed);
   step->mListed = std::move(*listed);
-  step->mNextPart = kept.mNext;
-  const int64_t restored = step->mBook.RestoreTexts(kept.mParts);
+  step->mNextPart = kept->mNext;
+  const int64_t restored = step->mBook.RestoreTexts(kept->mParts);
   const int64_t withDisk = step->mBook.RestoreTexts(spooled);
   Event("step-taken-over")
       .Id(aId)
@@ -277,6 +282,10 @@
 }
 
 asio::awaitable<void> RolloutService::AdoptOrphans() {
+  while (mNode.mRoutes.Read()->Version() == 0 && !mNode.mStopping) {
+    // A process that has just started learns the routes within some ms.
+    co_await Sleep(mNode.mIo, kRoutesPoll);
+  }
   const Result<StoreList> all = co_await ListAll(mNode.mStore, kStepPrefix);
   if (!all) {
     Event("orphans-unread").Text("why", all.error().Detail()).Write();
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -165,6 +165,7 @@
 asio::awaitable<Result<int64_t>> RolloutService::CommitNew(
     std::string aId, StoreChange aChange) {
   const Millis until = mNode.Now() + kAcceptLimit;
+  const std::string written = aChange.mPuts.front().mValue;
   bool unsure = false;
   while (true) {
     const Result<StoreCommit> done = co_await mNode.mStore.Commit(aChange);
@@ -172,13 +173,12 @@
       co_return done->mRevision;
     }
     if (done) {
+      // An earlier try of this call may have got through, and its answer been
+      // lost. A record of this process that came otherwise is none of ours:
+      // a step that was taken over has results already.
       const StoreItem* item = done->Find(StepKey(aId));
-      const Result<StepRecord> record =
-          item == nullptr ? Error(ErrorKind::Internal, "no record")
-                          : DecodeStepRecord(item->mValue);
-      // An earlier try of this call got through, and its answer was lost.
-      const bool ours =
-          record && !record->mEnded && record->mRun == mNode.mIdentity.mRun;
+      const bool ours = unsure && item != nullptr && item->mValue == written &&
+                        item->mRevision == item->mCreated;
       co_return ours ? item->mRevision : 0;
     }
     unsure = unsure || done.error().Kind() != ErrorKind::KvUnavailable;
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -87,6 +87,9 @@
   CPPUNIT_TEST(EndedStepLeavesNoUnfinishedTexts);
   CPPUNIT_TEST(ReplacedOwnerKeepsNoTexts);
   CPPUNIT_TEST(TextsOutliveAnOutageAndARestart);
+  CPPUNIT_TEST(TakeoverWithoutARouteChangesNothing);
+  CPPUNIT_TEST(SubmissionAfterAHalfTakeover);
+  CPPUNIT_TEST(OtherResultsInTheStoreAreNotListedOver);
   CPPUNIT_TEST(TakeoversRunOnce);
   CPPUNIT_TEST(RepeatedSubmissionDuringTakeover);
   CPPUNIT_TEST(ReaderDuringAcceptance);
@@ -501,6 +504,47 @@
     std::filesystem::remove_all(folder);
   }
 
+  int64_t RecordRevision() const {
+    return mWorld.mStore.Items().at(StepKey("s1")).mRevision;
+  }
+
+  void TakeoverWithoutARouteChangesNothing() {
+    mEngine.mOtherwise.mEventTime = Millis(20000);
+    Accept();
+    const int64_t revision = RecordRevision();
+    Restart("n1-again");
+    Test().mNode.mRoutes.Publish(std::make_shared<const RouteTable>());
+    const auto place = Test().Run(Service().Locate("s1", false));
+    CPPUNIT_ASSERT(!place.has_value());
+    CPPUNIT_ASSERT_EQUAL(revision, RecordRevision());
+  }
+
+  void SubmissionAfterAHalfTakeover() {
+    Accept();
+    const std::vector<RolloutResult> before = Listed(2);
+    Restart("n1-again");
+    // The takeover is in the store, and the process does not know the step.
+    StepRecord record =
+        *DecodeStepRecord(mWorld.mStore.Items().at(StepKey("s1")).mValue);
+    record.mRun = Test().mNode.mIdentity.mRun;
+    mWorld.mStore.Write(StepKey("s1"), EncodeStepRecord(record));
+    const size_t requests = mEngine.mRequests.size();
+    CPPUNIT_ASSERT(!Accept());
+    Test().RunFor(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(requests, mEngine.mRequests.size());
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::Here);
+    CPPUNIT_ASSERT(before == Listed(2));
+  }
+
+  void OtherResultsInTheStoreAreNotListedOver() {
+    Accept();
+    const ResultPage other{0, {{"i1", RolloutEnd::Terminated, "", {}, ""}}, 2};
+    mWorld.mStore.Write(PageKey("s1", 0), EncodeResultPage(other));
+    Test().RunUntil([&] { return !Service().Owns("s1"); });
+    CPPUNIT_ASSERT(Place() == RolloutPlace::Kind::Here);
+    CPPUNIT_ASSERT(Listed(2)[0] == other.mResults[0]);
+  }
+
   void TakeoversRunOnce() {
     mEngine.mOtherwise.mEventTime = Millis(500);
     Accept();
