--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "rillwall/http.h"
@@ -81,9 +82,11 @@
 /// Path under which a node says that it lives: 200, or 503 if it is no good as
 /// an owner of steps, as the store has not answered it for some time.
 inline constexpr char kHealthPath[] = "/node/health";
-/// \return whether a node answers at all
-asio::awaitable<bool> Reaches(NodeContext& aNode, std::string aAddress,
-                              Millis aLimit);
+/// Asks a node for a sign of life.
+/// \return the status of its answer, or nothing if it gives none in time
+asio::awaitable<std::optional<int>> AskHealth(NodeContext& aNode,
+                                              std::string aAddress,
+                                              Millis aLimit);
 
 /// Waits. Ends early, without an error, if the coroutine is cancelled.
 asio::awaitable<void> Sleep(asio::io_context& aIo, Millis aSpan);
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -210,6 +210,9 @@
   /// \return what a mark does not cover yet; the mark then does
   static RolloutPart Stretch(std::string aItem, RolloutText& aText,
                              TextMark RolloutText::*aMark);
+  std::vector<RolloutPart> TakeWorthy(bool (*aWorthy)(const State&, int64_t),
+                                      int64_t aWorth, size_t aMaxBytes,
+                                      TextMark RolloutText::*aMark);
   void AdoptRestored(size_t aItem, RolloutText aText);
   void End(size_t aItem, RolloutEnd aEnd);
   RolloutResult ResultOf(size_t aItem, RolloutEnd aEnd) const;
--- a/src/librillwall_coordination/rollout_book.cpp
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -146,32 +146,28 @@
   return part;
 }
 
-std::vector<RolloutPart> RolloutBook::TakeUnkept(int64_t aWorth,
-                                                 size_t aMaxBytes) {
+std::vector<RolloutPart> RolloutBook::TakeWorthy(
+    bool (*aWorthy)(const State&, int64_t), int64_t aWorth, size_t aMaxBytes,
+    TextMark RolloutText::*aMark) {
   std::vector<RolloutPart> parts;
   size_t bytes = 0;
   for (size_t i = 0; bytes < aMaxBytes && i < mStates.size(); ++i) {
-    if (WorthKeeping(mStates[i], aWorth)) {
-      parts.push_back(
-          Stretch(mSpec.mItems[i].mId, mStates[i].mText, &RolloutText::mKept));
+    if (aWorthy(mStates[i], aWorth)) {
+      parts.push_back(Stretch(mSpec.mItems[i].mId, mStates[i].mText, aMark));
       bytes += parts.back().mOutput.size();
     }
   }
   return parts;
 }
 
+std::vector<RolloutPart> RolloutBook::TakeUnkept(int64_t aWorth,
+                                                 size_t aMaxBytes) {
+  return TakeWorthy(&WorthKeeping, aWorth, aMaxBytes, &RolloutText::mKept);
+}
+
 std::vector<RolloutPart> RolloutBook::TakeUnspooled(int64_t aWorth,
                                                     size_t aMaxBytes) {
-  std::vector<RolloutPart> parts;
-  size_t bytes = 0;
-  for (size_t i = 0; bytes < aMaxBytes && i < mStates.size(); ++i) {
-    if (WorthSpooling(mStates[i], aWorth)) {
-      parts.push_back(Stretch(mSpec.mItems[i].mId, mStates[i].mText,
-                              &RolloutText::mSpooled));
-      bytes += parts.back().mOutput.size();
-    }
-  }
-  return parts;
+  return TakeWorthy(&WorthSpooling, aWorth, aMaxBytes, &RolloutText::mSpooled);
 }
 
 void RolloutBook::Listed(const std::vector<RolloutResult>& aResults) {
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -190,8 +190,9 @@
     if (cancelled || mNode.mStopping) {
       co_return;
     }
-    const bool answers = co_await Reaches(mNode, aAddress, kProbeLimit);
-    misses = answers ? 0 : misses + 1;
+    const std::optional<int> status =
+        co_await AskHealth(mNode, aAddress, kProbeLimit);
+    misses = status ? 0 : misses + 1;
     if (misses < kMisses) {
       continue;
     }
--- a/src/librillwall_rollout/node_context.cpp
+++ b/src/librillwall_rollout/node_context.cpp
@@ -33,17 +33,18 @@
   }
 }
 
-asio::awaitable<bool> Reaches(NodeContext& aNode, std::string aAddress,
-                              Millis aLimit) {
+asio::awaitable<std::optional<int>> AskHealth(NodeContext& aNode,
+                                              std::string aAddress,
+                                              Millis aLimit) {
   const Result<Endpoint> endpoint = Endpoint::Parse(aAddress);
   if (!endpoint) {
-    co_return false;
+    co_return std::nullopt;
   }
   HttpRequest request;
   request.mTarget = kHealthPath;
   const Result<HttpResponse> answer =
       co_await aNode.mClient.Send(*endpoint, std::move(request), aLimit);
-  co_return answer.has_value();
+  co_return answer ? std::optional(answer->mStatus) : std::nullopt;
 }
 
 asio::awaitable<void> Sleep(asio::io_context& aIo, Millis aSpan) {
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -105,15 +105,9 @@
 }
 
 asio::awaitable<bool> RolloutService::Answers(std::string aAddress) {
-  const Result<Endpoint> endpoint = Endpoint::Parse(aAddress);
-  if (!endpoint) {
-    co_return false;
-  }
-  HttpRequest request;
-  request.mTarget = kHealthPath;
-  const Result<HttpResponse> answer =
-      co_await mNode.mClient.Send(*endpoint, std::move(request), kProbeLimit);
-  co_return answer && answer->mStatus == kOk;
+  const std::optional<int> status =
+      co_await AskHealth(mNode, std::move(aAddress), kProbeLimit);
+  co_return status == kOk;
 }
 
 asio::awaitable<Result<std::vector<RolloutResult>>> RolloutService::LoadPages(
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -96,9 +96,12 @@
   const std::string address = aRequest.Query("address");
   HttpResponse response;
   response.mStatus = kNotFound;
-  if (mNodes.Knows(address) && co_await Reaches(mNode, address, kReachLimit)) {
-    response.mStatus = kOk;
+  if (!mNodes.Knows(address)) {
+    co_return response;
   }
+  const std::optional<int> health =
+      co_await AskHealth(mNode, address, kReachLimit);
+  response.mStatus = health ? kOk : kNotFound;
   co_return response;
 }
 
