--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -94,7 +94,7 @@
   asio::awaitable<std::optional<Error>> LoadArchive(std::string aId);
   /// Starts items for which replicas have room.
   void Pump();
-  /// Watches over open steps until the node stops.
+  /// Watches over open steps until the process ends.
   asio::awaitable<void> Run();
   /// \return whether a step is here and still open
   bool Owns(const std::string& aId) const;
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -397,7 +397,8 @@
 size_t RolloutService::OpenSteps() const { return mSteps.size(); }
 
 asio::awaitable<void> RolloutService::Run() {
-  while (!mNode.mStopping) {
+  // Also while the node drains: what ends meanwhile is listed.
+  while (true) {
     co_await Sleep(mNode.mIo, kTick);
     Tick();
   }
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(TakeoverWithoutARouteChangesNothing);
   CPPUNIT_TEST(SubmissionAfterAHalfTakeover);
   CPPUNIT_TEST(OtherResultsInTheStoreAreNotListedOver);
+  CPPUNIT_TEST(StoppingOwnerStillLists);
   CPPUNIT_TEST(TakeoversRunOnce);
   CPPUNIT_TEST(RepeatedSubmissionDuringTakeover);
   CPPUNIT_TEST(ReaderDuringAcceptance);
@@ -545,6 +546,20 @@
     CPPUNIT_ASSERT(Listed(2)[0] == other.mResults[0]);
   }
 
+  void StoppingOwnerStillLists() {
+    Test().mNode.mStopping = true;
+    mEngine.mScripts = {{}, {}};
+    mEngine.mScripts[0].mStatus = 422;
+    mEngine.mScripts[1].mEventTime = Millis(100);
+    mEngine.mEvents = 100000;
+    RolloutSpec spec = Spec();
+    spec.mItems[1].mGroup = "another";
+    spec.mTargetGroups = 2;
+    Accept(spec);
+    // Nobody waits for this one alone: it is gathered, and then listed.
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Listed(1).size());
+  }
+
   void TakeoversRunOnce() {
     mEngine.mOtherwise.mEventTime = Millis(500);
     Accept();
