lead: entry hosts lead if all candidates are gone

The fault is as old as the claim.

A node that knows nobody asks the store who leads, every 2 s at most.

ReserveLeadsIfNobodyDoes and ReserveLeavesACandidateAlone; the former can't be built without the change.

--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -35,6 +35,10 @@
 
   /// Claims and renews until the node stops. For candidates only.
   asio::awaitable<void> Run();
+  /// The same for a host that leads only if no candidate does: all of them may
+  /// be gone. Claims once nobody has been known to lead for some time.
+  /// \param aPatience how long that is; not alike on all hosts
+  asio::awaitable<void> RunReserve(Millis aPatience);
   /// Gives the claim up at once.
   asio::awaitable<void> Resign();
 
@@ -59,6 +63,16 @@
   /// Writes down that this host gives orders from now on.
   asio::awaitable<void> MarkOrders();
   asio::awaitable<void> Renew();
+  /// The claim of another host.
+  struct Holding {
+    std::string mAddress;  ///< empty if it can't be read
+    int64_t mLease = 0;
+    int64_t mRevision = 0;  ///< of the store when it was read
+  };
+  /// Claims if nobody holds the claim. \return who does, if that was read
+  asio::awaitable<std::optional<Holding>> ClaimIfFree();
+  /// Keeps the claim for some time.
+  asio::awaitable<void> Hold();
   /// Claims if nobody holds the claim, else waits for a change of it.
   asio::awaitable<void> AwaitAndClaim();
   /// Waits until the claim is to be read again.
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -86,7 +86,8 @@
   ReplicaMirror mMirror;  ///< what another node told
   std::optional<Millis> mListedAt;
   std::optional<Millis>
-      mToldAt;  ///< when the last node that answered was asked
+      mToldAt;         ///< when the last node that answered was asked
+  Millis mLookedUpAt;  ///< when the store was last asked who leads
   ConfigText mConfig;
   bool mFollows = false;
 };
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -24,6 +24,7 @@
 /// after one, so a new holder waits for this too.
 constexpr Millis kOrderReach{1000};
 constexpr Millis kRetryPause{200};
+constexpr Millis kReserveLook{500};
 constexpr Millis kWatchWait{25000};
 /// A holder that does not answer so often in a row is asked for elsewhere. A
 /// live one on a quarter of a core answers within some ms.
@@ -51,17 +52,40 @@
 asio::awaitable<void> LeadClaim::Run() {
   while (!mNode.mStopping) {
     if (Held()) {
-      if (!mMarked && mNode.Now() >= mOrdersFrom) {
-        co_await MarkOrders();
-      }
-      const Millis untilOrders = std::max(Millis(1), mOrdersFrom - mNode.Now());
-      co_await Sleep(mNode.mIo, mMarked ? kRenewEvery
-                                        : std::min(kRenewEvery, untilOrders));
-      co_await Renew();
+      co_await Hold();
+    } else {
+      co_await AwaitAndClaim();
+    }
+  }
+}
+
+asio::awaitable<void> LeadClaim::RunReserve(Millis aPatience) {
+  Millis knownAt = mNode.Now();
+  while (!mNode.mStopping) {
+    if (Held()) {
+      co_await Hold();
+      knownAt = mNode.Now();
       continue;
     }
-    co_await AwaitAndClaim();
+    co_await Sleep(mNode.mIo, kReserveLook);
+    if (mKnown) {
+      knownAt = mNode.Now();
+    }
+    if (mNode.Now() - knownAt >= aPatience) {
+      co_await ClaimIfFree();
+      knownAt = mNode.Now();
+    }
+  }
+}
+
+asio::awaitable<void> LeadClaim::Hold() {
+  if (!mMarked && mNode.Now() >= mOrdersFrom) {
+    co_await MarkOrders();
   }
+  const Millis untilOrders = std::max(Millis(1), mOrdersFrom - mNode.Now());
+  co_await Sleep(mNode.mIo,
+                 mMarked ? kRenewEvery : std::min(kRenewEvery, untilOrders));
+  co_await Renew();
 }
 
 asio::awaitable<void> LeadClaim::MarkOrders() {
@@ -135,11 +159,11 @@
   }
 }
 
-asio::awaitable<void> LeadClaim::AwaitAndClaim() {
+asio::awaitable<std::optional<LeadClaim::Holding>> LeadClaim::ClaimIfFree() {
   const Result<StoreList> list = co_await mNode.mStore.List(kLeadKey, {});
   if (!list) {
     co_await Sleep(mNode.mIo, kRetryPause);
-    co_return;
+    co_return std::nullopt;
   }
   const NodeIdentity& self = mNode.mIdentity;
   const StoreItem* claim = nullptr;
@@ -157,10 +181,10 @@
     if (mLostAt && mNode.Now() - *mLostAt < kStandBack) {
       mLostAt.reset();
       co_await Sleep(mNode.mIo, kStandBackPause);
-      co_return;
+      co_return std::nullopt;
     }
     co_await TryClaim(0, noOthers);
-    co_return;
+    co_return std::nullopt;
   }
   const Result<LeadHolder> holder = DecodeLead(claim->mValue);
   if (holder) {
@@ -169,16 +193,24 @@
   if (holder && holder->mName == self.mName && holder->mRun != self.mRun) {
     // This host's process before this one: it has ended, and gives no orders.
     co_await TryClaim(claim->mRevision, noOthers);
-    co_return;
+    co_return std::nullopt;
   }
   // From the store's revision, as the key's own may be out of its history.
-  const int64_t revision = list->mRevision;
-  if (!holder || !mWitnesses) {
-    co_await WatchClaim(revision);
+  co_return Holding{holder ? holder->mAddress : std::string(), claim->mLease,
+                    list->mRevision};
+}
+
+asio::awaitable<void> LeadClaim::AwaitAndClaim() {
+  const std::optional<Holding> holding = co_await ClaimIfFree();
+  if (!holding) {
+    co_return;
+  }
+  if (holding->mAddress.empty() || !mWitnesses) {
+    co_await WatchClaim(holding->mRevision);
     co_return;
   }
-  co_await (WatchClaim(revision) ||
-            WatchHolder(holder->mAddress, claim->mLease));
+  co_await (WatchClaim(holding->mRevision) ||
+            WatchHolder(holding->mAddress, holding->mLease));
 }
 
 asio::awaitable<void> LeadClaim::WatchHolder(std::string aAddress,
--- a/src/librillwall_rollout/lead_claim_test.cpp
+++ b/src/librillwall_rollout/lead_claim_test.cpp
@@ -55,6 +55,8 @@
   CPPUNIT_TEST(HolderThatNobodyReachesIsReleased);
   CPPUNIT_TEST(HolderThatOthersReachIsLeft);
   CPPUNIT_TEST(ReleasedHolderStandsBack);
+  CPPUNIT_TEST(ReserveLeadsIfNobodyDoes);
+  CPPUNIT_TEST(ReserveLeavesACandidateAlone);
   CPPUNIT_TEST(OtherHostDoesNotTakeALiveClaim);
   CPPUNIT_TEST(UnreachableStoreStopsOrders);
   CPPUNIT_TEST(HolderIsRead);
@@ -189,6 +191,25 @@
     CPPUNIT_ASSERT(mTwo.Held());
   }
 
+  void ReserveLeadsIfNobodyDoes() {
+    Launch(mTest.mIo, "one", mOne.RunReserve(Millis(1000)));
+    mTest.RunFor(Millis(300));
+    CPPUNIT_ASSERT(!mOne.Held());
+    mTest.RunUntil([&] { return mOne.Held() && mOne.MayOrder(); });
+    CPPUNIT_ASSERT_EQUAL(1, mWon);
+  }
+
+  void ReserveLeavesACandidateAlone() {
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    Launch(mTest.mIo, "two", mTwo.RunReserve(Millis(0)));
+    mTest.RunUntil([&] { return mTwo.Known().has_value(); });
+    CPPUNIT_ASSERT(!mTwo.Held());
+    mTwo.Forget();
+    mTest.RunUntil([&] { return mTwo.Known().has_value(); });
+    CPPUNIT_ASSERT_EQUAL(1, mWon);
+  }
+
   void OtherHostDoesNotTakeALiveClaim() {
     Launch(mTest.mIo, "one", mOne.Run());
     mTest.RunUntil([&] { return mOne.Held(); });
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -24,6 +24,8 @@
 constexpr Millis kAskLimit{300};
 /// The operator's text may have some hundred KB.
 constexpr Millis kConfigLimit{1000};
+/// How often the store is asked who leads while nobody known answers.
+constexpr Millis kLookUpEvery{2000};
 /// Candidates asked in a row before the store is asked directly.
 constexpr size_t kMaxCandidates = 2;
 /// For one node to reach another.
@@ -175,6 +177,13 @@
       co_return news;
     }
   }
+  const Millis now = mNode.Now();
+  if (mNode.mIdentity.mTakesClients && !mLead.Known() &&
+      now - mLookedUpAt > kLookUpEvery) {
+    // None of those known answers; another host may lead by now.
+    mLookedUpAt = now;
+    co_await mLead.Holder();
+  }
   co_return std::nullopt;
 }
 
