protocol: one way to read an array of objects

The loop over an array of objects stood three times in the library, two of them added with the views and the kept texts. DecodeParts did not look at the outer reader's fault: a field of another type read as no parts at all; it is an error now, as elsewhere. A broken element of a page or of a list of parts is told as bad input rather than as an internal error; both are handled alike. config_codec.cpp keeps its own loop, as the operator's lists may hold what we skip. Two Doxygen tags in rollout.h that the formatter had run into the sentence before are lines of their own again.

--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -136,8 +136,9 @@
   /// \return whether it was used
   bool Adopt(size_t aItem, RolloutText aText);
 
-  /// Stretches of unfinished texts that no store keeps yet; counts them as
-  /// kept. \param aWorth events that take long enough to be generated again
+  /// Stretches of unfinished texts that no store keeps yet. They count as kept
+  /// from then on.
+  /// \param aWorth events that take long enough to be generated again
   /// \param aMaxBytes of text, at which the rest is left for the next time
   std::vector<RolloutPart> TakeUnkept(int64_t aWorth, size_t aMaxBytes);
   /// \return whether TakeUnkept would give anything out
@@ -147,9 +148,9 @@
   std::vector<RolloutPart> TakeUnspooled(int64_t aWorth, size_t aMaxBytes);
   /// These results are in the store.
   void Listed(const std::vector<RolloutResult>& aResults);
-  /// Takes over what an earlier owner kept. The parts come as they were
-  /// written. \return events of unfinished texts that need not be generated
-  /// again
+  /// Takes over what an earlier owner kept, where it is more than what is here.
+  /// The parts come as they were written.
+  /// \return events of unlisted texts that need not be generated again
   int64_t RestoreTexts(const std::vector<RolloutPart>& aParts);
 
   /// \return the next item to run, or nothing if none waits
--- a/src/librillwall_protocol/rollout_record.cpp
+++ b/src/librillwall_protocol/rollout_record.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdio>
 
-#include "rillwall/json.h"
+#include "json_array.h"
 
 namespace rillwall {
 
@@ -30,25 +30,23 @@
   return object;
 }
 
-std::vector<int64_t> VersionsFrom(const json::object& aObject) {
+std::vector<int64_t> VersionsFrom(JsonReader& aReader) {
   std::vector<int64_t> versions;
-  const json::value* field = aObject.if_contains("versions");
-  if (field != nullptr && field->is_array()) {
-    for (const json::value& version : field->get_array()) {
-      versions.push_back(version.to_number<int64_t>());
-    }
+  const json::array* field = aReader.Array("versions");
+  for (size_t i = 0; field != nullptr && i < field->size(); ++i) {
+    versions.push_back((*field)[i].to_number<int64_t>());
   }
   return versions;
 }
 
-RolloutResult ResultFrom(JsonReader& aReader, const json::object& aObject) {
+RolloutResult ResultFrom(JsonReader& aReader) {
   RolloutResult result;
   result.mItem = aReader.String("item");
   result.mEnd =
       aReader.Bool("whole") ? RolloutEnd::Completed : RolloutEnd::Terminated;
   result.mOutput = aReader.String("output", "");
   result.mScore = aReader.String("score", "");
-  result.mVersions = VersionsFrom(aObject);
+  result.mVersions = VersionsFrom(aReader);
   return result;
 }
 
@@ -64,6 +62,18 @@
   return object;
 }
 
+RolloutPart PartFrom(JsonReader& aReader) {
+  RolloutPart part;
+  part.mItem = aReader.String("item");
+  part.mFrom = aReader.Int("from");
+  part.mTo = aReader.Int("to");
+  part.mOutput = aReader.String("output");
+  part.mVersions = VersionsFrom(aReader);
+  part.mWhole = aReader.Bool("whole");
+  part.mScore = aReader.String("score", "");
+  return part;
+}
+
 }  // namespace
 
 std::string EncodeStepRecord(const StepRecord& aRecord) {
@@ -121,18 +131,7 @@
   ResultPage page;
   page.mFirst = reader.Int("first");
   page.mTotal = reader.Int("total");
-  const json::array* results = reader.Array("results");
-  for (size_t i = 0; results != nullptr && i < results->size(); ++i) {
-    const json::object* each = (*results)[i].if_object();
-    if (each == nullptr) {
-      return Error(ErrorKind::Internal, "A result of a page is no object.");
-    }
-    JsonReader inner(*each, "result");
-    page.mResults.push_back(ResultFrom(inner, *each));
-    if (inner.Failed()) {
-      return inner.Failure();
-    }
-  }
+  page.mResults = ReadArray(reader, "results", ResultFrom);
   if (reader.Failed()) {
     return reader.Failure();
   }
@@ -155,26 +154,9 @@
     return object.error();
   }
   JsonReader reader(*object, "text parts");
-  std::vector<RolloutPart> parts;
-  const json::array* rows = reader.Array("parts");
-  for (size_t i = 0; rows != nullptr && i < rows->size(); ++i) {
-    const json::object* each = (*rows)[i].if_object();
-    if (each == nullptr) {
-      return Error(ErrorKind::Internal, "A part of a text is no object.");
-    }
-    JsonReader inner(*each, "part");
-    RolloutPart part;
-    part.mItem = inner.String("item");
-    part.mFrom = inner.Int("from");
-    part.mTo = inner.Int("to");
-    part.mOutput = inner.String("output");
-    part.mWhole = inner.Bool("whole");
-    part.mScore = inner.String("score", "");
-    part.mVersions = VersionsFrom(*each);
-    if (inner.Failed()) {
-      return inner.Failure();
-    }
-    parts.push_back(std::move(part));
+  std::vector<RolloutPart> parts = ReadArray(reader, "parts", PartFrom);
+  if (reader.Failed()) {
+    return reader.Failure();
   }
   return parts;
 }
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -1,6 +1,6 @@
 #include "rillwall/shared_view.h"
 
-#include "rillwall/json.h"
+#include "json_array.h"
 #include "rillwall/numbers.h"
 
 namespace rillwall {
@@ -84,28 +84,6 @@
   return rows;
 }
 
-/// Reads an array of objects; a fault is noted in the outer reader.
-template <class Value>
-std::vector<Value> FromArray(JsonReader& aReader, std::string_view aName,
-                             Value (*aRead)(JsonReader&)) {
-  std::vector<Value> values;
-  const json::array* rows = aReader.Array(aName);
-  for (size_t i = 0; rows != nullptr && i < rows->size(); ++i) {
-    const json::object* row = (*rows)[i].if_object();
-    if (row == nullptr) {
-      aReader.Fail(aName, "holds something else than objects");
-      break;
-    }
-    JsonReader fields(*row, std::string(aName));
-    values.push_back(aRead(fields));
-    if (fields.Failed()) {
-      aReader.Fail(aName, fields.Failure().Detail());
-      break;
-    }
-  }
-  return values;
-}
-
 }  // namespace
 
 std::string EncodeLead(const LeadHolder& aHolder) {
@@ -171,11 +149,11 @@
   view.mRun = reader.String("run");
   view.mReplicas.mNumber = reader.Int("number");
   view.mReplicas.mFull = reader.Bool("full");
-  view.mReplicas.mChanged = FromArray(reader, "changed", ReplicaFrom);
+  view.mReplicas.mChanged = ReadArray(reader, "changed", ReplicaFrom);
   view.mReplicas.mGone = reader.Strings("gone");
   view.mConfig = reader.Int("config");
   if (reader.Has("nodes")) {
-    view.mNodes = FromArray(reader, "nodes", NodeFrom);
+    view.mNodes = ReadArray(reader, "nodes", NodeFrom);
   }
   const json::object* lead = reader.Object("lead");
   if (lead != nullptr) {
