rollout: items start by their own expected length, not their group's

Cause: all items of a group ran as if they were as long as its longest, so that short ones of such a group took the first slots, and texts that turned out long in other groups began up to 2.8 s late. Ruled out: slots of slow replicas (idle at that time, but without weights).

--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -223,7 +223,6 @@
   const bool mSingleVersion;
   std::map<std::string, size_t> mIndex;
   std::map<std::string, Group> mGroups;
-  std::map<std::string, int64_t> mGroupExpected;
   std::vector<State> mStates;
   std::set<Place> mWaiting;
   std::vector<RolloutResult> mUnlisted;
--- a/src/librillwall_coordination/rollout_book.cpp
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -49,8 +49,6 @@
     const RolloutItem& item = mSpec.mItems[i];
     mIndex.emplace(item.mId, i);
     ++mGroups[item.mGroup].mSize;
-    int64_t& expected = mGroupExpected[item.mGroup];
-    expected = std::max(expected, item.mLengthHint);
   }
   for (size_t i = 0; i < mStates.size(); ++i) {
     mWaiting.insert(PlaceOf(i));
@@ -60,8 +58,8 @@
 RolloutBook::Place RolloutBook::PlaceOf(size_t aItem) const {
   const State& state = mStates[aItem];
   const bool begun = state.mText.mEvents > 0 || state.mFailures > 0;
-  const auto expected = mGroupExpected.find(mSpec.mItems[aItem].mGroup);
-  return {begun ? kRankBegun : kRankFresh, expected->second, aItem};
+  return {begun ? kRankBegun : kRankFresh, mSpec.mItems[aItem].mLengthHint,
+          aItem};
 }
 
 std::optional<size_t> RolloutBook::IndexOf(const std::string& aItem) const {
