weights: loads rotate over replicas that run nothing of the model; pace over time

Cause: each replica was assigned to one model and loaded each of its versions: three loads a second were wanted where two are possible, each load cut the texts of its model, and a step found 2 or 3 of its 4 replicas usable.

--- a/src/include/rillwall/load_plan.h
+++ b/src/include/rillwall/load_plan.h
@@ -2,16 +2,18 @@
 /// Which replica loads which weights next.
 ///
 /// Replicas of one service may serve several models, each with weights of its
-/// own. A load takes about a second, only few may go on at once, and a step
-/// takes weights of the newest version or the one before. So each replica is
-/// assigned to one model and loads only that model's weights, in shares that
-/// follow the models' demand: the fewest loads that keep every model served.
-/// Pure: no I/O and no clock.
+/// own. A load takes about a second and ends the runs of its model there; only
+/// few may go on at once. A step takes weights of the newest named version or
+/// of the one before, so a load serves two steps. The plan therefore rotates:
+/// each version goes to replicas whose weights of that model are of no use any
+/// more, which run nothing of it, while those with the version before go on
+/// serving. Pure: no state, no I/O and no clock.
 
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,12 +33,17 @@
 struct LoadCandidate {
   std::string mId;
   std::vector<ModelVersion> mVersions;
-  int64_t mInFlight = 0;
+  std::map<std::string, int64_t> mRuns;  ///< by model, those of this node
+  int64_t mInFlight = 0;                 ///< requests of all kinds
   int64_t mSlots = 0;
-  bool mLoading = false;
+  double mPace = 1;  ///< ms an event against the service's median
+  std::optional<ModelVersion> mLoading;
   bool mDraining = false;
+  bool mFailing = false;  ///< it gave no answer lately
 
+  /// \return the version that it serves, or will once its load has ended
   int64_t VersionOf(const std::string& aModel) const;
+  int64_t RunsOf(const std::string& aModel) const;
 };
 
 /// A load to be ordered now.
@@ -48,26 +55,12 @@
   bool operator==(const LoadPick&) const = default;
 };
 
-class LoadPlan {
- public:
-  /// \param aReplicas all replicas of one service
-  /// \param aTargets its models with a named version
-  /// \param aAtOnce loads that may go on at the same time
-  /// \return the loads to start now, the most urgent first
-  std::vector<LoadPick> Next(const std::vector<LoadCandidate>& aReplicas,
-                             const std::vector<LoadTarget>& aTargets,
-                             size_t aAtOnce);
-  /// \return the model that a replica is assigned to, empty if to none
-  std::string AssignedTo(const std::string& aReplica) const;
-
- private:
-  struct Due;
-  void Assign(const std::vector<LoadCandidate>& aReplicas,
-              const std::vector<LoadTarget>& aTargets);
-  void Rebalance(const std::vector<LoadCandidate>& aReplicas,
-                 const std::map<std::string, double>& aShares);
-
-  std::map<std::string, std::string> mAssigned;  ///< replica to model
-};
+/// \param aReplicas all replicas of one service
+/// \param aTargets its models with a named version
+/// \param aAtOnce loads that may go on at the same time
+/// \return the loads to start now, the most urgent first
+std::vector<LoadPick> PlanLoads(std::vector<LoadCandidate> aReplicas,
+                                const std::vector<LoadTarget>& aTargets,
+                                size_t aAtOnce);
 
 }  // namespace rillwall
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "rillwall/millis.h"
+#include "rillwall/replica_pace.h"
 
 namespace rillwall {
 
@@ -79,10 +80,12 @@
   std::optional<std::string> Choose(const ReplicaWish& aWish,
                                     Millis aNow) const;
   /// Counts a request that is about to be sent.
-  void Start(const std::string& aId);
+  /// \param aModel whose weights serve it; empty: any
+  void Start(const std::string& aId, const std::string& aModel = {});
   /// \param aLatency of a served request, to its answer's head; else 0
+  /// \param aModel as it was at its start
   void End(const std::string& aId, ReplicaOutcome aOutcome, Millis aLatency,
-           Millis aNow);
+           Millis aNow, const std::string& aModel = {});
   /// The replica takes no new request of this node until then.
   void Pause(const std::string& aId, Millis aUntil);
   /// The same for requests of one model only, as while its weights load.
@@ -95,9 +98,9 @@
   void ObserveLoad(const std::string& aId, int64_t aRequests, Millis aNow);
   /// Measures the time between two events of a stream, in ms.
   void ObservePace(const std::string& aId, double aMsPerEvent, Millis aNow);
-  /// \return whether a stream at aId would run faster at aOther by so much
-  bool Faster(const std::string& aOther, const std::string& aId, double aFactor,
-              Millis aNow) const;
+  /// \param aMore texts that are to be added there
+  /// \return ms an event of a text at the replica, 0 if unknown
+  double PaceAt(const std::string& aId, int64_t aMore, Millis aNow) const;
   /// An answer or an order told the version that a replica serves now.
   void Learn(const std::string& aId, const std::string& aModel,
              int64_t aVersion);
@@ -105,6 +108,12 @@
   /// \return the entry, or null if it is not (or no longer) listed
   const Replica* Find(const std::string& aId) const;
   int64_t InFlight(const std::string& aId) const;
+  /// \return this node's requests there by model, those without one left out
+  std::map<std::string, int64_t> RunsByModel(const std::string& aId) const;
+  /// \return its pace against the median of its service; 1 if unknown
+  double RelativePace(const std::string& aId, Millis aNow) const;
+  /// \return whether its last request failed a moment ago
+  bool Failing(const std::string& aId, Millis aNow) const;
   std::vector<const Replica*> OfService(std::string_view aService) const;
   /// \return all entries, as listed or with what was learned since
   std::vector<Replica> All() const;
@@ -115,25 +124,26 @@
   struct State {
     Replica mReplica;
     int64_t mInFlight = 0;
-    int mFailures = 0;  ///< in a row
+    std::map<std::string, int64_t> mRuns;  ///< of these, by model
+    int mFailures = 0;                     ///< in a row
     Millis mPausedUntil;
     std::map<std::string, Millis> mModelPauses;
     double mLatency = 0;  ///< smoothed, in ms; 0: none measured
-    double mPace = 0;     ///< of streams, smoothed, in ms an event; 0: none
-    Millis mPaceAt;       ///< of its last measurement
+    ReplicaPace mPace;    ///< of streams
     int64_t mOthers = 0;  ///< requests there that other nodes sent
     Millis mOthersAt;     ///< when it told so
   };
   /// \return requests at the replica, as far as this node knows
   static int64_t LoadOf(const State& aState, Millis aNow);
-  /// \return the pace as far as it is recent, else 0
-  static double PaceOf(const State& aState, Millis aNow);
   /// \return the median pace of a service's replicas, 0 if none is known
   double TypicalPace(const std::string& aService, Millis aNow) const;
   /// \return how loaded and slow it is, for the comparison; lower is better
-  /// \param aTypicalPace of the service; 0: unknown
   static double Cost(const State& aState, const ReplicaWish& aWish,
-                     double aTypicalPace, Millis aNow);
+                     Millis aNow);
+  /// The same for a text, in parts of the typical time that an event takes.
+  /// \param aTypicalPace of the service; 0: unknown
+  static double TextCost(const State& aState, const ReplicaWish& aWish,
+                         double aTypicalPace, Millis aNow);
   static bool Paused(const State& aState, const ReplicaWish& aWish,
                      Millis aNow);
   static bool Suits(const State& aState, const ReplicaWish& aWish, Millis aNow);
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -146,6 +146,10 @@
   bool StartNext(const StepPtr& aStep);
   std::optional<std::string> ChooseReplica(const RolloutStep& aStep,
                                            const RolloutPick& aPick) const;
+  /// \return events of an item's text by its hint; 0: unknown
+  int64_t ExpectedEvents(const RolloutStep& aStep, size_t aItem) const;
+  /// Learns how many tokens of a hint an event stands for.
+  void LearnEvents(const RolloutItem& aItem, int64_t aEvents);
   /// Ends streams at slower replicas if a faster one has room; the items go on
   /// there.
   void MoveFromSlow(const StepPtr& aStep);
@@ -181,6 +185,9 @@
   /// the other goes on: both end with the step in mSteps.
   std::set<std::string> mTaking;
   std::map<std::string, std::string> mPlaces;  ///< addresses of other owners
+  double mHintedTokens = 0;                    ///< of all texts that are whole
+  double mWholeEvents = 0;                     ///< of the same
+  double mTokensPerEvent = 0;                  ///< of a hint; 0: not known yet
   bool mVerifying = false;  ///< the store is being asked about all steps
   std::optional<Error> mVerifyFailure;  ///< of the last such call
   int64_t mTakenRevision = 0;  ///< of the key that tells of takeovers from us
--- /dev/null
+++ b/src/include/rillwall/text_move.h
@@ -0,0 +1,30 @@
+/// \file
+/// When a text should go on at another replica.
+///
+/// Replicas of one service differ in speed, by a third in the hardware and by
+/// several times while one is disturbed. A running text can go on elsewhere:
+/// its stream is closed, prompt and text are read again there, and the events
+/// come faster from then on. Pure: no state, no I/O and no clock.
+
+#pragma once
+
+#include <cstdint>
+
+namespace rillwall {
+
+/// A text and the two replicas in question.
+struct TextMove {
+  int64_t mEvents = 0;    ///< that it has
+  int64_t mExpected = 0;  ///< events of the whole text by its hint; 0: unknown
+  double mPaceHere = 0;   ///< ms an event; 0: unknown
+  double mPaceThere = 0;  ///< the same with this text there
+};
+
+/// \return events that are expected to come
+int64_t ExpectedRest(int64_t aEvents, int64_t aExpected);
+/// \return ms by which the text ends earlier if it moves; may be negative
+double MoveGain(const TextMove& aMove);
+/// \return whether that is worth the move
+bool MovePays(const TextMove& aMove);
+
+}  // namespace rillwall
--- a/src/include/rillwall/upstream_call.h
+++ b/src/include/rillwall/upstream_call.h
@@ -34,7 +34,8 @@
 /// Counts a request at a replica for as long as it lives.
 class ReplicaUse {
  public:
-  ReplicaUse(NodeContext& aNode, std::string aReplica);
+  /// \param aModel whose weights serve the request; empty: any
+  ReplicaUse(NodeContext& aNode, std::string aReplica, std::string aModel = {});
   ~ReplicaUse();
   ReplicaUse(const ReplicaUse&) = delete;
   ReplicaUse& operator=(const ReplicaUse&) = delete;
@@ -46,6 +47,7 @@
  private:
   NodeContext& mNode;
   const std::string mReplica;
+  const std::string mModel;
   const Millis mStarted;
   bool mOpen = true;
 };
--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -9,7 +9,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <string>
 
 #include "rillwall/lead_claim.h"
@@ -78,8 +77,7 @@
   ReplicaControl& mControl;
   std::map<std::string, int64_t> mNamed;
   std::map<std::string, double> mDemand;
-  std::map<std::string, LoadPlan> mPlans;  ///< by service
-  std::set<std::string> mLoading;          ///< ids of replicas
+  std::map<std::string, ModelVersion> mLoading;  ///< by id of the replica
 };
 
 }  // namespace rillwall
--- a/src/librillwall_coordination/load_plan.cpp
+++ b/src/librillwall_coordination/load_plan.cpp
@@ -1,201 +1,165 @@
 #include "rillwall/load_plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace rillwall {
 
 namespace {
 
-/// A share must differ from what is assigned by this much before a replica
-/// changes its model: a change costs a load, and demand varies by steps.
-constexpr double kRebalanceAt = 0.75;
 /// A step takes the named version or the one before.
 constexpr int64_t kUsableLag = 1;
+/// What serving one more model costs a replica, in parts of a typical pace: so
+/// a replica that is slower by a third takes a model once the fast ones have
+/// two.
+constexpr double kSharedCost = 0.15;
+
+/// How a model stands before the next load.
+struct Standing {
+  const LoadTarget* mTarget = nullptr;
+  double mShare = 1;   ///< replicas that its part of the demand is worth
+  size_t mNewest = 0;  ///< replicas with the named version, or loading it
+  size_t mUsable = 0;  ///< replicas that serve its newest step
+  int64_t mRoom = 0;   ///< free slots at these
+
+  /// \return loads of the newest version against what it should get
+  double Filled() const { return static_cast<double>(mNewest) / mShare; }
+};
 
 bool Usable(const LoadCandidate& aReplica, const LoadTarget& aTarget) {
   return aReplica.VersionOf(aTarget.mModel) >= aTarget.mVersion - kUsableLag;
 }
 
-const LoadTarget* Find(const std::vector<LoadTarget>& aTargets,
-                       const std::string& aModel) {
-  for (const LoadTarget& target : aTargets) {
-    if (target.mModel == aModel) {
-      return &target;
+int64_t FreeSlots(const LoadCandidate& aReplica) {
+  return std::max<int64_t>(0, aReplica.mSlots - aReplica.mInFlight);
+}
+
+Standing StandingOf(const LoadTarget& aTarget, double aTotal, size_t aModels,
+                    const std::vector<LoadCandidate>& aReplicas) {
+  Standing standing;
+  standing.mTarget = &aTarget;
+  const auto all = static_cast<double>(aReplicas.size());
+  const double part =
+      aTotal > 0 ? aTarget.mDemand / aTotal : 1 / static_cast<double>(aModels);
+  standing.mShare = std::max(1.0, part * all);
+  for (const LoadCandidate& replica : aReplicas) {
+    const int64_t version = replica.VersionOf(aTarget.mModel);
+    if (version == 0 || replica.mDraining || replica.mFailing) {
+      continue;
+    }
+    standing.mNewest += version >= aTarget.mVersion ? 1 : 0;
+    if (Usable(replica, aTarget)) {
+      ++standing.mUsable;
+      standing.mRoom += replica.mLoading ? 0 : FreeSlots(replica);
     }
   }
-  return nullptr;
+  return standing;
 }
 
-/// \return replicas that each model should have, at least one
-std::map<std::string, double> SharesOf(const std::vector<LoadTarget>& aTargets,
-                                       size_t aReplicas) {
-  double total = 0;
-  for (const LoadTarget& target : aTargets) {
-    total += target.mDemand;
+/// \return models that a replica serves beside this one
+size_t OtherModels(const LoadCandidate& aReplica,
+                   const std::vector<LoadTarget>& aTargets,
+                   const LoadTarget& aTarget) {
+  size_t count = 0;
+  for (const LoadTarget& other : aTargets) {
+    const bool its = other.mModel != aTarget.mModel;
+    count += its && Usable(aReplica, other) ? 1 : 0;
   }
-  std::map<std::string, double> shares;
-  const auto all = static_cast<double>(aReplicas);
-  const auto models = static_cast<double>(aTargets.size());
-  for (const LoadTarget& target : aTargets) {
-    const double share = total > 0 ? target.mDemand / total : 1 / models;
-    shares[target.mModel] = std::max(1.0, share * all);
-  }
-  return shares;
+  return count;
 }
 
-}  // namespace
-
-/// A load that is due, with what decides its turn.
-struct LoadPlan::Due {
-  const LoadCandidate* mReplica;
-  const LoadTarget* mTarget;
-  size_t mUsable;  ///< replicas that serve the model's newest step
-  bool mUseless;   ///< this one does not
-
-  bool operator<(const Due& aOther) const {
-    return std::tuple(!mUseless, mUsable, mReplica->mInFlight, mReplica->mId) <
-           std::tuple(!aOther.mUseless, aOther.mUsable,
-                      aOther.mReplica->mInFlight, aOther.mReplica->mId);
-  }
-};
+/// \return whether a model's weights may be loaded here now
+bool MayLoad(const LoadCandidate& aReplica, const Standing& aStanding) {
+  const LoadTarget& target = *aStanding.mTarget;
+  const int64_t version = aReplica.VersionOf(target.mModel);
+  if (aReplica.mLoading || aReplica.mDraining || version == 0 ||
+      version >= target.mVersion) {
+    return false;
+  }
+  if (!Usable(aReplica, target)) {
+    return static_cast<double>(aStanding.mNewest) < aStanding.mShare;
+  }
+  // It still serves. Half of those that do must outlast the next version, and
+  // what it runs must find room at the others.
+  const int64_t others = aStanding.mRoom - FreeSlots(aReplica);
+  return aStanding.mNewest * 2 < aStanding.mUsable &&
+         static_cast<double>(aStanding.mNewest) < aStanding.mShare &&
+         others >= aReplica.RunsOf(target.mModel);
+}
 
-int64_t LoadCandidate::VersionOf(const std::string& aModel) const {
-  for (const ModelVersion& version : mVersions) {
-    if (version.mModel == aModel) {
-      return version.mVersion;
+/// \return the replica that should load a model's weights, null if none should
+LoadCandidate* BestFor(const Standing& aStanding,
+                       const std::vector<LoadTarget>& aTargets,
+                       std::vector<LoadCandidate>& aReplicas) {
+  const LoadTarget& target = *aStanding.mTarget;
+  const auto rank = [&](const LoadCandidate& aReplica) {
+    const auto others =
+        static_cast<double>(OtherModels(aReplica, aTargets, target));
+    return std::tuple(aReplica.mFailing, Usable(aReplica, target),
+                      aReplica.RunsOf(target.mModel),
+                      aReplica.mPace + kSharedCost * others, aReplica.mInFlight,
+                      aReplica.mId);
+  };
+  LoadCandidate* best = nullptr;
+  for (LoadCandidate& replica : aReplicas) {
+    if (MayLoad(replica, aStanding) &&
+        (best == nullptr || rank(replica) < rank(*best))) {
+      best = &replica;
     }
   }
-  return 0;
+  return best;
 }
 
-std::string LoadPlan::AssignedTo(const std::string& aReplica) const {
-  const auto found = mAssigned.find(aReplica);
-  return found == mAssigned.end() ? std::string() : found->second;
-}
+}  // namespace
 
-void LoadPlan::Assign(const std::vector<LoadCandidate>& aReplicas,
-                      const std::vector<LoadTarget>& aTargets) {
-  const std::map<std::string, double> shares =
-      SharesOf(aTargets, aReplicas.size());
-  std::map<std::string, std::string> kept;
-  std::map<std::string, double> missing = shares;
-  for (const LoadCandidate& replica : aReplicas) {
-    const std::string model = AssignedTo(replica.mId);
-    if (Find(aTargets, model) != nullptr) {
-      kept[replica.mId] = model;
-      missing[model] -= 1;
-    }
-  }
-  for (const LoadCandidate& replica : aReplicas) {
-    if (kept.contains(replica.mId)) {
-      continue;
-    }
-    // To the model that lacks most; among equals where its weights are newest.
-    const LoadTarget* best = nullptr;
-    for (const LoadTarget& target : aTargets) {
-      const auto rank = [&](const LoadTarget& aTarget) {
-        const int64_t lag =
-            aTarget.mVersion - replica.VersionOf(aTarget.mModel);
-        return std::tuple(missing[aTarget.mModel], -lag);
-      };
-      if (best == nullptr || rank(target) > rank(*best)) {
-        best = &target;
-      }
-    }
-    kept[replica.mId] = best->mModel;
-    missing[best->mModel] -= 1;
+int64_t LoadCandidate::VersionOf(const std::string& aModel) const {
+  int64_t newest = 0;
+  for (const ModelVersion& version : mVersions) {
+    newest = version.mModel == aModel ? version.mVersion : newest;
   }
-  mAssigned = std::move(kept);
-  Rebalance(aReplicas, shares);
+  const bool loads = mLoading && mLoading->mModel == aModel;
+  return loads ? std::max(newest, mLoading->mVersion) : newest;
 }
 
-void LoadPlan::Rebalance(const std::vector<LoadCandidate>& aReplicas,
-                         const std::map<std::string, double>& aShares) {
-  std::map<std::string, double> have;
-  for (const auto& [replica, model] : mAssigned) {
-    have[model] += 1;
-  }
-  std::string rich;
-  std::string poor;
-  double most = kRebalanceAt;
-  double least = -kRebalanceAt;
-  for (const auto& [model, share] : aShares) {
-    const double over = have[model] - share;
-    if (over > most && have[model] > 1) {
-      most = over;
-      rich = model;
-    }
-    if (over < least) {
-      least = over;
-      poor = model;
-    }
-  }
-  if (rich.empty() || poor.empty()) {
-    return;
-  }
-  const LoadCandidate* moved = nullptr;
-  for (const LoadCandidate& replica : aReplicas) {
-    const bool its = AssignedTo(replica.mId) == rich && !replica.mLoading;
-    if (its && (moved == nullptr || replica.mInFlight < moved->mInFlight)) {
-      moved = &replica;
-    }
-  }
-  if (moved != nullptr) {
-    mAssigned[moved->mId] = poor;
-  }
+int64_t LoadCandidate::RunsOf(const std::string& aModel) const {
+  const auto found = mRuns.find(aModel);
+  return found == mRuns.end() ? 0 : found->second;
 }
 
-std::vector<LoadPick> LoadPlan::Next(
-    const std::vector<LoadCandidate>& aReplicas,
-    const std::vector<LoadTarget>& aTargets, size_t aAtOnce) {
-  if (aTargets.empty() || aReplicas.empty()) {
-    return {};
+std::vector<LoadPick> PlanLoads(std::vector<LoadCandidate> aReplicas,
+                                const std::vector<LoadTarget>& aTargets,
+                                size_t aAtOnce) {
+  double total = 0;
+  for (const LoadTarget& target : aTargets) {
+    total += target.mDemand;
   }
-  Assign(aReplicas, aTargets);
-  std::map<std::string, size_t> usable;
-  std::map<std::string, int64_t> room;  // free slots at usable replicas
-  size_t loading = 0;
-  for (const LoadCandidate& replica : aReplicas) {
-    loading += replica.mLoading ? 1 : 0;
+  auto loading = static_cast<size_t>(std::count_if(
+      aReplicas.begin(), aReplicas.end(),
+      [](const LoadCandidate& aReplica) { return aReplica.mLoading; }));
+  std::vector<LoadPick> picks;
+  while (loading < aAtOnce) {
+    // The model with the fewest loads of its newest version is served first.
+    std::optional<Standing> neediest;
+    LoadCandidate* replica = nullptr;
     for (const LoadTarget& target : aTargets) {
-      if (Usable(replica, target) && !replica.mLoading && !replica.mDraining) {
-        ++usable[target.mModel];
-        room[target.mModel] +=
-            std::max<int64_t>(0, replica.mSlots - replica.mInFlight);
+      const Standing standing =
+          StandingOf(target, total, aTargets.size(), aReplicas);
+      LoadCandidate* best = BestFor(standing, aTargets, aReplicas);
+      if (best != nullptr &&
+          (!neediest || standing.Filled() < neediest->Filled())) {
+        neediest = standing;
+        replica = best;
       }
     }
-  }
-  std::vector<Due> due;
-  for (const LoadCandidate& replica : aReplicas) {
-    const LoadTarget* target = Find(aTargets, AssignedTo(replica.mId));
-    const int64_t version = replica.VersionOf(target->mModel);
-    if (replica.mLoading || replica.mDraining || version == 0 ||
-        version >= target->mVersion) {
-      continue;
-    }
-    const bool useless = !Usable(replica, *target);
-    const int64_t own =
-        useless ? 0 : std::max<int64_t>(0, replica.mSlots - replica.mInFlight);
-    // What it runs must find room at the others, or else it waits.
-    const bool fits = room[target->mModel] - own >= replica.mInFlight;
-    if (useless || fits) {
-      due.push_back({&replica, target, usable[target->mModel], useless});
-    }
-  }
-  std::sort(due.begin(), due.end());
-  std::vector<LoadPick> picks;
-  for (const Due& each : due) {
-    if (loading >= aAtOnce) {
+    if (!neediest) {
       break;
     }
+    const LoadTarget& target = *neediest->mTarget;
+    picks.push_back(
+        {replica->mId, target.mModel, target.mVersion, target.mCutRuns});
+    replica->mLoading = ModelVersion{target.mModel, target.mVersion};
     ++loading;
-    picks.push_back({each.mReplica->mId, each.mTarget->mModel,
-                     each.mTarget->mVersion, each.mTarget->mCutRuns});
-    if (!each.mUseless) {
-      // The next one must fit into what is left; seen anew at the next look.
-      break;
-    }
   }
   return picks;
 }
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -26,10 +26,12 @@
 /// them have ended by then.
 constexpr Millis kLoadAge{1000};
 
-/// Weight of a new pace; a slowed replica shows within some five events.
-constexpr double kPaceWeight = 0.2;
-/// A pace that was not measured for so long may have changed.
-constexpr Millis kPaceAge{4000};
+/// What a full batch adds to the time that an event takes; with that, texts
+/// spread over replicas of one speed.
+constexpr double kFullBatchCost = 0.15;
+/// A text's bytes from another availability zone, against the time of its
+/// events: they decide between replicas that are alike.
+constexpr double kOtherZoneTextCost = 0.02;
 
 Millis PauseAfter(int aFailures) {
   const int doublings = std::min(aFailures - 1, kMaxDoublings);
@@ -124,15 +126,11 @@
          excluded.end();
 }
 
-double ReplicaPool::PaceOf(const State& aState, Millis aNow) {
-  return aNow - aState.mPaceAt < kPaceAge ? aState.mPace : 0;
-}
-
 double ReplicaPool::TypicalPace(const std::string& aService,
                                 Millis aNow) const {
   std::vector<double> paces;
   for (const auto& [id, state] : mStates) {
-    const double pace = PaceOf(state, aNow);
+    const double pace = state.mPace.At(aNow);
     if (state.mReplica.mService == aService && pace > 0) {
       paces.push_back(pace);
     }
@@ -152,27 +150,24 @@
   if (found == mStates.end()) {
     return;
   }
-  State& state = found->second;
-  const double before = PaceOf(state, aNow);
-  state.mPace = before == 0
-                    ? aMsPerEvent
-                    : before * (1 - kPaceWeight) + aMsPerEvent * kPaceWeight;
-  state.mPaceAt = aNow;
+  found->second.mPace.Observe(aMsPerEvent, aNow);
 }
 
-bool ReplicaPool::Faster(const std::string& aOther, const std::string& aId,
-                         double aFactor, Millis aNow) const {
-  const auto here = mStates.find(aId);
-  const auto there = mStates.find(aOther);
-  if (here == mStates.end() || there == mStates.end()) {
-    return false;
+double ReplicaPool::PaceAt(const std::string& aId, int64_t aMore,
+                           Millis aNow) const {
+  const auto found = mStates.find(aId);
+  if (found == mStates.end()) {
+    return 0;
   }
-  double other = PaceOf(there->second, aNow);
-  if (other == 0) {
-    // Not measured lately: it is taken for one like most.
-    other = TypicalPace(there->second.mReplica.mService, aNow);
+  const State& state = found->second;
+  double pace = state.mPace.At(aNow);
+  if (pace == 0) {
+    // Never measured: it is taken for one like most.
+    pace = TypicalPace(state.mReplica.mService, aNow);
   }
-  return other > 0 && PaceOf(here->second, aNow) > other * aFactor;
+  const auto slots =
+      static_cast<double>(std::max<int64_t>(state.mReplica.mSlots, 1));
+  return pace * (1 + kFullBatchCost * static_cast<double>(aMore) / slots);
 }
 
 void ReplicaPool::PauseModel(const std::string& aId, const std::string& aModel,
@@ -194,15 +189,11 @@
 }
 
 double ReplicaPool::Cost(const State& aState, const ReplicaWish& aWish,
-                         double aTypicalPace, Millis aNow) {
+                         Millis aNow) {
   const double slots =
       static_cast<double>(std::max<int64_t>(aState.mReplica.mSlots, 1));
   double cost = static_cast<double>(LoadOf(aState, aNow)) / slots;
   cost += aState.mLatency / kLatencyScale;
-  const double pace = PaceOf(aState, aNow);
-  if (pace > 0 && aTypicalPace > 0) {
-    cost += pace / aTypicalPace - 1;
-  }
   if (aState.mReplica.mZone != aWish.mZone) {
     cost += kOtherZoneCost;
   }
@@ -212,12 +203,25 @@
   return cost;
 }
 
+double ReplicaPool::TextCost(const State& aState, const ReplicaWish& aWish,
+                             double aTypicalPace, Millis aNow) {
+  const double pace = aState.mPace.At(aNow);
+  double cost = pace > 0 && aTypicalPace > 0 ? pace / aTypicalPace : 1;
+  const double slots =
+      static_cast<double>(std::max<int64_t>(aState.mReplica.mSlots, 1));
+  cost += kFullBatchCost * static_cast<double>(LoadOf(aState, aNow)) / slots;
+  if (aState.mReplica.mZone != aWish.mZone) {
+    cost += kOtherZoneTextCost;
+  }
+  return cost;
+}
+
 std::optional<std::string> ReplicaPool::Choose(const ReplicaWish& aWish,
                                                Millis aNow) const {
   const State* best = nullptr;
   double bestCost = 0;
   const double typical =
-      aWish.mModel.empty() ? 0 : TypicalPace(aWish.mService, aNow);
+      aWish.mWithinSlots ? TypicalPace(aWish.mService, aNow) : 0;
   for (const auto& [id, state] : mStates) {
     if (!Suits(state, aWish, aNow)) {
       continue;
@@ -225,7 +229,9 @@
     if (aWish.mWithinSlots && Paused(state, aWish, aNow)) {
       continue;
     }
-    const double cost = Cost(state, aWish, typical, aNow);
+    const double cost = aWish.mWithinSlots
+                            ? TextCost(state, aWish, typical, aNow)
+                            : Cost(state, aWish, aNow);
     if (best == nullptr || cost < bestCost) {
       best = &state;
       bestCost = cost;
@@ -237,21 +243,29 @@
   return best->mReplica.mId;
 }
 
-void ReplicaPool::Start(const std::string& aId) {
+void ReplicaPool::Start(const std::string& aId, const std::string& aModel) {
   const auto found = mStates.find(aId);
-  if (found != mStates.end()) {
-    ++found->second.mInFlight;
+  if (found == mStates.end()) {
+    return;
+  }
+  ++found->second.mInFlight;
+  if (!aModel.empty()) {
+    ++found->second.mRuns[aModel];
   }
 }
 
 void ReplicaPool::End(const std::string& aId, ReplicaOutcome aOutcome,
-                      Millis aLatency, Millis aNow) {
+                      Millis aLatency, Millis aNow, const std::string& aModel) {
   const auto found = mStates.find(aId);
   if (found == mStates.end()) {
     return;
   }
   State& state = found->second;
   state.mInFlight = std::max<int64_t>(state.mInFlight - 1, 0);
+  const auto runs = state.mRuns.find(aModel);
+  if (runs != state.mRuns.end() && --runs->second <= 0) {
+    state.mRuns.erase(runs);
+  }
   if (aOutcome == ReplicaOutcome::Abandoned) {
     return;
   }
@@ -301,6 +315,29 @@
   return found == mStates.end() ? 0 : found->second.mInFlight;
 }
 
+std::map<std::string, int64_t> ReplicaPool::RunsByModel(
+    const std::string& aId) const {
+  const auto found = mStates.find(aId);
+  return found == mStates.end() ? std::map<std::string, int64_t>()
+                                : found->second.mRuns;
+}
+
+double ReplicaPool::RelativePace(const std::string& aId, Millis aNow) const {
+  const auto found = mStates.find(aId);
+  if (found == mStates.end()) {
+    return 1;
+  }
+  const double typical = TypicalPace(found->second.mReplica.mService, aNow);
+  const double pace = found->second.mPace.At(aNow);
+  return typical > 0 && pace > 0 ? pace / typical : 1;
+}
+
+bool ReplicaPool::Failing(const std::string& aId, Millis aNow) const {
+  const auto found = mStates.find(aId);
+  return found != mStates.end() && found->second.mFailures > 0 &&
+         aNow < found->second.mPausedUntil;
+}
+
 std::vector<Replica> ReplicaPool::All() const {
   std::vector<Replica> replicas;
   for (const auto& [id, state] : mStates) {
--- /dev/null
+++ b/src/librillwall_coordination/text_move_test.cpp
@@ -0,0 +1,60 @@
+/// \file
+/// Tests of when a text goes on at another replica.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "rillwall/text_move.h"
+
+namespace rillwall {
+
+class TextMoveTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TextMoveTest);
+  CPPUNIT_TEST(LongTextLeavesSlowHardware);
+  CPPUNIT_TEST(ShortTextStays);
+  CPPUNIT_TEST(HintBringsAMoveForward);
+  CPPUNIT_TEST(OverdueTextIsExpectedToGoOn);
+  CPPUNIT_TEST(BatchesOfOneSpeedAreAlike);
+  CPPUNIT_TEST(AMoveIsNotMadeBack);
+  CPPUNIT_TEST(UnknownPaceMovesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  void LongTextLeavesSlowHardware() {
+    CPPUNIT_ASSERT(MovePays({60, 0, 52, 40}));
+    CPPUNIT_ASSERT(MovePays({10, 0, 120, 40}));
+  }
+
+  void ShortTextStays() {
+    CPPUNIT_ASSERT(!MovePays({8, 0, 52, 40}));
+    CPPUNIT_ASSERT(!MovePays({2, 0, 120, 40}));
+  }
+
+  void HintBringsAMoveForward() {
+    CPPUNIT_ASSERT(MovePays({2, 80, 52, 40}));
+    CPPUNIT_ASSERT(!MovePays({70, 80, 44, 40}));
+  }
+
+  void OverdueTextIsExpectedToGoOn() {
+    CPPUNIT_ASSERT_EQUAL(int64_t{70}, ExpectedRest(10, 80));
+    CPPUNIT_ASSERT_EQUAL(int64_t{90}, ExpectedRest(90, 80));
+  }
+
+  void BatchesOfOneSpeedAreAlike() {
+    CPPUNIT_ASSERT(!MovePays({150, 0, 43, 39}));
+  }
+
+  void AMoveIsNotMadeBack() {
+    const TextMove there{60, 0, 52, 40};
+    const TextMove back{60, 0, 40, 52};
+    CPPUNIT_ASSERT(MovePays(there));
+    CPPUNIT_ASSERT(!MovePays(back));
+  }
+
+  void UnknownPaceMovesNothing() {
+    CPPUNIT_ASSERT(!MovePays({100, 0, 0, 40}));
+    CPPUNIT_ASSERT(!MovePays({100, 0, 80, 0}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TextMoveTest);
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -3,11 +3,13 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <tuple>
 
 #include "item_run.h"
 #include "rillwall/event_log.h"
 #include "rillwall/rollout_service.h"
+#include "rillwall/text_move.h"
 #include "rillwall/upstream_call.h"
 #include "rollout_step.h"
 
@@ -20,12 +22,9 @@
 constexpr int64_t kScorerTargets = 4;
 constexpr Millis kScorerPause{50};
 constexpr int kServerError = 500;
-/// A stream leaves a replica for one that is faster by this. Replicas of one
-/// service differ by a third, which is worth a move only in a step's tail: it
-/// costs the prompt and the text being read again, some 20 ms.
-constexpr double kSlowFactor = 1.6;
-constexpr double kTailFactor = 1.15;
+/// Between two moves of one text: a replica's pace shows after some 400 ms.
 constexpr Millis kMoveEvery{700};
+/// Moves of a step at one look; the next one sees the slots that these take.
 constexpr size_t kMovesAtOnce = 2;
 
 ReplicaOutcome OutcomeOf(ItemRunEnd aEnd) {
@@ -137,7 +136,7 @@
 
 asio::awaitable<void> RolloutService::RunItem(StepPtr aStep, size_t aItem,
                                               Replica aReplica) {
-  ReplicaUse use(mNode, aReplica.mId);
+  ReplicaUse use(mNode, aReplica.mId, aStep->mBook.Spec().mModel);
   RolloutBook& book = aStep->mBook;
   const int64_t before = book.Text(aItem).mEvents;
   std::string why;
@@ -160,6 +159,7 @@
     co_return;
   }
   if (end == ItemRunEnd::Whole) {
+    LearnEvents(book.Item(aItem), book.Text(aItem).mEvents);
     Pump();
     co_await ScoreItem(aStep, aItem);
   } else if (end == ItemRunEnd::Impossible) {
@@ -173,32 +173,53 @@
 
 void RolloutService::MoveFromSlow(const StepPtr& aStep) {
   const Millis now = mNode.Now();
-  // With nothing left to start, a step is as long as its longest texts.
-  const bool tail = aStep->mBook.Waiting() == 0;
-  const double factor = tail ? kTailFactor : kSlowFactor;
-  size_t moved = 0;
-  for (auto& [item, stream] : aStep->mStreams) {
+  RolloutBook& book = aStep->mBook;
+  std::multimap<double, size_t, std::greater<>> moves;  // items by their gain
+  for (const auto& [item, stream] : aStep->mStreams) {
     const auto last = aStep->mMovedAt.find(item);
     if (last != aStep->mMovedAt.end() && now - last->second < kMoveEvery) {
       continue;
     }
-    const std::string& replica = aStep->mBook.ReplicaOf(item);
-    const RolloutPick pick{item, replica};
-    const std::optional<std::string> other = ChooseReplica(*aStep, pick);
-    if (!other || *other == replica ||
-        !mNode.mReplicas.Faster(*other, replica, factor, now)) {
+    const std::string& replica = book.ReplicaOf(item);
+    const std::optional<std::string> other =
+        ChooseReplica(*aStep, {item, replica});
+    if (!other || *other == replica) {
       continue;
     }
+    const TextMove move{book.Text(item).mEvents, ExpectedEvents(*aStep, item),
+                        mNode.mReplicas.PaceAt(replica, 0, now),
+                        mNode.mReplicas.PaceAt(*other, 1, now)};
+    if (MovePays(move)) {
+      moves.emplace(MoveGain(move), item);
+    }
+  }
+  size_t moved = 0;
+  for (const auto& [gain, item] : moves) {
     aStep->mMovedAt[item] = now;
     aStep->mMoving.insert(item);
-    stream->Abort();
-    // Few at a time: the next look sees the slots that these take.
+    aStep->mStreams[item]->Abort();
     if (++moved == kMovesAtOnce) {
       return;
     }
   }
 }
 
+int64_t RolloutService::ExpectedEvents(const RolloutStep& aStep,
+                                       size_t aItem) const {
+  const auto hint = static_cast<double>(aStep.mBook.Item(aItem).mLengthHint);
+  return mTokensPerEvent == 0 ? 0
+                              : static_cast<int64_t>(hint / mTokensPerEvent);
+}
+
+void RolloutService::LearnEvents(const RolloutItem& aItem, int64_t aEvents) {
+  if (aItem.mLengthHint <= 0 || aEvents <= 0) {
+    return;
+  }
+  mHintedTokens += static_cast<double>(aItem.mLengthHint);
+  mWholeEvents += static_cast<double>(aEvents);
+  mTokensPerEvent = mHintedTokens / mWholeEvents;
+}
+
 asio::awaitable<void> RolloutService::ScoreItem(StepPtr aStep, size_t aItem) {
   RolloutBook& book = aStep->mBook;
   const std::optional<ScorerCall>& scorer = book.Item(aItem).mScorer;
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -233,9 +233,13 @@
 
 }  // namespace
 
-ReplicaUse::ReplicaUse(NodeContext& aNode, std::string aReplica)
-    : mNode(aNode), mReplica(std::move(aReplica)), mStarted(aNode.Now()) {
-  mNode.mReplicas.Start(mReplica);
+ReplicaUse::ReplicaUse(NodeContext& aNode, std::string aReplica,
+                       std::string aModel)
+    : mNode(aNode),
+      mReplica(std::move(aReplica)),
+      mModel(std::move(aModel)),
+      mStarted(aNode.Now()) {
+  mNode.mReplicas.Start(mReplica, mModel);
 }
 
 ReplicaUse::~ReplicaUse() { End(ReplicaOutcome::Abandoned); }
@@ -247,7 +251,7 @@
   mOpen = false;
   const Millis now = mNode.Now();
   const Millis latency = aStream ? Millis(0) : now - mStarted;
-  mNode.mReplicas.End(mReplica, aOutcome, latency, now);
+  mNode.mReplicas.End(mReplica, aOutcome, latency, now, mModel);
 }
 
 asio::awaitable<Result<UpstreamAnswer>> CallUpstream(NodeContext& aNode,
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -108,20 +108,26 @@
     }
   }
   std::vector<LoadCandidate> candidates;
+  const Millis now = mNode.Now();
   for (const Replica* replica : mNode.mReplicas.OfService(aService.mName)) {
     LoadCandidate candidate;
     candidate.mId = replica->mId;
     candidate.mVersions = replica->mModels;
+    candidate.mRuns = mNode.mReplicas.RunsByModel(replica->mId);
     candidate.mInFlight = mNode.mReplicas.InFlight(replica->mId);
     candidate.mSlots = replica->mSlots;
-    candidate.mLoading = mLoading.contains(replica->mId);
+    candidate.mPace = mNode.mReplicas.RelativePace(replica->mId, now);
+    const auto loading = mLoading.find(replica->mId);
+    if (loading != mLoading.end()) {
+      candidate.mLoading = loading->second;
+    }
     candidate.mDraining = replica->mDraining;
+    candidate.mFailing = mNode.mReplicas.Failing(replica->mId, now);
     candidates.push_back(std::move(candidate));
   }
-  LoadPlan& plan = mPlans[aService.mName];
   const size_t most = LoadsAtOnce(candidates.size());
-  for (const LoadPick& pick : plan.Next(candidates, targets, most)) {
-    mLoading.insert(pick.mReplica);
+  for (const LoadPick& pick : PlanLoads(std::move(candidates), targets, most)) {
+    mLoading[pick.mReplica] = {pick.mModel, pick.mVersion};
     const Replica replica = *mNode.mReplicas.Find(pick.mReplica);
     Launch(mNode.mIo, "load", Load(replica, pick));
   }
