--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -126,6 +126,9 @@
   asio::awaitable<Result<StepPtr>> TakeOverOnce(std::string aId,
                                                 StepRecord aRecord,
                                                 int64_t aRevision);
+  /// Takes one orphan over, or logs why not.
+  asio::awaitable<void> TakeOrphan(std::string aId, StepRecord aRecord,
+                                   int64_t aRevision);
   /// A step whose record is on its way to the store.
   struct Acceptance;
   using AcceptancePtr = std::shared_ptr<Acceptance>;
--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -248,6 +248,8 @@
       .Number("revision", aRevision)
       .Number("store_ms", aTook.Count())
       .Flag("ran_before", ran)
+      .Number("due_in_ms",
+              (step->mDueAt.value_or(mNode.Now()) - mNode.Now()).Count())
       .Write();
   mNode.mMetrics.Count("steps_accepted_total");
   ScheduleFlush(step);
--- a/src/librillwall_rollout/rollout_listing.cpp
+++ b/src/librillwall_rollout/rollout_listing.cpp
@@ -135,6 +135,7 @@
         .Number("unfinished", static_cast<int64_t>(parts.size()))
         .Number("whole_groups",
                 static_cast<int64_t>(aStep->mBook.WholeGroups()))
+        .Flag("reached", aStep->mReachedListed)
         .Number("store_ms", (mNode.Now() - asked).Count())
         .Write();
     mNode.mMetrics.Measure("page_ms", mNode.Now() - asked);
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -304,14 +304,21 @@
     if (answers[address]) {
       continue;
     }
-    const Result<StepPtr> step =
-        co_await TakeOverOnce(id, *record, item.mRevision);
-    if (!step) {
-      Event("take-over-failed")
-          .Id(id)
-          .Text("why", step.error().Detail())
-          .Write();
-    }
+    // All at once: each waits for several answers of the store.
+    Launch(mNode.mIo, "take-over", TakeOrphan(id, *record, item.mRevision));
+  }
+}
+
+asio::awaitable<void> RolloutService::TakeOrphan(std::string aId,
+                                                 StepRecord aRecord,
+                                                 int64_t aRevision) {
+  const Result<StepPtr> step =
+      co_await TakeOverOnce(aId, std::move(aRecord), aRevision);
+  if (!step) {
+    Event("take-over-failed")
+        .Id(aId)
+        .Text("why", step.error().Detail())
+        .Write();
   }
 }
 
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -109,12 +109,6 @@
   Endpoint mEndpoint;
 };
 
-/// What outlives a node: the store and the thread that replicas run on.
-struct TestWorld {
-  asio::io_context mIo;
-  FakeStore mStore;
-};
-
 /// An io_context whose pending coroutines can be destroyed while what they
 /// refer to still lives.
 class TestContext : public asio::io_context {
@@ -122,6 +116,12 @@
   void Close() { shutdown(); }
 };
 
+/// What outlives a node: the store and the thread that replicas run on.
+struct TestWorld {
+  TestContext mIo;
+  FakeStore mStore;
+};
+
 /// A node's process. One that is not run any more is as good as dead.
 class TestNode {
  public:
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -90,6 +90,9 @@
   Node mEntry{mWorld, "entry", true};
 
  public:
+  /// Handlers of the servers refer to the nodes: they go first.
+  ~ViewExchangeTest() override { mWorld.mIo.Close(); }
+
   void setUp() override {
     mGiver.mView.Listed({ReplicaOf("a")}, mGiver.Now());
     mGiver.mView.Follows(true);
--- a/src/rillwall/cli_local.cpp
+++ b/src/rillwall/cli_local.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "cli_steps.h"
 #include "cli_verb.h"
 #include "log_trace.h"
 #include "rillwall/settings.h"
@@ -35,6 +36,17 @@
 }
 
 ExitCode Explain(const CliContext& aContext, const VerbArguments& aArguments) {
+  if (aArguments.mSteps) {
+    // There is no id to follow: the first word names a log too.
+    VerbArguments all = aArguments;
+    all.mFiles.insert(all.mFiles.begin(), aArguments.mName);
+    return ExplainSteps(aContext, all);
+  }
+  if (aArguments.mFiles.empty()) {
+    return Tell(aContext, {ExitCode::BadRequest,
+                           "No log is named. Give the logs of the nodes after "
+                           "the id."});
+  }
   LogTrace trace(aArguments.mName);
   for (const std::string& path : aArguments.mFiles) {
     std::ifstream log(path);
@@ -76,16 +88,21 @@
       ->required();
   const Verb explain =
       AddVerb(aApp, aContext, "explain",
-              "Follow one request, step or item through logs of nodes",
-              "rillwall explain 7c41e09b52d6a3f8 logs/*.log", &Explain);
+              "Follow one request, step or item through logs of nodes, or "
+              "tell where the time of all steps went",
+              "rillwall explain 7c41e09b52d6a3f8 logs/*.log, or rillwall "
+              "explain --steps logs/*.log",
+              &Explain);
   explain.mApp
       ->add_option("id", explain.mArguments->mName,
-                   "Its id, as the client sent it")
-      ->required();
-  explain.mApp
-      ->add_option("files", explain.mArguments->mFiles,
-                   "Logs of the nodes, one file each")
+                   "Its id, as the client sent it (with --steps: a log)")
       ->required();
+  explain.mApp->add_option("files", explain.mArguments->mFiles,
+                           "Logs of the nodes, one file each");
+  explain.mApp->add_flag("--steps", explain.mArguments->mSteps,
+                         "Tell the critical path of each step, in ms");
+  explain.mApp->add_flag("--json", explain.mArguments->mJson,
+                         "With --steps: print JSON");
   AddVerb(aApp, aContext, "settings", "Print the page of all settings",
           "rillwall settings > docs/SETTINGS.md", &Settings);
 }
--- a/src/rillwall/cli_verb.h
+++ b/src/rillwall/cli_verb.h
@@ -29,6 +29,8 @@
   std::string mRevision;
   std::vector<std::string> mFiles;
   bool mNoWait = false;
+  bool mSteps = false;
+  bool mJson = false;
 };
 
 /// Does a verb's work.
--- a/src/rillwall/log_trace.cpp
+++ b/src/rillwall/log_trace.cpp
@@ -1,12 +1,10 @@
 #include "log_trace.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
-#include <sstream>
 
-namespace rillwall {
+#include "log_line.h"
 
-namespace json = boost::json;
+namespace rillwall {
 
 namespace {
 
@@ -39,56 +37,27 @@
   return out;
 }
 
-/// \return the last word before the JSON, or the file's name
-std::string NodeOf(const std::string& aBefore, const std::string& aName) {
-  std::istringstream words(aBefore);
-  std::string word;
-  std::string last;
-  while (words >> word) {
-    last = word;
-  }
-  return last.empty() ? aName : last;
-}
-
-int64_t TimeOf(const json::object& aLine) {
-  const json::value* time = aLine.if_contains("time_ms");
-  return time != nullptr && time->is_int64() ? time->get_int64() : 0;
-}
-
-std::string TextOf(const json::object& aLine, std::string_view aName) {
-  const json::value* value = aLine.if_contains(aName);
-  return value != nullptr && value->is_string()
-             ? std::string(value->get_string())
-             : std::string();
-}
-
 }  // namespace
 
 void LogTrace::Read(std::istream& aLog, const std::string& aName) {
   ++mFiles;
   std::string text;
   while (std::getline(aLog, text)) {
-    const size_t begin = text.find("{\"time_ms\"");
-    if (begin == std::string::npos) {
-      continue;
-    }
-    json::error_code failed;
-    const json::value value =
-        json::parse(std::string_view(text).substr(begin), failed);
-    if (failed || !value.is_object()) {
-      ++mBroken;
+    const std::optional<LogLine> parsed = ParseLogLine(text, aName);
+    if (!parsed) {
+      mBroken += HoldsLogLine(text) ? 1 : 0;
       continue;
     }
-    const json::object& line = value.get_object();
-    const std::string event = TextOf(line, "event");
+    const json::object& line = parsed->mFields;
+    const std::string event = LineText(line, "event");
     if (event == "log-dropped") {
       mDropped += line.contains("lines")
                       ? static_cast<uint64_t>(line.at("lines").as_int64())
                       : 0;
     }
     if (TellsOf(line, mId)) {
-      mLines.push_back({TimeOf(line), NodeOf(text.substr(0, begin), aName),
-                        event, OtherFields(line)});
+      mLines.push_back(
+          {parsed->mTime, parsed->mNode, event, OtherFields(line)});
     }
   }
 }
