rollout: a submission that fails at once is not forgotten

Cause: a coroutine begins to run where it is launched; if the store's client refused the first write without a call, as it does while no path to the store is known, nobody was counted as asking yet, and the acceptance was dropped at once. The time of the first question is set when the acceptance is made.

--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -128,6 +128,7 @@
   const auto acceptance = std::make_shared<Acceptance>(
       mNode.mIo, std::move(aSpec), std::move(aRoute), std::move(record));
   acceptance->mChange = AcceptingChange(id, acceptance->mRecord, aBody);
+  acceptance->mAskedAt = mNode.Now();
   mAcceptances[id] = acceptance;
   return acceptance;
 }
