--- a/src/rillwall/step_trace.cpp
+++ b/src/rillwall/step_trace.cpp
@@ -38,12 +38,12 @@
 };
 
 const std::vector<StepPart>& StepParts() {
-  static const std::vector<StepPart> sParts = {
+  static const std::vector<StepPart> kParts = {
       {"weights", &StepPath::mWeights}, {"slot", &StepPath::mSlot},
       {"bound", &StepPath::mBound},     {"slow", &StepPath::mSlow},
       {"moves", &StepPath::mMoves},     {"score", &StepPath::mScore},
       {"listing", &StepPath::mListing}, {"read", &StepPath::mRead}};
-  return sParts;
+  return kParts;
 }
 
 void StepTrace::Read(std::istream& aLog, const std::string& aName) {
