weights: the lag that steps allow is learnt from them

Cause: the plan took it for granted that a step takes the named version or the one before. On a service whose steps take the newest only, half of the replicas would never be renewed; where they take older ones, loads would be made for nothing. Change: AllowedLag keeps what the last four steps of a model allowed against the newest named version: the least of it, but for a single step that came before the name. Tests for none, one and two.

--- a/src/include/rillwall/load_plan.h
+++ b/src/include/rillwall/load_plan.h
@@ -3,10 +3,10 @@
 ///
 /// Replicas of one service may serve several models, each with weights of its
 /// own. A load takes about a second and ends the runs of its model there; only
-/// few may go on at once. A step takes weights of the newest named version or
-/// of the one before, so a load serves two steps. The plan therefore rotates:
+/// few may go on at once. A step mostly takes weights of some versions before
+/// the newest too, so a load serves several steps. The plan therefore rotates:
 /// each version goes to replicas whose weights of that model are of no use any
-/// more, which run nothing of it, while those with the version before go on
+/// more, which run nothing of it, while those with a version before go on
 /// serving.
 ///
 /// What that buys, on 45 days with faults of twelve replicas and three
@@ -21,6 +21,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +37,20 @@
   int64_t mVersion = 0;  ///< the newest that was named
   double mDemand = 0;    ///< work of its recent steps, in any one unit
   bool mCutRuns = true;  ///< a load may end running streams
+  int64_t mLag = 1;      ///< versions by which usable weights may be behind
+};
+
+/// What the steps of one model allow, learnt from those that came.
+class AllowedLag {
+ public:
+  /// \param aNamed newest version when the step came
+  /// \param aMinVersion oldest that it takes
+  void Observe(int64_t aNamed, int64_t aMinVersion);
+  /// \return versions by which weights may be behind the newest
+  int64_t Versions() const;
+
+ private:
+  std::deque<int64_t> mRecent;  ///< of the last steps
 };
 
 /// One replica as the plan sees it.
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -63,8 +63,8 @@
   /// Texts are kept there while the store is away; unused until it is opened.
   StepSpool mSpool;
 
-  /// Called with the model and the work of each step that this node takes.
-  std::function<void(const std::string&, double)> mOnStep;
+  /// Called with each step that this node takes, and its work.
+  std::function<void(const RolloutSpec&, double)> mOnStep;
 
   /// Accepts a step durably and runs it here. While the store does not answer
   /// the step runs already, but nothing of it is listed; whoever submits it
--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -14,6 +14,7 @@
 #include "rillwall/lead_claim.h"
 #include "rillwall/load_plan.h"
 #include "rillwall/node_context.h"
+#include "rillwall/rollout.h"
 
 namespace rillwall {
 
@@ -56,8 +57,8 @@
   void Name(const std::string& aModel, int64_t aVersion);
   /// \return the newest named version of a model, 0 if none was named
   int64_t Named(const std::string& aModel) const;
-  /// Adds the work of a step to its model's demand.
-  void AddDemand(const std::string& aModel, double aWork);
+  /// Takes a step in: its work adds to its model's demand.
+  void Observe(const RolloutSpec& aSpec, double aWork);
   /// Gives orders until the node stops.
   asio::awaitable<void> Run();
   /// Called when a replica serves a new version.
@@ -77,6 +78,7 @@
   ReplicaControl& mControl;
   std::map<std::string, int64_t> mNamed;
   std::map<std::string, double> mDemand;
+  std::map<std::string, AllowedLag> mLags;       ///< by model
   std::map<std::string, ModelVersion> mLoading;  ///< by id of the replica
 };
 
--- a/src/librillwall_coordination/load_plan.cpp
+++ b/src/librillwall_coordination/load_plan.cpp
@@ -8,8 +8,11 @@
 
 namespace {
 
-/// A step takes the named version or the one before.
-constexpr int64_t kUsableLag = 1;
+/// Before any step has told: the named version or the one before.
+constexpr int64_t kUsualLag = 1;
+/// Steps of a trainer that is ahead find a newer version named than they ask
+/// for, and seem to allow more than the next one may: the least of some counts.
+constexpr size_t kStepsRemembered = 4;
 /// What serving one more model costs a replica, in parts of a typical pace: so
 /// a replica that is slower by a third takes a model once the fast ones have
 /// two.
@@ -28,7 +31,7 @@
 };
 
 bool Usable(const LoadCandidate& aReplica, const LoadTarget& aTarget) {
-  return aReplica.VersionOf(aTarget.mModel) >= aTarget.mVersion - kUsableLag;
+  return aReplica.VersionOf(aTarget.mModel) >= aTarget.mVersion - aTarget.mLag;
 }
 
 int64_t FreeSlots(const LoadCandidate& aReplica) {
@@ -80,10 +83,12 @@
   if (!Usable(aReplica, target)) {
     return static_cast<double>(aStanding.mNewest) < aStanding.mShare;
   }
-  // It still serves. Half of those that do must outlast the next version, and
+  // It still serves. Enough of those that do must outlast the next version, and
   // what it runs must find room at the others.
   const int64_t others = aStanding.mRoom - FreeSlots(aReplica);
-  return aStanding.mNewest * 2 < aStanding.mUsable &&
+  const auto steps =
+      static_cast<size_t>(target.mLag + 1);  // that a load serves
+  return aStanding.mNewest * steps < aStanding.mUsable &&
          static_cast<double>(aStanding.mNewest) < aStanding.mShare &&
          others >= aReplica.RunsOf(target.mModel);
 }
@@ -113,6 +118,25 @@
 
 }  // namespace
 
+void AllowedLag::Observe(int64_t aNamed, int64_t aMinVersion) {
+  mRecent.push_back(std::max<int64_t>(0, aNamed - aMinVersion));
+  if (mRecent.size() > kStepsRemembered) {
+    mRecent.pop_front();
+  }
+}
+
+int64_t AllowedLag::Versions() const {
+  if (mRecent.empty()) {
+    return kUsualLag;
+  }
+  std::deque<int64_t> sorted = mRecent;
+  std::sort(sorted.begin(), sorted.end());
+  // A single step that seems to take the newest only came before the name of
+  // its version was known here.
+  const bool early = sorted.size() > 1 && sorted[0] == 0;
+  return early ? sorted[1] : sorted[0];
+}
+
 int64_t LoadCandidate::VersionOf(const std::string& aModel) const {
   int64_t newest = 0;
   for (const ModelVersion& version : mVersions) {
--- a/src/librillwall_coordination/load_plan_test.cpp
+++ b/src/librillwall_coordination/load_plan_test.cpp
@@ -87,6 +87,11 @@
   CPPUNIT_TEST(FastOnesTakeMoreModels);
   CPPUNIT_TEST(SuccessiveVersionsRotate);
   CPPUNIT_TEST(SomeServeWhenTheNextVersionIsNamed);
+  CPPUNIT_TEST(StepsThatTakeTheNewestOnlyNeedAll);
+  CPPUNIT_TEST(StepsThatTakeOldWeightsNeedFewLoads);
+  CPPUNIT_TEST(LagIsLearntFromSteps);
+  CPPUNIT_TEST(OneEarlyStepDoesNotNarrowTheLag);
+  CPPUNIT_TEST(StepOfATrainerThatIsAheadDoesNotWidenTheLag);
   CPPUNIT_TEST_SUITE_END();
 
   void NothingToDoWithoutATarget() {
@@ -233,6 +238,48 @@
     }
   }
 
+  void StepsThatTakeTheNewestOnlyNeedAll() {
+    std::vector<LoadCandidate> replicas = Replicas(8, 1);
+    CPPUNIT_ASSERT_EQUAL(size_t{8},
+                         CarryAll(replicas, {{"m", 2, 1, true, 0}}).size());
+  }
+
+  void StepsThatTakeOldWeightsNeedFewLoads() {
+    std::vector<LoadCandidate> replicas = Replicas(9, 1);
+    CPPUNIT_ASSERT_EQUAL(size_t{3},
+                         CarryAll(replicas, {{"m", 2, 1, true, 2}}).size());
+  }
+
+  void LagIsLearntFromSteps() {
+    AllowedLag lag;
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, lag.Versions());
+    lag.Observe(7, 7);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, lag.Versions());
+    lag.Observe(8, 8);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, lag.Versions());
+  }
+
+  void OneEarlyStepDoesNotNarrowTheLag() {
+    AllowedLag lag;
+    lag.Observe(5, 4);
+    lag.Observe(5, 5);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, lag.Versions());
+    lag.Observe(0, 4);  // nothing is known here yet
+    lag.Observe(0, 5);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, lag.Versions());
+  }
+
+  void StepOfATrainerThatIsAheadDoesNotWidenTheLag() {
+    AllowedLag lag;
+    lag.Observe(5, 4);
+    for (int64_t named = 7; named < 10; ++named) {
+      lag.Observe(named, named - 2);
+    }
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, lag.Versions());
+    lag.Observe(10, 8);
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, lag.Versions());
+  }
+
   void SomeServeWhenTheNextVersionIsNamed() {
     std::vector<LoadCandidate> replicas = Replicas(6, 1, 1);
     for (int64_t version = 2; version < 12; ++version) {
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -87,7 +87,7 @@
   mSteps[id] = step;
   mPlaces.erase(id);
   if (mOnStep) {
-    mOnStep(step->mBook.Spec().mModel, WorkOf(step->mBook.Spec()));
+    mOnStep(step->mBook.Spec(), WorkOf(step->mBook.Spec()));
   }
   return step;
 }
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -104,7 +104,8 @@
   for (const std::string& model : aService.mModels) {
     const int64_t version = Named(model);
     if (version > 0) {
-      targets.push_back({model, version, DemandOf(model), !KeepsRuns(model)});
+      targets.push_back({model, version, DemandOf(model), !KeepsRuns(model),
+                         mLags[model].Versions()});
     }
   }
   std::vector<LoadCandidate> candidates;
@@ -138,8 +139,11 @@
   return found == mDemand.end() ? 0 : found->second;
 }
 
-void WeightOrders::AddDemand(const std::string& aModel, double aWork) {
-  double& demand = mDemand[aModel];
+void WeightOrders::Observe(const RolloutSpec& aSpec, double aWork) {
+  if (Named(aSpec.mModel) > 0) {
+    mLags[aSpec.mModel].Observe(Named(aSpec.mModel), aSpec.mMinVersion);
+  }
+  double& demand = mDemand[aSpec.mModel];
   demand = demand == 0 ? aWork
                        : demand * (1 - kDemandWeight) + aWork * kDemandWeight;
 }
