--- a/src/librillwall_coordination/load_plan.cpp
+++ b/src/librillwall_coordination/load_plan.cpp
@@ -1,7 +1,6 @@
 #include "rillwall/load_plan.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace rillwall {
@@ -98,13 +97,17 @@
                        const std::vector<LoadTarget>& aTargets,
                        std::vector<LoadCandidate>& aReplicas) {
   const LoadTarget& target = *aStanding.mTarget;
-  const auto rank = [&](const LoadCandidate& aReplica) {
+  using Rank =
+      std::tuple<bool, bool, int64_t, double, int64_t, const std::string&>;
+  const auto rank = [&](const LoadCandidate& aReplica) -> Rank {
     const auto others =
         static_cast<double>(OtherModels(aReplica, aTargets, target));
-    return std::tuple(aReplica.mFailing, Usable(aReplica, target),
-                      aReplica.RunsOf(target.mModel),
-                      aReplica.mPace + kSharedCost * others, aReplica.mInFlight,
-                      aReplica.mId);
+    return {aReplica.mFailing,
+            Usable(aReplica, target),
+            aReplica.RunsOf(target.mModel),
+            aReplica.mPace + kSharedCost * others,
+            aReplica.mInFlight,
+            aReplica.mId};
   };
   LoadCandidate* best = nullptr;
   for (LoadCandidate& replica : aReplicas) {
