soak: two runs of one seed wait for one another's addresses

Cause: a run's addresses come from its seed, so two runs of seed 10 on one machine saw each other's requests: "ran 2 times" for nearly every one. Ruled out: the code under test: seed 10 alone passes (15 s, twice), and two runs of it at once on the same binary failed alike (12 and 20 lines). Change: a run takes a lock for its addresses and waits up to two minutes.

--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -23,6 +23,7 @@
 import argparse
 import asyncio
 import base64
+import fcntl
 import json
 import os
 import pathlib
@@ -35,6 +36,7 @@
 from standins import Engine, Service, Store, events_of, text_of
 from web import Proxy, call
 
+ADDRESS_WAIT_S = 120  # a run of 15 s takes some 25
 ZONES = ["z1", "z2", "z3"]
 MODEL = "model1"
 HOST = "soak.example"
@@ -469,6 +471,19 @@
                 process.kill()
 
 
+def take_addresses(seed):
+    """Waits until no other run on this machine has the addresses of this seed: two such runs would
+    see each other's requests. Returns the lock, which ends with the process."""
+    lock = open(pathlib.Path(tempfile.gettempdir()) / f"rillwall-soak-{seed % 250}.lock", "w")
+    for _ in range(ADDRESS_WAIT_S):
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            return lock
+        except BlockingIOError:
+            time.sleep(1)
+    raise SystemExit(f"Another run of seed {seed} (or of one with the same addresses) goes on; end it first.")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--binary", required=True)
@@ -478,8 +493,11 @@
     parser.add_argument("--leads", type=int, default=3)
     parser.add_argument("--faults", default="all")
     parser.add_argument("--keep", help="folder for the logs")
-    soak = Soak(parser.parse_args())
+    args = parser.parse_args()
+    lock = take_addresses(args.seed)
+    soak = Soak(args)
     asyncio.run(soak.run())
+    lock.close()
     failed = {name for name, _ in soak.failed}
     print(f"seed {soak.args.seed}: served {soak.served}, whole steps {soak.whole_steps}, faults {soak.faults}, "
           f"checks {soak.counts}")
