replica pool: a request's share of the slots is worked out in one place

Seen in the last reading: the same division stood three times in ReplicaPool (choice for a call, choice for a text, pace with one text more), and the pattern test kept a version that nothing read. No change of behaviour.

--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -33,6 +33,12 @@
 /// events: they decide between replicas that are alike.
 constexpr double kOtherZoneTextCost = 0.02;
 
+/// \return requests as a part of a replica's slots
+double SlotShare(const Replica& aReplica, int64_t aRequests) {
+  return static_cast<double>(aRequests) /
+         static_cast<double>(std::max<int64_t>(aReplica.mSlots, 1));
+}
+
 Millis PauseAfter(int aFailures) {
   const int doublings = std::min(aFailures - 1, kMaxDoublings);
   return std::min(kLongestPause, kFirstPause * (int64_t{1} << doublings));
@@ -165,9 +171,7 @@
     // Never measured: it is taken for one like most.
     pace = TypicalPace(state.mReplica.mService, aNow);
   }
-  const auto slots =
-      static_cast<double>(std::max<int64_t>(state.mReplica.mSlots, 1));
-  return pace * (1 + kFullBatchCost * static_cast<double>(aMore) / slots);
+  return pace * (1 + kFullBatchCost * SlotShare(state.mReplica, aMore));
 }
 
 void ReplicaPool::PauseModel(const std::string& aId, const std::string& aModel,
@@ -190,9 +194,7 @@
 
 double ReplicaPool::Cost(const State& aState, const ReplicaWish& aWish,
                          Millis aNow) {
-  const double slots =
-      static_cast<double>(std::max<int64_t>(aState.mReplica.mSlots, 1));
-  double cost = static_cast<double>(LoadOf(aState, aNow)) / slots;
+  double cost = SlotShare(aState.mReplica, LoadOf(aState, aNow));
   cost += aState.mLatency / kLatencyScale;
   if (aState.mReplica.mZone != aWish.mZone) {
     cost += kOtherZoneCost;
@@ -207,9 +209,7 @@
                              double aTypicalPace, Millis aNow) {
   const double pace = aState.mPace.At(aNow);
   double cost = pace > 0 && aTypicalPace > 0 ? pace / aTypicalPace : 1;
-  const double slots =
-      static_cast<double>(std::max<int64_t>(aState.mReplica.mSlots, 1));
-  cost += kFullBatchCost * static_cast<double>(LoadOf(aState, aNow)) / slots;
+  cost += kFullBatchCost * SlotShare(aState.mReplica, LoadOf(aState, aNow));
   if (aState.mReplica.mZone != aWish.mZone) {
     cost += kOtherZoneTextCost;
   }
--- a/src/librillwall_coordination/rollout_pattern_test.cpp
+++ b/src/librillwall_coordination/rollout_pattern_test.cpp
@@ -37,7 +37,6 @@
 struct RunningText {
   size_t mReplica = 0;
   std::string mModel;
-  int64_t mMinVersion = 0;
   int64_t mEndsAt = 0;
 };
 
@@ -147,8 +146,7 @@
     ++mOutcome.mTexts;
     ++mReplicas[best].mRuns[aTarget.mModel];
     ++mReplicas[best].mInFlight;
-    mTexts.push_back({best, aTarget.mModel, aTarget.mVersion - 1,
-                      mNow + aEvents * kEventMs});
+    mTexts.push_back({best, aTarget.mModel, mNow + aEvents * kEventMs});
   }
   void StartLoads() {
     for (const LoadPick& pick : mPlan(mReplicas, mTargets, kLoadsAtOnce)) {
