replica pool: order by cost kept up to date, moves and loads in numbers

Cause: each choice of a replica walked all of them and worked out the median pace anew; each look at the running texts did so for each of them, ten times a second; each plan of loads did so for each replica, twenty times a second. An owner asks thousands of times a second whether there is room while all slots are taken. Replicas squared, and texts times replicas.

Ruled out: planning loads only when something changed (a load may wait for a run to end, which is each few ms anyway).

Change: each service keeps its replicas with a free slot in the order of their cost, and its median pace, worked out anew every 50 ms at most; moves look up their two targets once for all texts (PlanMoves, out of RolloutService); loads look versions up by name once a plan.

--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -5,12 +5,20 @@
 /// Pure: the instant is an argument. Entries come from the registry in whole
 /// snapshots; what this node saw itself (requests in flight, failures, speed)
 /// is kept beside them. Used on one thread.
+///
+/// What a call costs, with R replicas of the service in question and F of them
+/// with a free slot: a choice among free slots looks at the cheapest few of F,
+/// and at none if there is none; a choice for a plain request looks at R; paces
+/// are lookups. The median pace and the order by cost are worked out anew in
+/// R log R, at most once in kRankAge. Owners ask thousands of times a second
+/// whether there is room while all slots are taken.
 
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -121,34 +129,66 @@
   size_t Size() const { return mStates.size(); }
 
  private:
+  struct Service;
   struct State {
     Replica mReplica;
+    Service* mService = nullptr;
+    size_t mIndex = 0;  ///< among the replicas of its service
     int64_t mInFlight = 0;
     std::map<std::string, int64_t> mRuns;  ///< of these, by model
     int mFailures = 0;                     ///< in a row
     Millis mPausedUntil;
     std::map<std::string, Millis> mModelPauses;
-    double mLatency = 0;  ///< smoothed, in ms; 0: none measured
-    ReplicaPace mPace;    ///< of streams
-    int64_t mOthers = 0;  ///< requests there that other nodes sent
-    Millis mOthersAt;     ///< when it told so
+    double mLatency = 0;          ///< smoothed, in ms; 0: none measured
+    ReplicaPace mPace;            ///< of streams
+    int64_t mOthers = 0;          ///< requests there that other nodes sent
+    Millis mOthersAt;             ///< when it told so
+    double mRankedPace = 0;       ///< when it was ranked
+    std::optional<double> mRank;  ///< its cost, if it is among the free ones
+  };
+  /// One entry of the order by cost.
+  struct Rank {
+    double mCost = 0;
+    State* mState = nullptr;
+    bool operator<(const Rank& aOther) const;
+  };
+  /// What is kept up to date about the replicas of one service.
+  struct Service {
+    std::vector<State*> mStates;  ///< in the order of their ids
+    std::set<Rank> mFree;         ///< those with a free slot, cheapest first
+    double mTypicalPace = 0;      ///< the median, in ms an event; 0: unknown
+    Millis mRankedAt;
+    bool mOutdated = true;  ///< ranks are to be worked out before the next use
   };
   /// \return requests at the replica, as far as this node knows
   static int64_t LoadOf(const State& aState, Millis aNow);
-  /// \return the median pace of a service's replicas, 0 if none is known
-  double TypicalPace(const std::string& aService, Millis aNow) const;
   /// \return how loaded and slow it is, for the comparison; lower is better
   static double Cost(const State& aState, const ReplicaWish& aWish,
                      Millis aNow);
-  /// The same for a text, in parts of the typical time that an event takes.
-  /// \param aTypicalPace of the service; 0: unknown
-  static double TextCost(const State& aState, const ReplicaWish& aWish,
-                         double aTypicalPace, Millis aNow);
+  /// The same for a text, in parts of the typical time that an event takes;
+  /// without what its availability zone costs.
+  static double TextCost(const State& aState, Millis aNow);
+  /// Puts a replica where it belongs in the order of its service.
+  static void PutInOrder(State& aState, Millis aNow);
+  /// Works out paces and order of a service anew, if they may be out of date.
+  static void BringUpToDate(Service& aService, Millis aNow);
+  static double MedianPace(const Service& aService, Millis aNow);
+  /// \return the service of a state, up to date
+  static const Service& Current(const State& aState, Millis aNow);
+  std::optional<std::string> ChooseFree(const ReplicaWish& aWish,
+                                        Millis aNow) const;
+  std::optional<std::string> ChooseAny(const ReplicaWish& aWish,
+                                       Millis aNow) const;
+  void IndexServices();
+  State* Lookup(const std::string& aId);
   static bool Paused(const State& aState, const ReplicaWish& aWish,
                      Millis aNow);
   static bool Suits(const State& aState, const ReplicaWish& aWish, Millis aNow);
 
   std::map<std::string, State> mStates;
+  /// By name. Nodes of the map, which states refer to, stay where they are. Not
+  /// const to a choice, as that may have to bring the order up to date.
+  mutable std::map<std::string, Service, std::less<>> mServices;
 };
 
 }  // namespace rillwall
--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -66,6 +66,8 @@
 
  private:
   void StartLoads(const ServiceSpec& aService);
+  /// \return how many of these load weights by an order of this node
+  size_t LoadingOf(const std::vector<const Replica*>& aReplicas) const;
   double DemandOf(const std::string& aModel) const;
   /// \return whether runs of the model must finish under their version
   bool KeepsRuns(const std::string& aModel) const;
--- a/src/librillwall_coordination/load_plan.cpp
+++ b/src/librillwall_coordination/load_plan.cpp
@@ -19,7 +19,7 @@
 
 /// How a model stands before the next load.
 struct Standing {
-  const LoadTarget* mTarget = nullptr;
+  size_t mTarget = 0;  ///< index of the target
   double mShare = 1;   ///< replicas that its part of the demand is worth
   size_t mNewest = 0;  ///< replicas with the named version, or loading it
   size_t mUsable = 0;  ///< replicas that serve its newest step
@@ -29,29 +29,81 @@
   double Filled() const { return static_cast<double>(mNewest) / mShare; }
 };
 
-bool Usable(const LoadCandidate& aReplica, const LoadTarget& aTarget) {
-  return aReplica.VersionOf(aTarget.mModel) >= aTarget.mVersion - aTarget.mLag;
-}
-
 int64_t FreeSlots(const LoadCandidate& aReplica) {
   return std::max<int64_t>(0, aReplica.mSlots - aReplica.mInFlight);
 }
 
-Standing StandingOf(const LoadTarget& aTarget, double aTotal, size_t aModels,
-                    const std::vector<LoadCandidate>& aReplicas) {
+/// Replicas and targets of one plan. The versions are looked up by name once:
+/// each choice then costs as many comparisons of numbers as there are replicas
+/// times targets.
+class LoadTable {
+ public:
+  LoadTable(std::vector<LoadCandidate> aReplicas,
+            const std::vector<LoadTarget>& aTargets);
+
+  size_t Loading() const;
+  Standing StandingOf(size_t aTarget) const;
+  /// \return index of the replica that should load a model's weights
+  std::optional<size_t> BestFor(const Standing& aStanding) const;
+  LoadPick Order(const Standing& aStanding, size_t aReplica);
+
+ private:
+  int64_t Version(size_t aReplica, size_t aTarget) const {
+    return mVersions[aReplica * mTargets.size() + aTarget];
+  }
+  bool Usable(size_t aReplica, size_t aTarget) const;
+  /// \return models that a replica serves beside this one
+  size_t OtherModels(size_t aReplica, size_t aTarget) const;
+  /// \return whether a model's weights may be loaded here now
+  bool MayLoad(size_t aReplica, const Standing& aStanding) const;
+
+  std::vector<LoadCandidate> mReplicas;
+  const std::vector<LoadTarget>& mTargets;
+  std::vector<int64_t> mVersions;  ///< by replica, then by target
+  double mDemand = 0;              ///< of all targets
+};
+
+LoadTable::LoadTable(std::vector<LoadCandidate> aReplicas,
+                     const std::vector<LoadTarget>& aTargets)
+    : mReplicas(std::move(aReplicas)), mTargets(aTargets) {
+  mVersions.reserve(mReplicas.size() * mTargets.size());
+  for (const LoadCandidate& replica : mReplicas) {
+    for (const LoadTarget& target : mTargets) {
+      mVersions.push_back(replica.VersionOf(target.mModel));
+    }
+  }
+  for (const LoadTarget& target : mTargets) {
+    mDemand += target.mDemand;
+  }
+}
+
+size_t LoadTable::Loading() const {
+  return static_cast<size_t>(std::count_if(
+      mReplicas.begin(), mReplicas.end(),
+      [](const LoadCandidate& aReplica) { return aReplica.mLoading; }));
+}
+
+bool LoadTable::Usable(size_t aReplica, size_t aTarget) const {
+  const LoadTarget& target = mTargets[aTarget];
+  return Version(aReplica, aTarget) >= target.mVersion - target.mLag;
+}
+
+Standing LoadTable::StandingOf(size_t aTarget) const {
+  const LoadTarget& target = mTargets[aTarget];
   Standing standing;
-  standing.mTarget = &aTarget;
-  const auto all = static_cast<double>(aReplicas.size());
-  const double part =
-      aTotal > 0 ? aTarget.mDemand / aTotal : 1 / static_cast<double>(aModels);
+  standing.mTarget = aTarget;
+  const auto all = static_cast<double>(mReplicas.size());
+  const double part = mDemand > 0 ? target.mDemand / mDemand
+                                  : 1 / static_cast<double>(mTargets.size());
   standing.mShare = std::max(1.0, part * all);
-  for (const LoadCandidate& replica : aReplicas) {
-    const int64_t version = replica.VersionOf(aTarget.mModel);
+  for (size_t i = 0; i < mReplicas.size(); ++i) {
+    const LoadCandidate& replica = mReplicas[i];
+    const int64_t version = Version(i, aTarget);
     if (version == 0 || replica.mDraining || replica.mFailing) {
       continue;
     }
-    standing.mNewest += version >= aTarget.mVersion ? 1 : 0;
-    if (Usable(replica, aTarget)) {
+    standing.mNewest += version >= target.mVersion ? 1 : 0;
+    if (Usable(i, aTarget)) {
       ++standing.mUsable;
       standing.mRoom += replica.mLoading ? 0 : FreeSlots(replica);
     }
@@ -59,66 +111,64 @@
   return standing;
 }
 
-/// \return models that a replica serves beside this one
-size_t OtherModels(const LoadCandidate& aReplica,
-                   const std::vector<LoadTarget>& aTargets,
-                   const LoadTarget& aTarget) {
+size_t LoadTable::OtherModels(size_t aReplica, size_t aTarget) const {
   size_t count = 0;
-  for (const LoadTarget& other : aTargets) {
-    const bool its = other.mModel != aTarget.mModel;
-    count += its && Usable(aReplica, other) ? 1 : 0;
+  for (size_t other = 0; other < mTargets.size(); ++other) {
+    count += other != aTarget && Usable(aReplica, other) ? 1 : 0;
   }
   return count;
 }
 
-/// \return whether a model's weights may be loaded here now
-bool MayLoad(const LoadCandidate& aReplica, const Standing& aStanding) {
-  const LoadTarget& target = *aStanding.mTarget;
-  const int64_t version = aReplica.VersionOf(target.mModel);
-  if (aReplica.mLoading || aReplica.mDraining || version == 0 ||
+bool LoadTable::MayLoad(size_t aReplica, const Standing& aStanding) const {
+  const LoadCandidate& replica = mReplicas[aReplica];
+  const LoadTarget& target = mTargets[aStanding.mTarget];
+  const int64_t version = Version(aReplica, aStanding.mTarget);
+  if (replica.mLoading || replica.mDraining || version == 0 ||
       version >= target.mVersion) {
     return false;
   }
-  if (!Usable(aReplica, target)) {
+  if (!Usable(aReplica, aStanding.mTarget)) {
     return static_cast<double>(aStanding.mNewest) < aStanding.mShare;
   }
   // It still serves. Enough of those that do must outlast the next version, and
   // what it runs must find room at the others.
-  const int64_t others = aStanding.mRoom - FreeSlots(aReplica);
+  const int64_t others = aStanding.mRoom - FreeSlots(replica);
   const auto steps =
       static_cast<size_t>(target.mLag + 1);  // that a load serves
   return aStanding.mNewest * steps < aStanding.mUsable &&
          static_cast<double>(aStanding.mNewest) < aStanding.mShare &&
-         others >= aReplica.RunsOf(target.mModel);
+         others >= replica.RunsOf(target.mModel);
 }
 
-/// \return the replica that should load a model's weights, null if none should
-LoadCandidate* BestFor(const Standing& aStanding,
-                       const std::vector<LoadTarget>& aTargets,
-                       std::vector<LoadCandidate>& aReplicas) {
-  const LoadTarget& target = *aStanding.mTarget;
+std::optional<size_t> LoadTable::BestFor(const Standing& aStanding) const {
+  const std::string& model = mTargets[aStanding.mTarget].mModel;
   using Rank =
       std::tuple<bool, bool, int64_t, double, int64_t, const std::string&>;
-  const auto rank = [&](const LoadCandidate& aReplica) -> Rank {
+  const auto rank = [&](size_t aIndex) -> Rank {
+    const LoadCandidate& replica = mReplicas[aIndex];
     const auto others =
-        static_cast<double>(OtherModels(aReplica, aTargets, target));
-    return {aReplica.mFailing,
-            Usable(aReplica, target),
-            aReplica.RunsOf(target.mModel),
-            aReplica.mPace + kSharedCost * others,
-            aReplica.mInFlight,
-            aReplica.mId};
+        static_cast<double>(OtherModels(aIndex, aStanding.mTarget));
+    return {replica.mFailing,      Usable(aIndex, aStanding.mTarget),
+            replica.RunsOf(model), replica.mPace + kSharedCost * others,
+            replica.mInFlight,     replica.mId};
   };
-  LoadCandidate* best = nullptr;
-  for (LoadCandidate& replica : aReplicas) {
-    if (MayLoad(replica, aStanding) &&
-        (best == nullptr || rank(replica) < rank(*best))) {
-      best = &replica;
+  std::optional<size_t> best;
+  for (size_t i = 0; i < mReplicas.size(); ++i) {
+    if (MayLoad(i, aStanding) && (!best || rank(i) < rank(*best))) {
+      best = i;
     }
   }
   return best;
 }
 
+LoadPick LoadTable::Order(const Standing& aStanding, size_t aReplica) {
+  const LoadTarget& target = mTargets[aStanding.mTarget];
+  LoadCandidate& replica = mReplicas[aReplica];
+  replica.mLoading = ModelVersion{target.mModel, target.mVersion};
+  mVersions[aReplica * mTargets.size() + aStanding.mTarget] = target.mVersion;
+  return {replica.mId, target.mModel, target.mVersion, target.mCutRuns};
+}
+
 }  // namespace
 
 void AllowedLag::Observe(int64_t aNamed, int64_t aMinVersion) {
@@ -157,36 +207,24 @@
 std::vector<LoadPick> PlanLoads(std::vector<LoadCandidate> aReplicas,
                                 const std::vector<LoadTarget>& aTargets,
                                 size_t aAtOnce) {
-  double total = 0;
-  for (const LoadTarget& target : aTargets) {
-    total += target.mDemand;
-  }
-  auto loading = static_cast<size_t>(std::count_if(
-      aReplicas.begin(), aReplicas.end(),
-      [](const LoadCandidate& aReplica) { return aReplica.mLoading; }));
+  LoadTable table(std::move(aReplicas), aTargets);
   std::vector<LoadPick> picks;
-  while (loading < aAtOnce) {
+  for (size_t loading = table.Loading(); loading < aAtOnce; ++loading) {
     // The model with the fewest loads of its newest version is served first.
     std::optional<Standing> neediest;
-    LoadCandidate* replica = nullptr;
-    for (const LoadTarget& target : aTargets) {
-      const Standing standing =
-          StandingOf(target, total, aTargets.size(), aReplicas);
-      LoadCandidate* best = BestFor(standing, aTargets, aReplicas);
-      if (best != nullptr &&
-          (!neediest || standing.Filled() < neediest->Filled())) {
+    size_t replica = 0;
+    for (size_t target = 0; target < aTargets.size(); ++target) {
+      const Standing standing = table.StandingOf(target);
+      const std::optional<size_t> best = table.BestFor(standing);
+      if (best && (!neediest || standing.Filled() < neediest->Filled())) {
         neediest = standing;
-        replica = best;
+        replica = *best;
       }
     }
     if (!neediest) {
       break;
     }
-    const LoadTarget& target = *neediest->mTarget;
-    picks.push_back(
-        {replica->mId, target.mModel, target.mVersion, target.mCutRuns});
-    replica->mLoading = ModelVersion{target.mModel, target.mVersion};
-    ++loading;
+    picks.push_back(table.Order(*neediest, replica));
   }
   return picks;
 }
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -1,6 +1,7 @@
 #include "rillwall/replica_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace rillwall {
@@ -33,6 +34,14 @@
 /// events: they decide between replicas that are alike.
 constexpr double kOtherZoneTextCost = 0.02;
 
+/// Median pace and order by cost may be so old. Paces are smoothed over 400 ms
+/// and what others told of loads counts for 1 s, so an eighth and a tenth of
+/// these changes no choice that matters.
+constexpr Millis kRankAge{50};
+/// A pace that differs by less from the one ranked by leaves the order alone:
+/// far less than a full batch or a slow replica makes.
+constexpr double kPaceTolerance = 0.02;
+
 /// \return requests as a part of a replica's slots
 double SlotShare(const Replica& aReplica, int64_t aRequests) {
   return static_cast<double>(aRequests) /
@@ -87,9 +96,71 @@
     changes.mGone.push_back(at->first);
     at = mStates.erase(at);
   }
+  IndexServices();
   return changes;
 }
 
+void ReplicaPool::IndexServices() {
+  mServices.clear();
+  for (auto& [id, state] : mStates) {
+    Service& service = mServices[state.mReplica.mService];
+    state.mIndex = service.mStates.size();
+    state.mService = &service;
+    service.mStates.push_back(&state);
+    state.mRank.reset();
+  }
+}
+
+bool ReplicaPool::Rank::operator<(const Rank& aOther) const {
+  if (mCost != aOther.mCost) {
+    return mCost < aOther.mCost;
+  }
+  return mState->mIndex < aOther.mState->mIndex;
+}
+
+ReplicaPool::State* ReplicaPool::Lookup(const std::string& aId) {
+  const auto found = mStates.find(aId);
+  return found == mStates.end() ? nullptr : &found->second;
+}
+
+void ReplicaPool::PutInOrder(State& aState, Millis aNow) {
+  const Replica& replica = aState.mReplica;
+  std::optional<double> rank;
+  if (!replica.mDraining && LoadOf(aState, aNow) < replica.mSlots) {
+    aState.mRankedPace = aState.mPace.At(aNow);
+    rank = TextCost(aState, aNow);
+  }
+  if (rank == aState.mRank) {
+    return;
+  }
+  std::set<Rank>& order = aState.mService->mFree;
+  if (aState.mRank) {
+    order.erase({*aState.mRank, &aState});
+  }
+  aState.mRank = rank;
+  if (rank) {
+    order.insert({*rank, &aState});
+  }
+}
+
+void ReplicaPool::BringUpToDate(Service& aService, Millis aNow) {
+  if (!aService.mOutdated && aNow - aService.mRankedAt < kRankAge) {
+    return;
+  }
+  aService.mOutdated = false;
+  aService.mRankedAt = aNow;
+  aService.mTypicalPace = MedianPace(aService, aNow);
+  for (State* state : aService.mStates) {
+    PutInOrder(*state, aNow);
+  }
+}
+
+const ReplicaPool::Service& ReplicaPool::Current(const State& aState,
+                                                 Millis aNow) {
+  BringUpToDate(*aState.mService, aNow);
+  return *aState.mService;
+}
+
 bool ReplicaPool::Paused(const State& aState, const ReplicaWish& aWish,
                          Millis aNow) {
   if (aNow < aState.mPausedUntil) {
@@ -106,11 +177,11 @@
 
 void ReplicaPool::ObserveLoad(const std::string& aId, int64_t aRequests,
                               Millis aNow) {
-  const auto found = mStates.find(aId);
-  if (found != mStates.end()) {
-    State& state = found->second;
-    state.mOthers = std::max<int64_t>(0, aRequests - state.mInFlight);
-    state.mOthersAt = aNow;
+  State* state = Lookup(aId);
+  if (state != nullptr) {
+    state->mOthers = std::max<int64_t>(0, aRequests - state->mInFlight);
+    state->mOthersAt = aNow;
+    PutInOrder(*state, aNow);
   }
 }
 
@@ -132,12 +203,11 @@
          excluded.end();
 }
 
-double ReplicaPool::TypicalPace(const std::string& aService,
-                                Millis aNow) const {
+double ReplicaPool::MedianPace(const Service& aService, Millis aNow) {
   std::vector<double> paces;
-  for (const auto& [id, state] : mStates) {
-    const double pace = state.mPace.At(aNow);
-    if (state.mReplica.mService == aService && pace > 0) {
+  for (const State* state : aService.mStates) {
+    const double pace = state->mPace.At(aNow);
+    if (pace > 0) {
       paces.push_back(pace);
     }
   }
@@ -152,11 +222,21 @@
 
 void ReplicaPool::ObservePace(const std::string& aId, double aMsPerEvent,
                               Millis aNow) {
-  const auto found = mStates.find(aId);
-  if (found == mStates.end()) {
+  State* state = Lookup(aId);
+  if (state == nullptr) {
+    return;
+  }
+  const double before = state->mPace.At(aNow);
+  state->mPace.Observe(aMsPerEvent, aNow);
+  if (before == 0) {
+    // The first measurement of a replica moves the median at once.
+    state->mService->mOutdated = true;
     return;
   }
-  found->second.mPace.Observe(aMsPerEvent, aNow);
+  const double moved = std::abs(state->mPace.At(aNow) - state->mRankedPace);
+  if (state->mRank && moved > kPaceTolerance * state->mRankedPace) {
+    PutInOrder(*state, aNow);
+  }
 }
 
 double ReplicaPool::PaceAt(const std::string& aId, int64_t aMore,
@@ -169,7 +249,7 @@
   double pace = state.mPace.At(aNow);
   if (pace == 0) {
     // Never measured: it is taken for one like most.
-    pace = TypicalPace(state.mReplica.mService, aNow);
+    pace = Current(state, aNow).mTypicalPace;
   }
   return pace * (1 + kFullBatchCost * SlotShare(state.mReplica, aMore));
 }
@@ -205,53 +285,77 @@
   return cost;
 }
 
-double ReplicaPool::TextCost(const State& aState, const ReplicaWish& aWish,
-                             double aTypicalPace, Millis aNow) {
+double ReplicaPool::TextCost(const State& aState, Millis aNow) {
   const double pace = aState.mPace.At(aNow);
-  double cost = pace > 0 && aTypicalPace > 0 ? pace / aTypicalPace : 1;
-  cost += kFullBatchCost * SlotShare(aState.mReplica, LoadOf(aState, aNow));
-  if (aState.mReplica.mZone != aWish.mZone) {
-    cost += kOtherZoneTextCost;
-  }
-  return cost;
+  const double typical = aState.mService->mTypicalPace;
+  const double relative = pace > 0 && typical > 0 ? pace / typical : 1;
+  return relative +
+         kFullBatchCost * SlotShare(aState.mReplica, LoadOf(aState, aNow));
 }
 
 std::optional<std::string> ReplicaPool::Choose(const ReplicaWish& aWish,
                                                Millis aNow) const {
+  return aWish.mWithinSlots ? ChooseFree(aWish, aNow) : ChooseAny(aWish, aNow);
+}
+
+std::optional<std::string> ReplicaPool::ChooseFree(const ReplicaWish& aWish,
+                                                   Millis aNow) const {
+  const auto found = mServices.find(aWish.mService);
+  if (found == mServices.end()) {
+    return std::nullopt;
+  }
+  BringUpToDate(found->second, aNow);
   const State* best = nullptr;
   double bestCost = 0;
-  const double typical =
-      aWish.mWithinSlots ? TypicalPace(aWish.mService, aNow) : 0;
-  for (const auto& [id, state] : mStates) {
-    if (!Suits(state, aWish, aNow)) {
-      continue;
+  for (const Rank& rank : found->second.mFree) {
+    if (best != nullptr && rank.mCost >= bestCost) {
+      break;
     }
-    if (aWish.mWithinSlots && Paused(state, aWish, aNow)) {
+    const State& state = *rank.mState;
+    if (!Suits(state, aWish, aNow) || Paused(state, aWish, aNow)) {
       continue;
     }
-    const double cost = aWish.mWithinSlots
-                            ? TextCost(state, aWish, typical, aNow)
-                            : Cost(state, aWish, aNow);
+    const bool near = state.mReplica.mZone == aWish.mZone;
+    const double cost = rank.mCost + (near ? 0 : kOtherZoneTextCost);
     if (best == nullptr || cost < bestCost) {
       best = &state;
       bestCost = cost;
     }
   }
-  if (best == nullptr) {
+  return best == nullptr ? std::nullopt : std::optional(best->mReplica.mId);
+}
+
+std::optional<std::string> ReplicaPool::ChooseAny(const ReplicaWish& aWish,
+                                                  Millis aNow) const {
+  const auto found = mServices.find(aWish.mService);
+  if (found == mServices.end()) {
     return std::nullopt;
   }
-  return best->mReplica.mId;
+  const State* best = nullptr;
+  double bestCost = 0;
+  for (const State* state : found->second.mStates) {
+    if (!Suits(*state, aWish, aNow)) {
+      continue;
+    }
+    const double cost = Cost(*state, aWish, aNow);
+    if (best == nullptr || cost < bestCost) {
+      best = state;
+      bestCost = cost;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->mReplica.mId);
 }
 
 void ReplicaPool::Start(const std::string& aId, const std::string& aModel) {
-  const auto found = mStates.find(aId);
-  if (found == mStates.end()) {
+  State* state = Lookup(aId);
+  if (state == nullptr) {
     return;
   }
-  ++found->second.mInFlight;
+  ++state->mInFlight;
   if (!aModel.empty()) {
-    ++found->second.mRuns[aModel];
+    ++state->mRuns[aModel];
   }
+  PutInOrder(*state, state->mService->mRankedAt);
 }
 
 void ReplicaPool::End(const std::string& aId, ReplicaOutcome aOutcome,
@@ -266,6 +370,7 @@
   if (runs != state.mRuns.end() && --runs->second <= 0) {
     state.mRuns.erase(runs);
   }
+  PutInOrder(state, aNow);
   if (aOutcome == ReplicaOutcome::Abandoned) {
     return;
   }
@@ -327,7 +432,7 @@
   if (found == mStates.end()) {
     return 1;
   }
-  const double typical = TypicalPace(found->second.mReplica.mService, aNow);
+  const double typical = Current(found->second, aNow).mTypicalPace;
   const double pace = found->second.mPace.At(aNow);
   return typical > 0 && pace > 0 ? pace / typical : 1;
 }
@@ -349,10 +454,12 @@
 std::vector<const Replica*> ReplicaPool::OfService(
     std::string_view aService) const {
   std::vector<const Replica*> replicas;
-  for (const auto& [id, state] : mStates) {
-    if (state.mReplica.mService == aService) {
-      replicas.push_back(&state.mReplica);
-    }
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return replicas;
+  }
+  for (const State* state : found->second.mStates) {
+    replicas.push_back(&state->mReplica);
   }
   return replicas;
 }
--- /dev/null
+++ b/src/librillwall_coordination/rollout_decisions_bench.cpp
@@ -0,0 +1,140 @@
+/// \file
+/// The cost of an owner's decisions about replicas, by the number of replicas
+/// and of running texts.
+
+#include <benchmark/benchmark.h>
+
+#include <string>
+#include <vector>
+
+#include "rillwall/load_plan.h"
+#include "rillwall/replica_pool.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr int64_t kSlots = 6;
+constexpr int kModels = 6;
+constexpr int64_t kVersion = 9;
+constexpr size_t kZones = 6;
+
+std::string ModelName(int aModel) { return "model-" + std::to_string(aModel); }
+
+/// Replicas of one service that serve all models, a third of them slower.
+struct Fleet {
+  explicit Fleet(size_t aReplicas) {
+    std::vector<Replica> replicas;
+    for (size_t i = 0; i < aReplicas; ++i) {
+      Replica replica;
+      replica.mId = "letters-llm-" + std::to_string(i);
+      replica.mService = "letters-llm";
+      replica.mZone = "zone" + std::to_string(i % kZones);
+      replica.mSlots = kSlots;
+      for (int model = 0; model < kModels; ++model) {
+        const bool newest = (i + static_cast<size_t>(model)) % 3 == 0;
+        replica.mModels.push_back(
+            {ModelName(model), newest ? kVersion : kVersion - 1});
+      }
+      replicas.push_back(std::move(replica));
+    }
+    mPool.Update(replicas, false);
+    for (size_t i = 0; i < aReplicas; ++i) {
+      mPool.ObservePace(replicas[i].mId, i % 3 == 0 ? 52 : 40, mNow);
+    }
+  }
+
+  /// Starts texts until a share of all slots is taken.
+  void Fill(size_t aReplicas, int64_t aTaken) {
+    for (size_t i = 0; i < aReplicas; ++i) {
+      for (int64_t slot = 0; slot < aTaken; ++slot) {
+        mPool.Start("letters-llm-" + std::to_string(i), ModelName(0));
+      }
+    }
+  }
+
+  ReplicaWish Wish(int aModel) const {
+    ReplicaWish wish;
+    wish.mService = "letters-llm";
+    wish.mZone = "zone0";
+    wish.mModel = ModelName(aModel);
+    wish.mMinVersion = kVersion - 1;
+    wish.mWithinSlots = true;
+    return wish;
+  }
+
+  ReplicaPool mPool;
+  Millis mNow{1000000};
+};
+
+/// A text is placed, and ends 1 ms later.
+void PlaceText(benchmark::State& aState) {
+  const auto replicas = static_cast<size_t>(aState.range(0));
+  Fleet fleet(replicas);
+  fleet.Fill(replicas, kSlots / 2);
+  const ReplicaWish wish = fleet.Wish(1);
+  for (auto _ : aState) {
+    const std::optional<std::string> chosen =
+        fleet.mPool.Choose(wish, fleet.mNow);
+    fleet.mPool.Start(*chosen, wish.mModel);
+    fleet.mNow += Millis(1);
+    fleet.mPool.End(*chosen, ReplicaOutcome::Served, Millis(0), fleet.mNow,
+                    wish.mModel);
+  }
+}
+BENCHMARK(PlaceText)->Arg(12)->Arg(102)->Arg(165)->Arg(600);
+
+/// All slots are taken, and a step asks for one.
+void FindNoSlot(benchmark::State& aState) {
+  const auto replicas = static_cast<size_t>(aState.range(0));
+  Fleet fleet(replicas);
+  fleet.Fill(replicas, kSlots);
+  const ReplicaWish wish = fleet.Wish(1);
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(fleet.mPool.Choose(wish, fleet.mNow));
+  }
+}
+BENCHMARK(FindNoSlot)->Arg(12)->Arg(102)->Arg(165)->Arg(600);
+
+/// What a look at the weights asks of the pool, for all replicas.
+void PacesForLoads(benchmark::State& aState) {
+  const auto replicas = static_cast<size_t>(aState.range(0));
+  Fleet fleet(replicas);
+  for (auto _ : aState) {
+    fleet.mNow += Millis(50);
+    for (const Replica* replica : fleet.mPool.OfService("letters-llm")) {
+      benchmark::DoNotOptimize(
+          fleet.mPool.RelativePace(replica->mId, fleet.mNow));
+    }
+  }
+}
+BENCHMARK(PacesForLoads)->Arg(12)->Arg(102)->Arg(165)->Arg(600);
+
+/// One plan of loads for all models, with none to order.
+void PlanOfLoads(benchmark::State& aState) {
+  std::vector<LoadCandidate> candidates;
+  for (int64_t i = 0; i < aState.range(0); ++i) {
+    LoadCandidate candidate;
+    candidate.mId = "letters-llm-" + std::to_string(i);
+    candidate.mSlots = kSlots;
+    candidate.mInFlight = kSlots;
+    for (int model = 0; model < kModels; ++model) {
+      candidate.mVersions.push_back({ModelName(model), kVersion});
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  std::vector<LoadTarget> targets;
+  for (int model = 0; model < kModels; ++model) {
+    targets.push_back({ModelName(model), kVersion, 1.0, true, 1});
+  }
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(PlanLoads(candidates, targets, 8));
+  }
+}
+BENCHMARK(PlanOfLoads)->Arg(12)->Arg(102)->Arg(165)->Arg(600);
+
+}  // namespace
+
+}  // namespace rillwall
+
+BENCHMARK_MAIN();
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -4,13 +4,12 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <map>
 #include <tuple>
 
 #include "item_run.h"
 #include "rillwall/event_log.h"
+#include "rillwall/move_plan.h"
 #include "rillwall/rollout_service.h"
-#include "rillwall/text_move.h"
 #include "rillwall/upstream_call.h"
 #include "rollout_step.h"
 
@@ -96,20 +95,29 @@
   }
 }
 
+const std::string* RolloutService::ServiceOf(const RolloutStep& aStep,
+                                             size_t aItem) {
+  const std::string& group = aStep.mBook.Item(aItem).mGroup;
+  return PickService(aStep.mRoute, std::hash<std::string>()(group));
+}
+
+ReplicaWish RolloutService::WishOf(const RolloutStep& aStep) const {
+  ReplicaWish wish;
+  wish.mZone = mNode.mIdentity.mZone;
+  wish.mModel = aStep.mBook.Spec().mModel;
+  wish.mMinVersion = aStep.mBook.Spec().mMinVersion;
+  wish.mWithinSlots = true;
+  return wish;
+}
+
 std::optional<std::string> RolloutService::ChooseReplica(
     const RolloutStep& aStep, const RolloutPick& aPick) const {
-  const RolloutItem& item = aStep.mBook.Item(aPick.mItem);
-  const std::string* service =
-      PickService(aStep.mRoute, std::hash<std::string>()(item.mGroup));
+  const std::string* service = ServiceOf(aStep, aPick.mItem);
   if (service == nullptr) {
     return std::nullopt;
   }
-  ReplicaWish wish;
+  ReplicaWish wish = WishOf(aStep);
   wish.mService = *service;
-  wish.mZone = mNode.mIdentity.mZone;
-  wish.mModel = aStep.mBook.Spec().mModel;
-  wish.mMinVersion = aStep.mBook.Spec().mMinVersion;
-  wish.mWithinSlots = true;
   if (!aPick.mAvoid.empty()) {
     wish.mExcluded.push_back(aPick.mAvoid);
   }
@@ -186,35 +194,25 @@
 void RolloutService::MoveFromSlow(const StepPtr& aStep) {
   const Millis now = mNode.Now();
   RolloutBook& book = aStep->mBook;
-  std::multimap<double, std::pair<size_t, TextMove>, std::greater<>> moves;
+  std::vector<RunningText> texts;
   for (const auto& [item, stream] : aStep->mStreams) {
     const auto last = aStep->mMovedAt.find(item);
     if (last != aStep->mMovedAt.end() && now - last->second < kMoveEvery) {
       continue;
     }
-    const std::string& replica = book.ReplicaOf(item);
-    const std::optional<std::string> other =
-        ChooseReplica(*aStep, {item, replica});
-    if (!other || *other == replica) {
-      continue;
-    }
-    const TextMove move{book.Text(item).mEvents,
-                        mLengths.Events(book.Item(item).mLengthHint),
-                        mNode.mReplicas.PaceAt(replica, 0, now),
-                        mNode.mReplicas.PaceAt(*other, 1, now)};
-    if (MovePays(move)) {
-      moves.emplace(MoveGain(move), std::pair(item, move));
+    const std::string* service = ServiceOf(*aStep, item);
+    if (service != nullptr) {
+      texts.push_back({item, *service, book.ReplicaOf(item),
+                       book.Text(item).mEvents,
+                       mLengths.Events(book.Item(item).mLengthHint)});
     }
   }
-  size_t moved = 0;
-  for (const auto& [gain, candidate] : moves) {
-    const auto& [item, move] = candidate;
-    aStep->mMovedAt[item] = now;
-    aStep->mMoving[item] = WhyMoved(move);
-    aStep->mStreams[item]->Abort();
-    if (++moved == kMovesAtOnce) {
-      return;
-    }
+  const std::vector<PlannedMove> moves =
+      PlanMoves(texts, mNode.mReplicas, WishOf(*aStep), kMovesAtOnce, now);
+  for (const PlannedMove& planned : moves) {
+    aStep->mMovedAt[planned.mItem] = now;
+    aStep->mMoving[planned.mItem] = WhyMoved(planned.mMove);
+    aStep->mStreams[planned.mItem]->Abort();
   }
 }
 
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -100,6 +100,13 @@
 }
 
 void WeightOrders::StartLoads(const ServiceSpec& aService) {
+  const std::vector<const Replica*> replicas =
+      mNode.mReplicas.OfService(aService.mName);
+  const size_t most = LoadsAtOnce(replicas.size());
+  if (LoadingOf(replicas) >= most) {
+    // As it is most of the time while versions come: nothing is worked out.
+    return;
+  }
   std::vector<LoadTarget> targets;
   for (const std::string& model : aService.mModels) {
     const int64_t version = Named(model);
@@ -108,9 +115,12 @@
                          mLags[model].Versions()});
     }
   }
+  if (targets.empty()) {
+    return;
+  }
   std::vector<LoadCandidate> candidates;
   const Millis now = mNode.Now();
-  for (const Replica* replica : mNode.mReplicas.OfService(aService.mName)) {
+  for (const Replica* replica : replicas) {
     LoadCandidate candidate;
     candidate.mId = replica->mId;
     candidate.mVersions = replica->mModels;
@@ -126,7 +136,6 @@
     candidate.mFailing = mNode.mReplicas.Failing(replica->mId, now);
     candidates.push_back(std::move(candidate));
   }
-  const size_t most = LoadsAtOnce(candidates.size());
   for (const LoadPick& pick : PlanLoads(std::move(candidates), targets, most)) {
     mLoading[pick.mReplica] = {pick.mModel, pick.mVersion};
     const Replica replica = *mNode.mReplicas.Find(pick.mReplica);
@@ -134,6 +143,16 @@
   }
 }
 
+size_t WeightOrders::LoadingOf(
+    const std::vector<const Replica*>& aReplicas) const {
+  const auto loads = [this](const Replica* aReplica) {
+    return mLoading.contains(aReplica->mId);
+  };
+  return mLoading.empty() ? 0
+                          : static_cast<size_t>(std::count_if(
+                                aReplicas.begin(), aReplicas.end(), loads));
+}
+
 double WeightOrders::DemandOf(const std::string& aModel) const {
   const auto found = mDemand.find(aModel);
   return found == mDemand.end() ? 0 : found->second;
