--- a/src/include/rillwall/result_cache.h
+++ b/src/include/rillwall/result_cache.h
@@ -31,6 +31,7 @@
   std::vector<RolloutResult> From(const std::string& aStep, int64_t aAfter);
   /// \return items of a step, 0 if it is not known
   int64_t Total(const std::string& aStep) const;
+  bool Knows(const std::string& aStep) const { return mSteps.contains(aStep); }
   size_t Bytes() const { return mBytes; }
 
  private:
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "rillwall/node_context.h"
+#include "rillwall/result_cache.h"
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
 #include "rillwall/step_spool.h"
@@ -93,7 +94,8 @@
   asio::awaitable<void> AdoptOrphans(std::string aGone = {});
   /// Removes steps from the store that ended long ago; for the lead.
   asio::awaitable<void> Sweep();
-  /// Loads an ended step from the store, to be read here.
+  /// Loads an ended step from the store, to be read here. Whoever asks for it
+  /// meanwhile shares the load: the clients that look at a step come together.
   asio::awaitable<std::optional<Error>> LoadArchive(std::string aId);
   /// Starts items for which replicas have room.
   void Pump();
@@ -105,12 +107,9 @@
 
  private:
   using StepPtr = std::shared_ptr<RolloutStep>;
-  /// What an ended step listed.
-  struct Archive {
-    std::vector<RolloutResult> mListed;
-    int64_t mTotal = 0;
-    Millis mSince;
-  };
+  /// An ended step that is being read from the store.
+  struct ArchiveLoad;
+  asio::awaitable<std::optional<Error>> ReadArchive(std::string aId);
 
   /// Stretches of unfinished texts in the store.
   struct KeptTexts {
@@ -200,7 +199,9 @@
   NodeContext& mNode;
   const SpecDecoder mDecoder;
   std::map<std::string, StepPtr> mSteps;
-  std::map<std::string, Archive> mArchives;
+  /// What ended steps listed, each of them whole.
+  ResultCache mArchives;
+  std::map<std::string, std::shared_ptr<ArchiveLoad>> mArchiveLoads;
   /// Steps that are being taken over here, and those that are being accepted.
   /// Neither may begin while the other goes on: both end in mSteps.
   std::set<std::string> mTaking;
--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -82,7 +82,7 @@
   const auto pending = mAcceptances.find(id);
   if (pending != mAcceptances.end()) {
     acceptance = pending->second;
-  } else if (mSteps.contains(id) || mArchives.contains(id)) {
+  } else if (mSteps.contains(id) || mArchives.Knows(id)) {
     Event("step-known").Id(id).Write();
     co_return std::nullopt;
   } else {
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -2,6 +2,8 @@
 /// Taking over steps whose owner is gone, and reading what the store keeps.
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "rillwall/event_log.h"
 #include "rillwall/numbers.h"
@@ -166,8 +168,39 @@
   co_return body;
 }
 
+struct RolloutService::ArchiveLoad {
+  explicit ArchiveLoad(asio::io_context& aIo) : mDone(aIo) {
+    mDone.expires_at(asio::steady_timer::time_point::max());
+  }
+  bool mEnded = false;
+  std::optional<Error> mFailure;
+  asio::steady_timer mDone;  ///< cancelled at the end
+};
+
 asio::awaitable<std::optional<Error>> RolloutService::LoadArchive(
     std::string aId) {
+  if (mArchives.Knows(aId)) {
+    co_return std::nullopt;
+  }
+  const auto found = mArchiveLoads.find(aId);
+  if (found != mArchiveLoads.end()) {
+    const std::shared_ptr<ArchiveLoad> load = found->second;
+    while (!load->mEnded) {
+      co_await load->mDone.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return load->mFailure;
+  }
+  const auto load = std::make_shared<ArchiveLoad>(mNode.mIo);
+  mArchiveLoads[aId] = load;
+  load->mFailure = co_await ReadArchive(aId);
+  load->mEnded = true;
+  mArchiveLoads.erase(aId);
+  load->mDone.cancel();
+  co_return load->mFailure;
+}
+
+asio::awaitable<std::optional<Error>> RolloutService::ReadArchive(
+    std::string aId) {
   const Result<std::optional<StoreItem>> item =
       co_await mNode.mStore.Get(StepKey(aId));
   if (!item) {
@@ -187,7 +220,7 @@
   if (!listed) {
     co_return listed.error();
   }
-  mArchives[aId] = Archive{std::move(*listed), record->mTotal, mNode.Now()};
+  mArchives.Add(aId, 0, record->mTotal, *listed);
   Event("archive-loaded")
       .Id(aId)
       .Number("revision", (*item)->mRevision)
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -23,8 +23,10 @@
 constexpr size_t kMaxCarried = 2000;
 /// Results in one answer, in bytes of text; an answer holds 1 MB at most.
 constexpr size_t kMaxReadBytes = 900 * 1000;
-/// Archives outlive the time for which results must be readable by this.
-constexpr Millis kArchiveMargin{30000};
+/// Text of ended steps kept in memory, those read least recently leave first:
+/// some 40 steps of 200 texts of 5 KB, a sixth of the smallest host with a disk
+/// among those with so many. Older ones are read from the store again.
+constexpr size_t kArchiveBytes = 40 * 1024 * 1024;
 constexpr size_t kMaxPlaces = 4096;
 /// One change of the platform's store takes 32 entries.
 constexpr int64_t kMaxPartRemoves = 28;
@@ -64,7 +66,10 @@
 }
 
 RolloutService::RolloutService(NodeContext& aNode, SpecDecoder aDecoder)
-    : mSpool(aNode.mIo), mNode(aNode), mDecoder(std::move(aDecoder)) {}
+    : mSpool(aNode.mIo),
+      mNode(aNode),
+      mDecoder(std::move(aDecoder)),
+      mArchives(kArchiveBytes) {}
 
 RolloutService::~RolloutService() = default;
 
@@ -97,7 +102,7 @@
   if (mAcceptances.contains(aId)) {
     co_return Error(ErrorKind::Unavailable, "The step is being accepted.");
   }
-  if (mSteps.contains(aId) || mArchives.contains(aId)) {
+  if (mSteps.contains(aId) || mArchives.Knows(aId)) {
     co_return RolloutPlace{RolloutPlace::Kind::Here, {}, false};
   }
   const auto known = mPlaces.find(aId);
@@ -146,8 +151,7 @@
 }
 
 bool RolloutService::Knows(const std::string& aId) const {
-  return mSteps.contains(aId) || mArchives.contains(aId) ||
-         mPlaces.contains(aId);
+  return mSteps.contains(aId) || mArchives.Knows(aId) || mPlaces.contains(aId);
 }
 
 void RolloutService::ForgetPlace(const std::string& aId) { mPlaces.erase(aId); }
@@ -155,10 +159,9 @@
 asio::awaitable<Result<RolloutRead>> RolloutService::Read(std::string aId,
                                                           int64_t aAfter,
                                                           Millis aWait) {
-  const auto archive = mArchives.find(aId);
-  if (archive != mArchives.end()) {
-    const Archive& kept = archive->second;
-    co_return ReadFrom(kept.mListed, 0, kept.mTotal, aAfter);
+  if (mArchives.Knows(aId)) {
+    co_return ReadFrom(mArchives.From(aId, aAfter), aAfter,
+                       mArchives.Total(aId), aAfter);
   }
   const auto found = mSteps.find(aId);
   if (found == mSteps.end()) {
@@ -224,7 +227,7 @@
 asio::awaitable<std::optional<Error>> RolloutService::End(std::string aId) {
   const auto found = mSteps.find(aId);
   if (found == mSteps.end()) {
-    const bool ended = mArchives.contains(aId);
+    const bool ended = mArchives.Knows(aId);
     co_return ended
         ? std::nullopt
         : std::optional(Error(ErrorKind::Unavailable, "The step has moved."));
@@ -276,7 +279,7 @@
   mCarried.merge(step->mBook.TextsOfOpenGroups());
   if (!step->mUnsettled) {
     const auto total = static_cast<int64_t>(step->mBook.Total());
-    mArchives[aId] = Archive{step->mListed, total, mNode.Now()};
+    mArchives.Add(aId, 0, total, step->mListed);
   }
   mSteps.erase(aId);
   co_return std::nullopt;
@@ -330,9 +333,6 @@
              co_await aSelf->VerifyAll();
            }(this));
   }
-  std::erase_if(mArchives, [&](const auto& aEntry) {
-    return now - aEntry.second.mSince > mNode.mBounds.mStatus + kArchiveMargin;
-  });
   Pump();
 }
 
