log: what leaves in one write is whole lines

Cause: lines left in writes of all that waited; a full pipe took a part, so that another process's line came into the middle of one. 315 lines of a large log could not be read by explain.

Change: a write holds whole lines up to PIPE_BUF, which a pipe takes whole or not at all; texts of a field are cut at 700 bytes.

WhatLeavesAtOnceIsWholeLines failed before (the pipe's last byte was no line end) and passes now.

--- a/src/librillwall_state/event_log.cpp
+++ b/src/librillwall_state/event_log.cpp
@@ -1,6 +1,7 @@
 #include "rillwall/event_log.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -12,6 +13,13 @@
 
 namespace {
 
+/// Up to this size a pipe takes a write whole, so that a line never stands
+/// between the halves of another process's line.
+constexpr size_t kWholeWrite = PIPE_BUF;
+/// Longest text of a field. What goes on after it, such as an answer's body, is
+/// no more use; five such fields still fit into one write.
+constexpr size_t kMaxText = 700;
+
 struct EventSink {
   EventLogOptions mOptions;
   std::string mPending;
@@ -39,6 +47,18 @@
   aLine += boost::json::serialize(boost::json::string(aText));
 }
 
+/// \return where the lines that leave in one write end: as many whole ones as a
+/// pipe takes at once, or one that is longer
+size_t EndOfWrite(const std::string& aText, size_t aBegin) {
+  const size_t most = std::min(aText.size(), aBegin + kWholeWrite);
+  const size_t last = aText.rfind('\n', most - 1);
+  if (last != std::string::npos && last >= aBegin) {
+    return last + 1;
+  }
+  const size_t next = aText.find('\n', aBegin);
+  return next == std::string::npos ? aText.size() : next + 1;
+}
+
 /// Adds a line if there is room. \return whether there was
 bool Append(EventSink& aSink, std::string_view aLine) {
   if (aSink.mPending.size() + aLine.size() > aSink.mOptions.mMaxPending) {
@@ -66,7 +86,7 @@
 
 Event& Event::Text(std::string_view aName, std::string_view aValue) {
   Name(aName);
-  AppendQuoted(mLine, aValue);
+  AppendQuoted(mLine, aValue.substr(0, kMaxText));
   return *this;
 }
 
@@ -115,15 +135,18 @@
     sink.mPending += line;
     sink.mDroppedTold = sink.mDropped;
   }
-  while (!sink.mPending.empty()) {
+  size_t begin = 0;
+  while (begin < sink.mPending.size()) {
+    const size_t end = EndOfWrite(sink.mPending, begin);
     const ssize_t written = ::write(sink.mOptions.mDescriptor,
-                                    sink.mPending.data(), sink.mPending.size());
+                                    sink.mPending.data() + begin, end - begin);
     if (written <= 0) {
-      return false;
+      break;
     }
-    sink.mPending.erase(0, static_cast<size_t>(written));
+    begin += static_cast<size_t>(written);
   }
-  return true;
+  sink.mPending.erase(0, begin);
+  return sink.mPending.empty();
 }
 
 uint64_t DroppedEvents() { return Sink().mDropped; }
--- a/src/librillwall_state/event_log_test.cpp
+++ b/src/librillwall_state/event_log_test.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(WritesOneJsonObjectALine);
   CPPUNIT_TEST(FullPipeNeverBlocks);
   CPPUNIT_TEST(AsksOnceForAFlush);
+  CPPUNIT_TEST(WhatLeavesAtOnceIsWholeLines);
+  CPPUNIT_TEST(LongTextsAreCut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,6 +97,33 @@
     Event("three").Write();
     CPPUNIT_ASSERT_EQUAL(2, mAsked);
   }
+
+  // Processes share one pipe: a line in two parts would have another process's
+  // line in its middle, and neither could be read.
+  void WhatLeavesAtOnceIsWholeLines() {
+    const std::string filler(300, 'x');
+    for (int round = 0; round < 40; ++round) {
+      for (int i = 0; i < 10; ++i) {
+        Event("filler").Text("text", filler).Write();
+      }
+      FlushEvents();
+    }
+    // The pipe is full by now. What it took must end with a line, as another
+    // process may write next.
+    std::string text;
+    std::array<char, 65536> buffer;
+    ssize_t size = 0;
+    while ((size = ::read(mPipe[0], buffer.data(), buffer.size())) > 0) {
+      text.append(buffer.data(), static_cast<size_t>(size));
+    }
+    CPPUNIT_ASSERT(text.size() > 30000);
+    CPPUNIT_ASSERT_EQUAL('\n', text.back());
+  }
+
+  void LongTextsAreCut() {
+    Event("answer").Text("body", std::string(100000, 'b')).Write();
+    CPPUNIT_ASSERT(Drain().size() < 1000);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventLogTest);
