rollout: an owner that is late to hear of an end starts no item

Change: an item starts only if the store named this owner within 87 % of the bound for an end (2.6 of 3 s). A store that does not answer stops nothing: the call fails before that, and no end can be accepted either.

LateOwnerStartsNothing failed without the guard and passes with it; also a test that looks at an ended step share one load.

--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -53,6 +53,7 @@
   Millis mLease{3000};     ///< between the orders of two holders of a claim
   Millis mDrain{2000};     ///< then a leaving replica gets nothing new
   Millis mConfig{2000};    ///< then a configuration is in force everywhere
+  Millis mCancel{3000};    ///< then nothing new of a step that was ended runs
   Millis mGrace{8000};     ///< from the stop signal to the kill
   Millis mStatus{120000};  ///< results stay readable so long
 };
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -161,6 +161,8 @@
                                                int64_t aRevision);
   asio::awaitable<bool> Answers(std::string aAddress);
 
+  /// \return whether a step is known well enough not to have ended elsewhere
+  bool MayStart(const RolloutStep& aStep) const;
   bool StartNext(const StepPtr& aStep);
   /// \return the service that an item's route allows; null: none
   static const std::string* ServiceOf(const RolloutStep& aStep, size_t aItem);
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -24,6 +24,12 @@
 constexpr int kServerError = 500;
 /// Between two moves of one text: a replica's pace shows after some 400 ms.
 constexpr Millis kMoveEvery{700};
+/// Share of the bound for an end of a step to be in force, in percent, within
+/// which the store must have named this owner for an item to start: an owner
+/// that is late starts none. A calm one asks after half of the bound, and a
+/// call that gets no answer fails before this, so that an outage stops nothing.
+constexpr int64_t kStartPercent = 87;
+constexpr int64_t kPercent = 100;
 /// Moves of a step at one look; the next one sees the slots that these take.
 constexpr size_t kMovesAtOnce = 2;
 
@@ -130,8 +136,18 @@
   return chosen;
 }
 
+bool RolloutService::MayStart(const RolloutStep& aStep) const {
+  // A store that does not answer this node takes no end of a step either, as
+  // far as this node can tell: what runs goes on. If it answers, and this node
+  // has not come to ask it or to read its answer, the step may have ended.
+  const bool away = mVerifyFailure.has_value();
+  const Millis since = mNode.Now() - aStep.mVerifiedAt;
+  return !aStep.mAccepted || away ||
+         since < mNode.mBounds.mCancel * kStartPercent / kPercent;
+}
+
 bool RolloutService::StartNext(const StepPtr& aStep) {
-  if (!aStep->mRunning) {
+  if (!aStep->mRunning || !MayStart(*aStep)) {
     return false;
   }
   const std::optional<RolloutPick> pick = aStep->mBook.Next();
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -105,6 +105,8 @@
   CPPUNIT_TEST(YoungEndedStepsAreKept);
   CPPUNIT_TEST(OlderStepGoesFirst);
   CPPUNIT_TEST(OverdueItemsAreGivenUp);
+  CPPUNIT_TEST(LateOwnerStartsNothing);
+  CPPUNIT_TEST(LooksShareOneLoad);
   CPPUNIT_TEST_SUITE_END();
 
   /// A node's process with its rollout service.
@@ -801,6 +803,46 @@
       CPPUNIT_ASSERT(result.mEnd == RolloutEnd::Terminated);
     }
   }
+
+  // An owner that is saturated hears late that a step was ended or taken over.
+  // Here the store is what is late, and answers in the end.
+  void LateOwnerStartsNothing() {
+    mEngine.mSlots = 1;
+    Restart("n1-again");
+    Test().mNode.mBounds.mCancel = Millis(2000);
+    mEngine.mOtherwise.mEventTime = Millis(800);
+    Accept();
+    mWorld.mStore.mDelay = Millis(2000);
+    // The second item would begin after 2.4 s, and the store answers at 3.5 s.
+    Test().RunFor(Millis(3000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mEngine.mRequests.size());
+    mWorld.mStore.mDelay = Millis(0);
+    Test().RunUntil([&] { return mEngine.mRequests.size() == 2; });
+  }
+
+  asio::awaitable<void> Look(std::optional<Error> aWanted) {
+    const std::optional<Error> failed = co_await Service().LoadArchive("s1");
+    CPPUNIT_ASSERT(failed.has_value() == aWanted.has_value());
+    ++mLooks;
+  }
+  int mLooks = 0;
+
+  void LooksShareOneLoad() {
+    Accept();
+    Listed(2);
+    CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
+    Restart("n2-run", "n2-address");
+    mWorld.mStore.mDelay = Millis(20);
+    const uint64_t before = mWorld.mStore.Counts().mReads;
+    for (int i = 0; i < 4; ++i) {
+      Launch(Test().mIo, "look", Look(std::nullopt));
+    }
+    Test().RunUntil([&] { return mLooks == 4; });
+    // Its record and one list of pages.
+    CPPUNIT_ASSERT_EQUAL(before + 2, mWorld.mStore.Counts().mReads);
+    mWorld.mStore.mDelay = Millis(0);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Read()->mResults.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutServiceTest);
