--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -73,13 +73,15 @@
   /// This node has listed the replicas in the store.
   /// \param aAsked when it asked
   void Listed(const std::vector<Replica>& aReplicas, Millis aAsked);
+  /// This node could not list them: the store does not answer it.
+  void Unlisted() { mUnlistedAt = mNode.Now(); }
   /// The configuration in force here.
   void Configured(ConfigText aConfig);
   /// Whether this node follows the configuration in the store itself.
   void Follows(bool aFollows);
 
   /// Answers another node's question. Status 503 if this node has never read
-  /// the store itself.
+  /// the store itself; it says so if that is since the store does not answer.
   HttpResponse Answer(const HttpRequest& aRequest);
   /// Gives out the text of the configuration.
   HttpResponse AnswerConfig() const;
@@ -124,6 +126,7 @@
   ReplicaMirror mMirror;          ///< what another node told
   bool mMirrorVersions = false;   ///< that names weight versions
   std::optional<Millis> mListedAt;
+  std::optional<Millis> mUnlistedAt;  ///< when the store last did not answer
   std::optional<Millis> mHelpAskedAt;
   std::string mLeadAsked;  ///< address of the lead asked last
   size_t mHelper = 0;      ///< which of the candidates is asked
--- a/src/include/rillwall/view_plan.h
+++ b/src/include/rillwall/view_plan.h
@@ -85,6 +85,8 @@
   void LeadFound(Millis aNow);
   /// A source gave no answer, or none that helps.
   void Missed(ViewSource aSource, Millis aNow);
+  /// A source does not hear from the store either.
+  void Away(ViewSource aSource, Millis aNow);
 
   /// \return whether the list known here is young enough to wait for a source
   bool Fresh(Millis aNow) const;
--- a/src/librillwall_coordination/view_plan.cpp
+++ b/src/librillwall_coordination/view_plan.cpp
@@ -122,9 +122,7 @@
   const Millis listed = aAsked - aAge;
   mListedAt = mListedAt ? std::max(*mListedAt, listed) : listed;
   if (!Fresh(aNow)) {
-    Missed(aSource, aNow);
-    Standing& store = Of(ViewSource::Store);
-    store.mFrom = std::max(store.mFrom, aNow + mJitter.HalfToAll(kAwayPause));
+    Away(aSource, aNow);
     return;
   }
   const Millis period = aSource == ViewSource::Store ? PollEvery() : AskEvery();
@@ -137,6 +135,12 @@
   lookUp.mFrom = std::max(lookUp.mFrom, again);
 }
 
+void ViewPlan::Away(ViewSource aSource, Millis aNow) {
+  Missed(aSource, aNow);
+  Standing& store = Of(ViewSource::Store);
+  store.mFrom = std::max(store.mFrom, aNow + mJitter.HalfToAll(kAwayPause));
+}
+
 void ViewPlan::LeadFound(Millis aNow) {
   Of(ViewSource::LookUp) = {0, aNow + mJitter.HalfToAll(kStorePause)};
 }
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -29,6 +29,8 @@
 /// In answers: age of the list in ms. Not in the text, which is shared by all
 /// who are at the same mark.
 constexpr char kAgeHeader[] = "Rillwall-View-Age";
+/// In answers with status 503: the store does not answer that node.
+constexpr char kAwayHeader[] = "Rillwall-Store-Away";
 /// Then a lead that is late is looked for in the store: it may have changed.
 constexpr int kMissesOfALead = 3;
 
@@ -107,6 +109,9 @@
   HttpResponse response;
   response.mStatus = kUnavailable;
   if (!mListedAt) {
+    if (mUnlistedAt && now - *mUnlistedAt < mPlan.PollEvery()) {
+      response.mHeaders.push_back({kAwayHeader, "1"});
+    }
     return response;
   }
   const NodeIdentity& self = mNode.mIdentity;
@@ -236,7 +241,11 @@
 
 void ViewExchange::NoteMiss(ViewSource aSource, const std::string& aAddress,
                             const Result<HttpResponse>& aAnswer) {
-  mPlan.Missed(aSource, mNode.Now());
+  if (aAnswer && aAnswer->Find(kAwayHeader) != nullptr) {
+    mPlan.Away(aSource, mNode.Now());
+  } else {
+    mPlan.Missed(aSource, mNode.Now());
+  }
   Event("view-unanswered")
       .Text("node", aAddress)
       .Text("why", aAnswer ? "status " + std::to_string(aAnswer->mStatus)
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(LateLeadIsNotForgottenAtOnce);
   CPPUNIT_TEST(HelperIsAskedToRead);
   CPPUNIT_TEST(LeadIsNoHelper);
+  CPPUNIT_TEST(HelperWithoutAStoreSaysSo);
   CPPUNIT_TEST(EntryHostsHearNothingOfVersions);
   CPPUNIT_TEST(NewLeadTellsNothingThatIsKnown);
   CPPUNIT_TEST(MissedChangeIsAskedAnew);
@@ -251,6 +252,22 @@
     CPPUNIT_ASSERT(!mGiver.mView.Helping());
   }
 
+  // The lead is lost while the store is away: the helpers have never read it,
+  // and 250 nodes must not call it one after the other.
+  void HelperWithoutAStoreSaysSo() {
+    Node helper{mWorld, "helper", false};
+    mEntry.mLead.Forget();
+    mEntry.mNodes.Adopt({helper.Entry()}, mEntry.Now());
+    CPPUNIT_ASSERT(!mEntry.Ask());
+    helper.mView.Unlisted();
+    CPPUNIT_ASSERT(!mEntry.Ask());
+    const ViewContacts alone{true, true, false};
+    const Millis later = mEntry.Now() + Millis(3000);
+    mEntry.mView.Plan().Missed(ViewSource::Lead, later);
+    mEntry.mView.Plan().Missed(ViewSource::Helper, later);
+    CPPUNIT_ASSERT(!mEntry.mView.Plan().Next(alone, later));
+  }
+
   void EntryHostsHearNothingOfVersions() {
     Replica replica = ReplicaOf("a");
     replica.mModels = {{"m", 3}};
