--- a/src/librillwall_coordination/view_plan_test.cpp
+++ b/src/librillwall_coordination/view_plan_test.cpp
@@ -46,6 +46,14 @@
     }
   }
 
+  /// Every second host's process starts anew and knows nobody.
+  void RestartHalf() {
+    for (size_t i = 0; i < mHosts.size(); i += 2) {
+      mHosts[i] = Host(1000 + i);
+      mHosts[i].mPlan.Begin(false, mNow);
+    }
+  }
+
   int64_t Fresh() const {
     return std::count_if(mHosts.begin(), mHosts.end(),
                          [this](const Host& a) { return a.mPlan.Fresh(mNow); });
@@ -194,6 +202,8 @@
   CPPUNIT_TEST(AfterTheLossOfAllEverybodyIsTold);
   CPPUNIT_TEST(SaturatedLeadIsNotAskedHarder);
   CPPUNIT_TEST(LeadThatStaysSilentBreaksNoBound);
+  CPPUNIT_TEST(FrozenLeadThatComesBackIsFollowed);
+  CPPUNIT_TEST(HalfOfTheHostsRestartAtOnce);
   CPPUNIT_TEST(StoreThatIsAwayIsLeftAlone);
   CPPUNIT_TEST_SUITE_END();
 
@@ -332,6 +342,32 @@
     CPPUNIT_ASSERT(silent.mToLead < 30 * 300 / 3);
   }
 
+  void FrozenLeadThatComesBackIsFollowed() {
+    Deployment frozen(300);
+    frozen.MakeCalm();
+    frozen.mLeadPerTick = 0;
+    frozen.Run(Millis(4000));
+    CPPUNIT_ASSERT(frozen.OldestList() < kBound);
+    frozen.mLeadPerTick = 20;
+    frozen.Run(Millis(5000));
+    frozen.ResetCounts();
+    frozen.Run(Millis(5000));
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, frozen.mUnanswered);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, frozen.mToHelpers);
+    CPPUNIT_ASSERT_EQUAL(int64_t{300}, frozen.Fresh());
+  }
+
+  void HalfOfTheHostsRestartAtOnce() {
+    Deployment half(300);
+    half.MakeCalm();
+    half.RestartHalf();
+    half.Run(Millis(1000));
+    CPPUNIT_ASSERT_EQUAL(int64_t{300}, half.Fresh());
+    // One look-up of who leads for each of them, and no list.
+    CPPUNIT_ASSERT(half.mStoreCalls <= 150);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, half.mUnanswered);
+  }
+
   // An outage of 4.5 s. Every node used to read the store itself after two
   // seconds of it, and again every 1.5 s.
   void StoreThatIsAwayIsLeftAlone() {
