claim: candidates look at a free claim at random moments within 60 ms

Ruled out: a random pause between the look and the claim (a second look each).

Change: the look itself is spread. CandidatesDoNotComeTogether: of 24 that come within 60 ms under a fifth race, in place of all. Two candidates wait 20 ms on average.

--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 
+#include "rillwall/backoff.h"
 #include "rillwall/node_context.h"
 #include "rillwall/shared_view.h"
 
@@ -86,6 +87,7 @@
   NodeContext& mNode;
   const std::function<void()> mOnWon;
   Witnesses mWitnesses;
+  Jitter mJitter{0};  ///< seeded by the process's run
   int64_t mLease = 0;
   int64_t mFence = 0;
   Millis mRenewedAt;     ///< when the last renewal that succeeded was sent
--- /dev/null
+++ b/src/librillwall_coordination/backoff_test.cpp
@@ -0,0 +1,64 @@
+/// \file
+/// Tests of pauses between tries.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "rillwall/backoff.h"
+
+namespace rillwall {
+
+class BackoffTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BackoffTest);
+  CPPUNIT_TEST(PausesDoubleUpToALimit);
+  CPPUNIT_TEST(DrawnSpansStayWithinTheirBounds);
+  CPPUNIT_TEST(CandidatesDoNotComeTogether);
+  CPPUNIT_TEST_SUITE_END();
+
+  void PausesDoubleUpToALimit() {
+    CPPUNIT_ASSERT(FailurePause(1, Millis(100), Millis(350)) == Millis(100));
+    CPPUNIT_ASSERT(FailurePause(2, Millis(100), Millis(350)) == Millis(200));
+    CPPUNIT_ASSERT(FailurePause(3, Millis(100), Millis(350)) == Millis(350));
+    CPPUNIT_ASSERT(FailurePause(99, Millis(100), Millis(350)) == Millis(350));
+  }
+
+  void DrawnSpansStayWithinTheirBounds() {
+    Jitter jitter(7);
+    for (int i = 0; i < 1000; ++i) {
+      const Millis half = jitter.HalfToAll(Millis(100));
+      CPPUNIT_ASSERT(half >= Millis(50) && half <= Millis(100));
+      CPPUNIT_ASSERT(jitter.UpTo(Millis(10)) <= Millis(10));
+      CPPUNIT_ASSERT(jitter.UpTo(Millis(0)) == Millis(0));
+    }
+  }
+
+  // The pattern: 24 candidates learn at one moment that a claim is free, and a
+  // claim takes 8 ms, two calls to the store. Seeds are those of their runs.
+  void CandidatesDoNotComeTogether() {
+    constexpr int kCandidates = 24;
+    constexpr int kRounds = 100;
+    int racing = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      std::vector<Millis> waits;
+      for (int i = 0; i < kCandidates; ++i) {
+        const std::string run =
+            std::to_string(round * 7919 + i) + "-1778200153";
+        waits.push_back(Jitter(std::hash<std::string>()(run)).UpTo(Millis(60)));
+      }
+      const Millis first = *std::min_element(waits.begin(), waits.end());
+      racing += static_cast<int>(std::count_if(
+          waits.begin(), waits.end(),
+          [first](Millis aWait) { return aWait < first + Millis(8); }));
+    }
+    // A fifth of them, in place of all.
+    CPPUNIT_ASSERT(racing < kRounds * 6);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackoffTest);
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -24,6 +24,11 @@
 /// after one, so a new holder waits for this too.
 constexpr Millis kOrderReach{1000};
 constexpr Millis kRetryPause{200};
+/// Candidates that learn at once that the claim is free look at it within this,
+/// not all together: with two dozen of them some three still race for it, in
+/// place of all, each with a lease and a change that fails. Two wait 20 ms for
+/// it on average.
+constexpr Millis kClaimSpread{60};
 constexpr Millis kReserveLook{500};
 constexpr Millis kWatchWait{25000};
 /// A holder that does not answer so often in a row is asked for elsewhere. A
@@ -52,6 +57,7 @@
 }
 
 asio::awaitable<void> LeadClaim::Run() {
+  mJitter = Jitter(std::hash<std::string>()(mNode.mIdentity.mRun));
   while (!mNode.mStopping) {
     if (Held()) {
       co_await Hold();
@@ -203,6 +209,7 @@
 }
 
 asio::awaitable<void> LeadClaim::AwaitAndClaim() {
+  co_await Sleep(mNode.mIo, mJitter.UpTo(kClaimSpread));
   const std::optional<Holding> holding = co_await ClaimIfFree();
   if (!holding) {
     co_return;
