--- a/src/librillwall_coordination/view_plan.cpp
+++ b/src/librillwall_coordination/view_plan.cpp
@@ -37,6 +37,10 @@
 /// long enough for a lead to be found and to answer, which spares most of them
 /// the call; short, as their clients wait.
 constexpr Millis kLonely{2000};
+/// When all nodes start for the first time, the lead is claimed within this.
+/// Who looks earlier has to look again: one call a node saved, 250 of 1,600 of
+/// a calm day with 250 entry hosts.
+constexpr Millis kFirstClaim{800};
 /// Sources that answer, and have not heard from the store themselves, mean that
 /// it is away, for them at least. A node then leaves it alone for so long, and
 /// asks other helpers: else each would call it, while no call is answered.
@@ -67,6 +71,8 @@
 void ViewPlan::Begin(bool aExpectLead, Millis aNow) {
   if (aExpectLead) {
     mListedAt = aNow;
+    Of(ViewSource::LookUp).mFrom =
+        aNow + kFirstClaim + mJitter.UpTo(kFirstClaim);
   }
   Of(ViewSource::Store).mFrom = aNow + mJitter.UpTo(kLonely);
 }
--- a/src/librillwall_coordination/view_plan_test.cpp
+++ b/src/librillwall_coordination/view_plan_test.cpp
@@ -195,6 +195,7 @@
   CPPUNIT_TEST_SUITE(ViewPlanTest);
   CPPUNIT_TEST(CalmNodesAskOnceAPeriod);
   CPPUNIT_TEST(SilentSourceIsLeftAlone);
+  CPPUNIT_TEST(FirstStartLooksForTheLeadOnce);
   CPPUNIT_TEST(UsualTimeSetsTheLimit);
   CPPUNIT_TEST(OldListSendsOneOn);
   CPPUNIT_TEST(CandidateReadsWhileNobodyLeads);
@@ -238,6 +239,20 @@
     CPPUNIT_ASSERT_EQUAL(0, plan.Misses(ViewSource::Lead));
   }
 
+  // While the lead is being claimed nobody looks for it; a node that comes back
+  // looks at once, as its clients wait.
+  void FirstStartLooksForTheLeadOnce() {
+    const ViewContacts nobody;
+    ViewPlan first(kBound, 1);
+    first.Begin(true, kStart);
+    CPPUNIT_ASSERT(!first.Next(nobody, kStart + Millis(700)));
+    CPPUNIT_ASSERT(first.Next(nobody, kStart + Millis(1600)) ==
+                   ViewSource::LookUp);
+    ViewPlan again(kBound, 1);
+    again.Begin(false, kStart);
+    CPPUNIT_ASSERT(again.Next(nobody, kStart) == ViewSource::LookUp);
+  }
+
   void UsualTimeSetsTheLimit() {
     ViewPlan plan(kBound, 1);
     CPPUNIT_ASSERT(plan.Limit() == Millis(300));
