--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -34,12 +34,12 @@
 /// events: they decide between replicas that are alike.
 constexpr double kOtherZoneTextCost = 0.02;
 
-/// Median pace and order by cost may be so old. Paces are smoothed over 400 ms
-/// and what others told of loads counts for 1 s, so an eighth and a tenth of
-/// these changes no choice that matters.
+/// Median pace and order by cost may be so old: an eighth of the time over
+/// which paces are smoothed, a twentieth of that for which told loads count. No
+/// choice that matters is another one for that.
 constexpr Millis kRankAge{50};
-/// A pace that differs by less from the one ranked by leaves the order alone:
-/// far less than a full batch or a slow replica makes.
+/// Share by which a replica's pace may differ from the one that it is ordered
+/// by: far less than what a full batch makes (0.15) or slower hardware (0.3).
 constexpr double kPaceTolerance = 0.02;
 
 /// \return requests as a part of a replica's slots
