accounts: API keys decide the client account; restarts under one id; entries of other writers

Registry entries were read leniently (a missing state counted as ready), and a replica that started again under its id kept what was known of the process before.

The host that takes a request looks its key up, once; from there on the account's name stands for it. A step's identity holds the account, so that another account's look finds nothing.

Usage is still not told.

--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -36,6 +36,7 @@
   std::string mLastEvent;      ///< a stream goes on after this event
   std::string mPriority;       ///< 0 goes first
   std::string mReplicaLoad;    ///< in answers: "running,waiting,slots"
+  std::string mAccount;        ///< the client account, as told to upstreams
 };
 
 /// Who this node is.
@@ -70,6 +71,7 @@
   HeaderNames mHeaders;
   ServingBounds mBounds;
   RcuCell<RouteTable> mRoutes;
+  Millis mConfigHeardAt;  ///< when it was last known that they are the newest
   ReplicaPool mReplicas;
   ServiceMetrics mMetrics;
   bool mStopping = false;  ///< the stop signal has come
--- a/src/include/rillwall/relay.h
+++ b/src/include/rillwall/relay.h
@@ -4,14 +4,16 @@
 
 #pragma once
 
+#include "rillwall/admission.h"
 #include "rillwall/node_context.h"
 
 namespace rillwall {
 
 /// Serves one request on a route other than a rollout route.
 /// \param aRoute a copy, as the configuration may change meanwhile
+/// \param aCaller who sends it
 asio::awaitable<void> RelayRequest(NodeContext& aNode, Route aRoute,
-                                   const HttpRequest& aRequest,
+                                   Caller aCaller, const HttpRequest& aRequest,
                                    HttpExchange& aExchange);
 
 /// \return the client's identity of this attempt, or null if it sent none
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -37,11 +37,12 @@
 
 /// One replica as the registry lists it.
 struct Replica {
-  std::string mId;  ///< of this start of the replica; never used again
+  std::string mId;  ///< a restarted replica may keep it; see mBorn
   std::string mService;
   std::string mAddress;  ///< ip:port
   std::string mZone;     ///< availability zone
   int64_t mSlots = 1;    ///< requests that it runs at once
+  int64_t mBorn = 0;     ///< its start, in ms since 1970; 0: not told
   bool mDraining = false;
   std::vector<ModelVersion> mModels;
 
@@ -72,13 +73,16 @@
 /// What the registry's newest snapshot changed.
 struct ReplicaChanges {
   std::vector<std::string> mAdded;
+  std::vector<std::string> mRestarted;  ///< under the id that they had
   std::vector<std::string> mDraining;
   std::vector<std::string> mGone;
 };
 
 class ReplicaPool {
  public:
-  /// Takes in a whole snapshot of the registry.
+  /// Takes in a whole snapshot of the registry. Of a replica that has started
+  /// again under its id everything is forgotten but the requests that this node
+  /// still has there; an entry of an earlier start changes nothing.
   /// \param aKeepMissing keep entries that are missing for now, since the
   /// registry has just come back and live replicas register again
   ReplicaChanges Update(const std::vector<Replica>& aReplicas,
@@ -181,6 +185,10 @@
   std::optional<std::string> ChooseAny(const ReplicaWish& aWish,
                                        Millis aNow) const;
   void IndexServices();
+  /// Takes in what the registry says of a replica that is known.
+  static void Renew(State& aState, const Replica& aReplica);
+  /// Forgets what its process before this one was like.
+  static void Restart(State& aState, const Replica& aReplica);
   State* Lookup(const std::string& aId);
   static bool Paused(const State& aState, const ReplicaWish& aWish,
                      Millis aNow);
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -51,7 +51,8 @@
 /// A submitted step. Immutable once accepted.
 struct RolloutSpec {
   std::string mId;
-  std::string mHost;  ///< with mPath: selects the route
+  std::string mAccount;  ///< client account that submitted it; empty: none
+  std::string mHost;     ///< with mPath: selects the route
   std::string mPath;
   int64_t mStep = 0;
   std::string mModel;         ///< empty: any weights will do
--- a/src/include/rillwall/rollout_record.h
+++ b/src/include/rillwall/rollout_record.h
@@ -1,7 +1,7 @@
 /// \file
 /// What the store keeps of a rollout step, in rillwall's own format.
 ///
-/// Keys of the step with identity ID:
+/// Keys of the step with identity ID (StepName()):
 ///   rillwall/step/ID           StepRecord: who owns it, whether it has ended
 ///   rillwall/body/ID/NNN       the submission as it came, in parts
 ///   rillwall/page/ID/NNNNNNNN  results from position NNNNNNNN on
@@ -35,6 +35,7 @@
   int64_t mAcceptedMs = 0;  ///< wall clock of the first acceptance
   int64_t mTotal = 0;       ///< items
   bool mEnded = false;
+  std::string mAccount;  ///< client account that submitted it; empty: none
   bool operator==(const StepRecord&) const = default;
 };
 
@@ -54,6 +55,11 @@
 std::string EncodeParts(const std::vector<RolloutPart>& aParts);
 Result<std::vector<RolloutPart>> DecodeParts(std::string_view aText);
 
+/// \return the identity of a step: accounts do not see each other's steps, also
+/// if they choose the same name
+/// \param aAccount empty: none
+std::string StepName(const std::string& aId, const std::string& aAccount);
+
 std::string StepKey(std::string_view aId);
 /// The prefix of all parts of a submission.
 std::string BodyPrefix(std::string_view aId);
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -120,6 +120,8 @@
   StepPtr MakeStep(RolloutSpec aSpec, const Route& aRoute, StepRecord aRecord,
                    int64_t aRevision);
   void AdoptTexts(RolloutStep& aStep);
+  /// Keeps what a step leaves, for a later one.
+  void Carry(const RolloutStep& aStep);
   asio::awaitable<Result<StepPtr>> TakeOver(std::string aId, StepRecord aRecord,
                                             int64_t aRevision);
   /// The same, while no other takeover of the step is under way here.
@@ -213,8 +215,9 @@
   bool mVerifying = false;  ///< the store is being asked about all steps
   std::optional<Error> mVerifyFailure;  ///< of the last such call
   int64_t mTakenRevision = 0;  ///< of the key that tells of takeovers from us
-  /// Texts of groups that were not whole when their step ended.
-  std::map<std::string, RolloutText> mCarried;
+  /// Texts of groups that were not whole when their step ended, by item.
+  using CarriedTexts = std::map<std::string, RolloutText>;
+  std::map<std::string, CarriedTexts> mCarried;  ///< by account
 };
 
 }  // namespace rillwall
--- a/src/include/rillwall/route_table.h
+++ b/src/include/rillwall/route_table.h
@@ -1,6 +1,6 @@
 /// \file
-/// The operator's routes and services as one immutable snapshot, and the choice
-/// of a route for a request.
+/// The operator's routes, services and client accounts as one immutable
+/// snapshot, and the choice of a route for a request.
 ///
 /// Pure: no I/O and no clock. A new configuration makes a new RouteTable, which
 /// readers take from an RcuCell.
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "rillwall/client_accounts.h"
 #include "rillwall/millis.h"
 
 namespace rillwall {
@@ -49,6 +50,7 @@
   int mPriority = 0;      ///< 0 is the highest
   bool mResumable = false;
   bool mSingleVersion = false;  ///< a text must come from one weight version
+  bool mPublic = false;         ///< needs no key, if accounts are configured
   std::vector<RouteTarget> mTargets;
   bool operator==(const Route&) const = default;
 };
@@ -77,12 +79,14 @@
   RouteTable() = default;
   /// \param aVersion the operator's version; 0 means that none is known yet
   RouteTable(int64_t aVersion, std::vector<Route> aRoutes,
-             std::vector<ServiceSpec> aServices, ClientLimits aLimits);
+             std::vector<ServiceSpec> aServices, ClientLimits aLimits,
+             AccountTable aAccounts = AccountTable());
 
   int64_t Version() const { return mVersion; }
   const ClientLimits& Limits() const { return mLimits; }
   const std::vector<Route>& Routes() const { return mRoutes; }
   const std::vector<ServiceSpec>& Services() const { return mServices; }
+  const AccountTable& Accounts() const { return mAccounts; }
 
   /// \param aHost value of the Host header
   /// \param aPath path without a query
@@ -97,6 +101,7 @@
   std::vector<Route> mRoutes;
   std::vector<ServiceSpec> mServices;
   ClientLimits mLimits;
+  AccountTable mAccounts;
 };
 
 /// Chooses the service of a request among a route's targets by weight.
--- a/src/include/rillwall/upstream_call.h
+++ b/src/include/rillwall/upstream_call.h
@@ -17,6 +17,7 @@
   std::string mId;       ///< identity of the request, echoed by the replica
   HttpRequest mRequest;  ///< without the headers that this module sets
   std::string mService;
+  std::string mAccount;  ///< client account that it is counted for; or empty
   RequestKind mKind = RequestKind::Idempotent;
   int mAttempts = 1;  ///< replicas that may run it
   Millis mDue;        ///< instant at which the caller must have its answer
--- a/src/librillwall_coordination/replica_log.cpp
+++ b/src/librillwall_coordination/replica_log.cpp
@@ -26,6 +26,8 @@
     text += kFieldEnd;
   }
   text += std::to_string(aReplica.mSlots);
+  text += kFieldEnd;
+  text += std::to_string(aReplica.mBorn);
   text += aReplica.mDraining ? '-' : '+';
   for (const ModelVersion& model : aReplica.mModels) {
     text += model.mModel;
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -74,19 +74,21 @@
     State& state = at->second;
     if (added) {
       changes.mAdded.push_back(replica.mId);
-    } else if (replica.mDraining && !state.mReplica.mDraining) {
-      changes.mDraining.push_back(replica.mId);
+      state.mReplica = replica;
+      continue;
     }
-    std::vector<ModelVersion> known = std::move(state.mReplica.mModels);
-    state.mReplica = replica;
-    // Versions only grow; an entry written before an order took effect is old.
-    for (ModelVersion& model : state.mReplica.mModels) {
-      for (const ModelVersion& before : known) {
-        if (before.mModel == model.mModel) {
-          model.mVersion = std::max(model.mVersion, before.mVersion);
-        }
-      }
+    if (replica.mBorn < state.mReplica.mBorn) {
+      continue;
+    }
+    if (replica.mBorn > state.mReplica.mBorn) {
+      changes.mRestarted.push_back(replica.mId);
+      Restart(state, replica);
+      continue;
+    }
+    if (replica.mDraining && !state.mReplica.mDraining) {
+      changes.mDraining.push_back(replica.mId);
     }
+    Renew(state, replica);
   }
   for (auto at = mStates.begin(); at != mStates.end();) {
     if (listed.contains(at->first) || aKeepMissing) {
@@ -100,6 +102,28 @@
   return changes;
 }
 
+void ReplicaPool::Renew(State& aState, const Replica& aReplica) {
+  const std::vector<ModelVersion> known = std::move(aState.mReplica.mModels);
+  aState.mReplica = aReplica;
+  // Versions only grow; an entry written before an order took effect is old.
+  for (ModelVersion& model : aState.mReplica.mModels) {
+    for (const ModelVersion& before : known) {
+      if (before.mModel == model.mModel) {
+        model.mVersion = std::max(model.mVersion, before.mVersion);
+      }
+    }
+  }
+}
+
+void ReplicaPool::Restart(State& aState, const Replica& aReplica) {
+  State fresh;
+  fresh.mReplica = aReplica;
+  // Their ends are still to be counted.
+  fresh.mInFlight = aState.mInFlight;
+  fresh.mRuns = std::move(aState.mRuns);
+  aState = std::move(fresh);
+}
+
 void ReplicaPool::IndexServices() {
   mServices.clear();
   for (auto& [id, state] : mStates) {
--- a/src/librillwall_coordination/replica_pool_test.cpp
+++ b/src/librillwall_coordination/replica_pool_test.cpp
@@ -56,6 +56,8 @@
   CPPUNIT_TEST(ModelPauseLeavesOtherModels);
   CPPUNIT_TEST(ResumeEndsPauses);
   CPPUNIT_TEST(KnownVersionDoesNotFall);
+  CPPUNIT_TEST(RestartUnderTheSameIdForgets);
+  CPPUNIT_TEST(EntryOfAnEarlierStartChangesNothing);
   CPPUNIT_TEST(SlowStreamsShow);
   CPPUNIT_TEST(AnotherTextSlowsABatch);
   CPPUNIT_TEST(UnmeasuredOneCountsAsTypical);
@@ -159,6 +161,45 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), Chosen(mPool, ModelWish(1)));
   }
 
+  /// As when a replica crashes behind a cut and is back with its old weights.
+  void RestartUnderTheSameIdForgets() {
+    ReplicaPool pool;
+    Replica replica = ReplicaOf("a");
+    replica.mBorn = 1000;
+    pool.Update({replica}, false);
+    pool.Learn("a", "m", 9);
+    pool.Pause("a", kNow + Millis(5000));
+    pool.ObserveLoad("a", 100, kNow);
+    pool.Start("a", "m");
+    replica.mBorn = 2000;
+    const ReplicaChanges changes = pool.Update({replica}, false);
+    CPPUNIT_ASSERT(changes.mRestarted == std::vector<std::string>{"a"});
+    CPPUNIT_ASSERT(changes.mAdded.empty());
+    CPPUNIT_ASSERT_EQUAL(replica.VersionOf("m"),
+                         pool.Find("a")->VersionOf("m"));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(pool, ModelWish(9)));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         Chosen(pool, ModelWish(replica.VersionOf("m")), kNow));
+    // The request that was under way ends after all.
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, pool.InFlight("a"));
+    pool.End("a", ReplicaOutcome::Failed, Millis(0), kNow, "m");
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, pool.InFlight("a"));
+  }
+
+  void EntryOfAnEarlierStartChangesNothing() {
+    ReplicaPool pool;
+    Replica replica = ReplicaOf("a");
+    replica.mBorn = 2000;
+    pool.Update({replica}, false);
+    Replica older = replica;
+    older.mBorn = 1000;
+    older.mDraining = true;
+    const ReplicaChanges changes = pool.Update({older}, false);
+    CPPUNIT_ASSERT(changes.mDraining.empty());
+    CPPUNIT_ASSERT(!pool.Find("a")->mDraining);
+    CPPUNIT_ASSERT(changes.mGone.empty());
+  }
+
   void KnownVersionDoesNotFall() {
     mPool.Update({ReplicaOf("a")}, false);
     mPool.Learn("a", "m", 7);
--- a/src/librillwall_coordination/route_table.cpp
+++ b/src/librillwall_coordination/route_table.cpp
@@ -19,11 +19,13 @@
 }
 
 RouteTable::RouteTable(int64_t aVersion, std::vector<Route> aRoutes,
-                       std::vector<ServiceSpec> aServices, ClientLimits aLimits)
+                       std::vector<ServiceSpec> aServices, ClientLimits aLimits,
+                       AccountTable aAccounts)
     : mVersion(aVersion),
       mRoutes(std::move(aRoutes)),
       mServices(std::move(aServices)),
-      mLimits(aLimits) {
+      mLimits(aLimits),
+      mAccounts(std::move(aAccounts)) {
   // The longest prefix first, so that the first match is the one.
   std::stable_sort(mRoutes.begin(), mRoutes.end(),
                    [](const Route& aOne, const Route& aOther) {
--- a/src/librillwall_protocol/rollout_record.cpp
+++ b/src/librillwall_protocol/rollout_record.cpp
@@ -1,5 +1,8 @@
 #include "rillwall/rollout_record.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <cstdio>
 
 #include "json_array.h"
@@ -86,6 +89,9 @@
   object["accepted_ms"] = aRecord.mAcceptedMs;
   object["total"] = aRecord.mTotal;
   object["ended"] = aRecord.mEnded;
+  if (!aRecord.mAccount.empty()) {
+    object["account"] = aRecord.mAccount;
+  }
   return json::serialize(object);
 }
 
@@ -104,6 +110,7 @@
   record.mAcceptedMs = reader.Int("accepted_ms");
   record.mTotal = reader.Int("total");
   record.mEnded = reader.Bool("ended");
+  record.mAccount = reader.String("account", "");
   if (reader.Failed()) {
     return reader.Failure();
   }
@@ -161,6 +168,19 @@
   return parts;
 }
 
+std::string StepName(const std::string& aId, const std::string& aAccount) {
+  if (aAccount.empty()) {
+    return aId;
+  }
+  constexpr size_t kDigits = 16;
+  char digits[kDigits + 1];
+  std::snprintf(digits, sizeof(digits), "%016llx",
+                static_cast<unsigned long long>(
+                    XXH64(aAccount.data(), aAccount.size(), 0)));
+  // Of one length, so that no two pairs give the same text.
+  return aId + '.' + digits;
+}
+
 std::string StepKey(std::string_view aId) {
   return "rillwall/step/" + std::string(aId);
 }
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -38,6 +38,9 @@
   object["zone"] = aReplica.mZone;
   object["slots"] = aReplica.mSlots;
   object["draining"] = aReplica.mDraining;
+  if (aReplica.mBorn != 0) {
+    object["born"] = aReplica.mBorn;
+  }
   if (!models.empty()) {
     object["models"] = std::move(models);
   }
@@ -52,6 +55,7 @@
   replica.mZone = aReader.String("zone");
   replica.mSlots = aReader.Int("slots");
   replica.mDraining = aReader.Bool("draining");
+  replica.mBorn = aReader.Int("born", 0);
   const json::object* models = aReader.Object("models");
   if (models == nullptr) {
     return replica;
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -56,7 +56,8 @@
 }
 
 UpstreamCall MakeCall(const NodeContext& aNode, const Route& aRoute,
-                      const HttpRequest& aRequest, const std::string& aId) {
+                      const Caller& aCaller, const HttpRequest& aRequest,
+                      const std::string& aId) {
   UpstreamCall call;
   call.mId = aId;
   call.mRequest = aRequest;
@@ -66,6 +67,9 @@
     return boost::iequals(aHeader.mName, names.mTimeLeft) ||
            boost::iequals(aHeader.mName, names.mExpectReplica);
   });
+  NameAccount(aNode, *aNode.mRoutes.Read(), aCaller.mAccount,
+              call.mRequest.mHeaders);
+  call.mAccount = aCaller.mAccount;
   const std::string* service =
       PickService(aRoute, std::hash<std::string>()(aId));
   call.mService = service == nullptr ? std::string() : *service;
@@ -211,7 +215,7 @@
 }
 
 asio::awaitable<void> RelayRequest(NodeContext& aNode, Route aRoute,
-                                   const HttpRequest& aRequest,
+                                   Caller aCaller, const HttpRequest& aRequest,
                                    HttpExchange& aExchange) {
   const std::string* id = RequestId(aNode, aRequest);
   if (id == nullptr) {
@@ -223,10 +227,11 @@
     co_return;
   }
   const Millis started = aNode.Now();
-  UpstreamCall call = MakeCall(aNode, aRoute, aRequest, *id);
+  UpstreamCall call = MakeCall(aNode, aRoute, aCaller, aRequest, *id);
   Event("routed")
       .Id(*id)
       .Text("route", aRoute.mName)
+      .Text("account", aCaller.mAccount)
       .Text("service", call.mService)
       .Number("config", aNode.mRoutes.Read()->Version())
       .Number("left_ms", (call.mDue - started).Count())
--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -123,8 +123,9 @@
   const NodeIdentity& self = mNode.mIdentity;
   const std::string id = aSpec.mId;
   const auto items = static_cast<int64_t>(aSpec.mItems.size());
-  StepRecord record{self.mName,  self.mAddress, self.mRun, aSpec.mHost,
-                    aSpec.mPath, WallClockMs(), items,     false};
+  StepRecord record{self.mName,  self.mAddress, self.mRun,
+                    aSpec.mHost, aSpec.mPath,   WallClockMs(),
+                    items,       false,         aSpec.mAccount};
   const auto acceptance = std::make_shared<Acceptance>(
       mNode.mIo, std::move(aSpec), std::move(aRoute), std::move(record));
   acceptance->mChange = AcceptingChange(id, acceptance->mRecord, aBody);
@@ -210,14 +211,15 @@
 
 void RolloutService::AdoptTexts(RolloutStep& aStep) {
   const RolloutSpec& spec = aStep.mBook.Spec();
+  CarriedTexts& carried = mCarried[spec.mAccount];
   int64_t used = 0;
   for (size_t i = 0; i < spec.mItems.size(); ++i) {
-    const auto found = mCarried.find(spec.mItems[i].mId);
-    if (found == mCarried.end()) {
+    const auto found = carried.find(spec.mItems[i].mId);
+    if (found == carried.end()) {
       continue;
     }
     used += aStep.mBook.Adopt(i, std::move(found->second)) ? 1 : 0;
-    mCarried.erase(found);
+    carried.erase(found);
   }
   if (used > 0) {
     Event("texts-carried").Id(aStep.Id()).Number("items", used).Write();
@@ -264,7 +266,7 @@
   }
   Event("step-discarded").Id(step->Id()).Text("why", aWhy).Write();
   StopRuns(*step);
-  mCarried.merge(step->mBook.TextsOfOpenGroups());
+  Carry(*step);
   const auto found = mSteps.find(step->Id());
   if (found != mSteps.end() && found->second == step) {
     mSteps.erase(found);
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -19,7 +19,7 @@
 constexpr Millis kVerifyIdle{1500};
 /// Given up after this if the route names no longest wait.
 constexpr Millis kDefaultMaxWait{60000};
-/// Texts kept for groups that may come again; some steps' worth.
+/// Texts kept for groups of one account that may come again; some steps' worth.
 constexpr size_t kMaxCarried = 2000;
 /// Results in one answer, in bytes of text; an answer holds 1 MB at most.
 constexpr size_t kMaxReadBytes = 900 * 1000;
@@ -224,6 +224,14 @@
   }
 }
 
+void RolloutService::Carry(const RolloutStep& aStep) {
+  CarriedTexts& carried = mCarried[aStep.mBook.Spec().mAccount];
+  if (carried.size() > kMaxCarried) {
+    carried.clear();
+  }
+  carried.merge(aStep.mBook.TextsOfOpenGroups());
+}
+
 asio::awaitable<std::optional<Error>> RolloutService::End(std::string aId) {
   const auto found = mSteps.find(aId);
   if (found == mSteps.end()) {
@@ -273,10 +281,7 @@
       .Number("total", static_cast<int64_t>(step->mBook.Total()))
       .Number("whole_groups", static_cast<int64_t>(step->mBook.WholeGroups()))
       .Write();
-  if (mCarried.size() > kMaxCarried) {
-    mCarried.clear();
-  }
-  mCarried.merge(step->mBook.TextsOfOpenGroups());
+  Carry(*step);
   if (!step->mUnsettled) {
     const auto total = static_cast<int64_t>(step->mBook.Total());
     mArchives.Add(aId, 0, total, step->mListed);
