usage: each window's requests by account are counted, fixed in the store and reported once

Ruled out: a call of its own for each host and window (H calls more, and a count lost for as long); counts written to the store by hosts (H writes a window, each priced); written ahead of each request (a write a request). Counts told with the questions for the view cost no message and bytes for accounts with news only; a host that is killed loses the counts since its last question.

Change: hosts count what a replica may have run, once a request, by the time at which it was first sent; they tell the lead whole counts of the windows with news, everything to a new lead.

--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -49,6 +49,10 @@
   /// \return the fencing token of this claim, 0 if not held
   int64_t Fence() const { return Held() ? mFence : 0; }
 
+  /// \return what a change of the store has to be guarded by, to be made only
+  /// while this claim holds
+  StoreGuard Guard() const;
+
   /// Reads who leads; remembers it until Forget().
   asio::awaitable<Result<std::optional<LeadHolder>>> Holder();
   void Forget() { mKnown.reset(); }
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,7 @@
 #include "rillwall/route_table.h"
 #include "rillwall/service_metrics.h"
 #include "rillwall/store_port.h"
+#include "rillwall/usage_meter.h"
 
 namespace rillwall {
 
@@ -74,6 +76,9 @@
   Millis mConfigHeardAt;  ///< when it was last known that they are the newest
   ReplicaPool mReplicas;
   ServiceMetrics mMetrics;
+  UsageMeter mUsage;
+  /// Time of day in ms since 1970, by which usage is counted.
+  std::function<int64_t()> mTimeOfDay = WallClockMs;
   bool mStopping = false;  ///< the stop signal has come
 
   Millis Now() const { return mClock.Now(); }
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -51,6 +51,8 @@
   std::function<void()> mOnHelpAsked;
   /// \return whether this node owns steps, and has to know weight versions
   std::function<bool()> mOwnsSteps = [] { return false; };
+  /// Takes in what a node tells beside its question, if this node leads.
+  std::function<void(const NodeEntry&, const std::string&)> mOnTold;
   /// When and whom to ask.
   ViewPlan& Plan() { return mPlan; }
   /// \return the source to ask now; nothing if it is not time for any
@@ -107,6 +109,8 @@
 
   /// \return whom this node knows
   ViewContacts Contacts() const;
+  /// \return the question to a source, with the usage that it lacks
+  HttpRequest QuestionTo(ViewSource aSource);
   /// \return the node to ask
   std::optional<std::string> AddressOf(ViewSource aSource) const;
   void NoteMiss(ViewSource aSource, const std::string& aAddress,
--- /dev/null
+++ b/src/librillwall_coordination/usage_meter.cpp
@@ -0,0 +1,116 @@
+#include "rillwall/usage_meter.h"
+
+#include <algorithm>
+
+namespace rillwall {
+
+namespace {
+
+/// Windows that a host keeps after they have ended. A report is due within two
+/// windows or so; a lead that takes over late still hears of them.
+constexpr int64_t kKeptWindows = 8;
+/// A host that has been silent for so long is gone: a cut that lasts longer
+/// than a report can wait for changes nothing.
+constexpr Millis kGone{30000};
+
+}  // namespace
+
+int64_t UsageMeter::WindowAt(int64_t aWallMs) const {
+  return aWallMs / mWindow.Count();
+}
+
+int64_t UsageMeter::EndOf(int64_t aNumber) const {
+  return (aNumber + 1) * mWindow.Count();
+}
+
+void UsageMeter::Count(const std::string& aAccount, int64_t aWallMs) {
+  if (!Counts() || aAccount.empty()) {
+    return;
+  }
+  Forget(aWallMs);
+  Tally& tally = mTallies[WindowAt(aWallMs)];
+  ++tally.mCounts[aAccount];
+  ++tally.mChanges;
+}
+
+void UsageMeter::Forget(int64_t aWallMs) {
+  const int64_t oldest = WindowAt(aWallMs) - kKeptWindows;
+  mTallies.erase(mTallies.begin(), mTallies.lower_bound(oldest));
+}
+
+WindowCounts UsageMeter::Untold(const std::string& aRun) {
+  if (aRun != mRun) {
+    mRun = aRun;
+    for (auto& [window, tally] : mTallies) {
+      tally.mTold = 0;
+    }
+  }
+  WindowCounts untold;
+  for (auto& [window, tally] : mTallies) {
+    tally.mOffered = tally.mChanges;
+    if (tally.mTold != tally.mChanges) {
+      untold[window] = tally.mCounts;
+    }
+  }
+  return untold;
+}
+
+void UsageMeter::Told() {
+  for (auto& [window, tally] : mTallies) {
+    tally.mTold = tally.mOffered;
+  }
+}
+
+bool UsageMeter::AllTold() const {
+  return std::all_of(mTallies.begin(), mTallies.end(), [](const auto& aEntry) {
+    return aEntry.second.mTold == aEntry.second.mChanges;
+  });
+}
+
+void UsageBook::Told(const std::string& aRun, const WindowCounts& aCounts) {
+  for (const auto& [window, counts] : aCounts) {
+    mCounts[aRun][window] = counts;
+  }
+}
+
+void UsageBook::Heard(const std::string& aAddress, Millis aNow) {
+  mHeard[aAddress] = aNow;
+}
+
+bool UsageBook::AllHeardSince(Millis aSince, Millis aNow) const {
+  return std::all_of(mHeard.begin(), mHeard.end(), [&](const auto& aEntry) {
+    return aEntry.second >= aSince || aNow - aEntry.second > kGone;
+  });
+}
+
+AccountCounts UsageBook::Sum(int64_t aWindow) const {
+  AccountCounts sum;
+  for (const auto& [run, windows] : mCounts) {
+    const auto found = windows.find(aWindow);
+    if (found == windows.end()) {
+      continue;
+    }
+    for (const auto& [account, count] : found->second) {
+      sum[account] += count;
+    }
+  }
+  return sum;
+}
+
+size_t UsageBook::Tellers(int64_t aWindow) const {
+  return static_cast<size_t>(std::count_if(
+      mCounts.begin(), mCounts.end(),
+      [&](const auto& aEntry) { return aEntry.second.contains(aWindow); }));
+}
+
+void UsageBook::Forget(int64_t aWindow, Millis aNow) {
+  for (auto& [run, windows] : mCounts) {
+    windows.erase(windows.begin(), windows.lower_bound(aWindow));
+  }
+  std::erase_if(mCounts,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(
+      mHeard, [&](const auto& aEntry) { return aNow - aEntry.second > kGone; });
+}
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -56,6 +56,8 @@
          now < mRenewedAt + kOrderReach;
 }
 
+StoreGuard LeadClaim::Guard() const { return {kLeadKey, mFence}; }
+
 asio::awaitable<void> LeadClaim::Run() {
   mJitter = Jitter(std::hash<std::string>()(mNode.mIdentity.mRun));
   while (!mNode.mStopping) {
@@ -98,7 +100,7 @@
 
 asio::awaitable<void> LeadClaim::MarkOrders() {
   StoreChange change;
-  change.mGuards.push_back({kLeadKey, mFence});
+  change.mGuards.push_back(Guard());
   change.mPuts.push_back({kLastKey, mNode.mIdentity.mName, 0});
   const Result<StoreCommit> done =
       co_await mNode.mStore.Commit(std::move(change));
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -33,6 +33,30 @@
   CallAttempts mAttempts;
   ReplicaWish mWish;
   std::optional<UpstreamAnswer> mFailedAnswer;  ///< best of the failed ones
+  bool mCounted = false;  ///< it has begun to run at some replica
+};
+
+/// Counts a request for its account, once and by the time at which it was
+/// first sent to a replica that ran it. Also if the client leaves meanwhile.
+class RunCount {
+ public:
+  explicit RunCount(CallRun& aRun)
+      : mRun(aRun), mSentMs(aRun.mNode.mTimeOfDay()) {}
+  ~RunCount() {
+    if (mMayRun && !mRun.mCounted) {
+      mRun.mCounted = true;
+      mRun.mNode.mUsage.Count(mRun.mCall.mAccount, mSentMs);
+    }
+  }
+  RunCount(const RunCount&) = delete;
+  RunCount& operator=(const RunCount&) = delete;
+  /// The replica has certainly not run it.
+  void NotRun() { mMayRun = false; }
+
+ private:
+  CallRun& mRun;
+  const int64_t mSentMs;
+  bool mMayRun = true;
 };
 
 /// How one try ended.
@@ -207,7 +231,11 @@
     }
     const Replica replica = *node.mReplicas.Find(*id);
     ReplicaUse use(node, *id);
+    RunCount count(aRun);
     TryResult result = co_await TryOnce(aRun, replica);
+    if (result.mEnd == TryEnd::NotSent || result.mEnd == TryEnd::Refused) {
+      count.NotRun();
+    }
     use.End(OutcomeOf(result.mEnd));
     const int status = result.mAnswer.mHead.mStatus;
     const CallStep step = aRun.mAttempts.Take(result.mEnd, status);
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -6,6 +6,7 @@
 
 #include "rillwall/event_log.h"
 #include "rillwall/numbers.h"
+#include "rillwall/usage_record.h"
 
 namespace rillwall {
 
@@ -31,6 +32,8 @@
 constexpr char kAgeHeader[] = "Rillwall-View-Age";
 /// In answers with status 503: the store does not answer that node.
 constexpr char kAwayHeader[] = "Rillwall-Store-Away";
+/// In answers: the usage that came with the question is kept.
+constexpr char kUsageTakenHeader[] = "Rillwall-Usage-Taken";
 /// Then a lead that is late is looked for in the store: it may have changed.
 constexpr int kMissesOfALead = 3;
 
@@ -99,6 +102,10 @@
   if (!question.mFrom.mAddress.empty()) {
     mNodes.Heard(question.mFrom, now);
   }
+  const bool leads = mOnTold && mLead.Held();
+  if (leads) {
+    mOnTold(question.mFrom, aRequest.mBody);
+  }
   if (question.mHelp && !mLead.Held()) {
     const bool begins = !Helping();
     mHelpAskedAt = now;
@@ -124,6 +131,9 @@
   response = HttpResponse::Json(kOk, Text(key));
   response.mHeaders.push_back(
       {kAgeHeader, std::to_string((now - *mListedAt).Count())});
+  if (leads && !aRequest.mBody.empty()) {
+    response.mHeaders.push_back({kUsageTakenHeader, "1"});
+  }
   return response;
 }
 
@@ -266,15 +276,7 @@
   }
 }
 
-asio::awaitable<std::optional<ViewNews>> ViewExchange::Ask(ViewSource aSource) {
-  const std::optional<std::string> address = AddressOf(aSource);
-  const Result<Endpoint> endpoint =
-      address ? Endpoint::Parse(*address)
-              : Error(ErrorKind::Unavailable, "No such node is known.");
-  if (!endpoint) {
-    mPlan.Missed(aSource, mNode.Now());
-    co_return std::nullopt;
-  }
+HttpRequest ViewExchange::QuestionTo(ViewSource aSource) {
   const NodeIdentity& self = mNode.mIdentity;
   ViewQuestion question;
   question.mFrom = {self.mAddress, self.mTakesClients};
@@ -287,6 +289,28 @@
   }
   HttpRequest request;
   request.mTarget = EncodeQuestion(question);
+  if (aSource == ViewSource::Lead && mLead.Known()) {
+    ToldUsage told{self.mRun, mNode.mUsage.Untold(mLead.Known()->mRun)};
+    if (!told.mCounts.empty()) {
+      request.mMethod = "POST";
+      request.mBody = EncodeToldUsage(told);
+    }
+  }
+  return request;
+}
+
+asio::awaitable<std::optional<ViewNews>> ViewExchange::Ask(ViewSource aSource) {
+  const std::optional<std::string> address = AddressOf(aSource);
+  const Result<Endpoint> endpoint =
+      address ? Endpoint::Parse(*address)
+              : Error(ErrorKind::Unavailable, "No such node is known.");
+  if (!endpoint) {
+    mPlan.Missed(aSource, mNode.Now());
+    co_return std::nullopt;
+  }
+  HttpRequest request = QuestionTo(aSource);
+  const std::string leadRun =
+      aSource == ViewSource::Lead ? mLead.Known()->mRun : std::string();
   const Millis asked = mNode.Now();
   const Result<HttpResponse> answer =
       co_await mNode.mClient.Send(*endpoint, std::move(request), mPlan.Limit());
@@ -306,6 +330,9 @@
     mPlan.Missed(aSource, mNode.Now());
     co_return std::nullopt;
   }
+  if (view->mRun == leadRun && answer->Find(kUsageTakenHeader) != nullptr) {
+    mNode.mUsage.Told();
+  }
   mPlan.Told(aSource, asked, Millis(*aged), mNode.Now());
   if (aSource == ViewSource::Helper && mPlan.Misses(aSource) > 1) {
     // It does not hear from the store either.
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "rillwall/usage_record.h"
 #include "rillwall/view_exchange.h"
 #include "rollout_test_support.h"
 
@@ -47,6 +48,8 @@
   CPPUNIT_TEST(CalmAnswersDoNotGrow);
   CPPUNIT_TEST(WitnessesTellWhomTheyReach);
   CPPUNIT_TEST(WhoDoesNotKnowANodeIsNoWitness);
+  CPPUNIT_TEST(UsageGoesToTheLeadUntilItIsTaken);
+  CPPUNIT_TEST(UsageIsKeptIfTheOtherDoesNotLead);
   CPPUNIT_TEST_SUITE_END();
 
   /// A node with its server for other nodes.
@@ -389,6 +392,39 @@
     mEntry.mLead.Learn(mGiver.Holder());
     CPPUNIT_ASSERT(!NobodyReaches(candidate, giver));
   }
+
+  /// Counts one request on the entry host; the giver keeps what it is told.
+  void CountOne(std::vector<std::string>& aTold) {
+    mEntry.mTest.mNode.mUsage.SetWindow(Millis(5000));
+    mEntry.mTest.mNode.mUsage.Count("a", 500000);
+    mGiver.mView.mOnTold = [&](const NodeEntry&, const std::string& aText) {
+      if (!aText.empty()) {
+        aTold.push_back(aText);
+      }
+    };
+  }
+
+  void UsageGoesToTheLeadUntilItIsTaken() {
+    std::vector<std::string> told;
+    CountOne(told);
+    Launch(mGiver.mTest.mIo, "lead", mGiver.mLead.Run());
+    mGiver.mTest.RunUntil([&] { return mGiver.mLead.Held(); });
+    CPPUNIT_ASSERT(mEntry.Ask().has_value());
+    CPPUNIT_ASSERT(mEntry.Ask().has_value());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, told.size());
+    CPPUNIT_ASSERT(mEntry.mTest.mNode.mUsage.AllTold());
+    const ToldUsage expected{"entry-run", {{100, {{"a", 1}}}}};
+    CPPUNIT_ASSERT(expected == *DecodeToldUsage(told.front()));
+  }
+
+  /// As right after the lead has changed hands.
+  void UsageIsKeptIfTheOtherDoesNotLead() {
+    std::vector<std::string> told;
+    CountOne(told);
+    CPPUNIT_ASSERT(mEntry.Ask().has_value());
+    CPPUNIT_ASSERT(told.empty());
+    CPPUNIT_ASSERT(!mEntry.mTest.mNode.mUsage.AllTold());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ViewExchangeTest);
