views: the configuration travels packed

Ruled out: fetching it in one's own zone (a second hop before it is in force).

Change: packed once by the node that follows it, for all that fetch it; a tenth of the bytes or less.

--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -136,6 +136,9 @@
   std::string mLeadAsked;  ///< address of the lead asked last
   size_t mHelper = 0;      ///< which of the candidates is asked
   ConfigText mConfig;
+  /// Its text packed, once for all H nodes that fetch it: a tenth of the bytes
+  /// of a configuration of a thousand routes.
+  std::string mPackedConfig;
   bool mFollows = false;
   std::map<AnswerKey, std::string> mTexts;  ///< answers to the present state
   std::optional<LeadHolder> mTextsLead;     ///< the lead that they name
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <random>
 
+#include "rillwall/compression.h"
 #include "rillwall/event_log.h"
 #include "rillwall/numbers.h"
 #include "rillwall/usage_record.h"
@@ -19,6 +20,8 @@
 constexpr size_t kMaxTexts = 64;
 /// The operator's text may have some hundred KB.
 constexpr Millis kConfigLimit{1000};
+/// Far over what operators write: some thousand routes and accounts.
+constexpr size_t kMaxConfigBytes = 64 * 1024 * 1024;
 /// For one node to reach another.
 constexpr Millis kReachLimit{250};
 /// Nodes asked whether they reach one that does not answer here.
@@ -58,6 +61,7 @@
 }
 
 void ViewExchange::Configured(ConfigText aConfig) {
+  mPackedConfig = Compressed(aConfig.mText);
   mConfig = std::move(aConfig);
   mTexts.clear();
 }
@@ -142,7 +146,7 @@
   response.mStatus = mConfig.mRevision == 0 ? kUnavailable : kOk;
   response.mHeaders.push_back(
       {kRevisionHeader, std::to_string(mConfig.mRevision)});
-  response.mBody = mConfig.mText;
+  response.mBody = mPackedConfig;
   return response;
 }
 
@@ -394,7 +398,16 @@
   if (!number) {
     co_return std::nullopt;
   }
-  co_return ConfigText{std::move(answer->mBody), *number};
+  Result<std::string> text = Decompressed(answer->mBody, kMaxConfigBytes);
+  if (!text) {
+    Event("config-unfetched")
+        .Text("node", aFrom.Text())
+        .Number("revision", aRevision)
+        .Text("why", text.error().Detail())
+        .Write();
+    co_return std::nullopt;
+  }
+  co_return ConfigText{std::move(*text), *number};
 }
 
 }  // namespace rillwall
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(OldViewIsKnownToBeOld);
   CPPUNIT_TEST(ToldViewIsNotPassedOn);
   CPPUNIT_TEST(ConfigurationIsFetchedOnce);
+  CPPUNIT_TEST(LargeConfigurationTravelsPacked);
   CPPUNIT_TEST(NodeThatDoesNotFollowSaysSo);
   CPPUNIT_TEST(CandidateHelpsOutWithoutALead);
   CPPUNIT_TEST(CandidateAsksNoOtherCandidate);
@@ -170,6 +171,19 @@
     CPPUNIT_ASSERT(!last.Ask());
   }
 
+  /// As when an operator adds a thousand routes: every node fetches them.
+  void LargeConfigurationTravelsPacked() {
+    std::string text;
+    for (int i = 0; i < 1000; ++i) {
+      text += R"({"name":"r)" + std::to_string(i) +
+              R"(","host":"a.example","type":"idempotent","attempts":4},)";
+    }
+    mGiver.mView.Configured({text, 7});
+    const HttpResponse answer = mGiver.mView.AnswerConfig();
+    CPPUNIT_ASSERT(answer.mBody.size() * 10 < text.size());
+    CPPUNIT_ASSERT(*mEntry.Ask()->mConfig == (ConfigText{text, 7}));
+  }
+
   void ConfigurationIsFetchedOnce() {
     mGiver.mView.Configured({"the text", 7});
     std::optional<ViewNews> news = mEntry.Ask();
