--- a/src/librillwall_rollout/usage_duty.cpp
+++ b/src/librillwall_rollout/usage_duty.cpp
@@ -73,7 +73,7 @@
   const int64_t fence = mLead.Fence();
   const Result<StoreList> list = co_await ListAll(mNode.mStore, UsagePrefix());
   if (!list || fence != mLead.Fence()) {
-    Event("usage-unread")
+    Event("usage-unrecovered")
         .Text("why", list ? "the claim has changed" : list.error().Detail())
         .Write();
     co_return false;
