claim: a holder that has not led lately waits for its predecessor only

Cause: after each change of the lead no weights load for four seconds (the lease time of three and the reach of the predecessor's orders of one), while trainers wait for the next version.

Ruled out: no wait (an order of the predecessor may arrive after one of the new holder); keeping the whole wait for all (only a host that has itself ordered within the lease time can make two holders take turns in it).

Change: the wait is two seconds, in which no order of the predecessor can still be under way, or until the lease time after this host's own last possible order, whichever is longer; a process that has just begun counts as having ordered.

--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -5,10 +5,10 @@
 /// The claim is a key of the store under a lease. Its revision is the fencing
 /// token of all orders under it. A node that cannot renew the lease stops
 /// ordering before the lease can have ended; a new holder waits until no order
-/// of its predecessor can still be under way. A host that was its own
-/// predecessor need not wait. A holder that other nodes do not reach either has
-/// its lease ended by a candidate, so that the claim does not stand idle until
-/// the lease lapses.
+/// of its predecessor can still be under way, and for the whole lease time if
+/// it has led itself lately. A host that was its own predecessor need not wait.
+/// A holder that other nodes do not reach either has its lease ended by a
+/// candidate, so that the claim does not stand idle until the lease lapses.
 
 #pragma once
 
@@ -87,6 +87,9 @@
   /// Ends the holder's lease if neither this node nor others reach it.
   asio::awaitable<void> WatchHolder(std::string aAddress, int64_t aLease);
   void Lose(const char* aWhy);
+  /// \return how long this host, which another one has ordered before, must not
+  /// order yet
+  Millis WaitForOthers(Millis aNow) const;
 
   NodeContext& mNode;
   const std::function<void()> mOnWon;
@@ -94,8 +97,11 @@
   Jitter mJitter{0};  ///< seeded by the process's run
   int64_t mLease = 0;
   int64_t mFence = 0;
-  Millis mRenewedAt;     ///< when the last renewal that succeeded was sent
-  Millis mOrdersFrom;    ///< no order before
+  Millis mRenewedAt;   ///< when the last renewal that succeeded was sent
+  Millis mOrdersFrom;  ///< no order before
+  /// No order of this host can have reached a replica since; the process before
+  /// this one had ended when this one began.
+  Millis mOrderedUntil;
   bool mMarked = false;  ///< the store names this host as the one that orders
   std::optional<Millis> mLostAt;  ///< when the lease was found ended
   std::optional<LeadHolder> mKnown;
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -23,6 +23,10 @@
 /// Orders stop so long after the last renewal. A claim can change hands right
 /// after one, so a new holder waits for this too.
 constexpr Millis kOrderReach{1000};
+/// For an order that was under way when its holder had to stop: a call is given
+/// up after 0.6 s; the rest is for a host that is slow between its look at the
+/// claim and the call.
+constexpr Millis kOrderFlight{1000};
 constexpr Millis kRetryPause{200};
 /// Candidates that learn at once that the claim is free look at it within this,
 /// not all together: with two dozen of them some three still race for it, in
@@ -48,7 +52,7 @@
 }  // namespace
 
 LeadClaim::LeadClaim(NodeContext& aNode, std::function<void()> aOnWon)
-    : mNode(aNode), mOnWon(std::move(aOnWon)) {}
+    : mNode(aNode), mOnWon(std::move(aOnWon)), mOrderedUntil(aNode.Now()) {}
 
 bool LeadClaim::MayOrder() const {
   const Millis now = mNode.Now();
@@ -136,9 +140,9 @@
   mFence = done->mRevision;
   mRenewedAt = asked;
   mMarked = aNoOthers;
-  const Millis wait =
-      aNoOthers ? Millis(0) : mNode.mBounds.mLease + kOrderReach;
-  mOrdersFrom = mNode.Now() + wait;
+  const Millis now = mNode.Now();
+  const Millis wait = aNoOthers ? Millis(0) : WaitForOthers(now);
+  mOrdersFrom = now + wait;
   mKnown = holder;
   Event("claim-won")
       .Text("claim", "lead")
@@ -149,6 +153,17 @@
   mOnWon();
 }
 
+// Two things must not happen: an order of the holder before reaches a replica
+// after one of this holder, and this host orders, another one does, and this
+// host does again within the lease time. A host that has not led lately waits
+// for the first only: two seconds in place of four, in which no weights load
+// and trainers that wait for them stand still.
+Millis LeadClaim::WaitForOthers(Millis aNow) const {
+  const Millis forThem = kOrderReach + kOrderFlight;
+  const Millis sinceOurs = mOrderedUntil + mNode.mBounds.mLease - aNow;
+  return std::max(forThem, sinceOurs);
+}
+
 asio::awaitable<void> LeadClaim::Renew() {
   const int64_t lease = mLease;
   if (lease == 0) {
@@ -284,6 +299,7 @@
       .Text("why", aWhy)
       .Write();
   mLease = 0;
+  mOrderedUntil = mRenewedAt + kOrderReach + kOrderFlight;
   mKnown.reset();
 }
 
--- a/src/librillwall_rollout/lead_claim_test.cpp
+++ b/src/librillwall_rollout/lead_claim_test.cpp
@@ -50,6 +50,8 @@
   CPPUNIT_TEST(LapsedClaimGoesToTheOther);
   CPPUNIT_TEST(ResignedClaimGoesAtOnce);
   CPPUNIT_TEST(NewHolderWaitsBeforeItOrders);
+  CPPUNIT_TEST(HolderThatHasNotLedWaitsForItsPredecessorOnly);
+  CPPUNIT_TEST(HolderThatHasLedWaitsForTheLease);
   CPPUNIT_TEST(RestartedHostNeedNotWait);
   CPPUNIT_TEST(RestartedHostWaitsIfAnotherOrderedLast);
   CPPUNIT_TEST(HolderThatNobodyReachesIsReleased);
@@ -123,6 +125,34 @@
     CPPUNIT_ASSERT(!mTwo.MayOrder());
   }
 
+  /// A lead is lost, and a host that runs for long takes over: trainers that
+  /// wait for weights must not stand still for the whole lease time.
+  void HolderThatHasNotLedWaitsForItsPredecessorOnly() {
+    mWorld.mStore.Write("rillwall/lead-last", "another host");
+    constexpr Millis kAge{300};
+    mTest.mNode.mBounds.mLease = kAge;
+    mTest.RunFor(kAge);
+    const Millis begun = mTest.mNode.Now();
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.MayOrder(); });
+    // Its predecessor's orders end two seconds after its last renewal.
+    CPPUNIT_ASSERT(mTest.mNode.Now() - begun >= Millis(2000));
+  }
+
+  /// The claim goes to another host and back.
+  void HolderThatHasLedWaitsForTheLease() {
+    mTest.mNode.mBounds.mLease = Millis(60000);
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.MayOrder(); });
+    mWorld.mStore.Lapse(101);
+    mTest.RunUntil([&] { return !mOne.Held(); });
+    mWorld.mStore.Write("rillwall/lead-last", "another host");
+    mTest.RunUntil([&] { return mOne.Held(); });
+    mTest.RunFor(Millis(3000));
+    CPPUNIT_ASSERT(mOne.Held());
+    CPPUNIT_ASSERT(!mOne.MayOrder());
+  }
+
   void RestartedHostNeedNotWait() {
     mTest.mNode.mBounds.mLease = Millis(60000);
     Launch(mTest.mIo, "one", mOne.Run());
