--- a/src/include/rillwall/usage_duty.h
+++ b/src/include/rillwall/usage_duty.h
@@ -68,8 +68,13 @@
   asio::awaitable<bool> Recover();
   /// \return whether the report of a window may be fixed now
   bool MayFix(int64_t aWindow) const;
+  /// \return the report of the next window, by what hosts have told
+  UsageReport Collect();
+  /// \return the change that fixes a report, and removes those taken before
+  StoreChange FixingChange(const UsageReport& aReport) const;
   /// Fixes the report of the next window.
   asio::awaitable<void> Fix();
+  void LogFixed(const UsageReport& aReport, bool aByThisClaim) const;
   asio::awaitable<void> Send();
   void ForgetOld();
 
--- a/src/librillwall_rollout/usage_duty.cpp
+++ b/src/librillwall_rollout/usage_duty.cpp
@@ -113,59 +113,71 @@
   return last || (known && mBook.AllHeardSince(now - past + kSettle, now));
 }
 
-asio::awaitable<void> UsageDuty::Fix() {
+UsageReport UsageDuty::Collect() {
   // A lead that takes requests itself tells itself.
   const std::string& run = mNode.mIdentity.mRun;
   mBook.Told(run, mNode.mUsage.Untold(run));
   mNode.mUsage.Told();
-  const UsageReport report{mNext, mBook.Sum(mNext)};
+  return {mNext, mBook.Sum(mNext)};
+}
+
+StoreChange UsageDuty::FixingChange(const UsageReport& aReport) const {
+  const std::string key = UsageKey(aReport.mWindow);
   StoreChange change;
-  change.mGuards.push_back(mLead.Guard());
-  change.mGuards.push_back({UsageKey(mNext), 0});
-  change.mPuts.push_back({UsageKey(mNext), EncodeUsageReport(report), 0});
+  change.mGuards = {mLead.Guard(), {key, 0}};
+  change.mPuts.push_back({key, EncodeUsageReport(aReport), 0});
   for (const auto& [window, fixed] : mFixed) {
     if (fixed.mTaken) {
       change.mRemoves.push_back(UsageKey(window));
     }
   }
+  return change;
+}
+
+asio::awaitable<void> UsageDuty::Fix() {
+  UsageReport report = Collect();
   const int64_t fence = mFence;
   const Result<StoreCommit> done =
-      co_await mNode.mStore.Commit(std::move(change));
+      co_await mNode.mStore.Commit(FixingChange(report));
   if (!done || fence != mLead.Fence()) {
     // Made again at the next look, or by the next holder. If it was done, the
     // key is there then.
     co_return;
   }
-  Fixed fixed{report};
-  const StoreItem* before = done->Find(UsageKey(mNext));
   if (!done->mApplied) {
+    const StoreItem* before = done->Find(UsageKey(report.mWindow));
     const Result<UsageReport> known =
         before == nullptr
             ? Error(ErrorKind::Stale, "The lead's claim has changed hands.")
             : DecodeUsageReport(before->mValue);
     if (!known) {
+      // What is fixed is read anew if this host still leads.
       mFence = 0;
       co_return;
     }
-    fixed.mReport = *known;
+    report = *known;
   }
   std::erase_if(mFixed,
                 [](const auto& aEntry) { return aEntry.second.mTaken; });
-  const AccountCounts& counts = fixed.mReport.mCounts;
-  int64_t total = 0;
-  for (const auto& [account, count] : counts) {
-    total += count;
+  LogFixed(report, done->mApplied);
+  mFixed[mNext] = {std::move(report)};
+  ++mNext;
+}
+
+void UsageDuty::LogFixed(const UsageReport& aReport, bool aByThisClaim) const {
+  int64_t requests = 0;
+  for (const auto& [account, count] : aReport.mCounts) {
+    requests += count;
   }
+  const int64_t end = mNode.mUsage.EndOf(aReport.mWindow);
   Event("usage-fixed")
-      .Number("window", mNext)
-      .Number("accounts", static_cast<int64_t>(counts.size()))
-      .Number("requests", total)
-      .Number("tellers", static_cast<int64_t>(mBook.Tellers(mNext)))
-      .Number("after_ms", mNode.mTimeOfDay() - mNode.mUsage.EndOf(mNext))
-      .Flag("by_this_claim", done->mApplied)
+      .Number("window", aReport.mWindow)
+      .Number("accounts", static_cast<int64_t>(aReport.mCounts.size()))
+      .Number("requests", requests)
+      .Number("tellers", static_cast<int64_t>(mBook.Tellers(aReport.mWindow)))
+      .Number("after_ms", mNode.mTimeOfDay() - end)
+      .Flag("by_this_claim", aByThisClaim)
       .Write();
-  mFixed[mNext] = std::move(fixed);
-  ++mNext;
 }
 
 asio::awaitable<void> UsageDuty::Send() {
