--- a/src/librillwall_coordination/client_accounts.cpp
+++ b/src/librillwall_coordination/client_accounts.cpp
@@ -19,12 +19,12 @@
 // two thirds of the time of a digest of some twenty bytes.
 KeyDigest DigestOfKey(std::string_view aKey) {
   static EVP_MD* const kSha256 = EVP_MD_fetch(nullptr, "SHA256", nullptr);
-  thread_local const std::unique_ptr<EVP_MD_CTX, FreeContext> context(
+  thread_local std::unique_ptr<EVP_MD_CTX, FreeContext> sContext(
       EVP_MD_CTX_new());
   KeyDigest digest{};
-  EVP_DigestInit_ex2(context.get(), kSha256, nullptr);
-  EVP_DigestUpdate(context.get(), aKey.data(), aKey.size());
-  EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+  EVP_DigestInit_ex2(sContext.get(), kSha256, nullptr);
+  EVP_DigestUpdate(sContext.get(), aKey.data(), aKey.size());
+  EVP_DigestFinal_ex(sContext.get(), digest.data(), nullptr);
   return digest;
 }
 
