--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -86,7 +86,7 @@
   /// the store itself; it says so if that is since the store does not answer.
   HttpResponse Answer(const HttpRequest& aRequest);
   /// Gives out the text of the configuration.
-  HttpResponse AnswerConfig() const;
+  HttpResponse AnswerConfig();
 
   /// Says whether this node reaches another one: 200, or 404; 503 if it does
   /// not know that node.
@@ -136,8 +136,8 @@
   std::string mLeadAsked;  ///< address of the lead asked last
   size_t mHelper = 0;      ///< which of the candidates is asked
   ConfigText mConfig;
-  /// Its text packed, once for all H nodes that fetch it: a tenth of the bytes
-  /// of a configuration of a thousand routes.
+  /// Its text packed, once it is first asked for, for all H nodes that fetch it:
+  /// a tenth of the bytes of a configuration of a thousand routes.
   std::string mPackedConfig;
   bool mFollows = false;
   std::map<AnswerKey, std::string> mTexts;  ///< answers to the present state
--- a/src/librillwall_protocol/compression.cpp
+++ b/src/librillwall_protocol/compression.cpp
@@ -2,6 +2,8 @@
 
 #include <zstd.h>
 
+#include <memory>
+
 namespace rillwall {
 
 namespace {
@@ -13,6 +15,28 @@
 /// First bytes of each frame (RFC 8878, 3.1.1).
 constexpr std::string_view kMark("\x28\xb5\x2f\xfd", 4);
 
+struct FreePacker {
+  void operator()(ZSTD_CCtx* aPacker) const { ZSTD_freeCCtx(aPacker); }
+};
+
+struct FreeUnpacker {
+  void operator()(ZSTD_DCtx* aUnpacker) const { ZSTD_freeDCtx(aUnpacker); }
+};
+
+/// The tables of a packer take some hundred KB: each thread keeps its own, as
+/// to make them anew costs as much as a page.
+ZSTD_CCtx* Packer() {
+  thread_local std::unique_ptr<ZSTD_CCtx, FreePacker> sPacker(
+      ZSTD_createCCtx());
+  return sPacker.get();
+}
+
+ZSTD_DCtx* Unpacker() {
+  thread_local std::unique_ptr<ZSTD_DCtx, FreeUnpacker> sUnpacker(
+      ZSTD_createDCtx());
+  return sUnpacker.get();
+}
+
 }  // namespace
 
 std::string Compressed(std::string aText) {
@@ -20,8 +44,8 @@
     return aText;
   }
   std::string packed(ZSTD_compressBound(aText.size()), '\0');
-  const size_t size = ZSTD_compress(packed.data(), packed.size(), aText.data(),
-                                    aText.size(), kLevel);
+  const size_t size = ZSTD_compressCCtx(Packer(), packed.data(), packed.size(),
+                                        aText.data(), aText.size(), kLevel);
   if (ZSTD_isError(size) != 0 || size >= aText.size()) {
     return aText;
   }
@@ -42,8 +66,8 @@
     return Error(ErrorKind::TooLarge, "The packed text is too large.");
   }
   std::string text(size, '\0');
-  const size_t got =
-      ZSTD_decompress(text.data(), text.size(), aText.data(), aText.size());
+  const size_t got = ZSTD_decompressDCtx(Unpacker(), text.data(), text.size(),
+                                         aText.data(), aText.size());
   if (ZSTD_isError(got) != 0 || got != size) {
     return Error(ErrorKind::BadRequest, "The packed text is broken.");
   }
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -61,7 +61,7 @@
 }
 
 void ViewExchange::Configured(ConfigText aConfig) {
-  mPackedConfig = Compressed(aConfig.mText);
+  mPackedConfig.clear();
   mConfig = std::move(aConfig);
   mTexts.clear();
 }
@@ -141,7 +141,10 @@
   return response;
 }
 
-HttpResponse ViewExchange::AnswerConfig() const {
+HttpResponse ViewExchange::AnswerConfig() {
+  if (mPackedConfig.empty()) {
+    mPackedConfig = Compressed(mConfig.mText);
+  }
   HttpResponse response;
   response.mStatus = mConfig.mRevision == 0 ? kUnavailable : kOk;
   response.mHeaders.push_back(
