--- a/src/cmake/test_main.cpp
+++ b/src/cmake/test_main.cpp
@@ -13,8 +13,9 @@
 #include <iostream>
 
 int main(int aCount, char** aArgs) {
-  // Property tests play the same cases each time, so that a run has one verdict.
-  // Others are played by setting the variable, as "seed=7 max_success=10000".
+  // Property tests play the same cases each time, so that a run has one
+  // verdict. Others are played by setting the variable, as "seed=7
+  // max_success=10000".
   setenv("RC_PARAMS", "seed=1", 0);
   CppUnit::TestResult controller;
   CppUnit::TestResultCollector collector;
--- a/src/include/rillwall/compression.h
+++ b/src/include/rillwall/compression.h
@@ -4,7 +4,8 @@
 ///
 /// A configuration of a thousand routes shrinks to a tenth, and is packed once
 /// for all hosts. Generated text shrinks to three fifths at a tenth of a core
-/// for 4 MB a second, which the host that owns the steps does not have to spare.
+/// for 4 MB a second, which the host that owns the steps does not have to
+/// spare.
 ///
 /// A packed text begins with a mark that no JSON text has, so that readers take
 /// both forms.
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -136,8 +136,8 @@
   std::string mLeadAsked;  ///< address of the lead asked last
   size_t mHelper = 0;      ///< which of the candidates is asked
   ConfigText mConfig;
-  /// Its text packed, once it is first asked for, for all H nodes that fetch it:
-  /// a tenth of the bytes of a configuration of a thousand routes.
+  /// Its text packed, once it is first asked for, for all H nodes that fetch
+  /// it: a tenth of the bytes of a configuration of a thousand routes.
   std::string mPackedConfig;
   bool mFollows = false;
   std::map<AnswerKey, std::string> mTexts;  ///< answers to the present state
