sight: a lost try tells what was asked for and whether its replica has ended

Cause: the log could not tell whether two lost tries asked for the same, as ids differ with each attempt, nor whether a connection that was closed was the end of its replica. Ruled out: the registry alone, as an entry goes 2.4 to 3.6 s after its replica has ended. Change: try-failed names a digest of method, host, path, account and body, and whether a new connection is refused afterwards (HttpClient::Probe; a connection that is made is kept for the next call). Nothing is decided by it yet.

--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -165,6 +165,13 @@
   virtual void Abort() = 0;
 };
 
+/// Whether a program takes connections at an endpoint.
+enum class Listening {
+  Yes,
+  No,       ///< the host answers, and nothing listens there
+  Unknown,  ///< there was no answer in time, or something else went wrong
+};
+
 /// Sends requests. Thread-safe.
 class HttpClient {
  public:
@@ -184,6 +191,9 @@
   /// Sends a request and returns when the answer's headers are there.
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
       const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout);
+  /// Finds out whether an upstream still listens, by a new connection, which is
+  /// kept for a later call.
+  asio::awaitable<Listening> Probe(const Endpoint& aEndpoint, Millis aTimeout);
   /// Limits the time for making a connection within a call's own time, so that
   /// a host that does not answer costs only this much. Unset: no own limit.
   void SetConnectTimeout(Millis aTimeout);
--- a/src/librillwall_coordination/client_accounts.cpp
+++ b/src/librillwall_coordination/client_accounts.cpp
@@ -1,32 +1,12 @@
 #include "rillwall/client_accounts.h"
 
-#include <openssl/evp.h>
-
 #include <cstring>
-#include <memory>
+
+#include "sha256.h"
 
 namespace rillwall {
 
-namespace {
-
-struct FreeContext {
-  void operator()(EVP_MD_CTX* aContext) const { EVP_MD_CTX_free(aContext); }
-};
-
-}  // namespace
-
-// The algorithm is looked up once, and each thread keeps its context: that is
-// two thirds of the time of a digest of some twenty bytes.
-KeyDigest DigestOfKey(std::string_view aKey) {
-  static EVP_MD* const kSha256 = EVP_MD_fetch(nullptr, "SHA256", nullptr);
-  thread_local std::unique_ptr<EVP_MD_CTX, FreeContext> sContext(
-      EVP_MD_CTX_new());
-  KeyDigest digest{};
-  EVP_DigestInit_ex2(sContext.get(), kSha256, nullptr);
-  EVP_DigestUpdate(sContext.get(), aKey.data(), aKey.size());
-  EVP_DigestFinal_ex(sContext.get(), digest.data(), nullptr);
-  return digest;
-}
+KeyDigest DigestOfKey(std::string_view aKey) { return Sha256({aKey}); }
 
 size_t AccountTable::FirstBytes::operator()(const KeyDigest& aDigest) const {
   size_t hash = 0;
--- /dev/null
+++ b/src/librillwall_coordination/request_digest_test.cpp
@@ -0,0 +1,59 @@
+/// \file
+/// Tests of what makes two requests the same.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "rillwall/request_digest.h"
+
+namespace rillwall {
+
+class RequestDigestTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestDigestTest);
+  CPPUNIT_TEST(SamePartsAreTheSame);
+  CPPUNIT_TEST(EachPartCounts);
+  CPPUNIT_TEST(PartsDoNotRunTogether);
+  CPPUNIT_TEST(TextComesBack);
+  CPPUNIT_TEST(OtherTextIsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr RequestParts kParts{"POST", "h", "/p?q=1", "a", "body"};
+
+  void SamePartsAreTheSame() {
+    CPPUNIT_ASSERT(RequestDigest(kParts) == RequestDigest(kParts));
+    CPPUNIT_ASSERT(RequestDigest(kParts) != RequestDigest());
+  }
+
+  void EachPartCounts() {
+    std::string_view RequestParts::*const parts[] = {
+        &RequestParts::mMethod, &RequestParts::mHost, &RequestParts::mTarget,
+        &RequestParts::mAccount, &RequestParts::mBody};
+    for (const auto part : parts) {
+      RequestParts other = kParts;
+      other.*part = "another";
+      CPPUNIT_ASSERT(RequestDigest(kParts) != RequestDigest(other));
+    }
+  }
+
+  void PartsDoNotRunTogether() {
+    const RequestParts one{"POST", "h", "/p", "ab", "c"};
+    const RequestParts other{"POST", "h", "/p", "a", "bc"};
+    CPPUNIT_ASSERT(RequestDigest(one) != RequestDigest(other));
+  }
+
+  void TextComesBack() {
+    const RequestDigest digest(kParts);
+    CPPUNIT_ASSERT_EQUAL(size_t{32}, digest.Text().size());
+    CPPUNIT_ASSERT(digest == *RequestDigest::Parse(digest.Text()));
+  }
+
+  void OtherTextIsRefused() {
+    CPPUNIT_ASSERT(!RequestDigest::Parse(""));
+    CPPUNIT_ASSERT(!RequestDigest::Parse(std::string(31, 'a')));
+    CPPUNIT_ASSERT(!RequestDigest::Parse(std::string(32, 'A')));
+    CPPUNIT_ASSERT(!RequestDigest::Parse(std::string(32, 'g')));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestDigestTest);
+
+}  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/sha256.h
@@ -0,0 +1,17 @@
+/// \file
+/// SHA-256 of some texts after one another, by OpenSSL.
+
+#pragma once
+
+#include <array>
+#include <initializer_list>
+#include <string_view>
+
+namespace rillwall {
+
+using Sha256Bytes = std::array<unsigned char, 32>;
+
+/// \param aTexts hashed as one text
+Sha256Bytes Sha256(std::initializer_list<std::string_view> aTexts);
+
+}  // namespace rillwall
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "replica_end.h"
 #include "rillwall/event_log.h"
+#include "rillwall/request_digest.h"
 
 namespace rillwall {
 
@@ -34,8 +36,21 @@
   ReplicaWish mWish;
   std::optional<UpstreamAnswer> mFailedAnswer;  ///< best of the failed ones
   bool mCounted = false;  ///< it has begun to run at some replica
+  std::optional<RequestDigest> mDigest;  ///< once it is needed
 };
 
+/// \return what the request is, whoever sends it again
+const RequestDigest& DigestOf(CallRun& aRun) {
+  if (!aRun.mDigest) {
+    const HttpRequest& request = aRun.mCall.mRequest;
+    const std::string* host = request.Find("Host");
+    aRun.mDigest.emplace(RequestParts{
+        request.mMethod, host == nullptr ? std::string_view() : *host,
+        request.mTarget, aRun.mCall.mAccount, request.mBody});
+  }
+  return *aRun.mDigest;
+}
+
 /// Counts a request for its account, once and by the time at which it was
 /// first sent to a replica that ran it. Also if the client leaves meanwhile.
 class RunCount {
@@ -64,6 +79,8 @@
   TryEnd mEnd = TryEnd::NotSent;
   UpstreamAnswer mAnswer;
   std::string mWhy;
+  bool mClosed = false;  ///< the replica closed the connection
+  bool mEnded = false;   ///< its process has ended since
 };
 
 HttpRequest Prepare(const CallRun& aRun, const std::string& aReplica,
@@ -135,6 +152,7 @@
       result.mEnd = part.error().Kind() == ErrorKind::Timeout ? TryEnd::TimedOut
                                                               : TryEnd::Lost;
       result.mWhy = part.error().Detail();
+      result.mClosed = part.error().Kind() == ErrorKind::ConnectionLost;
       co_return result;
     }
     if (part->empty()) {
@@ -163,6 +181,7 @@
   if (!opened) {
     result.mEnd = EndOf(opened.error());
     result.mWhy = opened.error().Detail();
+    result.mClosed = opened.error().Kind() == ErrorKind::ConnectionLost;
     co_return result;
   }
   std::unique_ptr<HttpStream> stream = std::move(*opened);
@@ -187,7 +206,15 @@
   co_return co_await ReadAnswer(std::move(stream), due, node);
 }
 
-void LogTry(const CallRun& aRun, const std::string& aReplica,
+/// \return the digest in a try's log line: of requests that may have run and
+/// were not answered, so that it can be seen which of them ask for the same
+std::string LoggedDigest(CallRun& aRun, const TryResult& aResult) {
+  const bool lost =
+      aResult.mEnd == TryEnd::Lost || aResult.mEnd == TryEnd::TimedOut;
+  return lost ? DigestOf(aRun).Text() : std::string();
+}
+
+void LogTry(CallRun& aRun, const std::string& aReplica,
             const TryResult& aResult, CallStep aStep) {
   const bool delivered = aStep == CallStep::Deliver;
   Event(delivered ? "answered" : "try-failed")
@@ -197,6 +224,8 @@
       .Number("status", aResult.mAnswer.mHead.mStatus)
       .Number("left_ms", (aRun.mCall.mDue - aRun.mNode.Now()).Count())
       .Text("why", aResult.mWhy)
+      .Text("request", LoggedDigest(aRun, aResult))
+      .Flag("replica_ended", aResult.mEnded)
       .Text("next", aStep == CallStep::Retry ? "retry"
                     : delivered              ? "deliver"
                                              : "fail")
@@ -237,6 +266,9 @@
       count.NotRun();
     }
     use.End(OutcomeOf(result.mEnd));
+    if (result.mEnd == TryEnd::Lost && result.mClosed) {
+      result.mEnded = co_await ReplicaEnded(node, replica.mAddress);
+    }
     const int status = result.mAnswer.mHead.mStatus;
     const CallStep step = aRun.mAttempts.Take(result.mEnd, status);
     LogTry(aRun, *id, result, step);
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -49,8 +49,11 @@
   void Release(Connection aConnection) override;
   /// \return an idle connection that looks healthy, or nullptr
   Connection Reuse(const Endpoint& aEndpoint);
+  /// Makes a connection. \return what went wrong; timed_out if it took too long
+  asio::awaitable<error_code> Dial(HttpClientConnection& aTo, TimePoint aDue);
   asio::awaitable<Result<Connection>> Connect(Endpoint aEndpoint,
                                               TimePoint aDue);
+  asio::awaitable<Listening> Probe(Endpoint aEndpoint, Millis aTimeout);
   asio::awaitable<std::optional<Error>> Secure(HttpClientConnection& aTo);
   asio::awaitable<Result<std::unique_ptr<HttpClientCall>>> Begin(
       const Endpoint& aEndpoint, const HttpRequest& aRequest, Millis aTimeout);
@@ -126,25 +129,50 @@
   }
 }
 
-asio::awaitable<Result<Connection>> HttpClient::Impl::Connect(
-    Endpoint aEndpoint, TimePoint aDue) {
+asio::awaitable<error_code> HttpClient::Impl::Dial(HttpClientConnection& aTo,
+                                                   TimePoint aDue) {
   error_code code;
   const asio::ip::address address =
-      asio::ip::make_address(aEndpoint.mHost, code);
+      asio::ip::make_address(aTo.mEndpoint.mHost, code);
   if (code) {
-    co_return CannotConnect(aEndpoint, code, false);
+    co_return code;
   }
+  mMade.fetch_add(1);
+  const asio::ip::tcp::endpoint remote(address, aTo.mEndpoint.mPort);
+  co_return co_await aTo.mSocket.Connect(
+      remote, std::min(Until(aDue), mConnectTimeout));
+}
+
+asio::awaitable<Listening> HttpClient::Impl::Probe(Endpoint aEndpoint,
+                                                   Millis aTimeout) {
+  const std::shared_ptr<Impl> self = shared_from_this();
   auto connection =
       std::make_unique<HttpClientConnection>(mContext, aEndpoint, mOpen);
-  mMade.fetch_add(1);
-  HttpSocket& socket = connection->mSocket;
-  const asio::ip::tcp::endpoint remote(address, aEndpoint.mPort);
-  const Millis limit = std::min(Until(aDue), mConnectTimeout);
-  code = co_await socket.Connect(remote, limit);
-  const bool late = code == asio::error::timed_out;
-  if (code || late) {
+  const TimePoint due = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(aTimeout.Count());
+  const error_code code = co_await Dial(*connection, due);
+  if (code == asio::error::connection_refused) {
+    co_return Listening::No;
+  }
+  if (code) {
+    co_return Listening::Unknown;
+  }
+  if (!mKeys) {
+    Release(std::move(connection));
+  }
+  co_return Listening::Yes;
+}
+
+asio::awaitable<Result<Connection>> HttpClient::Impl::Connect(
+    Endpoint aEndpoint, TimePoint aDue) {
+  auto connection =
+      std::make_unique<HttpClientConnection>(mContext, aEndpoint, mOpen);
+  const error_code code = co_await Dial(*connection, aDue);
+  if (code) {
+    const bool late = code == asio::error::timed_out;
     co_return CannotConnect(aEndpoint, code, late);
   }
+  HttpSocket& socket = connection->mSocket;
   socket.Deadline().Set(Until(aDue));
   if (mKeys) {
     std::optional<Error> error = co_await Secure(*connection);
@@ -248,6 +276,11 @@
   return mImpl->Open(aEndpoint, std::move(aRequest), aTimeout);
 }
 
+asio::awaitable<Listening> HttpClient::Probe(const Endpoint& aEndpoint,
+                                             Millis aTimeout) {
+  return mImpl->Probe(aEndpoint, aTimeout);
+}
+
 void HttpClient::SetConnectTimeout(Millis aTimeout) {
   mImpl->mConnectTimeout = aTimeout;
 }
--- a/src/librillwall_transport/http_client_test.cpp
+++ b/src/librillwall_transport/http_client_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(TestEarlyRefusalOfLargeBody);
   CPPUNIT_TEST(TestOwnAnswersUnderTimeouts);
   CPPUNIT_TEST(TestEarlyRelease);
+  CPPUNIT_TEST(TestProbe);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -241,6 +242,24 @@
     WaitFor([&] { return cancelled.load(); });
   }
 
+  void TestProbe() {
+    Endpoint closed;
+    {
+      RawUpstream gone({});
+      closed = gone.Where();
+    }
+    CPPUNIT_ASSERT(Listening::No == Await(mClient.Probe(closed, kGenerous)));
+    RawUpstream lives({"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+    CPPUNIT_ASSERT(Listening::Yes ==
+                   Await(mClient.Probe(lives.Where(), kGenerous)));
+    // The next call uses its connection: the upstream accepts only one.
+    HttpRequest request;
+    CPPUNIT_ASSERT_EQUAL(
+        200, Await(mClient.Send(lives.Where(), request, kGenerous))->mStatus);
+    CPPUNIT_ASSERT(Listening::Unknown ==
+                   Await(mClient.Probe({"no address", 1}, kGenerous)));
+  }
+
  private:
   template <class Value>
   Value Await(asio::awaitable<Value> aWork) {
