--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -12,6 +12,8 @@
   labels     each version of a text made one of its events, none is too old
   end        after an end nothing new of the step runs
   kept       what was accepted can be read at every node when all is over
+  crashes    a request that ends each replica which begins to run it is sent to few more, by hosts
+             that nothing has happened to, once three have ended under it
   recovers   after all faults, requests and a new step are served
   processes  no process ends by itself
 
@@ -33,7 +35,7 @@
 import tempfile
 import time
 
-from standins import Engine, Service, Store, events_of, text_of
+from standins import CRASHING, Engine, Service, Store, events_of, text_of
 from web import Proxy, call
 
 ADDRESS_WAIT_S = 120  # a run of 15 s takes some 25
@@ -41,7 +43,10 @@
 MODEL = "model1"
 HOST = "soak.example"
 GRACE_S = 8
-CHECKS = ["whole", "truth", "once", "positions", "text", "labels", "end", "kept", "recovers", "processes"]
+CONTACT_S = 3  # hosts that nothing has happened to for so long must act on what others know
+CRASHES, MORE_RUNS = 3, 3  # replicas that may end under a request, and runs by such hosts later
+CALM_FAULTS = {"crash", "replica", "replace", "replica_path", "config", "reload"}  # hosts and store are well
+CHECKS = ["whole", "truth", "once", "positions", "text", "labels", "end", "kept", "crashes", "recovers", "processes"]
 
 
 class Node:
@@ -136,6 +141,8 @@
         self.failed, self.positions, self.ended, self.served = [], {}, {}, 0
         self.named, self.stopping, self.config_version = 1, False, 0
         self.whole_steps, self.started = 0, []
+        self.crashes, self.crashing_items = {}, False  # what each replica that ended began last: when, in calm
+        self.troubles, self.trouble_end = 0, 0.0  # faults under way that are not calm, and when the last ended
 
     def check(self, name, holds, what):
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -156,10 +163,39 @@
         self.entries = [node for node in self.nodes if node.entry]
 
     async def start_replica(self, replica):
+        replica.on_crash = self.crashed
         await replica.server.start()
         replica.proxy = await Proxy(replica.server.port).start()
         replica.register()
 
+    def crashed(self, old, request):
+        """A replica's process ends under a request, and a new one starts at its address seconds later."""
+        calm = not self.troubles and time.monotonic() - self.trouble_end > CONTACT_S
+        self.crashes.setdefault((request.path, request.body), []).append((time.monotonic(), calm))
+        kind = self.engines if old in self.engines else self.services
+        if old in kind:
+            kind.remove(old)
+            old.server.stop()
+            old.proxy.stop()
+            asyncio.create_task(self.start_again(old, kind))
+
+    async def start_again(self, old, kind):
+        await asyncio.sleep(self.rng.uniform(1.0, 2.0))
+        self.store.revision += 1
+        self.store.remove(f"servers/{old.id}")
+        new = self.successor(old, kind)
+        await new.proxy.start()
+        await new.server.start()
+        new.register()
+        kind.append(new)
+
+    def successor(self, old, kind):
+        """A replica at the address of another one."""
+        new = (Engine(self.store, self.rng, "engine", old.zone, {MODEL: self.named}, self.made)
+               if kind is self.engines else Service(self.store, self.rng, "plain", old.zone, self.runs))
+        new.server.port, new.proxy, new.on_crash = old.server.port, old.proxy, self.crashed
+        return new
+
     def configure(self):
         self.config_version += self.rng.randint(1, 3)
         def route(name, prefix, kind, service, **more):
@@ -205,10 +241,12 @@
         for group in range(8):
             for member in range(3):
                 name = f"{self.rng.getrandbits(64):016x}"
+                crashing = self.crashing_items and (group, member) == (7, 2)
+                text = CRASHING if crashing else name.encode()
                 items.append({
                     "id": name, "path": "/steps/x", "group": f"g{number}-{group}", "tokens": 100,
                     "headers": {"X-Rillwall-Model": MODEL, "X-Rillwall-Length-Hint": str(events_of(name))},
-                    "body": base64.b64encode(name.encode()).decode(),
+                    "body": base64.b64encode(text).decode(),
                     "scorer": {"id": name + "5c", "host": HOST, "path": "/status/score", "body": ""}})
         return {"step": number, "model": MODEL, "min-version": max(1, self.named - 1),
                 "target-groups": 7, "items": items}
@@ -387,13 +425,33 @@
         self.store.remove(f"servers/{old.id}")
         kind.remove(old)
         await asyncio.sleep(self.rng.uniform(0, 2))
-        new = (Engine(self.store, self.rng, "engine", old.zone, {MODEL: self.named}, self.made)
-               if kind is self.engines else Service(self.store, self.rng, "plain", old.zone, self.runs))
-        new.server.port, new.proxy = old.server.port, old.proxy
+        new = self.successor(old, kind)
         await new.server.start()
         new.register()
         kind.append(new)
 
+    async def fault_crash(self):
+        """A client asks for what ends each replica that begins it, again and again, at any host."""
+        self.crashing_items = True
+        for _ in range(8):
+            await self.ask_crashing(self.rng.choice(["status", "charge"]))
+            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+
+    async def ask_crashing(self, kind):
+        name = f"{self.rng.getrandbits(64):016x}"
+        got = await call(self.rng.choice(self.entries).address(), "POST", f"/{kind}/a", {
+            "Host": HOST, "X-Rillwall-Request-Id": name, "X-Rillwall-Deadline-Ms": "1500"}, CRASHING + kind.encode(), 4)
+        if got is not None and got[0] in (408, 421, 429, 503):
+            self.refused.add(name)
+            self.check("truth", name not in self.runs, f"{name} was refused with {got[0]} and ran")
+
+    def check_crashes(self):
+        for (path, body), runs in self.crashes.items():
+            if len(runs) > CRASHES:
+                late = [at for at, calm in runs[CRASHES:] if calm and at > runs[CRASHES - 1][0] + CONTACT_S]
+                self.check("crashes", len(late) <= MORE_RUNS,
+                           f"{path} {body} ended {len(runs)} replicas, {len(late)} of them late and in calm")
+
     async def fault_config(self):
         self.configure()
 
@@ -408,9 +466,19 @@
             if name not in busy or busy[name].done():
                 # Signals of one kind come in series, different kinds overlap.
                 self.faults[name] = self.faults.get(name, 0) + 1
-                busy[name] = asyncio.create_task(getattr(self, "fault_" + name)())
+                busy[name] = asyncio.create_task(self.inject_one(name))
         await asyncio.gather(*busy.values())
 
+    async def inject_one(self, name):
+        calm = name in CALM_FAULTS
+        self.troubles += not calm
+        try:
+            await getattr(self, "fault_" + name)()
+        finally:
+            self.troubles -= not calm
+            if not calm:
+                self.trouble_end = time.monotonic()
+
     # The run.
 
     async def all_ready(self, limit):
@@ -423,6 +491,13 @@
 
     async def final_checks(self):
         self.check("recovers", await self.all_ready(12), "not all nodes are ready again")
+        if "crash" in self.faults:
+            # Everything is well again, and what crashes comes still.
+            await asyncio.sleep(CONTACT_S)
+            await self.fault_crash()
+        self.check_crashes()
+        self.crashing_items = False
+        await asyncio.sleep(3)  # until the last replica that ended is back
         served = [await self.request("status", f"{i:016x}") for i in range(10)]
         self.check("recovers", all(served), f"{served.count(False)} of 10 requests are not served")
         self.check("recovers", await self.one_step(10000, 25), "a new step is not whole")
--- a/testsuite/platform/standins.py
+++ b/testsuite/platform/standins.py
@@ -10,6 +10,8 @@
 
 from web import Cut, Server, answer
 
+CRASHING = b"crash"  # a request whose body begins so ends each replica that begins to run it
+
 
 def number_of(text, below):
     """A number that depends on a text only."""
@@ -155,6 +157,7 @@
     def __init__(self, store, rng, service, zone, slots):
         self.store, self.rng, self.service, self.zone, self.slots = store, rng, service, zone, slots
         self.id, self.running, self.fault, self.state, self.proxy = f"i-{rng.getrandbits(40):x}", 0, "", "ready", None
+        self.on_crash = None
         self.server = Server(self.handle)
 
     def entry(self):
@@ -164,6 +167,13 @@
     def register(self):
         self.store.write(f"servers/{self.id}", self.entry())
 
+    async def crash_on(self, request):
+        """Ends, as a process does, under a request that is made to bring that about."""
+        if request.body.startswith(CRASHING):
+            await asyncio.sleep(0.02)
+            self.on_crash(self, request)
+            raise Cut
+
     def refused(self, request):
         """An answer that says that nothing ran, or None."""
         echo = {"X_Rillwall_Request_Id": request.headers.get("x-rillwall-request-id", "")}
@@ -188,6 +198,7 @@
         self.running += 1
         try:
             self.runs[name] = self.runs.get(name, 0) + 1
+            await self.crash_on(request)
             await asyncio.sleep(0.02 * (4 if self.fault == "slow" else 1))
         finally:
             self.running -= 1
@@ -222,6 +233,7 @@
             return answer(503, X_Rillwall_Not_Executed=1)
         self.running += 1
         try:
+            await self.crash_on(request)
             await self.stream(request, writer)
         finally:
             self.running -= 1
--- a/testsuite/platform/web.py
+++ b/testsuite/platform/web.py
@@ -66,7 +66,7 @@
     def stop(self):
         """Closes the port and resets all connections."""
         self.server.close()
-        for writer in self.writers:
+        for writer in list(self.writers):
             writer.transport.abort()
 
     async def serve(self, reader, writer):
@@ -116,10 +116,16 @@
         self.target, self.mode, self.server, self.port, self.writers = port, "pass", None, 0, set()
 
     async def start(self, host="127.0.0.1"):
-        self.server = await asyncio.start_server(self.serve, host, 0, limit=1 << 20)
+        self.server = await asyncio.start_server(self.serve, host, self.port, limit=1 << 20)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    def stop(self):
+        """Closes the port and ends all connections, as when the peer's process ends."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def set(self, mode):
         self.mode = mode
         if mode in ("reset", "refuse"):
