crashes: what hosts know of requests that end replicas outlives an attempt and is shared

Cause: what a host knew of a request lived in one CallAttempts, one client attempt long, and no host asked whether a replica that closed a connection had ended. A request that crashes replicas could end as many as its route's attempts each time it came, at any host, for as long as it came. Ruled out: tries beyond attempts within one attempt (none in the logs), and replicas that end by themselves (the lost tries of the incident bear few digests; replicas refuse connections after each). Change: CrashTable, the same at all hosts whatever the order of news; a record names a request and one replica that ended under it (connection closed and the next one refused). Three records hold the request everywhere: refused at once, as not run, with the time left; an answer to it at any host clears it. Held too: items of steps (set aside, the step goes on), calls for scores, streams. After two ends no third replica is tried within one attempt.

--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 
+#include "rillwall/crash_table.h"
 #include "rillwall/http.h"
 #include "rillwall/millis.h"
 #include "rillwall/rcu.h"
@@ -77,6 +78,7 @@
   ReplicaPool mReplicas;
   ServiceMetrics mMetrics;
   UsageMeter mUsage;
+  CrashTable mCrashes;
   /// Time of day in ms since 1970, by which usage is counted.
   std::function<int64_t()> mTimeOfDay = WallClockMs;
   bool mStopping = false;  ///< the stop signal has come
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -167,6 +168,12 @@
   /// \param aFailed the replica ran it and failed
   /// \return whether it was given up for that
   bool Interrupted(size_t aItem, bool aFailed);
+  /// An item that waits is not to run for now; GiveUpRest() ends it with the
+  /// others if that does not change.
+  void SetAside(size_t aItem);
+  /// Items that were set aside wait again, if a test allows it.
+  /// \param aMayRun whether an item may run now
+  void PutBack(const std::function<bool(size_t aItem)>& aMayRun);
   /// The replica says that the item can never be done.
   void Impossible(size_t aItem);
   /// Text and score are whole.
@@ -190,7 +197,7 @@
   std::map<std::string, RolloutText> TextsOfOpenGroups() const;
 
  private:
-  enum class Phase { Waiting, Running, Ended };
+  enum class Phase { Waiting, Aside, Running, Ended };
   struct State {
     Phase mPhase = Phase::Waiting;
     int mFailures = 0;
@@ -230,6 +237,7 @@
   std::map<std::string, Group> mGroups;
   std::vector<State> mStates;
   std::set<Place> mWaiting;
+  std::set<size_t> mAside;
   std::vector<RolloutResult> mUnlisted;
   size_t mEnded = 0;
   size_t mWholeGroups = 0;
--- a/src/include/rillwall/shared_view.h
+++ b/src/include/rillwall/shared_view.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "rillwall/crash_record.h"
 #include "rillwall/error.h"
 #include "rillwall/node_directory.h"
 #include "rillwall/replica_log.h"
@@ -34,6 +35,7 @@
   NodeEntry mFrom;
   std::string mRun;       ///< of the node whose replicas it knows
   ReplicaMark mReplicas;  ///< how far it knows them
+  int64_t mCrashes = 0;   ///< number up to which it knows that node's records
   uint64_t mNodes = 0;    ///< tag of the nodes that it was told
   bool mVersions = true;  ///< it owns steps and wants weight versions too
   bool mHelp = false;     ///< the lead does not answer it
@@ -48,6 +50,10 @@
   int64_t mConfig = 0;
   std::optional<std::vector<NodeEntry>> mNodes;  ///< unless they are the same
   std::optional<LeadHolder> mLead;
+  /// Requests that have ended replicas: what the listener lacks, and the number
+  /// up to which it knows them with that.
+  int64_t mCrashNumber = 0;
+  std::vector<CrashRecord> mCrashes;
   bool operator==(const SharedView&) const = default;
 };
 
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -101,7 +101,8 @@
   struct AnswerKey {
     bool mVersions = false;
     ReplicaMark mKnown;
-    bool mNodes = false;  ///< the nodes are told
+    int64_t mCrashes = 0;  ///< records of crashes are known up to this
+    bool mNodes = false;   ///< the nodes are told
     // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
     // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const AnswerKey&) const = default;
@@ -143,6 +144,11 @@
   std::map<AnswerKey, std::string> mTexts;  ///< answers to the present state
   std::optional<LeadHolder> mTextsLead;     ///< the lead that they name
   uint64_t mTextsNodes = 0;                 ///< tag of the nodes that they name
+  int64_t mTextsCrashes =
+      0;  ///< number of the records of crashes that they hold
+  /// How far this node knows the records of crashes of the node told last.
+  std::string mCrashesRun;
+  int64_t mCrashesNumber = 0;
 };
 
 }  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_coordination/crash_table.cpp
@@ -0,0 +1,171 @@
+#include "rillwall/crash_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rillwall {
+
+bool CrashTable::Take(const CrashRecord& aRecord, bool aOwn) {
+  const auto [at, added] =
+      mRecords.try_emplace({aRecord.mRequest, aRecord.mReplica});
+  Entry& entry = at->second;
+  const bool clears = aRecord.mCleared && !entry.mRecord.mCleared;
+  if (!added && !clears) {
+    return false;
+  }
+  if (added) {
+    entry.mRecord = aRecord;
+    mSuspects += aRecord.mCleared ? 0 : 1;
+  } else {
+    entry.mRecord.mCleared = true;
+    --mSuspects;
+  }
+  entry.mNumber = ++mNumber;
+  entry.mUnsaved = aOwn;
+  return true;
+}
+
+bool CrashTable::Blame(CrashRecord aRecord) {
+  const bool news = Take(aRecord, true);
+  if (news) {
+    Evict();
+  }
+  if (news && mOnOwnNews) {
+    mOnOwnNews();
+  }
+  return news;
+}
+
+size_t CrashTable::Clear(const RequestDigest& aRequest) {
+  size_t cleared = 0;
+  for (auto at = mRecords.lower_bound({aRequest, {}});
+       at != mRecords.end() && at->first.mRequest == aRequest; ++at) {
+    CrashRecord record = at->second.mRecord;
+    record.mCleared = true;
+    cleared += Take(record, true) ? 1 : 0;
+  }
+  if (cleared > 0 && mOnOwnNews) {
+    mOnOwnNews();
+  }
+  return cleared;
+}
+
+std::vector<CrashRecord> CrashTable::Merge(
+    const std::vector<CrashRecord>& aRecords) {
+  std::vector<CrashRecord> news;
+  for (const CrashRecord& record : aRecords) {
+    if (Take(record, false)) {
+      news.push_back(record);
+    }
+  }
+  Evict();
+  return news;
+}
+
+CrashTable::Entries::iterator CrashTable::Erase(Entries::iterator aAt) {
+  mSuspects -= aAt->second.mRecord.mCleared ? 0 : 1;
+  return mRecords.erase(aAt);
+}
+
+void CrashTable::Forget(int64_t aNowMs) {
+  const int64_t oldest = aNowMs - kRememberFor.Count();
+  for (auto at = mRecords.begin(); at != mRecords.end();) {
+    at = at->second.mRecord.mAtMs < oldest ? Erase(at) : std::next(at);
+  }
+}
+
+void CrashTable::Evict() {
+  const auto keepRank = [this](Entries::iterator aAt) {
+    const CrashRecord& record = aAt->second.mRecord;
+    return std::tuple(!record.mCleared, Crashes(record.mRequest), record.mAtMs);
+  };
+  while (mRecords.size() > kMaxRecords) {
+    auto least = mRecords.begin();
+    for (auto at = mRecords.begin(); at != mRecords.end(); ++at) {
+      least = keepRank(at) < keepRank(least) ? at : least;
+    }
+    Erase(least);
+  }
+}
+
+size_t CrashTable::Crashes(const RequestDigest& aRequest) const {
+  size_t count = 0;
+  for (auto at = mRecords.lower_bound({aRequest, {}});
+       at != mRecords.end() && at->first.mRequest == aRequest; ++at) {
+    count += at->second.mRecord.mCleared ? 0 : 1;
+  }
+  return count;
+}
+
+Millis CrashTable::HeldFor(const RequestDigest& aRequest,
+                           int64_t aNowMs) const {
+  std::vector<int64_t> times;
+  for (auto at = mRecords.lower_bound({aRequest, {}});
+       at != mRecords.end() && at->first.mRequest == aRequest; ++at) {
+    if (!at->second.mRecord.mCleared) {
+      times.push_back(at->second.mRecord.mAtMs);
+    }
+  }
+  if (times.size() < kReplicasToHold) {
+    return {};
+  }
+  // Until so many are forgotten that the rest does not hold it.
+  std::sort(times.rbegin(), times.rend());
+  const Millis left(times[kReplicasToHold - 1] + kRememberFor.Count() - aNowMs);
+  return std::max(left, Millis(1));
+}
+
+std::vector<CrashRecord> CrashTable::Since(int64_t aNumber) const {
+  std::vector<CrashRecord> records;
+  for (const auto& [key, entry] : mRecords) {
+    if (entry.mNumber > aNumber) {
+      records.push_back(entry.mRecord);
+    }
+  }
+  return records;
+}
+
+std::vector<CrashRecord> CrashTable::Unsaved(size_t aMost) const {
+  std::vector<CrashRecord> records;
+  for (const auto& [key, entry] : mRecords) {
+    if (records.size() == aMost) {
+      break;
+    }
+    if (entry.mUnsaved) {
+      records.push_back(entry.mRecord);
+    }
+  }
+  return records;
+}
+
+bool CrashTable::UnsavedIsUrgent() const {
+  return std::any_of(mRecords.begin(), mRecords.end(), [](const auto& aEntry) {
+    return aEntry.second.mUnsaved && !aEntry.second.mRecord.mCleared;
+  });
+}
+
+void CrashTable::Saved(const std::vector<CrashRecord>& aRecords) {
+  for (const CrashRecord& record : aRecords) {
+    const auto at = mRecords.find({record.mRequest, record.mReplica});
+    // It may have been cleared while it was written.
+    if (at != mRecords.end() && at->second.mRecord == record) {
+      at->second.mUnsaved = false;
+    }
+  }
+}
+
+std::vector<Suspect> CrashTable::Suspects() const {
+  std::vector<Suspect> suspects;
+  for (const auto& [key, entry] : mRecords) {
+    if (entry.mRecord.mCleared) {
+      continue;
+    }
+    if (suspects.empty() || suspects.back().mRequest != key.mRequest) {
+      suspects.push_back({key.mRequest, {}, Held(key.mRequest)});
+    }
+    suspects.back().mRecords.push_back(entry.mRecord);
+  }
+  return suspects;
+}
+
+}  // namespace rillwall
--- a/src/librillwall_coordination/rollout_book.cpp
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -259,6 +259,27 @@
   return false;
 }
 
+void RolloutBook::SetAside(size_t aItem) {
+  State& state = mStates[aItem];
+  if (state.mPhase == Phase::Waiting) {
+    mWaiting.erase(PlaceOf(aItem));
+    state.mPhase = Phase::Aside;
+    mAside.insert(aItem);
+  }
+}
+
+void RolloutBook::PutBack(const std::function<bool(size_t aItem)>& aMayRun) {
+  for (auto at = mAside.begin(); at != mAside.end();) {
+    if (!aMayRun(*at)) {
+      ++at;
+      continue;
+    }
+    mStates[*at].mPhase = Phase::Waiting;
+    mWaiting.insert(PlaceOf(*at));
+    at = mAside.erase(at);
+  }
+}
+
 void RolloutBook::Impossible(size_t aItem) {
   if (mStates[aItem].mPhase == Phase::Running) {
     End(aItem, RolloutEnd::Terminated);
@@ -284,6 +305,7 @@
   if (state.mPhase == Phase::Waiting) {
     mWaiting.erase(PlaceOf(aItem));
   }
+  mAside.erase(aItem);
   state.mPhase = Phase::Ended;
   ++mEnded;
   Group& group = mGroups[mSpec.mItems[aItem].mGroup];
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -122,6 +122,7 @@
          "&run=" + aQuestion.mRun +
          "&replicas=" + std::to_string(aQuestion.mReplicas.mNumber) +
          "&digest=" + std::to_string(aQuestion.mReplicas.mDigest) +
+         "&crashes=" + std::to_string(aQuestion.mCrashes) +
          "&nodes=" + std::to_string(aQuestion.mNodes) +
          "&versions=" + (aQuestion.mVersions ? "1" : "0") +
          "&help=" + (aQuestion.mHelp ? "1" : "0");
@@ -134,6 +135,7 @@
   question.mRun = aField("run");
   question.mReplicas = {ParseNumber(aField("replicas")).value_or(0),
                         Unsigned(aField("digest"))};
+  question.mCrashes = ParseNumber(aField("crashes")).value_or(0);
   question.mNodes = Unsigned(aField("nodes"));
   question.mVersions = aField("versions") != "0";
   question.mHelp = aField("help") == "1";
@@ -157,6 +159,14 @@
   if (aView.mLead) {
     object["lead"] = ToJson(*aView.mLead);
   }
+  object["crash_number"] = aView.mCrashNumber;
+  if (!aView.mCrashes.empty()) {
+    json::array crashes;
+    for (const CrashRecord& record : aView.mCrashes) {
+      crashes.push_back(CrashToJson(record));
+    }
+    object["crashes"] = std::move(crashes);
+  }
   return json::serialize(object);
 }
 
@@ -178,6 +188,8 @@
   if (reader.Has("nodes")) {
     view.mNodes = ReadArray(reader, "nodes", NodeFrom);
   }
+  view.mCrashNumber = reader.Int("crash_number", 0);
+  view.mCrashes = ReadArray(reader, "crashes", CrashFromJson);
   const json::object* lead = reader.Object("lead");
   if (lead != nullptr) {
     JsonReader fields(*lead, "lead");
--- a/src/librillwall_protocol/shared_view_test.cpp
+++ b/src/librillwall_protocol/shared_view_test.cpp
@@ -12,6 +12,7 @@
 class SharedViewTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SharedViewTest);
   CPPUNIT_TEST(ViewComesBack);
+  CPPUNIT_TEST(CrashComesBack);
   CPPUNIT_TEST(QuestionComesBack);
   CPPUNIT_TEST(LeadComesBack);
   CPPUNIT_TEST(BrokenViewIsAnError);
@@ -40,12 +41,32 @@
     view.mNodes =
         std::vector<NodeEntry>{{"10.0.0.2:1", true}, {"10.0.0.3:1", false}};
     view.mLead = LeadHolder{"n", "10.0.0.3:1", "r"};
+    const RequestDigest digest(RequestParts{"POST", "h", "/p", "a", "body"});
+    view.mCrashNumber = 4;
+    view.mCrashes = {{digest, "i-1", 1000, false, "POST h/p"},
+                     {digest, "i-2@7", 1001, true, ""}};
     CPPUNIT_ASSERT(view == *DecodeView(EncodeView(view)));
   }
 
+  void CrashComesBack() {
+    const RequestDigest digest(RequestParts{"POST", "h", "/p", "a", "body"});
+    const CrashRecord record{digest, "i-1", 1000, true, "POST h/p"};
+    CPPUNIT_ASSERT(record == *DecodeCrash(EncodeCrash(record)));
+    CPPUNIT_ASSERT_EQUAL(CrashPrefix() + digest.Text() + "/i-1",
+                         CrashKey(record));
+    CPPUNIT_ASSERT(!DecodeCrash("{}"));
+    CPPUNIT_ASSERT(!DecodeCrash(R"({"request":"no digest","replica":"i",)"
+                                R"("at_ms":1,"cleared":false})"));
+  }
+
   void QuestionComesBack() {
-    const ViewQuestion question{{"10.0.0.2:1", true}, "r-1", {5, ~uint64_t{0}},
-                                ~uint64_t{0},         false, true};
+    const ViewQuestion question{{"10.0.0.2:1", true},
+                                "r-1",
+                                {5, ~uint64_t{0}},
+                                4,
+                                ~uint64_t{0},
+                                false,
+                                true};
     const std::string target = EncodeQuestion(question);
     CPPUNIT_ASSERT(target.starts_with(std::string(kViewPath) + "?"));
     const auto field = [&](std::string_view aName) {
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 
+#include "crash_guard.h"
+#include "replica_end.h"
 #include "rillwall/admission.h"
 #include "rillwall/numbers.h"
 #include "rillwall/sse.h"
@@ -19,6 +21,9 @@
 constexpr Millis kEventLimit{1200};
 /// A replica whose weights are older than it was listed with.
 constexpr Millis kOldWeightsPause{300};
+/// A request that ends replicas does so as it begins: a run that has brought so
+/// many events is ended by something else. Texts have 23 on average.
+constexpr int64_t kBegunEvents = 8;
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnprocessable = 422;
@@ -27,6 +32,12 @@
   return aText == nullptr ? aDefault : ParseNumber(*aText).value_or(aDefault);
 }
 
+RequestParts PartsOf(const RolloutStep& aStep, size_t aItem) {
+  const RolloutSpec& spec = aStep.mBook.Spec();
+  const RolloutItem& item = aStep.mBook.Item(aItem);
+  return {"POST", spec.mHost, item.mPath, spec.mAccount, item.mBody};
+}
+
 HttpRequest MakeRequest(const NodeContext& aNode, RolloutStep& aStep,
                         size_t aItem, const Replica& aReplica) {
   const RolloutItem& item = aStep.mBook.Item(aItem);
@@ -151,6 +162,12 @@
   aLastAt = now;
 }
 
+/// \return how a run ended whose request was sent
+ItemRunEnd EndOf(const Error& aError) {
+  return aError.Kind() == ErrorKind::ConnectionLost ? ItemRunEnd::Closed
+                                                    : ItemRunEnd::Broken;
+}
+
 /// Takes events in until the stream ends.
 asio::awaitable<ItemRunEnd> TakeEvents(NodeContext& aNode, RolloutStep& aStep,
                                        size_t aItem, const Replica& aReplica,
@@ -169,7 +186,7 @@
       const auto moving = aStep.mMoving.find(aItem);
       const bool moved = moving != aStep.mMoving.end();
       aWhy = moved ? moving->second : part.error().Detail();
-      co_return moved ? ItemRunEnd::Moved : ItemRunEnd::Broken;
+      co_return moved ? ItemRunEnd::Moved : EndOf(part.error());
     }
     if (part->empty()) {
       co_return ItemRunEnd::Whole;
@@ -198,7 +215,7 @@
   if (!opened) {
     aWhy = opened.error().Detail();
     const bool sent = opened.error().Run() != RunState::NotRun;
-    co_return sent ? ItemRunEnd::Broken : ItemRunEnd::NotSent;
+    co_return sent ? EndOf(opened.error()) : ItemRunEnd::NotSent;
   }
   if (!aStep.mRunning) {
     co_return ItemRunEnd::Stopped;
@@ -232,4 +249,31 @@
   co_return end;
 }
 
+bool ItemHeld(const NodeContext& aNode, const RolloutStep& aStep,
+              size_t aItem) {
+  const CrashTable& crashes = aNode.mCrashes;
+  return crashes.AnySuspect() &&
+         crashes.Held(RequestDigest(PartsOf(aStep, aItem)));
+}
+
+asio::awaitable<bool> LearnFromRun(NodeContext& aNode, RolloutStep& aStep,
+                                   size_t aItem, Replica aReplica,
+                                   ItemRunEnd aEnd, int64_t aEvents) {
+  const RequestParts parts = PartsOf(aStep, aItem);
+  const std::string& id = aStep.mBook.Item(aItem).mId;
+  const bool lived = aEnd == ItemRunEnd::Whole || aEvents >= kBegunEvents;
+  if (lived && aNode.mCrashes.AnySuspect()) {
+    ClearRequest(aNode, RequestDigest(parts), id);
+  }
+  if (lived || aEnd != ItemRunEnd::Closed) {
+    co_return false;
+  }
+  const bool ended = co_await ReplicaEnded(aNode, aReplica.mAddress);
+  if (ended) {
+    BlameRequest(aNode, RequestDigest(parts), aReplica, id,
+                 DescribeRequest(parts));
+  }
+  co_return ended;
+}
+
 }  // namespace rillwall
--- a/src/librillwall_rollout/item_run.h
+++ b/src/librillwall_rollout/item_run.h
@@ -15,7 +15,8 @@
   Whole,       ///< the text is whole
   Refused,     ///< the replica did not run it
   NotSent,     ///< the replica could not be reached
-  Broken,      ///< the stream ended early; the text so far is kept
+  Broken,      ///< the stream was wrong or late; the text so far is kept
+  Closed,      ///< the replica closed it early; the text so far is kept
   Failed,      ///< the replica ran it and answered with an error
   Impossible,  ///< the replica says that it can never be done
   Moved,       ///< ended here, to go on at a faster replica
@@ -29,4 +30,15 @@
                                          size_t aItem, Replica aReplica,
                                          std::string& aWhy);
 
+/// \return whether an item may not run, as replicas have ended under it
+bool ItemHeld(const NodeContext& aNode, const RolloutStep& aStep, size_t aItem);
+
+/// Keeps what a run has shown of its item: that it was held against it that a
+/// replica ended as it began, or that a replica lived through it.
+/// \param aEvents that the run has brought
+/// \return whether the replica has ended
+asio::awaitable<bool> LearnFromRun(NodeContext& aNode, RolloutStep& aStep,
+                                   size_t aItem, Replica aReplica,
+                                   ItemRunEnd aEnd, int64_t aEvents);
+
 }  // namespace rillwall
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -30,6 +30,8 @@
 /// call that gets no answer fails before this, so that an outage stops nothing.
 constexpr int64_t kStartPercent = 87;
 constexpr int64_t kPercent = 100;
+/// A call for a score that is held is looked at again so often.
+constexpr Millis kHeldPause{1000};
 /// Moves of a step at one look; the next one sees the slots that these take.
 constexpr size_t kMovesAtOnce = 2;
 
@@ -44,6 +46,7 @@
     case ItemRunEnd::NotSent:
       return ReplicaOutcome::Unreachable;
     case ItemRunEnd::Broken:
+    case ItemRunEnd::Closed:
       return ReplicaOutcome::Failed;
     case ItemRunEnd::Moved:
     case ItemRunEnd::Stopped:
@@ -62,6 +65,8 @@
       return "not-sent";
     case ItemRunEnd::Broken:
       return "broken";
+    case ItemRunEnd::Closed:
+      return "closed";
     case ItemRunEnd::Failed:
       return "failed";
     case ItemRunEnd::Impossible:
@@ -160,6 +165,15 @@
     Launch(mNode.mIo, "score", ScoreItem(aStep, pick->mItem));
     return true;
   }
+  if (ItemHeld(mNode, *aStep, pick->mItem)) {
+    // The rest of the step goes on without it.
+    aStep->mBook.SetAside(pick->mItem);
+    Event("item-held")
+        .Id(aStep->mBook.Item(pick->mItem).mId)
+        .Text("step", aStep->Id())
+        .Write();
+    return true;
+  }
   const std::optional<std::string> replica = ChooseReplica(*aStep, *pick);
   if (!replica) {
     return false;
@@ -179,6 +193,9 @@
   const ItemRunEnd end =
       co_await GenerateText(mNode, *aStep, aItem, aReplica, why);
   use.End(OutcomeOf(end), true);
+  const int64_t events = book.Text(aItem).mEvents - before;
+  const bool replicaEnded =
+      co_await LearnFromRun(mNode, *aStep, aItem, aReplica, end, events);
   Event("item-run")
       .Id(book.Item(aItem).mId)
       .Text("step", aStep->Id())
@@ -188,6 +205,7 @@
       .Number("events", book.Text(aItem).mEvents)
       .Number("took_ms", (mNode.Now() - use.Started()).Count())
       .Text("why", why)
+      .Flag("replica_ended", replicaEnded)
       .Write();
   mNode.mMetrics.Count("item_runs_total",
                        "end=\"" + std::string(EndName(end)) + "\"");
@@ -268,6 +286,10 @@
       book.Text(aItem).mScore = *signature;
       break;
     }
+    if (!answer && answer.error().RetryAfter() > kHeldPause) {
+      co_await Sleep(mNode.mIo, kHeldPause);
+      continue;
+    }
     failures += status == kServerError ? 1 : 0;
     if (failures >= most) {
       Event("item-terminated")
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
+#include "item_run.h"
 #include "rillwall/event_log.h"
 #include "rollout_step.h"
 
@@ -327,6 +328,8 @@
     }
     verify =
         verify || (step->mAccepted && now - step->mVerifiedAt > kVerifyIdle);
+    step->mBook.PutBack(
+        [&](size_t aItem) { return !ItemHeld(mNode, *step, aItem); });
     ScheduleFlush(step);
     ScheduleSpool(step);
     MoveFromSlow(step);
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -227,6 +227,11 @@
     script = mScripts.front();
     mScripts.pop_front();
   }
+  if (script.mEnds) {
+    mServer.Stop();
+    aExchange.Cut();
+    co_return;
+  }
   ++mRunning;
   while (script.mSilent && !aExchange.PeerGone()) {
     co_await Sleep(mIo, Millis(5));
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -73,6 +73,7 @@
   bool mNotRun = false;      ///< says that it did not run it
   bool mOtherId = false;     ///< echoes the identity of another request
   bool mSilent = false;      ///< never answers
+  bool mEnds = false;        ///< the replica's process ends under the request
   int64_t mBreakAfter = -1;  ///< events after which the stream is cut
   int64_t mSkipEvent = -1;   ///< id of an event that is left out
   Millis mEventTime{1};      ///< between two events
@@ -86,6 +87,8 @@
   ~ScriptedReplica() { mServer.Stop(); }
 
   Replica Entry(const std::string& aService) const;
+  /// Its process ends: connections are closed, and nothing listens any more.
+  void Stop() { mServer.Stop(); }
   std::deque<ReplicaScript> mScripts;  ///< of the next requests
   ReplicaScript mOtherwise;            ///< of all later ones
   std::vector<HttpRequest> mRequests;  ///< as they came
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "crash_guard.h"
 #include "replica_end.h"
 #include "rillwall/event_log.h"
 #include "rillwall/request_digest.h"
@@ -39,18 +40,49 @@
   std::optional<RequestDigest> mDigest;  ///< once it is needed
 };
 
+RequestParts PartsOf(const UpstreamCall& aCall) {
+  const HttpRequest& request = aCall.mRequest;
+  const std::string* host = request.Find("Host");
+  return {request.mMethod, host == nullptr ? std::string_view() : *host,
+          request.mTarget, aCall.mAccount, request.mBody};
+}
+
 /// \return what the request is, whoever sends it again
 const RequestDigest& DigestOf(CallRun& aRun) {
   if (!aRun.mDigest) {
-    const HttpRequest& request = aRun.mCall.mRequest;
-    const std::string* host = request.Find("Host");
-    aRun.mDigest.emplace(RequestParts{
-        request.mMethod, host == nullptr ? std::string_view() : *host,
-        request.mTarget, aRun.mCall.mAccount, request.mBody});
+    aRun.mDigest.emplace(PartsOf(aRun.mCall));
   }
   return *aRun.mDigest;
 }
 
+/// A call that ends replicas is held by all hosts: what is known of it must not
+/// end with this attempt, or each one would end as many replicas again.
+std::optional<Error> RefusalOf(CallRun& aRun) {
+  const NodeContext& node = aRun.mNode;
+  return node.mCrashes.AnySuspect() ? RefusalIfHeld(node, DigestOf(aRun))
+                                    : std::nullopt;
+}
+
+/// Keeps what a try has shown of the request.
+/// \return whether it may be tried at another replica now
+bool LearnFrom(CallRun& aRun, const Replica& aReplica, TryEnd aEnd,
+               bool aReplicaEnded) {
+  CrashTable& crashes = aRun.mNode.mCrashes;
+  const UpstreamCall& call = aRun.mCall;
+  if (aReplicaEnded) {
+    BlameRequest(aRun.mNode, DigestOf(aRun), aReplica, call.mId,
+                 DescribeRequest(PartsOf(call)));
+    return crashes.Crashes(DigestOf(aRun)) < CrashTable::kReplicasToPause;
+  }
+  // The head of a stream does not show that its replica lives through it.
+  const bool whole =
+      aEnd == TryEnd::Answered && call.mKind != RequestKind::Streaming;
+  if (whole && crashes.AnySuspect()) {
+    ClearRequest(aRun.mNode, DigestOf(aRun), call.mId);
+  }
+  return true;
+}
+
 /// Counts a request for its account, once and by the time at which it was
 /// first sent to a replica that ran it. Also if the client leaves meanwhile.
 class RunCount {
@@ -164,6 +196,43 @@
   co_return result;
 }
 
+/// A stream as its replica sends it, whose end shows whether the request has
+/// ended the replica.
+class WatchedStream final : public HttpStream {
+ public:
+  WatchedStream(CallRun& aRun, const Replica& aReplica,
+                std::unique_ptr<HttpStream> aStream)
+      : mNode(aRun.mNode),
+        mId(aRun.mCall.mId),
+        mDigest(DigestOf(aRun)),
+        mWhat(DescribeRequest(PartsOf(aRun.mCall))),
+        mReplica(aReplica),
+        mStream(std::move(aStream)) {}
+  const HttpResponse& Head() const override { return mStream->Head(); }
+  void Abort() override { mStream->Abort(); }
+  asio::awaitable<Result<std::string>> Read(Millis aWait) override {
+    Result<std::string> part = co_await mStream->Read(aWait);
+    if (part && part->empty()) {
+      ClearRequest(mNode, mDigest, mId);
+    }
+    if (!part && part.error().Kind() == ErrorKind::ConnectionLost) {
+      const bool ended = co_await ReplicaEnded(mNode, mReplica.mAddress);
+      if (ended) {
+        BlameRequest(mNode, mDigest, mReplica, mId, mWhat);
+      }
+    }
+    co_return part;
+  }
+
+ private:
+  NodeContext& mNode;
+  const std::string mId;
+  const RequestDigest mDigest;
+  const std::string mWhat;
+  const Replica mReplica;
+  const std::unique_ptr<HttpStream> mStream;
+};
+
 asio::awaitable<TryResult> TryOnce(CallRun& aRun, const Replica& aReplica) {
   NodeContext& node = aRun.mNode;
   const Millis left = aRun.mCall.mDue - node.Now();
@@ -200,7 +269,8 @@
   if (aRun.mCall.mKind == RequestKind::Streaming) {
     result.mEnd = TryEnd::Answered;
     result.mAnswer.mHead = head;
-    result.mAnswer.mRest = std::move(stream);
+    result.mAnswer.mRest =
+        std::make_unique<WatchedStream>(aRun, aReplica, std::move(stream));
     co_return result;
   }
   co_return co_await ReadAnswer(std::move(stream), due, node);
@@ -248,6 +318,13 @@
     if (timeIsUp || cancelled) {
       break;
     }
+    std::optional<Error> held = RefusalOf(aRun);
+    if (held && aRun.mAttempts.Run() == RunState::NotRun) {
+      co_return std::move(*held);
+    }
+    if (held) {
+      break;
+    }
     const std::optional<std::string> id =
         node.mReplicas.Choose(aRun.mWish, node.Now());
     if (!id) {
@@ -269,8 +346,10 @@
     if (result.mEnd == TryEnd::Lost && result.mClosed) {
       result.mEnded = co_await ReplicaEnded(node, replica.mAddress);
     }
+    const bool mayGoOn = LearnFrom(aRun, replica, result.mEnd, result.mEnded);
     const int status = result.mAnswer.mHead.mStatus;
-    const CallStep step = aRun.mAttempts.Take(result.mEnd, status);
+    CallStep step = aRun.mAttempts.Take(result.mEnd, status);
+    step = step == CallStep::Retry && !mayGoOn ? CallStep::Fail : step;
     LogTry(aRun, *id, result, step);
     if (step == CallStep::Deliver) {
       result.mAnswer.mReplica = *id;
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -21,6 +21,14 @@
   CPPUNIT_TEST(OwnFailureIsDeliveredIfNoneIsBetter);
   CPPUNIT_TEST(UnreachableIsNotRun);
   CPPUNIT_TEST(NoReplicaIsNotRun);
+  CPPUNIT_TEST(ReplicaThatEndsIsHeldAgainstTheRequest);
+  CPPUNIT_TEST(ClosedConnectionIsHeldAgainstNobody);
+  CPPUNIT_TEST(SecondEndIsNotFollowedByAThirdTry);
+  CPPUNIT_TEST(HeldRequestIsRefusedAtOnce);
+  CPPUNIT_TEST(OtherRequestsAreServed);
+  CPPUNIT_TEST(AnswerClearsTheRequest);
+  CPPUNIT_TEST(EndWithinAStreamCounts);
+  CPPUNIT_TEST(WholeStreamClears);
   CPPUNIT_TEST(ErrorStatusTellsTheTruth);
   CPPUNIT_TEST(ConnectionHeadersStay);
   CPPUNIT_TEST_SUITE_END();
@@ -148,6 +156,114 @@
     CPPUNIT_ASSERT(answer.error().Run() == RunState::NotRun);
   }
 
+  RequestDigest Digest() {
+    const UpstreamCall call = CallOf(RequestKind::Idempotent, 1);
+    return RequestDigest(
+        RequestParts{"POST", "", "/p", "", call.mRequest.mBody});
+  }
+  size_t Crashes() { return mTest.mNode.mCrashes.Crashes(Digest()); }
+  /// Records that another host made and told.
+  void Tell(int aReplicas) {
+    for (int i = 0; i < aReplicas; ++i) {
+      mTest.mNode.mCrashes.Merge(
+          {{Digest(), "other" + std::to_string(i), WallClockMs(), false, ""}});
+    }
+  }
+  /// Reads a stream to its end. \return whether that was a proper one
+  bool ReadToEnd(HttpStream& aStream) {
+    while (true) {
+      const Result<std::string> part = mTest.Run(aStream.Read(Millis(2000)));
+      if (!part || part->empty()) {
+        return part.has_value();
+      }
+    }
+  }
+
+  void ReplicaThatEndsIsHeldAgainstTheRequest() {
+    mOne.mOtherwise.mEnds = true;
+    mTwo.mOtherwise.mEnds = true;
+    const auto answer = Call(RequestKind::NonIdempotent, 1);
+    CPPUNIT_ASSERT(answer.error().Run() == RunState::Unknown);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Crashes());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mTest.mNode.mCrashes.Unsaved(9).size());
+  }
+
+  void ClosedConnectionIsHeldAgainstNobody() {
+    Both({200, false, false, false, false, 1});
+    mOne.mStreams = true;
+    mTwo.mStreams = true;
+    CPPUNIT_ASSERT(!Call(RequestKind::Idempotent, 2));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Sent());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Crashes());
+  }
+
+  void SecondEndIsNotFollowedByAThirdTry() {
+    ScriptedReplica three(mWorld.mIo, "three", TestHeaders());
+    three.mStreams = false;
+    mTest.Add(three, "s");
+    Both({200, false, false, false, true});
+    three.mOtherwise.mEnds = true;
+    const auto answer = Call(RequestKind::Idempotent, 3);
+    CPPUNIT_ASSERT(answer.error().Run() == RunState::Unknown);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Sent() + three.mRequests.size());
+  }
+
+  void HeldRequestIsRefusedAtOnce() {
+    Tell(3);
+    for (const RequestKind kind :
+         {RequestKind::Idempotent, RequestKind::NonIdempotent,
+          RequestKind::Streaming}) {
+      const auto answer = Call(kind, 2);
+      CPPUNIT_ASSERT(answer.error().Run() == RunState::NotRun);
+      CPPUNIT_ASSERT_EQUAL(503, ErrorAnswer(answer.error()).mStatus);
+      CPPUNIT_ASSERT(answer.error().RetryAfter() >
+                     CrashTable::kRememberFor - Millis(60000));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Sent());
+  }
+
+  void OtherRequestsAreServed() {
+    Tell(3);
+    UpstreamCall call = CallOf(RequestKind::Idempotent, 1);
+    call.mRequest.mBody = "another";
+    CPPUNIT_ASSERT_EQUAL(
+        200, mTest.Run(CallUpstream(mTest.mNode, call))->mHead.mStatus);
+    call = CallOf(RequestKind::Idempotent, 1);
+    call.mAccount = "another";
+    CPPUNIT_ASSERT_EQUAL(
+        200, mTest.Run(CallUpstream(mTest.mNode, call))->mHead.mStatus);
+  }
+
+  void AnswerClearsTheRequest() {
+    Tell(2);
+    CPPUNIT_ASSERT_EQUAL(200, Call(RequestKind::Idempotent, 1)->mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Crashes());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mTest.mNode.mCrashes.Unsaved(9).size());
+  }
+
+  void EndWithinAStreamCounts() {
+    mOne.mStreams = true;
+    mTwo.mStreams = true;
+    Both({200, false, false, false, false, -1, -1, Millis(200)});
+    const auto answer = Call(RequestKind::Streaming, 1);
+    ScriptedReplica& used = answer->mReplica == "one" ? mOne : mTwo;
+    CPPUNIT_ASSERT(mTest.Run(answer->mRest->Read(Millis(2000))).has_value());
+    used.Stop();
+    mTest.RunFor(Millis(20));  // it stops listening on its own thread
+    CPPUNIT_ASSERT(!ReadToEnd(*answer->mRest));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Crashes());
+  }
+
+  void WholeStreamClears() {
+    Tell(2);
+    mOne.mStreams = true;
+    mTwo.mStreams = true;
+    const auto answer = Call(RequestKind::Streaming, 1);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Crashes());
+    CPPUNIT_ASSERT(ReadToEnd(*answer->mRest));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Crashes());
+  }
+
   void ErrorStatusTellsTheTruth() {
     const Error unknown(ErrorKind::Overloaded, "x", RunState::Unknown);
     CPPUNIT_ASSERT_EQUAL(502, ErrorAnswer(unknown).mStatus);
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "rillwall/compression.h"
+#include "rillwall/crash_sync.h"
 #include "rillwall/event_log.h"
 #include "rillwall/numbers.h"
 #include "rillwall/usage_record.h"
@@ -76,11 +77,14 @@
 }
 
 const std::string& ViewExchange::Text(const AnswerKey& aKey) {
-  const bool same = mTextsLead == mLead.Known() && mTextsNodes == mNodes.Tag();
+  const bool same = mTextsLead == mLead.Known() &&
+                    mTextsNodes == mNodes.Tag() &&
+                    mTextsCrashes == mNode.mCrashes.Number();
   if (!same || mTexts.size() >= kMaxTexts) {
     mTexts.clear();
     mTextsLead = mLead.Known();
     mTextsNodes = mNodes.Tag();
+    mTextsCrashes = mNode.mCrashes.Number();
   }
   std::string& text = mTexts[aKey];
   if (text.empty()) {
@@ -91,6 +95,8 @@
         (aKey.mVersions ? mLog : mLogWithoutWeights).Since(aKey.mKnown);
     view.mConfig = mFollows ? mConfig.mRevision : 0;
     view.mLead = mLead.Known();
+    view.mCrashNumber = mNode.mCrashes.Number();
+    view.mCrashes = mNode.mCrashes.Since(aKey.mCrashes);
     if (aKey.mNodes) {
       view.mNodes = mNodes.Told();
     }
@@ -131,6 +137,7 @@
   key.mVersions = question.mVersions;
   key.mKnown = question.mReplicas;
   key.mKnown.mNumber = question.mRun == self.mRun ? key.mKnown.mNumber : 0;
+  key.mCrashes = question.mRun == self.mRun ? question.mCrashes : 0;
   key.mNodes = mNodes.Tag() != question.mNodes;
   response = HttpResponse::Json(kOk, Text(key));
   response.mHeaders.push_back(
@@ -294,6 +301,8 @@
     question.mRun = mMirror.Run();
     question.mReplicas = mMirror.Mark();
   }
+  const bool sameRun = question.mRun == mCrashesRun;
+  question.mCrashes = sameRun ? mCrashesNumber : 0;
   HttpRequest request;
   request.mTarget = EncodeQuestion(question);
   if (aSource == ViewSource::Lead && mLead.Known()) {
@@ -350,6 +359,9 @@
 
 asio::awaitable<std::optional<ViewNews>> ViewExchange::Take(SharedView aView,
                                                             Endpoint aFrom) {
+  TakeCrashNews(mNode, aView.mCrashes, aView.mRun);
+  mCrashesRun = aView.mRun;
+  mCrashesNumber = aView.mCrashNumber;
   const ReplicaMark before = mMirror.Mark();
   if (!mMirror.Take(aView.mRun, aView.mReplicas)) {
     Event("view-mismatch")
