--- a/src/librillwall_rollout/crash_guard.cpp
+++ b/src/librillwall_rollout/crash_guard.cpp
@@ -25,7 +25,8 @@
 void LogRecord(const NodeContext& aNode, const CrashRecord& aRecord,
                std::string_view aId, std::string_view aFrom) {
   const CrashTable& crashes = aNode.mCrashes;
-  Event(aRecord.mCleared ? "request-cleared" : "request-suspected")
+  const bool cleared = aRecord.mCleared;
+  Event(cleared ? "request-cleared" : "request-suspected")
       .Id(aId)
       .Text("request", aRecord.mRequest.Text())
       .Text("replica", aRecord.mReplica)
