--- a/src/include/rillwall/crash_sync.h
+++ b/src/include/rillwall/crash_sync.h
@@ -18,7 +18,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <string>
 #include <string_view>
 #include <vector>
 
@@ -64,8 +63,4 @@
 void TakeCrashNews(NodeContext& aNode, const std::vector<CrashRecord>& aRecords,
                    std::string_view aFrom);
 
-/// Tells operators which requests are suspected or held.
-/// \return JSON with an array "suspects"
-std::string SuspectsText(const NodeContext& aNode);
-
 }  // namespace rillwall
--- a/src/librillwall_rollout/crash_guard.cpp
+++ b/src/librillwall_rollout/crash_guard.cpp
@@ -4,7 +4,6 @@
 
 #include "rillwall/crash_sync.h"
 #include "rillwall/event_log.h"
-#include "rillwall/json.h"
 
 namespace rillwall {
 
@@ -104,27 +103,4 @@
   }
 }
 
-std::string SuspectsText(const NodeContext& aNode) {
-  json::array rows;
-  for (const Suspect& suspect : aNode.mCrashes.Suspects()) {
-    json::array replicas;
-    int64_t last = 0;
-    for (const CrashRecord& record : suspect.mRecords) {
-      replicas.emplace_back(record.mReplica);
-      last = std::max(last, record.mAtMs);
-    }
-    json::object row;
-    row["request"] = suspect.mRequest.Text();
-    row["what"] = suspect.mRecords.front().mWhat;
-    row["crashes"] = suspect.mRecords.size();
-    row["held"] = suspect.mHeld;
-    row["last_ms"] = last;
-    row["replicas"] = std::move(replicas);
-    rows.push_back(std::move(row));
-  }
-  json::object text;
-  text["suspects"] = std::move(rows);
-  return json::serialize(text);
-}
-
 }  // namespace rillwall
--- /dev/null
+++ b/src/librillwall_rollout/suspects.cpp
@@ -0,0 +1,89 @@
+#include "rillwall/suspects.h"
+
+#include <algorithm>
+
+#include "crash_guard.h"
+#include "rillwall/json.h"
+#include "rillwall/relay.h"
+
+namespace rillwall {
+
+namespace {
+
+/// Stands in records in the place of a replica.
+constexpr char kByHand[] = "by-hand-";
+
+json::object RowOf(const NodeContext& aNode, const Suspect& aSuspect) {
+  json::array replicas;
+  int64_t last = 0;
+  for (const CrashRecord& record : aSuspect.mRecords) {
+    replicas.emplace_back(record.mReplica);
+    last = std::max(last, record.mAtMs);
+  }
+  const Millis left =
+      aNode.mCrashes.HeldFor(aSuspect.mRequest, aNode.mTimeOfDay());
+  json::object row;
+  row["request"] = aSuspect.mRequest.Text();
+  row["what"] = aSuspect.mRecords.front().mWhat;
+  row["crashes"] = aSuspect.mRecords.size();
+  row["held"] = aSuspect.mHeld;
+  row["held_for_ms"] = left.Count();
+  row["last_ms"] = last;
+  row["replicas"] = std::move(replicas);
+  return row;
+}
+
+HttpResponse List(const NodeContext& aNode) {
+  json::array rows;
+  for (const Suspect& suspect : aNode.mCrashes.Suspects()) {
+    rows.emplace_back(RowOf(aNode, suspect));
+  }
+  json::object text;
+  text["suspects"] = std::move(rows);
+  return HttpResponse::Json(200, json::serialize(text));
+}
+
+void Hold(NodeContext& aNode, const RequestDigest& aRequest) {
+  // Records of another hour may be there, and have been cleared since.
+  const int64_t now = aNode.mTimeOfDay();
+  for (size_t i = 0; i < CrashTable::kReplicasToHold; ++i) {
+    Replica hand;
+    hand.mId = kByHand + std::to_string(i);
+    hand.mBorn = now;
+    BlameRequest(aNode, aRequest, hand, {}, "held by an operator");
+  }
+}
+
+}  // namespace
+
+HttpResponse AnswerSuspects(NodeContext& aNode, const HttpRequest& aRequest) {
+  if (aRequest.mMethod == "GET") {
+    return List(aNode);
+  }
+  const std::optional<RequestDigest> request =
+      RequestDigest::Parse(aRequest.Query("request"));
+  if (!request) {
+    return ErrorAnswer(
+        Error(ErrorKind::BadRequest,
+              "The request is not named by its 32 hexadecimal digits; take "
+              "them from `rillwall suspects` or from a log line."));
+  }
+  const std::string action = aRequest.Query("action");
+  if (action == "hold") {
+    Hold(aNode, *request);
+    return List(aNode);
+  }
+  if (action != "clear") {
+    return ErrorAnswer(
+        Error(ErrorKind::BadRequest, "The action is neither clear nor hold."));
+  }
+  if (aNode.mCrashes.Crashes(*request) == 0) {
+    return ErrorAnswer(Error(ErrorKind::NotFound,
+                             "No replica is known to have ended under this "
+                             "request since it was cleared."));
+  }
+  ClearRequest(aNode, *request, {});
+  return List(aNode);
+}
+
+}  // namespace rillwall
--- a/src/rillwall/cli_verb.h
+++ b/src/rillwall/cli_verb.h
@@ -27,6 +27,8 @@
   std::string mFile;
   std::string mScope;
   std::string mRevision;
+  std::string mClear;
+  std::string mHold;
   std::vector<std::string> mFiles;
   bool mNoWait = false;
   bool mSteps = false;
@@ -66,6 +68,8 @@
 void AddFleetVerbs(CLI::App& aApp, const CliContext& aContext);
 /// Adds `drain`.
 void AddDrainVerb(CLI::App& aApp, const CliContext& aContext);
+/// Adds `suspects`.
+void AddSuspectsVerb(CLI::App& aApp, const CliContext& aContext);
 /// Adds `token` with its verbs and `settings`, which ask no node.
 void AddLocalVerbs(CLI::App& aApp, const CliContext& aContext);
 
--- a/src/rillwall/cli_verbs.cpp
+++ b/src/rillwall/cli_verbs.cpp
@@ -108,6 +108,7 @@
   AddPolicyVerbs(aApp, context);
   AddFleetVerbs(aApp, context);
   AddDrainVerb(aApp, context);
+  AddSuspectsVerb(aApp, context);
   AddLocalVerbs(aApp, context);
   aApp.footer(kExitCodes);
 }
--- a/testsuite/crashing/crashing.py
+++ b/testsuite/crashing/crashing.py
@@ -29,7 +29,7 @@
 from web import call  # noqa: E402
 
 SEED = 240  # of addresses; nothing else is drawn that matters
-CHECKS = ["bounded", "others"]
+CHECKS = ["bounded", "others", "cleared"]
 
 
 class Scenario(Soak):
@@ -103,6 +103,27 @@
         await self.others("after all hosts were killed")
         self.check("bounded", self.crashed_so_far() - at_bound <= MORE_RUNS,
                    f"{self.crashed_so_far()} replicas ended, {self.crashed_so_far() - at_bound} of them late")
+        await self.clear()
+
+    async def clear(self):
+        """An operator who knows better has it run again."""
+        verb = [self.args.binary, "suspects", "--node", f"{self.entries[0].ip}:7720"]
+        listed = await self.verb(*verb)
+        words = listed.split()
+        held = [words[i] for i in range(len(words)) if len(words[i]) == 32]
+        self.check("cleared", len(held) == 1, f"suspects lists {listed!r}")
+        for digest in held:
+            await self.verb(*verb, "--clear", digest)
+        await asyncio.sleep(CONTACT_S)
+        before = self.crashed_so_far()
+        await self.ask(self.entries[-1], CRASHING)
+        self.check("cleared", self.crashed_so_far() > before, "what an operator cleared is still refused")
+
+    @staticmethod
+    async def verb(*words):
+        process = await asyncio.create_subprocess_exec(*words, stdout=asyncio.subprocess.PIPE,
+                                                       stderr=asyncio.subprocess.STDOUT)
+        return (await process.communicate())[0].decode()
 
 
 def main():
