--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -197,6 +197,10 @@
   /// Limits the time for making a connection within a call's own time, so that
   /// a host that does not answer costs only this much. Unset: no own limit.
   void SetConnectTimeout(Millis aTimeout);
+  /// Sets how the client learns that the host was suspended: connections that
+  /// were idle then are not used again, as their peers may have dropped them
+  /// without a word that got through.
+  void SetSuspendedFor(std::function<Millis()> aSuspendedFor);
   /// \return connections made so far, for metrics
   uint64_t ConnectionsMade() const;
   /// Reads the TLS files anew, for connections made from now on.
--- a/src/include/rillwall/millis.h
+++ b/src/include/rillwall/millis.h
@@ -60,6 +60,11 @@
   Millis Now() const override;
 };
 
+/// \return how long the host has been suspended since it was started. Timers
+/// and std::chrono::steady_clock stand still meanwhile: what was begun before,
+/// such as an idle connection, is older than they tell
+Millis SuspendedFor();
+
 /// \return milliseconds since 1970 by the host's time of day, which may jump;
 /// for logs and for what must outlive a process
 int64_t WallClockMs();
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -69,7 +69,7 @@
   asio::io_context& mIo;
   StorePort& mStore;
   HttpClient mClient;
-  SteadyClock mClock;
+  std::shared_ptr<const Clock> mClock = std::make_shared<SteadyClock>();
   NodeIdentity mIdentity;
   HeaderNames mHeaders;
   ServingBounds mBounds;
@@ -83,7 +83,10 @@
   std::function<int64_t()> mTimeOfDay = WallClockMs;
   bool mStopping = false;  ///< the stop signal has come
 
-  Millis Now() const { return mClock.Now(); }
+  /// How long the host has been suspended since it was started.
+  std::function<Millis()> mSuspendedFor = SuspendedFor;
+
+  Millis Now() const { return mClock->Now(); }
 };
 
 /// Takes in what an answer tells of its replica's load, if it tells any.
--- a/src/librillwall_coordination/rollout_book_test.cpp
+++ b/src/librillwall_coordination/rollout_book_test.cpp
@@ -86,6 +86,8 @@
   CPPUNIT_TEST(SpooledTextsHaveTheirScores);
   CPPUNIT_TEST(ListedTextsAreNotSpooled);
   CPPUNIT_TEST(LongerOfTwoTextsIsRestored);
+  CPPUNIT_TEST(ItemSetAsideIsPassedOver);
+  CPPUNIT_TEST(ItemSetAsideIsGivenUpWithTheRest);
   CPPUNIT_TEST_SUITE_END();
 
   RolloutBook mBook{Spec(), kAttempts, false};
@@ -98,6 +100,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string("none"), StartNext(mBook));
   }
 
+  void ItemSetAsideIsPassedOver() {
+    mBook.SetAside(*mBook.IndexOf("b1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b2"), StartNext(mBook));
+    // One that runs stays where it is.
+    mBook.SetAside(*mBook.IndexOf("b2"));
+    mBook.PutBack([](size_t) { return false; });
+    CPPUNIT_ASSERT_EQUAL(std::string("a1"), StartNext(mBook));
+    mBook.PutBack([](size_t) { return true; });
+    CPPUNIT_ASSERT_EQUAL(std::string("b1"), StartNext(mBook));
+    CPPUNIT_ASSERT_EQUAL(std::string("a2"), StartNext(mBook));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), StartNext(mBook));
+  }
+
+  void ItemSetAsideIsGivenUpWithTheRest() {
+    mBook.SetAside(*mBook.IndexOf("b1"));
+    mBook.GiveUpRest();
+    CPPUNIT_ASSERT(mBook.AllEnded());
+    mBook.PutBack([](size_t) { return true; });
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), StartNext(mBook));
+  }
+
   void LongTextDoesNotMakeItsGroupUrgent() {
     RolloutSpec spec = Spec();
     spec.mItems[3].mLengthHint = 5;
--- a/src/librillwall_rollout/lead_claim_test.cpp
+++ b/src/librillwall_rollout/lead_claim_test.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(ReserveLeavesACandidateAlone);
   CPPUNIT_TEST(OtherHostDoesNotTakeALiveClaim);
   CPPUNIT_TEST(UnreachableStoreStopsOrders);
+  CPPUNIT_TEST(SuspendedHolderGivesNoOrder);
   CPPUNIT_TEST(HolderIsRead);
   CPPUNIT_TEST(OrdersCarryFenceAndSequence);
   CPPUNIT_TEST(LostOrderIsReadBackAndRepeated);
@@ -260,6 +261,18 @@
     CPPUNIT_ASSERT(mOne.Held());
   }
 
+  // Its timers stood still, so that it has not come to notice that its lease
+  // has lapsed; another host may lead by now.
+  void SuspendedHolderGivesNoOrder() {
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.MayOrder(); });
+    mTest.Suspend(Millis(5000));
+    CPPUNIT_ASSERT(mOne.Held());
+    CPPUNIT_ASSERT(!mOne.MayOrder());
+    // The store still knows its lease: it goes on.
+    mTest.RunUntil([&] { return mOne.MayOrder(); });
+  }
+
   void HolderIsRead() {
     CPPUNIT_ASSERT(!mTest.Run(mTwo.Holder())->has_value());
     Launch(mTest.mIo, "one", mOne.Run());
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -291,6 +291,7 @@
 TestNode::TestNode(TestWorld& aWorld, std::string aRun) : mWorld(aWorld) {
   mNode.mIdentity = {"n1", "z", "n1-address", std::move(aRun), false};
   mNode.mHeaders = TestHeaders();
+  mNode.mClock = mClock;
   mNode.mClient.SetConnectTimeout(Millis(300));
 }
 
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -119,6 +119,18 @@
   void Close() { shutdown(); }
 };
 
+/// The machine's clock on a host that a test suspends.
+class SuspendedClock final : public Clock {
+ public:
+  Millis Now() const override { return mSteady.Now() + mSuspended; }
+  /// The host stands still for so long: its timers and what it waits for too.
+  void Suspend(Millis aSpan) { mSuspended += aSpan; }
+
+ private:
+  SteadyClock mSteady;
+  Millis mSuspended;
+};
+
 /// What outlives a node: the store and the thread that replicas run on.
 struct TestWorld {
   TestContext mIo;
@@ -164,6 +176,8 @@
   }
   /// Runs for some time.
   void RunFor(Millis aSpan);
+  /// The host is suspended for so long.
+  void Suspend(Millis aSpan) { mClock->Suspend(aSpan); }
   /// Lists a replica as the registry would.
   void Add(const ScriptedReplica& aReplica, const std::string& aService);
 
@@ -172,6 +186,7 @@
   NodeContext mNode{mIo, mWorld.mStore};
 
  private:
+  std::shared_ptr<SuspendedClock> mClock = std::make_shared<SuspendedClock>();
   std::vector<Replica> mListed;
 };
 
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(AnswerOfAnotherRequestIsNotDelivered);
   CPPUNIT_TEST(SilentReplicaCostsOneTry);
   CPPUNIT_TEST(TimeUpIsNoRefusal);
+  CPPUNIT_TEST(SuspendedHostTriesNoMore);
   CPPUNIT_TEST(OwnFailureIsDeliveredIfNoneIsBetter);
   CPPUNIT_TEST(UnreachableIsNotRun);
   CPPUNIT_TEST(NoReplicaIsNotRun);
@@ -133,6 +134,26 @@
     CPPUNIT_ASSERT_EQUAL(504, ErrorAnswer(answer.error()).mStatus);
   }
 
+  // Its caller's time was over while the host stood still.
+  void SuspendedHostTriesNoMore() {
+    Both({500, false});
+    mOne.mOtherwise.mSilent = true;
+    mTwo.mOtherwise.mSilent = true;
+    bool suspended = false;
+    Launch(mTest.mIo, "suspend",
+           [](UpstreamCallTest& aTest, bool& aDone) -> asio::awaitable<void> {
+             while (aTest.Sent() == 0) {
+               co_await Sleep(aTest.mTest.mIo, Millis(1));
+             }
+             aTest.mTest.Suspend(Millis(5000));
+             aDone = true;
+           }(*this, suspended));
+    const auto answer = Call(RequestKind::Idempotent, 3);
+    CPPUNIT_ASSERT(suspended);
+    CPPUNIT_ASSERT(answer.error().Kind() == ErrorKind::Timeout);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Sent());
+  }
+
   void OwnFailureIsDeliveredIfNoneIsBetter() {
     Both({500, false});
     const auto answer = Call(RequestKind::Idempotent, 2);
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(EntryHostGetsTheLeadsView);
   CPPUNIT_TEST(NewsAreToldOnce);
   CPPUNIT_TEST(OldViewIsKnownToBeOld);
+  CPPUNIT_TEST(ViewOfBeforeASuspensionIsOld);
+  CPPUNIT_TEST(CrashesAreToldOnce);
+  CPPUNIT_TEST(NewLeadTellsCrashesToo);
   CPPUNIT_TEST(ToldViewIsNotPassedOn);
   CPPUNIT_TEST(ConfigurationIsFetchedOnce);
   CPPUNIT_TEST(LargeConfigurationTravelsPacked);
@@ -164,6 +167,54 @@
     CPPUNIT_ASSERT_EQUAL(0, mEntry.mView.Plan().Misses(ViewSource::Lead));
   }
 
+  void ViewOfBeforeASuspensionIsOld() {
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT(mEntry.mView.Plan().Fresh(mEntry.Now()));
+    mEntry.mTest.Suspend(Millis(5000));
+    CPPUNIT_ASSERT(!mEntry.mView.Plan().Fresh(mEntry.Now()));
+    // Nor is one that a suspended node gives out.
+    mGiver.mTest.Suspend(Millis(5000));
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT(!mEntry.mView.Plan().Fresh(mEntry.Now()));
+  }
+
+  static CrashRecord CrashOf(const std::string& aReplica) {
+    const RequestDigest digest(RequestParts{"POST", "h", "/p", "", ""});
+    return {digest, aReplica, WallClockMs(), false, "POST h/p"};
+  }
+
+  void CrashesAreToldOnce() {
+    CrashTable& told = mEntry.mTest.mNode.mCrashes;
+    mEntry.Ask();
+    CPPUNIT_ASSERT(!told.AnySuspect());
+    mGiver.mTest.mNode.mCrashes.Merge({CrashOf("r1")});
+    mEntry.Ask();
+    CPPUNIT_ASSERT(mGiver.mTest.mNode.mCrashes.Since(0) == told.Since(0));
+    const int64_t number = told.Number();
+    mEntry.Ask();
+    CPPUNIT_ASSERT_EQUAL(number, told.Number());
+    // What is known is not told again to one who says so.
+    ViewQuestion question;
+    question.mRun = "giver-run";
+    question.mCrashes = mGiver.mTest.mNode.mCrashes.Number();
+    CPPUNIT_ASSERT(DecodeView(mGiver.Answered(question))->mCrashes.empty());
+    question.mCrashes = 0;
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{1}, DecodeView(mGiver.Answered(question))->mCrashes.size());
+  }
+
+  void NewLeadTellsCrashesToo() {
+    mGiver.mTest.mNode.mCrashes.Merge({CrashOf("r1")});
+    mEntry.Ask();
+    Node next{mWorld, "next", false};
+    next.mView.Listed({ReplicaOf("a")}, next.Now());
+    next.mTest.mNode.mCrashes.Merge({CrashOf("r2")});
+    mEntry.mLead.Forget();
+    mEntry.mLead.Learn(next.Holder());
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mEntry.mTest.mNode.mCrashes.Size());
+  }
+
   void ToldViewIsNotPassedOn() {
     mEntry.Ask();
     Node last{mWorld, "last", true};
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -17,6 +17,9 @@
 /// Less than what servers allow, so that they rarely close first.
 constexpr std::chrono::seconds kMaxIdleTime{20};
 constexpr std::chrono::seconds kSweepInterval{5};
+/// A host that stood still for so long was suspended; two readings of clocks
+/// differ by a ms or two.
+constexpr Millis kSuspension{100};
 
 Millis Until(TimePoint aDue) {
   const auto left = aDue - std::chrono::steady_clock::now();
@@ -75,6 +78,7 @@
   std::optional<Error> mKeysFailure;  ///< of reading them at the start
   std::atomic<uint64_t> mMade{0};
   Millis mConnectTimeout{std::numeric_limits<int64_t>::max()};
+  std::function<Millis()> mSuspendedFor = SuspendedFor;
 
   std::mutex mMutex;  ///< of what follows
   std::map<Endpoint, std::vector<Connection>> mIdle;
@@ -84,6 +88,7 @@
 void HttpClient::Impl::Release(Connection aConnection) {
   const TimePoint now = std::chrono::steady_clock::now();
   aConnection->mIdleSince = now;
+  aConnection->mSuspendedBefore = mSuspendedFor();
   const std::lock_guard lock(mMutex);
   std::vector<Connection>& idle = mIdle[aConnection->mEndpoint];
   if (idle.size() < kMaxIdlePerEndpoint) {
@@ -123,7 +128,8 @@
       connection = std::move(found->second.back());
       found->second.pop_back();
     }
-    if (!connection->mSocket.Stale()) {
+    const Millis suspended = mSuspendedFor() - connection->mSuspendedBefore;
+    if (suspended < kSuspension && !connection->mSocket.Stale()) {
       return connection;
     }
   }
@@ -285,6 +291,10 @@
   mImpl->mConnectTimeout = aTimeout;
 }
 
+void HttpClient::SetSuspendedFor(std::function<Millis()> aSuspendedFor) {
+  mImpl->mSuspendedFor = std::move(aSuspendedFor);
+}
+
 uint64_t HttpClient::ConnectionsMade() const { return mImpl->mMade.load(); }
 
 std::optional<Error> HttpClient::ReloadTls() {
--- a/src/librillwall_transport/http_client_connection.h
+++ b/src/librillwall_transport/http_client_connection.h
@@ -34,6 +34,7 @@
   const Counter mOpen;
   boost::beast::flat_buffer mInput;
   std::chrono::steady_clock::time_point mIdleSince;
+  Millis mSuspendedBefore;  ///< how long the host had been when it became idle
 };
 
 /// Takes back a connection whose answer has ended.
--- a/src/librillwall_transport/http_client_test.cpp
+++ b/src/librillwall_transport/http_client_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(TestOwnAnswersUnderTimeouts);
   CPPUNIT_TEST(TestEarlyRelease);
   CPPUNIT_TEST(TestProbe);
+  CPPUNIT_TEST(TestIdleWhileSuspended);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -260,6 +261,29 @@
                    Await(mClient.Probe({"no address", 1}, kGenerous)));
   }
 
+  void TestIdleWhileSuspended() {
+    std::atomic<int64_t> suspended{0};
+    mClient.SetSuspendedFor([&] { return Millis(suspended.load()); });
+    HttpServer server(mThreads.Context(), HttpLimits(),
+                      [](const HttpRequest&,
+                         HttpExchange& aExchange) -> asio::awaitable<void> {
+                        HttpResponse response;
+                        co_await aExchange.Respond(std::move(response));
+                      });
+    const Endpoint where = server.Listen({"127.0.0.1", 0}).value();
+    HttpRequest request;
+    for (int i = 0; i < 2; ++i) {
+      Await(mClient.Send(where, request, kGenerous)).value();
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, mClient.ConnectionsMade());
+    suspended = 5000;
+    Await(mClient.Send(where, request, kGenerous)).value();
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, mClient.ConnectionsMade());
+    // The new one is as good as any.
+    Await(mClient.Send(where, request, kGenerous)).value();
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, mClient.ConnectionsMade());
+  }
+
  private:
   template <class Value>
   Value Await(asio::awaitable<Value> aWork) {
