--- a/src/include/rillwall/request_digest.h
+++ b/src/include/rillwall/request_digest.h
@@ -6,7 +6,9 @@
 /// out; so is the service, which the operator may change while the request
 /// stays what it is. SHA-256, cut to 16 bytes: nobody can make a request that
 /// is taken for another account's, and no key has to be shared by the hosts.
-/// A digest is worked out only where it is needed.
+/// A digest costs 0.4 us without a body, 1.0 us with one of 600 bytes, 96 us
+/// with one of 100 KB (crash_table_bench), and is worked out only while some
+/// request is suspected.
 ///
 /// Pure: no I/O and no clock.
 
--- a/src/librillwall_rollout/crash_sync.cpp
+++ b/src/librillwall_rollout/crash_sync.cpp
@@ -28,9 +28,12 @@
 /// this and the margin: half of the time that news may take.
 constexpr Millis kWatchWait{1500};
 constexpr Millis kWatchMargin{300};
-/// Until somebody asks this host, or after a failure.
+/// Until somebody may ask this host.
 constexpr Millis kIdle{1000};
-constexpr Millis kReadPause{200};
+/// After a list or a watch that failed. Calls to a store that is away are paid
+/// for; the first pause is short, as a watch may be cut alone.
+constexpr Millis kFirstReadPause{200};
+constexpr Millis kLongestReadPause{1000};
 
 /// Adds what a key holds. One that can't be read is left out, and told.
 void AddDecoded(const StoreItem& aItem, std::vector<CrashRecord>& aRecords) {
@@ -139,14 +142,18 @@
 }
 
 asio::awaitable<void> CrashSync::Follow() {
+  int failures = 0;
   while (true) {
     if (!mTellsOthers()) {
       co_await Rest(mFollowWake, kIdle);
       continue;
     }
     const bool read = co_await FollowOnce();
+    failures = read ? 0 : failures + 1;
     if (!read) {
-      co_await Sleep(mNode.mIo, kReadPause);
+      const Millis pause =
+          FailurePause(failures, kFirstReadPause, kLongestReadPause);
+      co_await Rest(mFollowWake, mJitter.HalfToAll(pause));
     }
   }
 }
