crashes: an error clears no request; tests of the operators' answers

A replica whose time for a request is up answers 504 before it would have ended: that does not show that it lives through the request.

--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -20,6 +20,7 @@
 /// Pause before replicas that refused are asked again.
 constexpr Millis kRefusedPause{25};
 constexpr int kMisdirected = 421;
+constexpr int kFirstServerError = 500;
 
 /// The state of one call.
 struct CallRun {
@@ -63,26 +64,6 @@
                                     : std::nullopt;
 }
 
-/// Keeps what a try has shown of the request.
-/// \return whether it may be tried at another replica now
-bool LearnFrom(CallRun& aRun, const Replica& aReplica, TryEnd aEnd,
-               bool aReplicaEnded) {
-  CrashTable& crashes = aRun.mNode.mCrashes;
-  const UpstreamCall& call = aRun.mCall;
-  if (aReplicaEnded) {
-    BlameRequest(aRun.mNode, DigestOf(aRun), aReplica, call.mId,
-                 DescribeRequest(PartsOf(call)));
-    return crashes.Crashes(DigestOf(aRun)) < CrashTable::kReplicasToPause;
-  }
-  // The head of a stream does not show that its replica lives through it.
-  const bool whole =
-      aEnd == TryEnd::Answered && call.mKind != RequestKind::Streaming;
-  if (whole && crashes.AnySuspect()) {
-    ClearRequest(aRun.mNode, DigestOf(aRun), call.mId);
-  }
-  return true;
-}
-
 /// Counts a request for its account, once and by the time at which it was
 /// first sent to a replica that ran it. Also if the client leaves meanwhile.
 class RunCount {
@@ -115,6 +96,32 @@
   bool mEnded = false;   ///< its process has ended since
 };
 
+/// \return whether an answer shows that its replica lives through the request.
+/// The head of a stream does not; nor does an error: a replica whose time is up
+/// answers too, and would have ended later.
+bool LivedThrough(const CallRun& aRun, const TryResult& aResult) {
+  return aResult.mEnd == TryEnd::Answered &&
+         aRun.mCall.mKind != RequestKind::Streaming &&
+         aResult.mAnswer.mHead.mStatus < kFirstServerError;
+}
+
+/// Keeps what a try has shown of the request.
+/// \return whether it may be tried at another replica now
+bool LearnFrom(CallRun& aRun, const Replica& aReplica,
+               const TryResult& aResult) {
+  CrashTable& crashes = aRun.mNode.mCrashes;
+  const UpstreamCall& call = aRun.mCall;
+  if (aResult.mEnded) {
+    BlameRequest(aRun.mNode, DigestOf(aRun), aReplica, call.mId,
+                 DescribeRequest(PartsOf(call)));
+    return crashes.Crashes(DigestOf(aRun)) < CrashTable::kReplicasToPause;
+  }
+  if (crashes.AnySuspect() && LivedThrough(aRun, aResult)) {
+    ClearRequest(aRun.mNode, DigestOf(aRun), call.mId);
+  }
+  return true;
+}
+
 HttpRequest Prepare(const CallRun& aRun, const std::string& aReplica,
                     Millis aLeft) {
   HttpRequest request = aRun.mCall.mRequest;
@@ -212,7 +219,7 @@
   void Abort() override { mStream->Abort(); }
   asio::awaitable<Result<std::string>> Read(Millis aWait) override {
     Result<std::string> part = co_await mStream->Read(aWait);
-    if (part && part->empty()) {
+    if (part && part->empty() && Head().mStatus < kFirstServerError) {
       ClearRequest(mNode, mDigest, mId);
     }
     if (!part && part.error().Kind() == ErrorKind::ConnectionLost) {
@@ -346,7 +353,7 @@
     if (result.mEnd == TryEnd::Lost && result.mClosed) {
       result.mEnded = co_await ReplicaEnded(node, replica.mAddress);
     }
-    const bool mayGoOn = LearnFrom(aRun, replica, result.mEnd, result.mEnded);
+    const bool mayGoOn = LearnFrom(aRun, replica, result);
     const int status = result.mAnswer.mHead.mStatus;
     CallStep step = aRun.mAttempts.Take(result.mEnd, status);
     step = step == CallStep::Retry && !mayGoOn ? CallStep::Fail : step;
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(HeldRequestIsRefusedAtOnce);
   CPPUNIT_TEST(OtherRequestsAreServed);
   CPPUNIT_TEST(AnswerClearsTheRequest);
+  CPPUNIT_TEST(ErrorClearsNothing);
   CPPUNIT_TEST(EndWithinAStreamCounts);
   CPPUNIT_TEST(WholeStreamClears);
   CPPUNIT_TEST(ErrorStatusTellsTheTruth);
@@ -262,6 +263,16 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, mTest.mNode.mCrashes.Unsaved(9).size());
   }
 
+  // As when the replica's time for it was up before it would have ended.
+  void ErrorClearsNothing() {
+    Tell(2);
+    for (const int status : {500, 504}) {
+      Both({status, false});
+      Call(RequestKind::NonIdempotent, 1);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Crashes());
+  }
+
   void EndWithinAStreamCounts() {
     mOne.mStreams = true;
     mTwo.mStreams = true;
--- a/src/rillwall/cli_test.cpp
+++ b/src/rillwall/cli_test.cpp
@@ -135,6 +135,7 @@
   AddPolicyVerbs(app, context);
   AddFleetVerbs(app, context);
   AddDrainVerb(app, context);
+  AddSuspectsVerb(app, context);
   AddLocalVerbs(app, context);
   try {
     app.parse(aLine);
@@ -172,6 +173,7 @@
   CPPUNIT_TEST(TestCheck);
   CPPUNIT_TEST(TestHealth);
   CPPUNIT_TEST(TestDrain);
+  CPPUNIT_TEST(TestSuspects);
   CPPUNIT_TEST(TestTokenMake);
   CPPUNIT_TEST(TestHelp);
   CPPUNIT_TEST_SUITE_END();
@@ -196,6 +198,23 @@
                          *sent.Find("Authorization"));
   }
 
+  void TestSuspects() {
+    const std::string one =
+        R"({"suspects":[{"request":"00ff","what":"POST h/p","crashes":3,)"
+        R"("held":true,"held_for_ms":5000,"last_ms":7,"replicas":["i-1"]}]})";
+    Reply("GET /node/suspects", 200, one);
+    const Outcome listed = Ask("suspects");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(listed.mError, 0, listed.mExit);
+    CPPUNIT_ASSERT(Contains(listed.mOut, "00ff"));
+    CPPUNIT_ASSERT(Contains(listed.mOut, "POST h/p"));
+    Reply("POST /node/suspects?action=clear&request=00ff", 200,
+          R"({"suspects":[]})");
+    CPPUNIT_ASSERT_EQUAL(0, Ask("suspects --clear 00ff").mExit);
+    Reply("POST /node/suspects?action=hold&request=00ff", 200, one);
+    CPPUNIT_ASSERT_EQUAL(0, Ask("suspects --hold 00ff").mExit);
+    CPPUNIT_ASSERT(Ask("suspects --hold 00ff --clear 00ff").mExit >= 100);
+  }
+
   void TestPartial() {
     Reply("DELETE /admin/policies/a", 200,
           R"({"revision":5,"accepted":true,"in_force":2,"nodes":3,)"
