--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -495,9 +495,9 @@
             # Everything is well again, and what crashes comes still.
             await asyncio.sleep(CONTACT_S)
             await self.fault_crash()
-        self.check_crashes()
-        self.crashing_items = False
-        await asyncio.sleep(3)  # until the last replica that ended is back
+            self.check_crashes()
+            self.crashing_items = False
+            await asyncio.sleep(3)  # until the last replica that ended is back
         served = [await self.request("status", f"{i:016x}") for i in range(10)]
         self.check("recovers", all(served), f"{served.count(False)} of 10 requests are not served")
         self.check("recovers", await self.one_step(10000, 25), "a new step is not whole")
