clean-up: logic of requests that end replicas that stood twice is in one place

Twice or more: finding out whether a replica has ended and blaming the request (three places, BlameIfEnded now); walking over a request's open records (three loops, ForOpenRecords); reading a list of records; waiting on a timer that others cancel (Rest, with Sleep and the registry's on it); the span that shows a suspension; the time at which a call is due; an array of JSON (ToArray); routes of steps, a request with a claimed account and the end of a soak in tests. In a hot path: with anything suspected, each look for a free slot worked out a digest of the item at the front, 1 us thousands of times a second at the owner of the steps; it is kept with the step now. In the wrong place: TakeCrashNews was declared apart from its body. No assertion changed.

--- a/src/include/rillwall/crash_record.h
+++ b/src/include/rillwall/crash_record.h
@@ -17,7 +17,7 @@
 
 namespace rillwall {
 
-json::object CrashToJson(const CrashRecord& aRecord);
+json::object ToJson(const CrashRecord& aRecord);
 CrashRecord CrashFromJson(JsonReader& aReader);
 
 std::string EncodeCrash(const CrashRecord& aRecord);
--- a/src/include/rillwall/crash_sync.h
+++ b/src/include/rillwall/crash_sync.h
@@ -18,8 +18,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <string_view>
-#include <vector>
 
 #include "rillwall/backoff.h"
 #include "rillwall/node_context.h"
@@ -45,7 +43,6 @@
   asio::awaitable<void> Sweep();
 
  private:
-  asio::awaitable<void> Rest(asio::steady_timer& aTimer, Millis aSpan);
   /// Reads once, and watches from there. \return whether to go on at once
   asio::awaitable<bool> FollowOnce();
 
@@ -57,10 +54,4 @@
   bool mGathered = false;          ///< cleared records have waited for others
 };
 
-/// Takes in records that another host told or the store holds, and logs what
-/// is new.
-/// \param aFrom whom they are from, for the log
-void TakeCrashNews(NodeContext& aNode, const std::vector<CrashRecord>& aRecords,
-                   std::string_view aFrom);
-
 }  // namespace rillwall
--- a/src/include/rillwall/crash_table.h
+++ b/src/include/rillwall/crash_table.h
@@ -132,6 +132,9 @@
     bool mUnsaved = false;  ///< to be written to the store by this host
   };
   using Entries = std::map<Key, Entry>;
+  /// Calls an action with each record of a request that is not cleared.
+  template <class Action>
+  void ForOpenRecords(const RequestDigest& aRequest, Action aAction) const;
   /// Adds a record or the mark that it is cleared. \return whether it is news
   bool Take(const CrashRecord& aRecord, bool aOwn);
   Entries::iterator Erase(Entries::iterator aAt);
--- a/src/include/rillwall/millis.h
+++ b/src/include/rillwall/millis.h
@@ -65,6 +65,10 @@
 /// such as an idle connection, is older than they tell
 Millis SuspendedFor();
 
+/// A host that stood still for so long was suspended; two readings of clocks
+/// differ by a ms or two.
+inline constexpr Millis kSuspension{100};
+
 /// \return milliseconds since 1970 by the host's time of day, which may jump;
 /// for logs and for what must outlive a process
 int64_t WallClockMs();
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -102,6 +103,8 @@
                                               std::string aAddress,
                                               Millis aLimit);
 
+/// Waits until a timer is cancelled, or so long.
+asio::awaitable<void> Rest(asio::steady_timer& aTimer, Millis aSpan);
 /// Waits. Ends early, without an error, if the coroutine is cancelled.
 asio::awaitable<void> Sleep(asio::io_context& aIo, Millis aSpan);
 /// Starts a coroutine that nobody waits for; what it throws is logged.
--- a/src/librillwall_coordination/crash_table.cpp
+++ b/src/librillwall_coordination/crash_table.cpp
@@ -5,6 +5,17 @@
 
 namespace rillwall {
 
+template <class Action>
+void CrashTable::ForOpenRecords(const RequestDigest& aRequest,
+                                Action aAction) const {
+  for (auto at = mRecords.lower_bound({aRequest, {}});
+       at != mRecords.end() && at->first.mRequest == aRequest; ++at) {
+    if (!at->second.mRecord.mCleared) {
+      aAction(at->second.mRecord);
+    }
+  }
+}
+
 bool CrashTable::Take(const CrashRecord& aRecord, bool aOwn) {
   const auto [at, added] =
       mRecords.try_emplace({aRecord.mRequest, aRecord.mReplica});
@@ -37,17 +48,18 @@
 }
 
 size_t CrashTable::Clear(const RequestDigest& aRequest) {
-  size_t cleared = 0;
-  for (auto at = mRecords.lower_bound({aRequest, {}});
-       at != mRecords.end() && at->first.mRequest == aRequest; ++at) {
-    CrashRecord record = at->second.mRecord;
+  std::vector<CrashRecord> cleared;
+  ForOpenRecords(aRequest, [&](const CrashRecord& aRecord) {
+    cleared.push_back(aRecord);
+  });
+  for (CrashRecord& record : cleared) {
     record.mCleared = true;
-    cleared += Take(record, true) ? 1 : 0;
+    Take(record, true);
   }
-  if (cleared > 0 && mOnOwnNews) {
+  if (!cleared.empty() && mOnOwnNews) {
     mOnOwnNews();
   }
-  return cleared;
+  return cleared.size();
 }
 
 std::vector<CrashRecord> CrashTable::Merge(
@@ -90,22 +102,16 @@
 
 size_t CrashTable::Crashes(const RequestDigest& aRequest) const {
   size_t count = 0;
-  for (auto at = mRecords.lower_bound({aRequest, {}});
-       at != mRecords.end() && at->first.mRequest == aRequest; ++at) {
-    count += at->second.mRecord.mCleared ? 0 : 1;
-  }
+  ForOpenRecords(aRequest, [&](const CrashRecord&) { ++count; });
   return count;
 }
 
 Millis CrashTable::HeldFor(const RequestDigest& aRequest,
                            int64_t aNowMs) const {
   std::vector<int64_t> times;
-  for (auto at = mRecords.lower_bound({aRequest, {}});
-       at != mRecords.end() && at->first.mRequest == aRequest; ++at) {
-    if (!at->second.mRecord.mCleared) {
-      times.push_back(at->second.mRecord.mAtMs);
-    }
-  }
+  ForOpenRecords(aRequest, [&](const CrashRecord& aRecord) {
+    times.push_back(aRecord.mAtMs);
+  });
   if (times.size() < kReplicasToHold) {
     return {};
   }
--- a/src/librillwall_protocol/crash_record.cpp
+++ b/src/librillwall_protocol/crash_record.cpp
@@ -2,7 +2,7 @@
 
 namespace rillwall {
 
-json::object CrashToJson(const CrashRecord& aRecord) {
+json::object ToJson(const CrashRecord& aRecord) {
   json::object object;
   object["request"] = aRecord.mRequest.Text();
   object["replica"] = aRecord.mReplica;
@@ -29,7 +29,7 @@
 }
 
 std::string EncodeCrash(const CrashRecord& aRecord) {
-  return json::serialize(CrashToJson(aRecord));
+  return json::serialize(ToJson(aRecord));
 }
 
 Result<CrashRecord> DecodeCrash(std::string_view aText) {
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -161,11 +161,7 @@
   }
   object["crash_number"] = aView.mCrashNumber;
   if (!aView.mCrashes.empty()) {
-    json::array crashes;
-    for (const CrashRecord& record : aView.mCrashes) {
-      crashes.push_back(CrashToJson(record));
-    }
-    object["crashes"] = std::move(crashes);
+    object["crashes"] = ToArray(aView.mCrashes);
   }
   return json::serialize(object);
 }
--- a/src/librillwall_rollout/crash_guard.cpp
+++ b/src/librillwall_rollout/crash_guard.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "rillwall/crash_sync.h"
+#include "replica_end.h"
 #include "rillwall/event_log.h"
 
 namespace rillwall {
@@ -73,6 +73,16 @@
   }
 }
 
+asio::awaitable<bool> BlameIfEnded(NodeContext& aNode, RequestDigest aRequest,
+                                   Replica aReplica, std::string aId,
+                                   std::string aWhat) {
+  const bool ended = co_await ReplicaEnded(aNode, aReplica.mAddress);
+  if (ended) {
+    BlameRequest(aNode, aRequest, aReplica, aId, std::move(aWhat));
+  }
+  co_return ended;
+}
+
 void ClearRequest(NodeContext& aNode, const RequestDigest& aRequest,
                   std::string_view aId) {
   const size_t cleared = aNode.mCrashes.Clear(aRequest);
--- a/src/librillwall_rollout/crash_guard.h
+++ b/src/librillwall_rollout/crash_guard.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "rillwall/node_context.h"
 
@@ -17,9 +18,17 @@
 std::optional<Error> RefusalIfHeld(const NodeContext& aNode,
                                    const RequestDigest& aRequest);
 
-/// A replica ended under a request that this host sent there.
+/// A replica closed the connection under a request before its answer was whole.
+/// Finds out whether it has ended, and holds that against the request.
 /// \param aId identity of the attempt, for the log
 /// \param aWhat the request as DescribeRequest() gives it
+/// \return whether it has ended
+asio::awaitable<bool> BlameIfEnded(NodeContext& aNode, RequestDigest aRequest,
+                                   Replica aReplica, std::string aId,
+                                   std::string aWhat);
+
+/// A replica ended under a request that this host sent there.
+/// Its parameters are those of BlameIfEnded().
 void BlameRequest(NodeContext& aNode, const RequestDigest& aRequest,
                   const Replica& aReplica, std::string_view aId,
                   std::string aWhat);
@@ -30,4 +39,10 @@
 void ClearRequest(NodeContext& aNode, const RequestDigest& aRequest,
                   std::string_view aId);
 
+/// Takes in records that another host told or the store holds, and logs what
+/// is new.
+/// \param aFrom whom they are from, for the log
+void TakeCrashNews(NodeContext& aNode, const std::vector<CrashRecord>& aRecords,
+                   std::string_view aFrom);
+
 }  // namespace rillwall
--- a/src/librillwall_rollout/crash_sync.cpp
+++ b/src/librillwall_rollout/crash_sync.cpp
@@ -1,10 +1,9 @@
 #include "rillwall/crash_sync.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <set>
 
+#include "crash_guard.h"
 #include "rillwall/crash_record.h"
 #include "rillwall/event_log.h"
 
@@ -35,7 +34,7 @@
 constexpr Millis kFirstReadPause{200};
 constexpr Millis kLongestReadPause{1000};
 
-/// Adds what a key holds. One that can't be read is left out, and told.
+/// Adds what a key holds. One that can't be read is left out, and logged.
 void AddDecoded(const StoreItem& aItem, std::vector<CrashRecord>& aRecords) {
   const Result<CrashRecord> record = DecodeCrash(aItem.mValue);
   if (record) {
@@ -48,6 +47,14 @@
   }
 }
 
+std::vector<CrashRecord> RecordsOf(const StoreList& aList) {
+  std::vector<CrashRecord> records;
+  for (const StoreItem& item : aList.mItems) {
+    AddDecoded(item, records);
+  }
+  return records;
+}
+
 }  // namespace
 
 CrashSync::CrashSync(NodeContext& aNode, std::function<bool()> aTellsOthers)
@@ -58,12 +65,6 @@
   mNode.mCrashes.mOnOwnNews = [this] { mSaveWake.cancel(); };
 }
 
-asio::awaitable<void> CrashSync::Rest(asio::steady_timer& aTimer,
-                                      Millis aSpan) {
-  aTimer.expires_after(std::chrono::milliseconds(aSpan.Count()));
-  co_await aTimer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 asio::awaitable<void> CrashSync::Save() {
   mJitter = Jitter(std::hash<std::string>()(mNode.mIdentity.mRun));
   int failures = 0;
@@ -105,11 +106,7 @@
   if (!list) {
     co_return list.error();
   }
-  std::vector<CrashRecord> records;
-  for (const StoreItem& item : list->mItems) {
-    AddDecoded(item, records);
-  }
-  TakeCrashNews(mNode, records, "store");
+  TakeCrashNews(mNode, RecordsOf(*list), "store");
   co_return list->mRevision;
 }
 
@@ -120,11 +117,9 @@
   }
   int64_t revision = *read;
   while (mTellsOthers()) {
-    mFollowWake.expires_after(
-        std::chrono::milliseconds((kWatchWait + kWatchMargin).Count()));
     const auto seen =
         co_await (mNode.mStore.Watch(CrashPrefix(), revision, kWatchWait) ||
-                  mFollowWake.async_wait(asio::as_tuple(asio::use_awaitable)));
+                  Rest(mFollowWake, kWatchWait + kWatchMargin));
     const Result<StoreEvents>* events = std::get_if<0>(&seen);
     if (events == nullptr || !*events || (*events)->mCompacted) {
       co_return events == nullptr;
@@ -164,12 +159,8 @@
     co_return;
   }
   // What a table would keep is kept: the young ones, within its bound.
-  std::vector<CrashRecord> records;
-  for (const StoreItem& item : list->mItems) {
-    AddDecoded(item, records);
-  }
   CrashTable table;
-  table.Merge(records);
+  table.Merge(RecordsOf(*list));
   table.Forget(mNode.mTimeOfDay());
   std::set<std::string> kept;
   for (const CrashRecord& record : table.Since(0)) {
--- a/src/librillwall_rollout/item_hold_test.cpp
+++ b/src/librillwall_rollout/item_hold_test.cpp
@@ -33,18 +33,8 @@
  public:
   void setUp() override {
     mScorer.mStreams = false;
-    Route rollout;
-    rollout.mHost = "h";
-    rollout.mPrefix = "/r/";
-    rollout.mKind = RequestKind::Rollout;
-    rollout.mAttempts = 3;
-    rollout.mTargets = {{"engine", 1}};
-    Route score = rollout;
-    score.mPrefix = "/score/";
-    score.mKind = RequestKind::Idempotent;
-    score.mTargets = {{"scorer", 1}};
-    mTest.mNode.mRoutes.Publish(std::make_shared<const RouteTable>(
-        RouteTable(1, {rollout, score}, {{"engine", 0, true, {"m"}}}, {})));
+    mTest.mNode.mRoutes.Publish(
+        std::make_shared<const RouteTable>(StepRoutes()));
     mTest.Add(mEngine, "engine");
     mTest.Add(mScorer, "scorer");
     Launch(mTest.mIo, "steps", mService.Run());
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -4,7 +4,6 @@
 #include <boost/algorithm/string/predicate.hpp>
 
 #include "crash_guard.h"
-#include "replica_end.h"
 #include "rillwall/admission.h"
 #include "rillwall/numbers.h"
 #include "rillwall/sse.h"
@@ -38,6 +37,15 @@
   return {"POST", spec.mHost, item.mPath, spec.mAccount, item.mBody};
 }
 
+/// \return what the item is, whichever step asks for it
+const RequestDigest& DigestOf(RolloutStep& aStep, size_t aItem) {
+  const auto known = aStep.mDigests.find(aItem);
+  return known != aStep.mDigests.end()
+             ? known->second
+             : aStep.mDigests.emplace(aItem, PartsOf(aStep, aItem))
+                   .first->second;
+}
+
 HttpRequest MakeRequest(const NodeContext& aNode, RolloutStep& aStep,
                         size_t aItem, const Replica& aReplica) {
   const RolloutItem& item = aStep.mBook.Item(aItem);
@@ -249,31 +257,24 @@
   co_return end;
 }
 
-bool ItemHeld(const NodeContext& aNode, const RolloutStep& aStep,
-              size_t aItem) {
+bool ItemHeld(const NodeContext& aNode, RolloutStep& aStep, size_t aItem) {
   const CrashTable& crashes = aNode.mCrashes;
-  return crashes.AnySuspect() &&
-         crashes.Held(RequestDigest(PartsOf(aStep, aItem)));
+  return crashes.AnySuspect() && crashes.Held(DigestOf(aStep, aItem));
 }
 
 asio::awaitable<bool> LearnFromRun(NodeContext& aNode, RolloutStep& aStep,
                                    size_t aItem, Replica aReplica,
                                    ItemRunEnd aEnd, int64_t aEvents) {
-  const RequestParts parts = PartsOf(aStep, aItem);
   const std::string& id = aStep.mBook.Item(aItem).mId;
   const bool lived = aEnd == ItemRunEnd::Whole || aEvents >= kBegunEvents;
   if (lived && aNode.mCrashes.AnySuspect()) {
-    ClearRequest(aNode, RequestDigest(parts), id);
+    ClearRequest(aNode, DigestOf(aStep, aItem), id);
   }
   if (lived || aEnd != ItemRunEnd::Closed) {
     co_return false;
   }
-  const bool ended = co_await ReplicaEnded(aNode, aReplica.mAddress);
-  if (ended) {
-    BlameRequest(aNode, RequestDigest(parts), aReplica, id,
-                 DescribeRequest(parts));
-  }
-  co_return ended;
+  co_return co_await BlameIfEnded(aNode, DigestOf(aStep, aItem), aReplica, id,
+                                  DescribeRequest(PartsOf(aStep, aItem)));
 }
 
 }  // namespace rillwall
--- a/src/librillwall_rollout/item_run.h
+++ b/src/librillwall_rollout/item_run.h
@@ -31,7 +31,7 @@
                                          std::string& aWhy);
 
 /// \return whether an item may not run, as replicas have ended under it
-bool ItemHeld(const NodeContext& aNode, const RolloutStep& aStep, size_t aItem);
+bool ItemHeld(const NodeContext& aNode, RolloutStep& aStep, size_t aItem);
 
 /// Keeps what a run has shown of its item: that it was held against it that a
 /// replica ended as it began, or that a replica lived through it.
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -39,21 +39,6 @@
   return spec;
 }
 
-RouteTable Table() {
-  Route rollout;
-  rollout.mHost = "h";
-  rollout.mPrefix = "/r/";
-  rollout.mKind = RequestKind::Rollout;
-  rollout.mAttempts = 3;
-  rollout.mTargets = {{"engine", 1}};
-  Route score;
-  score.mHost = "h";
-  score.mPrefix = "/score/";
-  score.mAttempts = 2;
-  score.mTargets = {{"scorer", 1}};
-  return RouteTable(1, {rollout, score}, {{"engine", 0, true, {"m"}}}, {});
-}
-
 }  // namespace
 
 class RolloutServiceTest : public CppUnit::TestFixture {
@@ -144,7 +129,8 @@
                const std::string& aAddress = "n1-address") {
     mProcesses.push_back(std::make_unique<Process>(mWorld, aRun));
     Test().mNode.mIdentity.mAddress = aAddress;
-    Test().mNode.mRoutes.Publish(std::make_shared<const RouteTable>(Table()));
+    Test().mNode.mRoutes.Publish(
+        std::make_shared<const RouteTable>(StepRoutes()));
     Test().Add(mEngine, "engine");
     Test().Add(mScorer, "scorer");
     Launch(Test().mIo, "steps", Service().Run());
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "rillwall/http.h"
+#include "rillwall/request_digest.h"
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
 #include "rillwall/route_table.h"
@@ -67,6 +68,9 @@
   /// Items whose stream is ended to go elsewhere, and why.
   std::map<size_t, std::string> mMoving;
   std::map<size_t, Millis> mMovedAt;  ///< by item, the last such move
+  /// By item, once it is needed. While all slots are taken, items are looked at
+  /// thousands of times a second: a digest each time would take 1 us.
+  std::map<size_t, RequestDigest> mDigests;
   int64_t mNextPart = 0;   ///< number of the next write of unfinished texts
   bool mSpooling = false;  ///< texts are being written to the disk
   Millis mSpooledAt;       ///< when that last began
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -25,6 +25,21 @@
 
 }  // namespace
 
+RouteTable StepRoutes() {
+  Route rollout;
+  rollout.mHost = "h";
+  rollout.mPrefix = "/r/";
+  rollout.mKind = RequestKind::Rollout;
+  rollout.mAttempts = 3;
+  rollout.mTargets = {{"engine", 1}};
+  Route score;
+  score.mHost = "h";
+  score.mPrefix = "/score/";
+  score.mAttempts = 2;
+  score.mTargets = {{"scorer", 1}};
+  return RouteTable(1, {rollout, score}, {{"engine", 0, true, {"m"}}}, {});
+}
+
 HeaderNames TestHeaders() {
   return {"Id",     "Left",    "Expected",   "Not-Run",
           "Signed", "Weights", "Last-Event", "Priority"};
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -190,6 +190,10 @@
   std::vector<Replica> mListed;
 };
 
+/// Routes of host "h": steps under /r/ at the service "engine", scores under
+/// /score/ at "scorer".
+RouteTable StepRoutes();
+
 /// Names of headers for tests.
 HeaderNames TestHeaders();
 
--- a/src/librillwall_rollout/suspects.cpp
+++ b/src/librillwall_rollout/suspects.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr int kOk = 200;
 /// Stands in records in the place of a replica.
 constexpr char kByHand[] = "by-hand-";
 
@@ -40,7 +41,7 @@
   }
   json::object text;
   text["suspects"] = std::move(rows);
-  return HttpResponse::Json(200, json::serialize(text));
+  return HttpResponse::Json(kOk, json::serialize(text));
 }
 
 void Hold(NodeContext& aNode, const RequestDigest& aRequest) {
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "crash_guard.h"
-#include "replica_end.h"
 #include "rillwall/event_log.h"
 #include "rillwall/request_digest.h"
 
@@ -106,20 +105,24 @@
 }
 
 /// Keeps what a try has shown of the request.
-/// \return whether it may be tried at another replica now
-bool LearnFrom(CallRun& aRun, const Replica& aReplica,
-               const TryResult& aResult) {
-  CrashTable& crashes = aRun.mNode.mCrashes;
+asio::awaitable<void> LearnFrom(CallRun& aRun, const Replica& aReplica,
+                                TryResult& aResult) {
+  NodeContext& node = aRun.mNode;
   const UpstreamCall& call = aRun.mCall;
-  if (aResult.mEnded) {
-    BlameRequest(aRun.mNode, DigestOf(aRun), aReplica, call.mId,
-                 DescribeRequest(PartsOf(call)));
-    return crashes.Crashes(DigestOf(aRun)) < CrashTable::kReplicasToPause;
+  if (aResult.mEnd == TryEnd::Lost && aResult.mClosed) {
+    aResult.mEnded =
+        co_await BlameIfEnded(node, DigestOf(aRun), aReplica, call.mId,
+                              DescribeRequest(PartsOf(call)));
   }
-  if (crashes.AnySuspect() && LivedThrough(aRun, aResult)) {
-    ClearRequest(aRun.mNode, DigestOf(aRun), call.mId);
+  if (node.mCrashes.AnySuspect() && LivedThrough(aRun, aResult)) {
+    ClearRequest(node, DigestOf(aRun), call.mId);
   }
-  return true;
+}
+
+/// \return whether the request may be tried at another replica after this one
+bool MayGoOn(CallRun& aRun, const TryResult& aResult) {
+  return !aResult.mEnded || aRun.mNode.mCrashes.Crashes(DigestOf(aRun)) <
+                                CrashTable::kReplicasToPause;
 }
 
 HttpRequest Prepare(const CallRun& aRun, const std::string& aReplica,
@@ -223,10 +226,7 @@
       ClearRequest(mNode, mDigest, mId);
     }
     if (!part && part.error().Kind() == ErrorKind::ConnectionLost) {
-      const bool ended = co_await ReplicaEnded(mNode, mReplica.mAddress);
-      if (ended) {
-        BlameRequest(mNode, mDigest, mReplica, mId, mWhat);
-      }
+      co_await BlameIfEnded(mNode, mDigest, mReplica, mId, mWhat);
     }
     co_return part;
   }
@@ -350,13 +350,12 @@
       count.NotRun();
     }
     use.End(OutcomeOf(result.mEnd));
-    if (result.mEnd == TryEnd::Lost && result.mClosed) {
-      result.mEnded = co_await ReplicaEnded(node, replica.mAddress);
-    }
-    const bool mayGoOn = LearnFrom(aRun, replica, result);
+    co_await LearnFrom(aRun, replica, result);
     const int status = result.mAnswer.mHead.mStatus;
     CallStep step = aRun.mAttempts.Take(result.mEnd, status);
-    step = step == CallStep::Retry && !mayGoOn ? CallStep::Fail : step;
+    if (step == CallStep::Retry && !MayGoOn(aRun, result)) {
+      step = CallStep::Fail;
+    }
     LogTry(aRun, *id, result, step);
     if (step == CallStep::Deliver) {
       result.mAnswer.mReplica = *id;
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -4,8 +4,8 @@
 #include <functional>
 #include <random>
 
+#include "crash_guard.h"
 #include "rillwall/compression.h"
-#include "rillwall/crash_sync.h"
 #include "rillwall/event_log.h"
 #include "rillwall/numbers.h"
 #include "rillwall/usage_record.h"
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -17,9 +17,11 @@
 /// Less than what servers allow, so that they rarely close first.
 constexpr std::chrono::seconds kMaxIdleTime{20};
 constexpr std::chrono::seconds kSweepInterval{5};
-/// A host that stood still for so long was suspended; two readings of clocks
-/// differ by a ms or two.
-constexpr Millis kSuspension{100};
+
+TimePoint DueIn(Millis aSpan) {
+  return std::chrono::steady_clock::now() +
+         std::chrono::milliseconds(aSpan.Count());
+}
 
 Millis Until(TimePoint aDue) {
   const auto left = aDue - std::chrono::steady_clock::now();
@@ -154,9 +156,7 @@
   const std::shared_ptr<Impl> self = shared_from_this();
   auto connection =
       std::make_unique<HttpClientConnection>(mContext, aEndpoint, mOpen);
-  const TimePoint due = std::chrono::steady_clock::now() +
-                        std::chrono::milliseconds(aTimeout.Count());
-  const error_code code = co_await Dial(*connection, due);
+  const error_code code = co_await Dial(*connection, DueIn(aTimeout));
   if (code == asio::error::connection_refused) {
     co_return Listening::No;
   }
@@ -215,8 +215,7 @@
     co_return Error(ErrorKind::BadRequest,
                     "The request's method or target is not valid.");
   }
-  const TimePoint due = std::chrono::steady_clock::now() +
-                        std::chrono::milliseconds(aTimeout.Count());
+  const TimePoint due = DueIn(aTimeout);
   Connection connection = Reuse(aEndpoint);
   const bool reused = connection != nullptr;
   if (reused) {
--- a/testsuite/crashing/crashing.py
+++ b/testsuite/crashing/crashing.py
@@ -18,13 +18,12 @@
 import argparse
 import asyncio
 import pathlib
-import shutil
 import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "platform"))
-from soak import CONTACT_S, CRASHES, HOST, MORE_RUNS, Soak, take_addresses  # noqa: E402
+from soak import CONTACT_S, CRASHES, HOST, MORE_RUNS, Soak, conclude, take_addresses  # noqa: E402
 from standins import CRASHING  # noqa: E402
 from web import call  # noqa: E402
 
@@ -136,15 +135,7 @@
     scenario = Scenario(args)
     asyncio.run(scenario.go())
     lock.close()
-    failed = {name for name, _ in scenario.failed}
-    for name in CHECKS:
-        print(f"crashing: {'FAILED' if name in failed else 'ok'} {name}")
-    print(f"{len(CHECKS) - len(failed)} passed, {len(failed)} failed")
-    if not failed and not args.keep:
-        shutil.rmtree(scenario.folder)
-    elif failed:
-        print(f"logs: {scenario.folder}")
-    raise SystemExit(1 if failed else 0)
+    conclude(scenario, "crashing", CHECKS)
 
 
 if __name__ == "__main__":
--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -559,6 +559,19 @@
     raise SystemExit(f"Another run of seed {seed} (or of one with the same addresses) goes on; end it first.")
 
 
+def conclude(soak, title, checks):
+    """Tells each check, keeps the logs of a failed run, and ends the program."""
+    failed = {name for name, _ in soak.failed}
+    for name in checks:
+        print(f"{title}: {'FAILED' if name in failed else 'ok'} {name} ({soak.counts.get(name, 0)} checks)")
+    print(f"{len(checks) - len(failed)} passed, {len(failed)} failed")
+    if not failed and not soak.args.keep:
+        shutil.rmtree(soak.folder)
+    elif failed:
+        print(f"logs: {soak.folder}")
+    raise SystemExit(1 if failed else 0)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--binary", required=True)
@@ -573,17 +586,9 @@
     soak = Soak(args)
     asyncio.run(soak.run())
     lock.close()
-    failed = {name for name, _ in soak.failed}
     print(f"seed {soak.args.seed}: served {soak.served}, whole steps {soak.whole_steps}, faults {soak.faults}, "
           f"checks {soak.counts}")
-    for name in CHECKS:
-        print(f"soak: {'FAILED' if name in failed else 'ok'} {name} ({soak.counts.get(name, 0)} checks)")
-    print(f"{len(CHECKS) - len(failed)} passed, {len(failed)} failed")
-    if not failed and not soak.args.keep:
-        shutil.rmtree(soak.folder)
-    elif failed:
-        print(f"logs: {soak.folder}")
-    raise SystemExit(1 if failed else 0)
+    conclude(soak, "soak", CHECKS)
 
 
 if __name__ == "__main__":
