load: replicas that tell more than three figures are listened to

Cause: replicas of some services tell a fourth figure with their load (how long work takes on their machine just now). A header with other than three figures was dropped whole, so that there hosts chose as if no other host had requests at a replica. Ruled out: a header that can't be read; the three figures are the same ones. Change: three figures are read, more may follow. Test: ToldLoadMayHaveMoreFigures, seen to fail without the change.

--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -39,7 +39,7 @@
   std::string mWeightVersion;  ///< in answers and events: of the weights
   std::string mLastEvent;      ///< a stream goes on after this event
   std::string mPriority;       ///< 0 goes first
-  std::string mReplicaLoad;    ///< in answers: "running,waiting,slots"
+  std::string mReplicaLoad;    ///< in answers: "running,waiting,slots,..."
   std::string mAccount;        ///< the client account, as told to upstreams
 };
 
--- a/src/librillwall_rollout/node_context.cpp
+++ b/src/librillwall_rollout/node_context.cpp
@@ -22,8 +22,9 @@
   }
   std::vector<std::string> fields;
   boost::split(fields, *load, [](char aChar) { return aChar == ','; });
+  // More may follow; replicas add figures of their own.
   constexpr size_t kFields = 3;
-  if (fields.size() != kFields) {
+  if (fields.size() < kFields) {
     return;
   }
   const std::optional<int64_t> running = ParseNumber(fields[0]);
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(WholeStreamClears);
   CPPUNIT_TEST(ErrorStatusTellsTheTruth);
   CPPUNIT_TEST(ConnectionHeadersStay);
+  CPPUNIT_TEST(ToldLoadMayHaveMoreFigures);
   CPPUNIT_TEST_SUITE_END();
 
   TestWorld mWorld;
@@ -72,6 +73,22 @@
     mTwo.mOtherwise = aScript;
   }
 
+  void ToldLoadMayHaveMoreFigures() {
+    mTest.mNode.mHeaders.mReplicaLoad = "Load";
+    HttpResponse head;
+    head.mHeaders = {{"Load", "7,1,8,100"}};
+    ObserveLoad(mTest.mNode, "one", head);
+    ReplicaWish wish;
+    wish.mService = "s";
+    const Millis now = mTest.mNode.Now();
+    CPPUNIT_ASSERT_EQUAL(std::string("two"),
+                         *mTest.mNode.mReplicas.Choose(wish, now));
+    head.mHeaders = {{"Load", "9,9"}};
+    ObserveLoad(mTest.mNode, "two", head);
+    CPPUNIT_ASSERT_EQUAL(std::string("two"),
+                         *mTest.mNode.mReplicas.Choose(wish, now));
+  }
+
   void SendsWhatTheReplicaNeeds() {
     const auto answer = Call(RequestKind::NonIdempotent, 1);
     CPPUNIT_ASSERT_EQUAL(200, answer->mHead.mStatus);
