zones: cold replicas, evacuated zones and allowed regions are kept

Cause: nothing in the code read cold-remaining-ms, cold-per-s, op/evacuate or allowed-regions. Ruled out: a shared count of requests (a message for each request), grants by the lead (a hop before the first byte, nobody served while the lead is lost). Change: - ColdShare: each host keeps to its part of a cold replica's rate. Hosts that take clients share half of it, by number while there are fewer than the rate, else by a hash of host and replica; the owner of steps has the other half. Left: a step that may only be in one region is not taken over by the lead of another region; nobody else adopts it before its reader asks.

--- a/src/include/rillwall/client_accounts.h
+++ b/src/include/rillwall/client_accounts.h
@@ -14,6 +14,8 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,6 +33,8 @@
   std::string mName;
   std::optional<int> mPriority;  ///< goes before the route's; 0 is the highest
   std::vector<KeyDigest> mKeys;  ///< none: all its keys were revoked
+  /// Where its requests may be served; nothing: in any region.
+  std::optional<std::vector<std::string>> mRegions;
   bool operator==(const ClientAccount&) const = default;
 };
 
@@ -48,6 +52,8 @@
   const std::vector<ClientAccount>& Accounts() const { return mAccounts; }
   /// \return the account of a key, or null if no account has it
   const ClientAccount* Find(std::string_view aKey) const;
+  /// \return the account of a name, or null if there is none
+  const ClientAccount* Named(std::string_view aName) const;
   bool operator==(const AccountTable& aOther) const {
     return mRequired == aOther.mRequired && mAccounts == aOther.mAccounts;
   }
@@ -61,6 +67,7 @@
   bool mRequired = false;
   std::vector<ClientAccount> mAccounts;
   std::unordered_map<KeyDigest, size_t, FirstBytes> mByKey;
+  std::map<std::string, size_t, std::less<>> mByName;
 };
 
 }  // namespace rillwall
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -61,6 +61,8 @@
   Millis mCancel{3000};    ///< then nothing new of a step that was ended runs
   Millis mGrace{8000};     ///< from the stop signal to the kill
   Millis mStatus{120000};  ///< results stay readable so long
+  Millis mEvacuate;  ///< then an evacuated zone gets nothing new; 0: no zone is
+                     ///< ever evacuated
 };
 
 struct NodeContext {
--- a/src/include/rillwall/node_directory.h
+++ b/src/include/rillwall/node_directory.h
@@ -43,6 +43,9 @@
   /// \return the nodes that others are told: all of them, or a fixed choice
   /// among many, of each kind
   std::vector<NodeEntry> Told() const;
+  /// \return hosts that take clients among those heard of, rounded up so that
+  /// it seldom changes
+  size_t Hosts() const;
   /// \return whether List() names it
   bool Knows(const std::string& aAddress) const;
   /// \return a number that differs if Told() does
@@ -71,6 +74,7 @@
   void UpdateTag();
 
   std::map<std::string, State> mNodes;  ///< by address
+  size_t mHosts = 0;                    ///< of these, those that take clients
   Choice mToldEntries;                  ///< hosts that take clients
   Choice mToldOthers;
   uint64_t mTag = 0;
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -23,6 +23,8 @@
 #include <string_view>
 #include <vector>
 
+#include "rillwall/cold_share.h"
+#include "rillwall/home_regions.h"
 #include "rillwall/millis.h"
 #include "rillwall/replica_pace.h"
 
@@ -45,6 +47,7 @@
   int64_t mBorn = 0;     ///< its start, in ms since 1970; 0: not told
   bool mDraining = false;
   std::vector<ModelVersion> mModels;
+  bool mCold = false;  ///< it takes few requests a second for now
 
   /// \return the version of a model, 0 if it does not serve it
   int64_t VersionOf(std::string_view aModel) const;
@@ -68,6 +71,7 @@
   std::string mModel;                  ///< empty: any
   int64_t mMinVersion = 0;             ///< oldest weights that may serve it
   bool mWithinSlots = false;           ///< only a replica with a free slot
+  AllowedRegions mRegions;             ///< only a replica in one of these
 };
 
 /// What the registry's newest snapshot changed.
@@ -88,12 +92,29 @@
   ReplicaChanges Update(const std::vector<Replica>& aReplicas,
                         bool aKeepMissing);
 
+  /// The region of each availability zone.
+  void SetRegions(RegionMap aRegions) { mRegions = std::move(aRegions); }
+  const RegionMap& Regions() const { return mRegions; }
+  /// Zones whose replicas get nothing new until they are named no more.
+  /// \return whether that changes anything
+  bool Evacuate(std::set<std::string> aZones);
+  bool Evacuated(const std::string& aZone) const {
+    return mEvacuated.contains(aZone);
+  }
+  const std::set<std::string>& EvacuatedZones() const { return mEvacuated; }
+  /// This host's part of what cold replicas take.
+  ColdShare& Cold() { return mCold; }
+  /// \param aServices with the rates of their cold replicas
+  void SetServices(const std::vector<ServiceSpec>& aServices);
+
   /// \return the id of the replica to send to, or nothing if none may take it
   std::optional<std::string> Choose(const ReplicaWish& aWish,
                                     Millis aNow) const;
   /// Counts a request that is about to be sent.
   /// \param aModel whose weights serve it; empty: any
   void Start(const std::string& aId, const std::string& aModel = {});
+  /// A request is sent now; a cold replica gets so many a second only.
+  void Sent(const std::string& aId, Millis aNow);
   /// \param aLatency of a served request, to its answer's head; else 0
   /// \param aModel as it was at its start
   void End(const std::string& aId, ReplicaOutcome aOutcome, Millis aLatency,
@@ -149,6 +170,7 @@
     Millis mOthersAt;             ///< when it told so
     double mRankedPace = 0;       ///< when it was ranked
     std::optional<double> mRank;  ///< its cost, if it is among the free ones
+    SendWindow mColdSends;        ///< while it is cold
   };
   /// One entry of the order by cost.
   struct Rank {
@@ -192,12 +214,18 @@
   State* Lookup(const std::string& aId);
   static bool Paused(const State& aState, const ReplicaWish& aWish,
                      Millis aNow);
-  static bool Suits(const State& aState, const ReplicaWish& aWish, Millis aNow);
+  bool Suits(const State& aState, const ReplicaWish& aWish, Millis aNow) const;
+  /// \return requests that this host may send to a cold replica in a second
+  int64_t ColdLimit(const State& aState) const;
 
   std::map<std::string, State> mStates;
   /// By name. Nodes of the map, which states refer to, stay where they are. Not
   /// const to a choice, as that may have to bring the order up to date.
   mutable std::map<std::string, Service, std::less<>> mServices;
+  RegionMap mRegions;
+  std::set<std::string> mEvacuated;
+  ColdShare mCold;
+  std::map<std::string, double> mColdRates;  ///< by service
 };
 
 }  // namespace rillwall
--- a/src/include/rillwall/route_table.h
+++ b/src/include/rillwall/route_table.h
@@ -52,6 +52,8 @@
   bool mSingleVersion = false;  ///< a text must come from one weight version
   bool mPublic = false;         ///< needs no key, if accounts are configured
   std::vector<RouteTarget> mTargets;
+  /// Where its requests may be served; nothing: in any region.
+  std::optional<std::vector<std::string>> mRegions;
   bool operator==(const Route&) const = default;
 };
 
@@ -61,6 +63,8 @@
   int64_t mMaxConnections = 0;  ///< of a replica, from all callers; 0: unknown
   bool mEngine = false;         ///< its replicas generate text with a model
   std::vector<std::string> mModels;
+  Millis mColdFor;            ///< its replicas are cold so long after a start
+  double mColdPerSecond = 0;  ///< requests that a cold one takes, of all hosts
   bool operator==(const ServiceSpec&) const = default;
 };
 
--- a/src/include/rillwall/shared_view.h
+++ b/src/include/rillwall/shared_view.h
@@ -24,6 +24,7 @@
   std::string mName;
   std::string mAddress;  ///< where it answers other nodes, ip:port
   std::string mRun;
+  std::string mZone;  ///< availability zone; empty: not told
   bool operator==(const LeadHolder&) const = default;
 };
 
@@ -49,6 +50,10 @@
   /// Revision of the configuration; 0 if the node does not follow it itself.
   int64_t mConfig = 0;
   std::optional<std::vector<NodeEntry>> mNodes;  ///< unless they are the same
+  /// Hosts that take clients, rounded up; 0: the node does not count them.
+  int64_t mHosts = 0;
+  /// Zones that are evacuated, if the node follows the configuration.
+  std::vector<std::string> mEvacuated;
   std::optional<LeadHolder> mLead;
   /// Requests that have ended replicas: what the listener lacks, and the number
   /// up to which it knows them with that.
--- a/src/include/rillwall/upstream_call.h
+++ b/src/include/rillwall/upstream_call.h
@@ -22,6 +22,7 @@
   int mAttempts = 1;  ///< replicas that may run it
   Millis mDue;        ///< instant at which the caller must have its answer
   Millis mTargetLatency;
+  AllowedRegions mRegions;  ///< in which it may be served
 };
 
 /// A replica's answer: whole, or its beginning and the rest as a stream.
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,8 @@
   void Unlisted() { mUnlistedAt = mNode.Now(); }
   /// The configuration in force here.
   void Configured(ConfigText aConfig);
+  /// The zones that the operator has evacuated, all of them.
+  void Evacuated(std::set<std::string> aZones);
   /// Whether this node follows the configuration in the store itself.
   void Follows(bool aFollows);
 
@@ -118,6 +121,8 @@
                 const Result<HttpResponse>& aAnswer);
   asio::awaitable<std::optional<ViewNews>> Take(SharedView aView,
                                                 Endpoint aFrom);
+  /// \return hosts that take clients; 0 while not all of them can have asked
+  size_t CountedHosts() const;
   /// \return the fixed part of an answer, written down once
   const std::string& Text(const AnswerKey& aKey);
   asio::awaitable<std::optional<ConfigText>> FetchConfig(Endpoint aFrom,
@@ -132,6 +137,7 @@
   ReplicaMirror mMirror;          ///< what another node told
   bool mMirrorVersions = false;   ///< that names weight versions
   std::optional<Millis> mListedAt;
+  Millis mListsSince;                 ///< without a pause
   std::optional<Millis> mUnlistedAt;  ///< when the store last did not answer
   std::optional<Millis> mHelpAskedAt;
   std::string mLeadAsked;  ///< address of the lead asked last
@@ -144,6 +150,7 @@
   std::map<AnswerKey, std::string> mTexts;  ///< answers to the present state
   std::optional<LeadHolder> mTextsLead;     ///< the lead that they name
   uint64_t mTextsNodes = 0;                 ///< tag of the nodes that they name
+  size_t mTextsHosts = 0;                   ///< number of hosts that they tell
   int64_t mTextsCrashes =
       0;  ///< number of the records of crashes that they hold
   /// How far this node knows the records of crashes of the node told last.
--- a/src/librillwall_coordination/client_accounts.cpp
+++ b/src/librillwall_coordination/client_accounts.cpp
@@ -17,6 +17,7 @@
 AccountTable::AccountTable(std::vector<ClientAccount> aAccounts)
     : mRequired(true), mAccounts(std::move(aAccounts)) {
   for (size_t i = 0; i < mAccounts.size(); ++i) {
+    mByName.try_emplace(mAccounts[i].mName, i);
     for (const KeyDigest& key : mAccounts[i].mKeys) {
       mByKey.try_emplace(key, i);
     }
@@ -30,4 +31,9 @@
   return found == mByKey.end() ? nullptr : &mAccounts[found->second];
 }
 
+const ClientAccount* AccountTable::Named(std::string_view aName) const {
+  const auto found = mByName.find(aName);
+  return found == mByName.end() ? nullptr : &mAccounts[found->second];
+}
+
 }  // namespace rillwall
--- a/src/librillwall_coordination/node_directory.cpp
+++ b/src/librillwall_coordination/node_directory.cpp
@@ -17,6 +17,8 @@
 /// three; with a dozen of them, the loss of an availability zone and of a
 /// quarter of the others leaves enough.
 constexpr size_t kToldOfAKind = 12;
+/// The number of hosts is told in steps of so many.
+constexpr size_t kHostsStep = 16;
 
 uint64_t HashOf(const std::string& aAddress) {
   return XXH64(aAddress.data(), aAddress.size(), 0);
@@ -30,6 +32,7 @@
   const bool changed = at->second.mTakesClients != aNode.mTakesClients;
   at->second = {aNode.mTakesClients, aNow};
   if (added) {
+    mHosts += aNode.mTakesClients ? 1 : 0;
     Consider(aNode);
   } else if (changed) {
     Rebuild();
@@ -66,8 +69,10 @@
 void NodeDirectory::Rebuild() {
   mToldEntries.clear();
   mToldOthers.clear();
+  mHosts = 0;
   UpdateTag();
   for (const auto& [address, state] : mNodes) {
+    mHosts += state.mTakesClients ? 1 : 0;
     Consider({address, state.mTakesClients});
   }
 }
@@ -111,6 +116,10 @@
   return nodes;
 }
 
+size_t NodeDirectory::Hosts() const {
+  return (mHosts + kHostsStep - 1) / kHostsStep * kHostsStep;
+}
+
 bool NodeDirectory::Knows(const std::string& aAddress) const {
   const auto found = mNodes.find(aAddress);
   return found != mNodes.end() &&
--- a/src/librillwall_coordination/node_directory_test.cpp
+++ b/src/librillwall_coordination/node_directory_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(SilentNodesAreForgotten);
   CPPUNIT_TEST(TagFollowsTheList);
   CPPUNIT_TEST(AdoptedListReplacesTheOwn);
+  CPPUNIT_TEST(HostsAreCountedInSteps);
   CPPUNIT_TEST(FewOfManyAreTold);
   CPPUNIT_TEST(ToldChangeOnlyWithThoseNamed);
   CPPUNIT_TEST_SUITE_END();
@@ -45,6 +46,19 @@
     CPPUNIT_ASSERT(mNodes.Candidates(kDisk.mAddress).empty());
   }
 
+  void HostsAreCountedInSteps() {
+    CPPUNIT_ASSERT_EQUAL(size_t{16}, mNodes.Hosts());
+    for (int i = 0; i < 16; ++i) {
+      mNodes.Heard({"10.0.1." + std::to_string(i) + ":1", true}, kNow);
+      mNodes.Heard({"10.0.2." + std::to_string(i) + ":1", false}, kNow);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{32}, mNodes.Hosts());
+    mNodes.Heard(kEntry, kNow + Millis(9000));
+    CPPUNIT_ASSERT_EQUAL(size_t{16}, mNodes.Hosts());
+    mNodes.Adopt({kDisk}, kNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mNodes.Hosts());
+  }
+
   void SilentNodesAreForgotten() {
     mNodes.Heard(kEntry, kNow + Millis(7000));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, mNodes.List().size());
--- a/src/librillwall_coordination/replica_log.cpp
+++ b/src/librillwall_coordination/replica_log.cpp
@@ -29,6 +29,7 @@
   text += kFieldEnd;
   text += std::to_string(aReplica.mBorn);
   text += aReplica.mDraining ? '-' : '+';
+  text += aReplica.mCold ? "c" : "";
   for (const ModelVersion& model : aReplica.mModels) {
     text += model.mModel;
     text += kFieldEnd;
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -20,6 +20,8 @@
 /// What another availability zone costs against a share of the slots: its
 /// latency is small, its bytes are paid for.
 constexpr double kOtherZoneCost = 0.3;
+/// A cold replica is slower; the others are preferred while they have room.
+constexpr double kColdCost = 0.5;
 /// Latency that counts as much as all slots taken once, in ms.
 constexpr double kLatencyScale = 200.0;
 
@@ -210,9 +212,16 @@
 }
 
 bool ReplicaPool::Suits(const State& aState, const ReplicaWish& aWish,
-                        Millis aNow) {
+                        Millis aNow) const {
   const Replica& replica = aState.mReplica;
-  if (replica.mService != aWish.mService || replica.mDraining) {
+  if (replica.mService != aWish.mService || replica.mDraining ||
+      Evacuated(replica.mZone)) {
+    return false;
+  }
+  if (aWish.mRegions && !InRegions(aWish.mRegions, mRegions, replica.mZone)) {
+    return false;
+  }
+  if (replica.mCold && !aState.mColdSends.Allows(ColdLimit(aState), aNow)) {
     return false;
   }
   if (!aWish.mModel.empty() &&
@@ -303,6 +312,9 @@
   if (aState.mReplica.mZone != aWish.mZone) {
     cost += kOtherZoneCost;
   }
+  if (aState.mReplica.mCold) {
+    cost += kColdCost;
+  }
   if (Paused(aState, aWish, aNow)) {
     cost += kPausedCost;
   }
@@ -378,6 +390,32 @@
   PutInOrder(*state, state->mService->mRankedAt);
 }
 
+void ReplicaPool::Sent(const std::string& aId, Millis aNow) {
+  State* state = Lookup(aId);
+  if (state != nullptr && state->mReplica.mCold) {
+    state->mColdSends.Sent(aNow, ColdLimit(*state));
+  }
+}
+
+int64_t ReplicaPool::ColdLimit(const State& aState) const {
+  const auto rate = mColdRates.find(aState.mReplica.mService);
+  return mCold.PerSecond(aState.mReplica.mId,
+                         rate == mColdRates.end() ? 0 : rate->second);
+}
+
+bool ReplicaPool::Evacuate(std::set<std::string> aZones) {
+  const bool changed = aZones != mEvacuated;
+  mEvacuated = std::move(aZones);
+  return changed;
+}
+
+void ReplicaPool::SetServices(const std::vector<ServiceSpec>& aServices) {
+  mColdRates.clear();
+  for (const ServiceSpec& service : aServices) {
+    mColdRates[service.mName] = service.mColdPerSecond;
+  }
+}
+
 void ReplicaPool::End(const std::string& aId, ReplicaOutcome aOutcome,
                       Millis aLatency, Millis aNow, const std::string& aModel) {
   const auto found = mStates.find(aId);
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -15,6 +15,9 @@
   object["name"] = aHolder.mName;
   object["address"] = aHolder.mAddress;
   object["run"] = aHolder.mRun;
+  if (!aHolder.mZone.empty()) {
+    object["zone"] = aHolder.mZone;
+  }
   return object;
 }
 
@@ -23,6 +26,7 @@
   holder.mName = aReader.String("name");
   holder.mAddress = aReader.String("address");
   holder.mRun = aReader.String("run");
+  holder.mZone = aReader.String("zone", "");
   return holder;
 }
 
@@ -38,6 +42,9 @@
   object["zone"] = aReplica.mZone;
   object["slots"] = aReplica.mSlots;
   object["draining"] = aReplica.mDraining;
+  if (aReplica.mCold) {
+    object["cold"] = true;
+  }
   if (aReplica.mBorn != 0) {
     object["born"] = aReplica.mBorn;
   }
@@ -55,6 +62,7 @@
   replica.mZone = aReader.String("zone");
   replica.mSlots = aReader.Int("slots");
   replica.mDraining = aReader.Bool("draining");
+  replica.mCold = aReader.Bool("cold", false);
   replica.mBorn = aReader.Int("born", 0);
   const json::object* models = aReader.Object("models");
   if (models == nullptr) {
@@ -159,6 +167,12 @@
   if (aView.mLead) {
     object["lead"] = ToJson(*aView.mLead);
   }
+  if (aView.mHosts > 0) {
+    object["hosts"] = aView.mHosts;
+  }
+  if (!aView.mEvacuated.empty()) {
+    object["evacuated"] = json::value_from(aView.mEvacuated);
+  }
   object["crash_number"] = aView.mCrashNumber;
   if (!aView.mCrashes.empty()) {
     object["crashes"] = ToArray(aView.mCrashes);
@@ -184,6 +198,10 @@
   if (reader.Has("nodes")) {
     view.mNodes = ReadArray(reader, "nodes", NodeFrom);
   }
+  view.mHosts = reader.Int("hosts", 0);
+  if (reader.Has("evacuated")) {
+    view.mEvacuated = reader.Strings("evacuated");
+  }
   view.mCrashNumber = reader.Int("crash_number", 0);
   view.mCrashes = ReadArray(reader, "crashes", CrashFromJson);
   const json::object* lead = reader.Object("lead");
--- a/src/librillwall_protocol/shared_view_test.cpp
+++ b/src/librillwall_protocol/shared_view_test.cpp
@@ -40,7 +40,10 @@
     CPPUNIT_ASSERT(view == *DecodeView(EncodeView(view)));
     view.mNodes =
         std::vector<NodeEntry>{{"10.0.0.2:1", true}, {"10.0.0.3:1", false}};
-    view.mLead = LeadHolder{"n", "10.0.0.3:1", "r"};
+    view.mLead = LeadHolder{"n", "10.0.0.3:1", "r", "z"};
+    view.mHosts = 48;
+    view.mEvacuated = {"y", "z"};
+    view.mReplicas.mChanged.front().mCold = true;
     const RequestDigest digest(RequestParts{"POST", "h", "/p", "a", "body"});
     view.mCrashNumber = 4;
     view.mCrashes = {{digest, "i-1", 1000, false, "POST h/p"},
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -126,7 +126,7 @@
   const NodeIdentity& self = mNode.mIdentity;
   StoreChange change;
   change.mGuards.push_back({kLeadKey, aGuard});
-  const LeadHolder holder{self.mName, self.mAddress, self.mRun};
+  const LeadHolder holder{self.mName, self.mAddress, self.mRun, self.mZone};
   change.mPuts.push_back({kLeadKey, EncodeLead(holder), lease->mId});
   if (aNoOthers) {
     change.mPuts.push_back({kLastKey, self.mName, 0});
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -77,6 +77,7 @@
   call.mAttempts = aRoute.mAttempts;
   call.mTargetLatency = aRoute.mTargetLatency;
   call.mDue = DueOf(aNode, aRoute, aRequest);
+  call.mRegions = RegionsOf(*aNode.mRoutes.Read(), aRoute, aCaller.mAccount);
   return call;
 }
 
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -118,6 +118,8 @@
   wish.mModel = aStep.mBook.Spec().mModel;
   wish.mMinVersion = aStep.mBook.Spec().mMinVersion;
   wish.mWithinSlots = true;
+  wish.mRegions = RegionsOf(*mNode.mRoutes.Read(), aStep.mRoute,
+                            aStep.mBook.Spec().mAccount);
   return wish;
 }
 
@@ -273,6 +275,7 @@
     call.mRequest.mHeaders.push_back({"Host", scorer->mHost});
     call.mRequest.mHeaders.push_back({mNode.mHeaders.mRequestId, scorer->mId});
     call.mService = *service;
+    call.mRegions = RegionsOf(*routes, *route, aStep->mBook.Spec().mAccount);
     call.mKind = RequestKind::Idempotent;
     call.mDue = mNode.Now() +
                 std::max(kScorerLimit, route->mTargetLatency * kScorerTargets);
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -29,6 +29,7 @@
         mAttempts(mCall.mKind, mCall.mAttempts) {
     mWish.mService = mCall.mService;
     mWish.mZone = mNode.mIdentity.mZone;
+    mWish.mRegions = mCall.mRegions;
   }
 
   NodeContext& mNode;
@@ -385,6 +386,7 @@
       mModel(std::move(aModel)),
       mStarted(aNode.Now()) {
   mNode.mReplicas.Start(mReplica, mModel);
+  mNode.mReplicas.Sent(mReplica, mStarted);
 }
 
 ReplicaUse::~ReplicaUse() { End(ReplicaOutcome::Abandoned); }
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -17,6 +17,10 @@
 /// A node that was asked in the lead's place goes on reading the store for so
 /// long: some questions later, whoever asked has come again or found the lead.
 constexpr Millis kHelpFor{5000};
+/// A node that has listed the replicas for so long has been asked by all nodes
+/// that live; one that did not for a while is asked by others again.
+constexpr Millis kCountFor{10000};
+constexpr Millis kCountAnewAfter{3000};
 /// Answers kept as text: the marks of listeners that are some changes behind.
 constexpr size_t kMaxTexts = 64;
 /// The operator's text may have some hundred KB.
@@ -55,6 +59,9 @@
   const int64_t before = mLog.Number();
   mLog.Take(aReplicas);
   mLogWithoutWeights.Take(WithoutVersions(aReplicas));
+  if (!mListedAt || aAsked - *mListedAt > kCountAnewAfter) {
+    mListsSince = aAsked;
+  }
   mListedAt = aAsked;
   if (mLog.Number() != before) {
     mTexts.clear();
@@ -67,23 +74,41 @@
   mTexts.clear();
 }
 
+void ViewExchange::Evacuated(std::set<std::string> aZones) {
+  if (!mNode.mReplicas.Evacuate(std::move(aZones))) {
+    return;
+  }
+  mTexts.clear();
+  std::string named;
+  for (const std::string& zone : mNode.mReplicas.EvacuatedZones()) {
+    named += named.empty() ? zone : "," + zone;
+  }
+  Event("evacuated-zones").Text("zones", named).Write();
+}
+
 void ViewExchange::Follows(bool aFollows) {
   mFollows = aFollows;
   mTexts.clear();
 }
 
+size_t ViewExchange::CountedHosts() const {
+  const bool all = mListedAt && *mListedAt - mListsSince >= kCountFor;
+  return all ? mNodes.Hosts() : 0;
+}
+
 bool ViewExchange::Helping() const {
   return mHelpAskedAt && mNode.Now() - *mHelpAskedAt < kHelpFor;
 }
 
 const std::string& ViewExchange::Text(const AnswerKey& aKey) {
-  const bool same = mTextsLead == mLead.Known() &&
-                    mTextsNodes == mNodes.Tag() &&
-                    mTextsCrashes == mNode.mCrashes.Number();
+  const bool same =
+      mTextsLead == mLead.Known() && mTextsNodes == mNodes.Tag() &&
+      mTextsHosts == CountedHosts() && mTextsCrashes == mNode.mCrashes.Number();
   if (!same || mTexts.size() >= kMaxTexts) {
     mTexts.clear();
     mTextsLead = mLead.Known();
     mTextsNodes = mNodes.Tag();
+    mTextsHosts = CountedHosts();
     mTextsCrashes = mNode.mCrashes.Number();
   }
   std::string& text = mTexts[aKey];
@@ -94,6 +119,11 @@
     view.mReplicas =
         (aKey.mVersions ? mLog : mLogWithoutWeights).Since(aKey.mKnown);
     view.mConfig = mFollows ? mConfig.mRevision : 0;
+    view.mHosts = static_cast<int64_t>(mTextsHosts);
+    if (mFollows) {
+      const std::set<std::string>& zones = mNode.mReplicas.EvacuatedZones();
+      view.mEvacuated.assign(zones.begin(), zones.end());
+    }
     view.mLead = mLead.Known();
     view.mCrashNumber = mNode.mCrashes.Number();
     view.mCrashes = mNode.mCrashes.Since(aKey.mCrashes);
@@ -384,7 +414,13 @@
   if (changed || before.mNumber == 0) {
     news.mReplicas = mMirror.All();
   }
+  if (aView.mHosts > 0) {
+    mNode.mReplicas.Cold().SetHosts(static_cast<size_t>(aView.mHosts));
+  }
   news.mFollowsConfig = aView.mConfig > 0;
+  if (news.mFollowsConfig) {
+    Evacuated({aView.mEvacuated.begin(), aView.mEvacuated.end()});
+  }
   if (aView.mConfig > mConfig.mRevision) {
     news.mConfig = co_await FetchConfig(aFrom, aView.mConfig);
     news.mFollowsConfig = news.mConfig.has_value();
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(ConfigurationIsFetchedOnce);
   CPPUNIT_TEST(LargeConfigurationTravelsPacked);
   CPPUNIT_TEST(NodeThatDoesNotFollowSaysSo);
+  CPPUNIT_TEST(EvacuatedZonesAreTold);
+  CPPUNIT_TEST(HostsAreCountedOnceAllCanHaveAsked);
   CPPUNIT_TEST(CandidateHelpsOutWithoutALead);
   CPPUNIT_TEST(CandidateAsksNoOtherCandidate);
   CPPUNIT_TEST(EntryHostLearnsWhoLeads);
@@ -143,6 +145,38 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, mWorld.mStore.Counts().mReads);
   }
 
+  void EvacuatedZonesAreTold() {
+    mGiver.mView.Configured({"text", 7});
+    mGiver.mView.Evacuated({"z"});
+    mEntry.Ask();
+    CPPUNIT_ASSERT(mEntry.mTest.mNode.mReplicas.Evacuated("z"));
+    // One that does not follow the operator's words knows nothing of it.
+    mGiver.mView.Follows(false);
+    mGiver.mView.Evacuated({});
+    mEntry.Ask();
+    CPPUNIT_ASSERT(mEntry.mTest.mNode.mReplicas.Evacuated("z"));
+    mGiver.mView.Follows(true);
+    mEntry.Ask();
+    CPPUNIT_ASSERT(!mEntry.mTest.mNode.mReplicas.Evacuated("z"));
+  }
+
+  void HostsAreCountedOnceAllCanHaveAsked() {
+    ViewQuestion question;
+    question.mFrom = mEntry.Entry();
+    const auto told = [&] {
+      return DecodeView(mGiver.Answered(question))->mHosts;
+    };
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, told());
+    const Millis now = mGiver.Now();
+    for (int64_t second = 0; second <= 10; ++second) {
+      mGiver.mView.Listed({ReplicaOf("a")}, now + Millis(second * 1000));
+    }
+    CPPUNIT_ASSERT_EQUAL(int64_t{16}, told());
+    // After a pause others may have asked elsewhere.
+    mGiver.mView.Listed({ReplicaOf("a")}, now + Millis(15000));
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, told());
+  }
+
   void NewsAreToldOnce() {
     mEntry.Ask();
     mGiver.mView.Listed({ReplicaOf("a"), ReplicaOf("b")}, mGiver.Now());
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -132,7 +132,8 @@
     if (loading != mLoading.end()) {
       candidate.mLoading = loading->second;
     }
-    candidate.mDraining = replica->mDraining;
+    candidate.mDraining =
+        replica->mDraining || mNode.mReplicas.Evacuated(replica->mZone);
     candidate.mFailing = mNode.mReplicas.Failing(replica->mId, now);
     candidates.push_back(std::move(candidate));
   }
