loads: a version is held by as many replicas as its texts need

Ruled out: a fixed number of loads (it would not follow the steps); asking replicas for free slots (a call for each). Change: ReplicasFor(): room for all texts of the largest step that came, at the slots of a typical replica, and a fifth of the replicas may be lost. Where replicas are few the part by demand stays the smaller of the two, as before. Test: few_texts_many_replicas_test, counts loads at 12, 200, 1,000 and 10,000 replicas; without the bound both of its tests fail (100 loads in place of 40 at 200 replicas; seen).

--- a/src/include/rillwall/load_plan.h
+++ b/src/include/rillwall/load_plan.h
@@ -38,8 +38,15 @@
   double mDemand = 0;    ///< work of its recent steps, in any one unit
   bool mCutRuns = true;  ///< a load may end running streams
   int64_t mLag = 1;      ///< versions by which usable weights may be behind
+  /// Texts of a step that run side by side; 0: unknown.
+  int64_t mTexts = 0;
 };
 
+/// \param aSlots texts that a replica runs at once
+/// \return replicas that a version needs: room for all texts of a step and for
+/// the loss of some
+size_t ReplicasFor(const LoadTarget& aTarget, int64_t aSlots);
+
 /// What the steps of one model allow, learnt from those that came.
 class AllowedLag {
  public:
--- /dev/null
+++ b/src/librillwall_coordination/few_texts_many_replicas_test.cpp
@@ -0,0 +1,71 @@
+/// \file
+/// Load pattern: steps of some hundred texts before thousands of replicas.
+/// Loads of weights must follow the texts, not the number of replicas.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+
+#include "rillwall/load_plan.h"
+
+namespace rillwall {
+
+namespace {
+
+constexpr int64_t kSlots = 6;
+
+}  // namespace
+
+class FewTextsManyReplicasTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FewTextsManyReplicasTest);
+  CPPUNIT_TEST(LoadsFollowTheTexts);
+  CPPUNIT_TEST(LostReplicasAreLoadedAnew);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::vector<LoadCandidate> Candidates(size_t aReplicas) {
+    std::vector<LoadCandidate> candidates;
+    for (size_t i = 0; i < aReplicas; ++i) {
+      LoadCandidate candidate;
+      candidate.mId = "i-" + std::to_string(i);
+      candidate.mVersions = {{"m", 1}, {"n", 1}};
+      candidate.mSlots = kSlots;
+      candidates.push_back(std::move(candidate));
+    }
+    return candidates;
+  }
+
+  // Six slots each: 192 texts and the loss of a fifth of the replicas.
+  void LoadsFollowTheTexts() {
+    const std::vector<LoadTarget> targets = {{"m", 2, 100, true, 0, 192},
+                                             {"n", 2, 100, true, 0, 48}};
+    for (const size_t replicas : {200, 1000, 10000}) {
+      const std::vector<LoadPick> picks =
+          PlanLoads(Candidates(replicas), targets, replicas);
+      const auto ofM = std::count_if(
+          picks.begin(), picks.end(),
+          [](const LoadPick& aPick) { return aPick.mModel == "m"; });
+      CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{40}, ofM);
+      CPPUNIT_ASSERT_EQUAL(size_t{50}, picks.size());
+    }
+    // Where replicas are few, they are shared as before.
+    CPPUNIT_ASSERT_EQUAL(size_t{12},
+                         PlanLoads(Candidates(12), targets, 12).size());
+  }
+
+  void LostReplicasAreLoadedAnew() {
+    const std::vector<LoadTarget> targets = {{"m", 2, 100, true, 0, 192}};
+    std::vector<LoadCandidate> candidates = Candidates(1000);
+    for (size_t i = 0; i < 40; ++i) {
+      candidates[i].mVersions = {{"m", 2}};
+      candidates[i].mFailing = i < 10;
+      candidates[i].mDraining = i >= 10 && i < 15;
+    }
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{15}, PlanLoads(std::move(candidates), targets, 1000).size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FewTextsManyReplicasTest);
+
+}  // namespace rillwall
--- a/src/librillwall_coordination/load_plan.cpp
+++ b/src/librillwall_coordination/load_plan.cpp
@@ -17,6 +17,13 @@
 /// two.
 constexpr double kSharedCost = 0.15;
 
+/// Texts of a step that is expected, before any has told.
+constexpr int64_t kUsualTexts = 256;
+/// Share of a version's replicas, in percent, that may be lost while its step
+/// still finds room for all of its texts.
+constexpr int64_t kSparePercent = 20;
+constexpr int64_t kPercent = 100;
+
 /// How a model stands before the next load.
 struct Standing {
   size_t mTarget = 0;  ///< index of the target
@@ -61,6 +68,7 @@
   const std::vector<LoadTarget>& mTargets;
   std::vector<int64_t> mVersions;  ///< by replica, then by target
   double mDemand = 0;              ///< of all targets
+  int64_t mSlots = 1;              ///< of a typical replica
 };
 
 LoadTable::LoadTable(std::vector<LoadCandidate> aReplicas,
@@ -75,6 +83,13 @@
   for (const LoadTarget& target : mTargets) {
     mDemand += target.mDemand;
   }
+  int64_t slots = 0;
+  for (const LoadCandidate& replica : mReplicas) {
+    slots += replica.mSlots;
+  }
+  const auto count =
+      static_cast<int64_t>(std::max<size_t>(1, mReplicas.size()));
+  mSlots = std::max<int64_t>(1, slots / count);
 }
 
 size_t LoadTable::Loading() const {
@@ -95,7 +110,8 @@
   const auto all = static_cast<double>(mReplicas.size());
   const double part = mDemand > 0 ? target.mDemand / mDemand
                                   : 1 / static_cast<double>(mTargets.size());
-  standing.mShare = std::max(1.0, part * all);
+  const auto enough = static_cast<double>(ReplicasFor(target, mSlots));
+  standing.mShare = std::max(1.0, std::min(part * all, enough));
   for (size_t i = 0; i < mReplicas.size(); ++i) {
     const LoadCandidate& replica = mReplicas[i];
     const int64_t version = Version(i, aTarget);
@@ -171,6 +187,13 @@
 
 }  // namespace
 
+size_t ReplicasFor(const LoadTarget& aTarget, int64_t aSlots) {
+  const int64_t texts = aTarget.mTexts > 0 ? aTarget.mTexts : kUsualTexts;
+  const int64_t slots =
+      std::max<int64_t>(1, aSlots * (kPercent - kSparePercent));
+  return static_cast<size_t>((texts * kPercent + slots - 1) / slots);
+}
+
 void AllowedLag::Observe(int64_t aNamed, int64_t aMinVersion) {
   mRecent.push_back(std::max<int64_t>(0, aNamed - aMinVersion));
   if (mRecent.size() > kStepsRemembered) {
