registry: very many replicas are read by their changes, and each host is told a subset

Ruled out: larger pages and longer pauses (constants that hold until the next size); views through two hops (the age of a list adds up to 85 % of the bound); a watch for each host (H calls at each heartbeat). Change, only where a service has more than 128 replicas: - RegistryTable: entries by id, rings of hashes by service and zone. A change costs log R, a subset of K costs K + log R, nothing is kept for who asks. - A host is told 32 replicas of such a service, three quarters of its own zone, by a candidate of its zone; the lead answers only those that no candidate answered, and usage. Calm questions carry no replicas. - Candidates read the registry themselves: the listing once, then one call a poll for what has changed. A watch that hears nothing of thousands of replicas, or whose history is gone, is followed by a listing. - The owner uses the replicas that come first on the ring, twice as many as its texts need, the same for each owner; more once half of their slots are taken. - A host that nobody tells anything reads one page at a place of its own.

--- a/src/include/rillwall/node_directory.h
+++ b/src/include/rillwall/node_directory.h
@@ -28,6 +28,7 @@
 struct NodeEntry {
   std::string mAddress;  ///< where it answers other nodes, ip:port
   bool mTakesClients = false;
+  std::string mZone;  ///< availability zone; empty: not told
   bool operator==(const NodeEntry&) const = default;
 };
 
@@ -56,15 +57,21 @@
   std::vector<std::string> Relays(const std::string& aSelf) const;
   /// \return addresses of the candidates for the lead
   std::vector<std::string> Candidates(const std::string& aSelf) const;
+  /// \return those of them in an availability zone
+  std::vector<std::string> CandidatesIn(const std::string& aZone,
+                                        const std::string& aSelf) const;
+  /// Candidates that another node names; what is known of others stays.
+  void HeardOf(const std::vector<NodeEntry>& aNodes, Millis aNow);
 
  private:
   struct State {
     bool mTakesClients = false;
+    std::string mZone;
     Millis mHeardAt;
   };
   /// Chosen by the hash of their addresses, which spreads them over the
   /// availability zones and stays the same whoever chooses.
-  using Choice = std::map<uint64_t, std::string>;
+  using Choice = std::map<uint64_t, NodeEntry>;
 
   /// Names a node to others if it comes before those named so far.
   void Consider(const NodeEntry& aNode);
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -26,6 +26,7 @@
 #include "rillwall/cold_share.h"
 #include "rillwall/home_regions.h"
 #include "rillwall/millis.h"
+#include "rillwall/replica_demand.h"
 #include "rillwall/replica_pace.h"
 
 namespace rillwall {
@@ -150,6 +151,8 @@
   std::vector<const Replica*> OfService(std::string_view aService) const;
   /// \return all entries, as listed or with what was learned since
   std::vector<Replica> All() const;
+  /// \return how far the replicas are used, by service
+  std::map<std::string, ServiceUse> Use(Millis aNow) const;
   bool Empty() const { return mStates.empty(); }
   size_t Size() const { return mStates.size(); }
 
--- a/src/include/rillwall/shared_view.h
+++ b/src/include/rillwall/shared_view.h
@@ -40,6 +40,7 @@
   uint64_t mNodes = 0;    ///< tag of the nodes that it was told
   bool mVersions = true;  ///< it owns steps and wants weight versions too
   bool mHelp = false;     ///< the lead does not answer it
+  bool mReplicasWanted = true;  ///< else it reads the registry itself
   bool operator==(const ViewQuestion&) const = default;
 };
 
@@ -50,6 +51,9 @@
   /// Revision of the configuration; 0 if the node does not follow it itself.
   int64_t mConfig = 0;
   std::optional<std::vector<NodeEntry>> mNodes;  ///< unless they are the same
+  /// There are so many replicas that each host is told a subset, by a candidate
+  /// of its own availability zone.
+  bool mLarge = false;
   /// Hosts that take clients, rounded up; 0: the node does not count them.
   int64_t mHosts = 0;
   /// Zones that are evacuated, if the node follows the configuration.
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -12,6 +12,12 @@
 /// all. One that knows the list is told what changed; entry hosts hear nothing
 /// of weight versions, so in a calm state that is some 150 bytes for each
 /// question. The list of nodes is bounded (NodeDirectory).
+///
+/// With very many replicas (RegistryTable::kWholeService) every candidate reads
+/// the store itself, and a host asks one of its own availability zone, which
+/// tells it a subset: bytes, state and connections of a host do not grow with
+/// R, and the lead answers none of the H. A calm question costs a comparison;
+/// after a change, K look-ups.
 
 #pragma once
 
@@ -25,6 +31,7 @@
 #include "rillwall/lead_claim.h"
 #include "rillwall/node_context.h"
 #include "rillwall/node_directory.h"
+#include "rillwall/registry_table.h"
 #include "rillwall/shared_view.h"
 #include "rillwall/view_plan.h"
 
@@ -76,6 +83,20 @@
   /// This node has listed the replicas in the store.
   /// \param aAsked when it asked
   void Listed(const std::vector<Replica>& aReplicas, Millis aAsked);
+  /// This node has brought a table of very many replicas up to date. From then
+  /// on others are told subsets of it.
+  /// \param aTable lives as long as this
+  void ReadTable(const RegistryTable& aTable, Millis aAsked);
+  /// \return whether there are so many replicas that hosts are told subsets
+  bool Large() const { return mTable != nullptr || mLargeTold; }
+  /// \return whether this node reads the store for others: it leads, or was
+  /// asked in the lead's place, or is a candidate where there are very many
+  /// replicas
+  bool ReadsForOthers() const;
+  /// Tells the lead that this node lives, and hears which others do. For a node
+  /// that reads the store itself.
+  asio::awaitable<void> Introduce();
+
   /// This node could not list them: the store does not answer it.
   void Unlisted() { mUnlistedAt = mNode.Now(); }
   /// The configuration in force here.
@@ -114,13 +135,24 @@
   /// \return whom this node knows
   ViewContacts Contacts() const;
   /// \return the question to a source, with the usage that it lacks
-  HttpRequest QuestionTo(ViewSource aSource);
+  HttpRequest QuestionTo(ViewSource aSource, const std::string& aAddress);
   /// \return the node to ask
   std::optional<std::string> AddressOf(ViewSource aSource) const;
   void NoteMiss(ViewSource aSource, const std::string& aAddress,
                 const Result<HttpResponse>& aAnswer);
   asio::awaitable<std::optional<ViewNews>> Take(SharedView aView,
                                                 Endpoint aFrom);
+  /// Takes in which nodes there are and who leads.
+  void TakeNodes(const SharedView& aView);
+  /// \return the candidate of the own zone that tells this host its subset;
+  /// nothing if the lead is to be asked
+  std::optional<std::string> Teller() const;
+  bool Leads(const std::string& aAddress) const;
+  /// \return an answer that names a subset
+  std::string SubsetText(const ViewQuestion& aQuestion, bool aNodes);
+  ReplicaDelta SubsetOf(const ViewQuestion& aQuestion) const;
+  /// Fills in what is the same in all answers.
+  void AddCommon(SharedView& aView, int64_t aCrashes, bool aNodes) const;
   /// \return hosts that take clients; 0 while not all of them can have asked
   size_t CountedHosts() const;
   /// \return the fixed part of an answer, written down once
@@ -132,10 +164,14 @@
   LeadClaim& mLead;
   NodeDirectory& mNodes;
   ViewPlan mPlan;
-  ReplicaLog mLog;                ///< what this node listed itself
-  ReplicaLog mLogWithoutWeights;  ///< the same without weight versions
-  ReplicaMirror mMirror;          ///< what another node told
-  bool mMirrorVersions = false;   ///< that names weight versions
+  ReplicaLog mLog;                        ///< what this node listed itself
+  ReplicaLog mLogWithoutWeights;          ///< the same without weight versions
+  const RegistryTable* mTable = nullptr;  ///< if there are very many replicas
+  bool mLargeTold = false;                ///< another node says so
+  size_t mTellerShift = 0;                ///< candidates that were passed over
+  Millis mTellerMissedAt;
+  ReplicaMirror mMirror;         ///< what another node told
+  bool mMirrorVersions = false;  ///< that names weight versions
   std::optional<Millis> mListedAt;
   Millis mListsSince;                 ///< without a pause
   std::optional<Millis> mUnlistedAt;  ///< when the store last did not answer
--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -59,6 +59,9 @@
   int64_t Named(const std::string& aModel) const;
   /// Takes a step in: its work adds to its model's demand.
   void Observe(const RolloutSpec& aSpec, double aWork);
+  /// \return replicas that the named versions need, by service: what its steps
+  /// use and as many again to choose from
+  std::map<std::string, size_t> WantedReplicas() const;
   /// Gives orders until the node stops.
   asio::awaitable<void> Run();
   /// Called when a replica serves a new version.
@@ -66,6 +69,8 @@
 
  private:
   void StartLoads(const ServiceSpec& aService);
+  /// \return the models of a service that have a named version
+  std::vector<LoadTarget> TargetsOf(const ServiceSpec& aService) const;
   /// \return how many of these load weights by an order of this node
   size_t LoadingOf(const std::vector<const Replica*>& aReplicas) const;
   double DemandOf(const std::string& aModel) const;
@@ -80,7 +85,8 @@
   ReplicaControl& mControl;
   std::map<std::string, int64_t> mNamed;
   std::map<std::string, double> mDemand;
-  std::map<std::string, AllowedLag> mLags;       ///< by model
+  std::map<std::string, AllowedLag> mLags;  ///< by model
+  std::map<std::string, int64_t> mTexts;  ///< of a step, the most, by model
   std::map<std::string, ModelVersion> mLoading;  ///< by id of the replica
 };
 
--- a/src/librillwall_coordination/node_directory.cpp
+++ b/src/librillwall_coordination/node_directory.cpp
@@ -29,8 +29,9 @@
 void NodeDirectory::Heard(const NodeEntry& aNode, Millis aNow) {
   mNewest = std::max(mNewest, aNow);
   auto [at, added] = mNodes.try_emplace(aNode.mAddress);
-  const bool changed = at->second.mTakesClients != aNode.mTakesClients;
-  at->second = {aNode.mTakesClients, aNow};
+  const bool changed = at->second.mTakesClients != aNode.mTakesClients ||
+                       at->second.mZone != aNode.mZone;
+  at->second = {aNode.mTakesClients, aNode.mZone, aNow};
   if (added) {
     mHosts += aNode.mTakesClients ? 1 : 0;
     Consider(aNode);
@@ -50,7 +51,7 @@
   if (full && hash > told.rbegin()->first) {
     return;
   }
-  told.emplace(hash, aNode.mAddress);
+  told.emplace(hash, aNode);
   if (told.size() > kToldOfAKind) {
     told.erase(std::prev(told.end()));
   }
@@ -73,7 +74,7 @@
   UpdateTag();
   for (const auto& [address, state] : mNodes) {
     mHosts += state.mTakesClients ? 1 : 0;
-    Consider({address, state.mTakesClients});
+    Consider({address, state.mTakesClients, state.mZone});
   }
 }
 
@@ -82,6 +83,7 @@
   for (const NodeEntry& node : Told()) {
     text += node.mAddress;
     text += node.mTakesClients ? '+' : '-';
+    text += node.mZone;
   }
   mTag = XXH64(text.data(), text.size(), 0);
 }
@@ -89,7 +91,7 @@
 void NodeDirectory::Adopt(const std::vector<NodeEntry>& aNodes, Millis aNow) {
   mNodes.clear();
   for (const NodeEntry& node : aNodes) {
-    mNodes[node.mAddress] = {node.mTakesClients, aNow};
+    mNodes[node.mAddress] = {node.mTakesClients, node.mZone, aNow};
   }
   mNewest = std::max(mNewest, aNow);
   Rebuild();
@@ -99,7 +101,7 @@
   std::vector<NodeEntry> nodes;
   for (const auto& [address, state] : mNodes) {
     if (mNewest - state.mHeardAt < kForgetAfter) {
-      nodes.push_back({address, state.mTakesClients});
+      nodes.push_back({address, state.mTakesClients, state.mZone});
     }
   }
   return nodes;
@@ -107,11 +109,10 @@
 
 std::vector<NodeEntry> NodeDirectory::Told() const {
   std::vector<NodeEntry> nodes;
-  for (const auto& [hash, address] : mToldEntries) {
-    nodes.push_back({address, true});
-  }
-  for (const auto& [hash, address] : mToldOthers) {
-    nodes.push_back({address, false});
+  for (const Choice* choice : {&mToldEntries, &mToldOthers}) {
+    for (const auto& [hash, node] : *choice) {
+      nodes.push_back(node);
+    }
   }
   return nodes;
 }
@@ -138,6 +139,25 @@
   return relays;
 }
 
+void NodeDirectory::HeardOf(const std::vector<NodeEntry>& aNodes, Millis aNow) {
+  for (const NodeEntry& node : aNodes) {
+    if (!node.mTakesClients) {
+      Heard(node, aNow);
+    }
+  }
+}
+
+std::vector<std::string> NodeDirectory::CandidatesIn(
+    const std::string& aZone, const std::string& aSelf) const {
+  std::vector<std::string> candidates;
+  for (const NodeEntry& node : List()) {
+    if (!node.mTakesClients && node.mZone == aZone && node.mAddress != aSelf) {
+      candidates.push_back(node.mAddress);
+    }
+  }
+  return candidates;
+}
+
 std::vector<std::string> NodeDirectory::Candidates(
     const std::string& aSelf) const {
   std::vector<std::string> candidates;
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -501,6 +501,19 @@
          aNow < found->second.mPausedUntil;
 }
 
+std::map<std::string, ServiceUse> ReplicaPool::Use(Millis aNow) const {
+  std::map<std::string, ServiceUse> all;
+  for (const auto& [name, service] : mServices) {
+    ServiceUse& use = all[name];
+    for (const State* state : service.mStates) {
+      ++use.mReplicas;
+      use.mSlots += state->mReplica.mSlots;
+      use.mTaken += std::min(LoadOf(*state, aNow), state->mReplica.mSlots);
+    }
+  }
+  return all;
+}
+
 std::vector<Replica> ReplicaPool::All() const {
   std::vector<Replica> replicas;
   for (const auto& [id, state] : mStates) {
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -82,11 +82,15 @@
   json::object object;
   object["address"] = aNode.mAddress;
   object["clients"] = aNode.mTakesClients;
+  if (!aNode.mZone.empty()) {
+    object["zone"] = aNode.mZone;
+  }
   return object;
 }
 
 NodeEntry NodeFrom(JsonReader& aReader) {
-  return {aReader.String("address"), aReader.Bool("clients")};
+  return {aReader.String("address"), aReader.Bool("clients"),
+          aReader.String("zone", "")};
 }
 
 /// \return the number that a text holds; 0 if it holds none
@@ -133,13 +137,16 @@
          "&crashes=" + std::to_string(aQuestion.mCrashes) +
          "&nodes=" + std::to_string(aQuestion.mNodes) +
          "&versions=" + (aQuestion.mVersions ? "1" : "0") +
-         "&help=" + (aQuestion.mHelp ? "1" : "0");
+         "&help=" + (aQuestion.mHelp ? "1" : "0") +
+         "&zone=" + aQuestion.mFrom.mZone +
+         "&replicas_wanted=" + (aQuestion.mReplicasWanted ? "1" : "0");
 }
 
 ViewQuestion DecodeQuestion(
     const std::function<std::string(std::string_view)>& aField) {
   ViewQuestion question;
-  question.mFrom = {aField("from"), aField("clients") == "1"};
+  question.mFrom = {aField("from"), aField("clients") == "1", aField("zone")};
+  question.mReplicasWanted = aField("replicas_wanted") != "0";
   question.mRun = aField("run");
   question.mReplicas = {ParseNumber(aField("replicas")).value_or(0),
                         Unsigned(aField("digest"))};
@@ -167,6 +174,9 @@
   if (aView.mLead) {
     object["lead"] = ToJson(*aView.mLead);
   }
+  if (aView.mLarge) {
+    object["large"] = true;
+  }
   if (aView.mHosts > 0) {
     object["hosts"] = aView.mHosts;
   }
@@ -198,6 +208,7 @@
   if (reader.Has("nodes")) {
     view.mNodes = ReadArray(reader, "nodes", NodeFrom);
   }
+  view.mLarge = reader.Bool("large", false);
   view.mHosts = reader.Int("hosts", 0);
   if (reader.Has("evacuated")) {
     view.mEvacuated = reader.Strings("evacuated");
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -21,6 +21,8 @@
 /// that live; one that did not for a while is asked by others again.
 constexpr Millis kCountFor{10000};
 constexpr Millis kCountAnewAfter{3000};
+/// Then a candidate that did not answer is asked again.
+constexpr Millis kTellerAgain{8000};
 /// Answers kept as text: the marks of listeners that are some changes behind.
 constexpr size_t kMaxTexts = 64;
 /// The operator's text may have some hundred KB.
@@ -57,6 +59,7 @@
 void ViewExchange::Listed(const std::vector<Replica>& aReplicas,
                           Millis aAsked) {
   const int64_t before = mLog.Number();
+  mTable = nullptr;
   mLog.Take(aReplicas);
   mLogWithoutWeights.Take(WithoutVersions(aReplicas));
   if (!mListedAt || aAsked - *mListedAt > kCountAnewAfter) {
@@ -68,6 +71,19 @@
   }
 }
 
+void ViewExchange::ReadTable(const RegistryTable& aTable, Millis aAsked) {
+  mTable = &aTable;
+  if (!mListedAt || aAsked - *mListedAt > kCountAnewAfter) {
+    mListsSince = aAsked;
+  }
+  mListedAt = aAsked;
+}
+
+bool ViewExchange::ReadsForOthers() const {
+  const bool candidate = !mNode.mIdentity.mTakesClients;
+  return mLead.Held() || Helping() || (candidate && Large());
+}
+
 void ViewExchange::Configured(ConfigText aConfig) {
   mPackedConfig.clear();
   mConfig = std::move(aConfig);
@@ -93,7 +109,15 @@
 
 size_t ViewExchange::CountedHosts() const {
   const bool all = mListedAt && *mListedAt - mListsSince >= kCountFor;
-  return all ? mNodes.Hosts() : 0;
+  if (!all) {
+    return 0;
+  }
+  // Hosts spread evenly over the candidates that tell them subsets.
+  const size_t tellers =
+      mTable == nullptr
+          ? 1
+          : mNodes.Candidates(mNode.mIdentity.mAddress).size() + 1;
+  return mNodes.Hosts() * tellers;
 }
 
 bool ViewExchange::Helping() const {
@@ -118,23 +142,66 @@
     view.mVersions = aKey.mVersions;
     view.mReplicas =
         (aKey.mVersions ? mLog : mLogWithoutWeights).Since(aKey.mKnown);
-    view.mConfig = mFollows ? mConfig.mRevision : 0;
-    view.mHosts = static_cast<int64_t>(mTextsHosts);
-    if (mFollows) {
-      const std::set<std::string>& zones = mNode.mReplicas.EvacuatedZones();
-      view.mEvacuated.assign(zones.begin(), zones.end());
-    }
-    view.mLead = mLead.Known();
-    view.mCrashNumber = mNode.mCrashes.Number();
-    view.mCrashes = mNode.mCrashes.Since(aKey.mCrashes);
-    if (aKey.mNodes) {
-      view.mNodes = mNodes.Told();
-    }
+    AddCommon(view, aKey.mCrashes, aKey.mNodes);
     text = EncodeView(view);
   }
   return text;
 }
 
+void ViewExchange::AddCommon(SharedView& aView, int64_t aCrashes,
+                             bool aNodes) const {
+  aView.mConfig = mFollows ? mConfig.mRevision : 0;
+  aView.mHosts = static_cast<int64_t>(CountedHosts());
+  if (mFollows) {
+    const std::set<std::string>& zones = mNode.mReplicas.EvacuatedZones();
+    aView.mEvacuated.assign(zones.begin(), zones.end());
+  }
+  aView.mLead = mLead.Known();
+  aView.mCrashNumber = mNode.mCrashes.Number();
+  aView.mCrashes = mNode.mCrashes.Since(aCrashes);
+  if (aNodes) {
+    aView.mNodes = mNodes.Told();
+  }
+}
+
+ReplicaDelta ViewExchange::SubsetOf(const ViewQuestion& aQuestion) const {
+  ReplicaDelta delta;
+  delta.mNumber = static_cast<int64_t>(mTable->Changes());
+  delta.mDigest = aQuestion.mReplicas.mDigest;
+  const bool sameRun = aQuestion.mRun == mNode.mIdentity.mRun;
+  if (!aQuestion.mReplicasWanted ||
+      (sameRun && aQuestion.mReplicas.mNumber == delta.mNumber)) {
+    return delta;
+  }
+  const NodeEntry& from = aQuestion.mFrom;
+  std::vector<Replica> subset =
+      aQuestion.mVersions
+          ? mTable->WorkingSet({})
+          : WithoutVersions(mTable->SubsetFor({from.mAddress, from.mZone}));
+  uint64_t digest = 0;
+  for (const Replica& replica : subset) {
+    digest += DigestOf(replica);
+  }
+  if (digest != delta.mDigest) {
+    delta.mFull = true;
+    delta.mChanged = std::move(subset);
+    delta.mDigest = digest;
+  }
+  return delta;
+}
+
+std::string ViewExchange::SubsetText(const ViewQuestion& aQuestion,
+                                     bool aNodes) {
+  SharedView view;
+  view.mRun = mNode.mIdentity.mRun;
+  view.mVersions = aQuestion.mVersions;
+  view.mLarge = true;
+  view.mReplicas = SubsetOf(aQuestion);
+  const bool sameRun = aQuestion.mRun == view.mRun;
+  AddCommon(view, sameRun ? aQuestion.mCrashes : 0, aNodes);
+  return EncodeView(view);
+}
+
 HttpResponse ViewExchange::Answer(const HttpRequest& aRequest) {
   const Millis now = mNode.Now();
   const ViewQuestion question = DecodeQuestion(
@@ -162,14 +229,15 @@
     return response;
   }
   const NodeIdentity& self = mNode.mIdentity;
-  mNodes.Heard({self.mAddress, self.mTakesClients}, now);
+  mNodes.Heard({self.mAddress, self.mTakesClients, self.mZone}, now);
   AnswerKey key;
   key.mVersions = question.mVersions;
   key.mKnown = question.mReplicas;
   key.mKnown.mNumber = question.mRun == self.mRun ? key.mKnown.mNumber : 0;
   key.mCrashes = question.mRun == self.mRun ? question.mCrashes : 0;
   key.mNodes = mNodes.Tag() != question.mNodes;
-  response = HttpResponse::Json(kOk, Text(key));
+  response = HttpResponse::Json(
+      kOk, mTable == nullptr ? Text(key) : SubsetText(question, key.mNodes));
   response.mHeaders.push_back(
       {kAgeHeader, std::to_string((now - *mListedAt).Count())});
   if (leads && !aRequest.mBody.empty()) {
@@ -234,7 +302,7 @@
   mPlan.SetBound(mNode.mBounds.mDrain);
   const std::optional<LeadHolder>& lead = mLead.Known();
   if (lead && lead->mAddress != mLeadAsked) {
-    if (!mLeadAsked.empty()) {
+    if (!mLeadAsked.empty() && !Teller()) {
       mPlan.LeadChanged(now);
     }
     mLeadAsked = lead->mAddress;
@@ -244,9 +312,9 @@
 
 ViewContacts ViewExchange::Contacts() const {
   const NodeIdentity& self = mNode.mIdentity;
-  const std::optional<LeadHolder>& lead = mLead.Known();
+  const std::optional<std::string> first = AddressOf(ViewSource::Lead);
   ViewContacts contacts;
-  contacts.mLead = lead && lead->mAddress != self.mAddress;
+  contacts.mLead = first && *first != self.mAddress;
   contacts.mCandidate = !self.mTakesClients;
   contacts.mHelpers = AddressOf(ViewSource::Helper).has_value();
   return contacts;
@@ -256,7 +324,9 @@
   const NodeIdentity& self = mNode.mIdentity;
   const std::optional<LeadHolder>& lead = mLead.Known();
   if (aSource == ViewSource::Lead) {
-    return lead ? std::optional(lead->mAddress) : std::nullopt;
+    const std::optional<std::string> teller = Teller();
+    return teller ? teller
+                  : (lead ? std::optional(lead->mAddress) : std::nullopt);
   }
   std::vector<std::string> candidates = mNodes.Candidates(self.mAddress);
   std::erase_if(candidates, [&](const std::string& aAddress) {
@@ -270,6 +340,33 @@
   return candidates[(first + mHelper) % candidates.size()];
 }
 
+bool ViewExchange::Leads(const std::string& aAddress) const {
+  return mLead.Known() && mLead.Known()->mAddress == aAddress;
+}
+
+std::optional<std::string> ViewExchange::Teller() const {
+  const NodeIdentity& self = mNode.mIdentity;
+  if (!self.mTakesClients || !mLargeTold || mOwnsSteps()) {
+    return std::nullopt;
+  }
+  if (mLead.Known() && !mNode.mUsage.Untold(mLead.Known()->mRun).empty()) {
+    // Usage is for the lead, and for nobody else.
+    return std::nullopt;
+  }
+  const std::vector<std::string> near =
+      mNodes.CandidatesIn(self.mZone, self.mAddress);
+  if (near.empty()) {
+    return std::nullopt;
+  }
+  const bool forgiven = mNode.Now() - mTellerMissedAt > kTellerAgain;
+  const size_t shift = forgiven ? 0 : mTellerShift;
+  // After each of them it is the lead's turn.
+  if (shift % (near.size() + 1) == near.size()) {
+    return std::nullopt;
+  }
+  return near[(std::hash<std::string>()(self.mName) + shift) % near.size()];
+}
+
 std::optional<std::string> ViewExchange::KeeperOf(
     const std::string& aStep) const {
   const std::vector<std::string> candidates =
@@ -312,20 +409,26 @@
     ++mHelper;
     return;
   }
+  if (!Leads(aAddress)) {
+    mTellerShift =
+        mNode.Now() - mTellerMissedAt > kTellerAgain ? 1 : mTellerShift + 1;
+    mTellerMissedAt = mNode.Now();
+    return;
+  }
   // One that can't be reached is gone. One that is late is asked again, later.
   const bool gone = !aAnswer && aAnswer.error().Run() == RunState::NotRun;
-  const bool same = mLead.Known() && mLead.Known()->mAddress == aAddress;
-  if (same && (gone || mPlan.Misses(aSource) >= kMissesOfALead)) {
+  if (gone || mPlan.Misses(aSource) >= kMissesOfALead) {
     mLead.Forget();
   }
 }
 
-HttpRequest ViewExchange::QuestionTo(ViewSource aSource) {
+HttpRequest ViewExchange::QuestionTo(ViewSource aSource,
+                                     const std::string& aAddress) {
   const NodeIdentity& self = mNode.mIdentity;
   ViewQuestion question;
-  question.mFrom = {self.mAddress, self.mTakesClients};
+  question.mFrom = {self.mAddress, self.mTakesClients, self.mZone};
   question.mVersions = !self.mTakesClients || mOwnsSteps();
-  question.mHelp = aSource == ViewSource::Helper;
+  question.mHelp = aSource == ViewSource::Helper || !Leads(aAddress);
   question.mNodes = mNodes.Tag();
   if (question.mVersions == mMirrorVersions) {
     question.mRun = mMirror.Run();
@@ -335,7 +438,7 @@
   question.mCrashes = sameRun ? mCrashesNumber : 0;
   HttpRequest request;
   request.mTarget = EncodeQuestion(question);
-  if (aSource == ViewSource::Lead && mLead.Known()) {
+  if (aSource == ViewSource::Lead && Leads(aAddress)) {
     ToldUsage told{self.mRun, mNode.mUsage.Untold(mLead.Known()->mRun)};
     if (!told.mCounts.empty()) {
       request.mMethod = "POST";
@@ -354,9 +457,9 @@
     mPlan.Missed(aSource, mNode.Now());
     co_return std::nullopt;
   }
-  HttpRequest request = QuestionTo(aSource);
+  HttpRequest request = QuestionTo(aSource, *address);
   const std::string leadRun =
-      aSource == ViewSource::Lead ? mLead.Known()->mRun : std::string();
+      Leads(*address) ? mLead.Known()->mRun : std::string();
   const Millis asked = mNode.Now();
   const Result<HttpResponse> answer =
       co_await mNode.mClient.Send(*endpoint, std::move(request), mPlan.Limit());
@@ -387,6 +490,54 @@
   co_return co_await Take(std::move(*view), *endpoint);
 }
 
+asio::awaitable<void> ViewExchange::Introduce() {
+  const std::optional<LeadHolder> lead = mLead.Known();
+  const NodeIdentity& self = mNode.mIdentity;
+  const Result<Endpoint> endpoint =
+      lead && lead->mAddress != self.mAddress
+          ? Endpoint::Parse(lead->mAddress)
+          : Error(ErrorKind::Unavailable, "Nobody else leads.");
+  if (!endpoint) {
+    co_return;
+  }
+  ViewQuestion question;
+  question.mFrom = {self.mAddress, self.mTakesClients, self.mZone};
+  question.mVersions = false;
+  question.mReplicasWanted = false;
+  HttpRequest request;
+  request.mTarget = EncodeQuestion(question);
+  const Result<HttpResponse> answer =
+      co_await mNode.mClient.Send(*endpoint, std::move(request), mPlan.Limit());
+  const Result<SharedView> view =
+      answer && answer->mStatus == kOk
+          ? DecodeView(answer->mBody)
+          : Error(ErrorKind::Unavailable, "The lead does not answer.");
+  if (view) {
+    TakeNodes(*view);
+  } else {
+    Event("introduction-unanswered")
+        .Text("node", lead->mAddress)
+        .Text("why", view.error().Detail())
+        .Write();
+  }
+}
+
+void ViewExchange::TakeNodes(const SharedView& aView) {
+  const Millis now = mNode.Now();
+  // What stays the same is heard again.
+  const std::vector<NodeEntry> nodes =
+      aView.mNodes ? *aView.mNodes : mNodes.List();
+  if (mTable != nullptr) {
+    // The hosts that ask this node are known better here.
+    mNodes.HeardOf(nodes, now);
+  } else {
+    mNodes.Adopt(nodes, now);
+  }
+  if (aView.mLead) {
+    mLead.Learn(*aView.mLead);
+  }
+}
+
 asio::awaitable<std::optional<ViewNews>> ViewExchange::Take(SharedView aView,
                                                             Endpoint aFrom) {
   TakeCrashNews(mNode, aView.mCrashes, aView.mRun);
@@ -401,12 +552,8 @@
         .Write();
     co_return std::nullopt;
   }
-  const Millis now = mNode.Now();
-  // What stays the same is heard again.
-  mNodes.Adopt(aView.mNodes ? *aView.mNodes : mNodes.List(), now);
-  if (aView.mLead) {
-    mLead.Learn(*aView.mLead);
-  }
+  TakeNodes(aView);
+  mLargeTold = aView.mLarge;
   ViewNews news;
   const bool changed = before.mDigest != mMirror.Mark().mDigest ||
                        mMirrorVersions != aView.mVersions;
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "rillwall/usage_record.h"
 #include "rillwall/view_exchange.h"
 #include "rollout_test_support.h"
@@ -56,8 +58,24 @@
   CPPUNIT_TEST(WhoDoesNotKnowANodeIsNoWitness);
   CPPUNIT_TEST(UsageGoesToTheLeadUntilItIsTaken);
   CPPUNIT_TEST(UsageIsKeptIfTheOtherDoesNotLead);
+  CPPUNIT_TEST(OfManyReplicasASubsetIsTold);
+  CPPUNIT_TEST(CandidateOfTheZoneTellsTheSubset);
+  CPPUNIT_TEST(SilentCandidateIsPassedOver);
+  CPPUNIT_TEST(CandidatesReadManyReplicasThemselves);
+  CPPUNIT_TEST(IntroductionNamesNodesAndNoReplicas);
+  CPPUNIT_TEST(UsageStillGoesToTheLead);
   CPPUNIT_TEST_SUITE_END();
 
+  /// A table of a thousand replicas.
+  static void Fill(RegistryTable& aTable) {
+    std::vector<RegistryEntry> entries;
+    for (int i = 0; i < 1000; ++i) {
+      const Replica replica = ReplicaOf("i-" + std::to_string(i));
+      entries.push_back({replica.mId, 1, replica});
+    }
+    aTable.TakeAll(std::move(entries), false);
+  }
+
   /// A node with its server for other nodes.
   struct Node {
     Node(TestWorld& aWorld, std::string aName, bool aTakesClients)
@@ -108,7 +126,7 @@
     }
     NodeEntry Entry() const {
       const NodeIdentity& self = mTest.mNode.mIdentity;
-      return {self.mAddress, self.mTakesClients};
+      return {self.mAddress, self.mTakesClients, self.mZone};
     }
     Millis Now() const { return mTest.mNode.Now(); }
 
@@ -122,6 +140,7 @@
   };
 
   TestWorld mWorld;
+  RegistryTable mTable;
   Node mGiver{mWorld, "giver", false};
   Node mEntry{mWorld, "entry", true};
 
@@ -145,6 +164,126 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, mWorld.mStore.Counts().mReads);
   }
 
+  void OfManyReplicasASubsetIsTold() {
+    Fill(mTable);
+    mGiver.mView.ReadTable(mTable, mGiver.Now());
+    const std::optional<ViewNews> news = mEntry.Ask();
+    CPPUNIT_ASSERT_EQUAL(RegistryTable::kUsualSubset, news->mReplicas->size());
+    CPPUNIT_ASSERT(!mEntry.Ask()->mReplicas);
+    // One that this host does not know goes, then one that it knows.
+    const Replica known = news->mReplicas->front();
+    int other = 0;
+    const auto knows = [&](const std::string& aId) {
+      return std::any_of(news->mReplicas->begin(), news->mReplicas->end(),
+                         [&](const Replica& aOne) { return aOne.mId == aId; });
+    };
+    while (knows("i-" + std::to_string(other))) {
+      ++other;
+    }
+    mTable.Remove("i-" + std::to_string(other), 2, false);
+    CPPUNIT_ASSERT(!mEntry.Ask()->mReplicas);
+    mTable.Remove(known.mId, 3, false);
+    const std::optional<ViewNews> later = mEntry.Ask();
+    CPPUNIT_ASSERT_EQUAL(RegistryTable::kUsualSubset, later->mReplicas->size());
+    CPPUNIT_ASSERT(std::find(later->mReplicas->begin(), later->mReplicas->end(),
+                             known) == later->mReplicas->end());
+  }
+
+  void CandidateOfTheZoneTellsTheSubset() {
+    Fill(mTable);
+    Node teller(mWorld, "teller", false);
+    teller.mView.ReadTable(mTable, teller.Now());
+    teller.mView.Follows(true);
+    teller.mLead.Learn(mGiver.Holder());
+    mGiver.mView.ReadTable(mTable, mGiver.Now());
+    mGiver.mNodes.Heard(teller.Entry(), mGiver.Now());
+    // Of the lead it hears who else can tell it, and that there are many.
+    CPPUNIT_ASSERT(mEntry.Ask()->mReplicas.has_value());
+    const int asked = mGiver.mAsked;
+    for (int i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT(mEntry.Ask().has_value());
+    }
+    CPPUNIT_ASSERT_EQUAL(5, teller.mAsked + mGiver.mAsked - asked);
+    CPPUNIT_ASSERT(teller.mAsked == 5 || mGiver.mAsked == asked + 5);
+    CPPUNIT_ASSERT(mEntry.mLead.Known()->mAddress == mGiver.Holder().mAddress);
+  }
+
+  void SilentCandidateIsPassedOver() {
+    Fill(mTable);
+    mGiver.mView.ReadTable(mTable, mGiver.Now());
+    const NodeIdentity& self = mGiver.mTest.mNode.mIdentity;
+    mGiver.mNodes.Heard({kGone, false, "z"}, mGiver.Now());
+    mGiver.mNodes.Heard({self.mAddress, false, "other"}, mGiver.Now());
+    mEntry.Ask();
+    // It is asked once, and then the lead.
+    int answered = 0;
+    for (int i = 0; i < 4; ++i) {
+      answered += mEntry.Ask().has_value() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(answered >= 3);
+    CPPUNIT_ASSERT(mEntry.mLead.Known().has_value());
+  }
+
+  void CandidatesReadManyReplicasThemselves() {
+    Fill(mTable);
+    Node candidate(mWorld, "candidate", false);
+    candidate.mLead.Learn(mGiver.Holder());
+    candidate.Ask();
+    CPPUNIT_ASSERT(!candidate.mView.ReadsForOthers());
+    mGiver.mView.ReadTable(mTable, mGiver.Now());
+    candidate.Ask();
+    CPPUNIT_ASSERT(candidate.mView.ReadsForOthers());
+    mEntry.Ask();
+    CPPUNIT_ASSERT(mEntry.mView.Large());
+    CPPUNIT_ASSERT(!mEntry.mView.ReadsForOthers());
+    // The replicas become few again.
+    mGiver.mView.Listed({ReplicaOf("a")}, mGiver.Now());
+    candidate.Ask();
+    CPPUNIT_ASSERT(!candidate.mView.ReadsForOthers());
+  }
+
+  void IntroductionNamesNodesAndNoReplicas() {
+    Fill(mTable);
+    Node teller(mWorld, "teller", false);
+    teller.mView.ReadTable(mTable, teller.Now());
+    mGiver.mView.ReadTable(mTable, mGiver.Now());
+    mGiver.mNodes.Heard({"10.0.0.7:1", false, "y"}, mGiver.Now());
+    teller.mLead.Learn(mGiver.Holder());
+    teller.mNodes.Heard(mEntry.Entry(), teller.Now());
+    const auto introduce = [&]() -> asio::awaitable<bool> {
+      co_await teller.mView.Introduce();
+      co_return true;
+    };
+    mWorld.mStore.mDown = true;
+    teller.mTest.Run(introduce());
+    CPPUNIT_ASSERT(mGiver.mNodes.Knows(teller.Entry().mAddress));
+    CPPUNIT_ASSERT(teller.mNodes.Knows("10.0.0.7:1"));
+    // Whom it hears itself it goes on knowing.
+    CPPUNIT_ASSERT(teller.mNodes.Knows(mEntry.Entry().mAddress));
+    ViewQuestion question;
+    question.mFrom = teller.Entry();
+    question.mVersions = false;
+    question.mReplicasWanted = false;
+    const std::string answer = mGiver.Answered(question);
+    CPPUNIT_ASSERT(DecodeView(answer)->mReplicas.mChanged.empty());
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.size() < 600);
+  }
+
+  void UsageStillGoesToTheLead() {
+    Fill(mTable);
+    Node teller(mWorld, "teller", false);
+    teller.mView.ReadTable(mTable, teller.Now());
+    mGiver.mView.ReadTable(mTable, mGiver.Now());
+    mGiver.mNodes.Heard(teller.Entry(), mGiver.Now());
+    mEntry.Ask();
+    UsageMeter& usage = mEntry.mTest.mNode.mUsage;
+    usage.SetWindow(Millis(1000));
+    usage.Count("a", mEntry.mTest.mNode.mTimeOfDay());
+    const int asked = mGiver.mAsked;
+    mEntry.Ask();
+    CPPUNIT_ASSERT_EQUAL(asked + 1, mGiver.mAsked);
+  }
+
   void EvacuatedZonesAreTold() {
     mGiver.mView.Configured({"text", 7});
     mGiver.mView.Evacuated({"z"});
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -103,23 +103,16 @@
   const std::vector<const Replica*> replicas =
       mNode.mReplicas.OfService(aService.mName);
   const size_t most = LoadsAtOnce(replicas.size());
+  const Millis now = mNode.Now();
   if (LoadingOf(replicas) >= most) {
-    // As it is most of the time while versions come: nothing is worked out.
+    // As it is most of the time: nothing is worked out.
     return;
   }
-  std::vector<LoadTarget> targets;
-  for (const std::string& model : aService.mModels) {
-    const int64_t version = Named(model);
-    if (version > 0) {
-      targets.push_back({model, version, DemandOf(model), !KeepsRuns(model),
-                         mLags[model].Versions()});
-    }
-  }
+  const std::vector<LoadTarget> targets = TargetsOf(aService);
   if (targets.empty()) {
     return;
   }
   std::vector<LoadCandidate> candidates;
-  const Millis now = mNode.Now();
   for (const Replica* replica : replicas) {
     LoadCandidate candidate;
     candidate.mId = replica->mId;
@@ -137,13 +130,53 @@
     candidate.mFailing = mNode.mReplicas.Failing(replica->mId, now);
     candidates.push_back(std::move(candidate));
   }
-  for (const LoadPick& pick : PlanLoads(std::move(candidates), targets, most)) {
+  const std::vector<LoadPick> picks =
+      PlanLoads(std::move(candidates), targets, most);
+  for (const LoadPick& pick : picks) {
     mLoading[pick.mReplica] = {pick.mModel, pick.mVersion};
     const Replica replica = *mNode.mReplicas.Find(pick.mReplica);
     Launch(mNode.mIo, "load", Load(replica, pick));
   }
 }
 
+std::vector<LoadTarget> WeightOrders::TargetsOf(
+    const ServiceSpec& aService) const {
+  std::vector<LoadTarget> targets;
+  for (const std::string& model : aService.mModels) {
+    const int64_t version = Named(model);
+    if (version == 0) {
+      continue;
+    }
+    const auto lag = mLags.find(model);
+    const auto texts = mTexts.find(model);
+    targets.push_back(
+        {model, version, DemandOf(model), !KeepsRuns(model),
+         lag == mLags.end() ? AllowedLag().Versions() : lag->second.Versions(),
+         texts == mTexts.end() ? 0 : texts->second});
+  }
+  return targets;
+}
+
+std::map<std::string, size_t> WeightOrders::WantedReplicas() const {
+  constexpr size_t kChoice = 2;
+  std::map<std::string, size_t> wanted;
+  const auto routes = mNode.mRoutes.Read();
+  for (const ServiceSpec& service : routes->Services()) {
+    const std::vector<const Replica*> replicas =
+        mNode.mReplicas.OfService(service.mName);
+    if (!service.mEngine || replicas.empty()) {
+      continue;
+    }
+    size_t used = 0;
+    for (const LoadTarget& target : TargetsOf(service)) {
+      const auto steps = static_cast<size_t>(target.mLag + 1);
+      used += steps * ReplicasFor(target, replicas.front()->mSlots);
+    }
+    wanted[service.mName] = used * kChoice;
+  }
+  return wanted;
+}
+
 size_t WeightOrders::LoadingOf(
     const std::vector<const Replica*>& aReplicas) const {
   const auto loads = [this](const Replica* aReplica) {
@@ -163,6 +196,8 @@
   if (Named(aSpec.mModel) > 0) {
     mLags[aSpec.mModel].Observe(Named(aSpec.mModel), aSpec.mMinVersion);
   }
+  int64_t& texts = mTexts[aSpec.mModel];
+  texts = std::max(texts, static_cast<int64_t>(aSpec.mItems.size()));
   double& demand = mDemand[aSpec.mModel];
   demand = demand == 0 ? aWork
                        : demand * (1 - kDemandWeight) + aWork * kDemandWeight;
