loads: a plan that orders nothing is not worked out at each tick

Cause: candidates of all replicas are gathered twenty times a second, with six models each, also while nothing is to be loaded. Change: after a plan without an order the next look comes after a ms for each three replicas, or as soon as a version is named or a load has ended. With a hundred replicas nothing changes.

--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -86,6 +86,8 @@
   std::map<std::string, int64_t> mNamed;
   std::map<std::string, double> mDemand;
   std::map<std::string, AllowedLag> mLags;  ///< by model
+  /// By service: a plan has just ordered nothing, and nothing has happened.
+  std::map<std::string, Millis> mQuietUntil;
   std::map<std::string, int64_t> mTexts;  ///< of a step, the most, by model
   std::map<std::string, ModelVersion> mLoading;  ///< by id of the replica
 };
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -14,6 +14,10 @@
 /// One of so many replicas loads at once: loads share the bandwidth of the
 /// weight store, and the others go on serving.
 constexpr size_t kReplicasPerLoad = 5;
+/// A plan that orders nothing is worked out again after a ms for so many
+/// replicas: it costs as much more processor time as there are more of them.
+/// With a hundred it is worked out at each tick.
+constexpr int64_t kReplicasPerQuietMs = 3;
 /// First look at a loading replica; no deployment loads faster.
 constexpr Millis kFirstLook{850};
 constexpr Millis kLookEvery{150};
@@ -73,6 +77,7 @@
     return;
   }
   named = aVersion;
+  mQuietUntil.clear();
   Event("version-named")
       .Text("model", aModel)
       .Number("version", aVersion)
@@ -104,7 +109,7 @@
       mNode.mReplicas.OfService(aService.mName);
   const size_t most = LoadsAtOnce(replicas.size());
   const Millis now = mNode.Now();
-  if (LoadingOf(replicas) >= most) {
+  if (LoadingOf(replicas) >= most || now < mQuietUntil[aService.mName]) {
     // As it is most of the time: nothing is worked out.
     return;
   }
@@ -132,6 +137,10 @@
   }
   const std::vector<LoadPick> picks =
       PlanLoads(std::move(candidates), targets, most);
+  if (picks.empty()) {
+    const auto count = static_cast<int64_t>(replicas.size());
+    mQuietUntil[aService.mName] = now + Millis(count / kReplicasPerQuietMs);
+  }
   for (const LoadPick& pick : picks) {
     mLoading[pick.mReplica] = {pick.mModel, pick.mVersion};
     const Replica replica = *mNode.mReplicas.Find(pick.mReplica);
@@ -254,6 +263,7 @@
     co_await Sleep(mNode.mIo, kRetryPause);
   }
   mLoading.erase(aReplica.mId);
+  mQuietUntil.clear();
   if (mOnLoaded) {
     mOnLoaded();
   }
