replicas: a host that sends few requests keeps to the replica that it has a connection to

Ruled out: smaller subsets (fewer replicas to fall back to); probing replicas. Change: an unused replica counts as one that takes 60 ms. Hosts begin with different ones among those that are alike, so that not all of a zone keep to the same; load that replicas tell, failures and latency move them on as before.

--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -103,6 +103,9 @@
     return mEvacuated.contains(aZone);
   }
   const std::set<std::string>& EvacuatedZones() const { return mEvacuated; }
+  /// Hosts begin with different ones among replicas that are alike.
+  /// \param aFirst any number; not alike on all hosts
+  void BeginWith(size_t aFirst) { mFirst = aFirst; }
   /// This host's part of what cold replicas take.
   ColdShare& Cold() { return mCold; }
   /// \param aServices with the rates of their cold replicas
@@ -225,6 +228,7 @@
   /// By name. Nodes of the map, which states refer to, stay where they are. Not
   /// const to a choice, as that may have to bring the order up to date.
   mutable std::map<std::string, Service, std::less<>> mServices;
+  size_t mFirst = 0;  ///< place of the first replica that is looked at
   RegionMap mRegions;
   std::set<std::string> mEvacuated;
   ColdShare mCold;
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -20,6 +20,10 @@
 /// What another availability zone costs against a share of the slots: its
 /// latency is small, its bytes are paid for.
 constexpr double kOtherZoneCost = 0.3;
+/// Latency assumed of a replica that this host has not used yet, in ms: one
+/// that answers a plain request sooner keeps its connection busy, rather than
+/// that each request makes a connection to another replica.
+constexpr double kUnknownLatency = 60.0;
 /// A cold replica is slower; the others are preferred while they have room.
 constexpr double kColdCost = 0.5;
 /// Latency that counts as much as all slots taken once, in ms.
@@ -308,7 +312,8 @@
 double ReplicaPool::Cost(const State& aState, const ReplicaWish& aWish,
                          Millis aNow) {
   double cost = SlotShare(aState.mReplica, LoadOf(aState, aNow));
-  cost += aState.mLatency / kLatencyScale;
+  cost +=
+      (aState.mLatency > 0 ? aState.mLatency : kUnknownLatency) / kLatencyScale;
   if (aState.mReplica.mZone != aWish.mZone) {
     cost += kOtherZoneCost;
   }
@@ -365,7 +370,9 @@
   }
   const State* best = nullptr;
   double bestCost = 0;
-  for (const State* state : found->second.mStates) {
+  const std::vector<State*>& states = found->second.mStates;
+  for (size_t i = 0; i < states.size(); ++i) {
+    const State* state = states[(mFirst + i) % states.size()];
     if (!Suits(*state, aWish, aNow)) {
       continue;
     }
--- a/src/librillwall_coordination/replica_pool_test.cpp
+++ b/src/librillwall_coordination/replica_pool_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 #include "rillwall/replica_pool.h"
 
 namespace rillwall {
@@ -68,10 +70,43 @@
   CPPUNIT_TEST(TellsWhatChanged);
   CPPUNIT_TEST(OtherNodesRequestsTakeSlots);
   CPPUNIT_TEST(OldLoadIsForgotten);
+  CPPUNIT_TEST(FewRequestsKeepFewConnections);
   CPPUNIT_TEST_SUITE_END();
 
   ReplicaPool mPool;
 
+  // Requests now and then, one at a time, before many replicas: each one that
+  // is used costs a connection. One that turns slow is left for another.
+  void FewRequestsKeepFewConnections() {
+    std::vector<Replica> replicas;
+    for (int i = 0; i < 32; ++i) {
+      replicas.push_back(ReplicaOf("i-" + std::to_string(i)));
+    }
+    mPool.Update(replicas, false);
+    std::set<std::string> used;
+    const auto request = [&](Millis aNow, Millis aTakes) {
+      const std::string id = Chosen(mPool, Wish(), aNow);
+      mPool.Start(id);
+      mPool.End(id, ReplicaOutcome::Served, aTakes, aNow + aTakes);
+      used.insert(id);
+      return id;
+    };
+    std::string last;
+    for (int64_t i = 0; i < 100; ++i) {
+      last = request(Millis(i * 1000), Millis(20 + i % 20));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, used.size());
+    for (int64_t i = 100; i < 110; ++i) {
+      request(Millis(i * 1000), Millis(200));
+    }
+    CPPUNIT_ASSERT(used.size() > 5);
+    // Another host begins with another one.
+    ReplicaPool other;
+    other.BeginWith(7);
+    other.Update(replicas, false);
+    CPPUNIT_ASSERT(Chosen(other, Wish()) != *used.begin());
+  }
+
   void PrefersOwnZoneUntilItIsBusier() {
     mPool.Update({ReplicaOf("far", "y"), ReplicaOf("near")}, false);
     CPPUNIT_ASSERT_EQUAL(std::string("near"), Chosen(mPool, Wish()));
