--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -54,7 +54,9 @@
   StoreGuard Guard() const;
 
   /// Reads who leads; remembers it until Forget().
-  asio::awaitable<Result<std::optional<LeadHolder>>> Holder();
+  /// \param aMayBeOld who led some seconds ago will do, which is cheaper to ask
+  asio::awaitable<Result<std::optional<LeadHolder>>> Holder(
+      bool aMayBeOld = false);
   void Forget() { mKnown.reset(); }
   /// Another node told who leads. A holder of the claim knows better.
   void Learn(const LeadHolder& aHolder);
--- a/src/include/rillwall/store_port.h
+++ b/src/include/rillwall/store_port.h
@@ -107,6 +107,10 @@
   /// \return the key as it stands, or nothing if it does not exist
   virtual asio::awaitable<Result<std::optional<StoreItem>>> Get(
       std::string aKey) = 0;
+  /// The same for a fraction of the price: the key as it stood at some time
+  /// within the last seconds.
+  virtual asio::awaitable<Result<std::optional<StoreItem>>> GetOld(
+      std::string aKey) = 0;
   /// \param aAfter list keys after this one; empty: from the start
   virtual asio::awaitable<Result<StoreList>> List(std::string aPrefix,
                                                   std::string aAfter) = 0;
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -176,6 +176,7 @@
   Millis mListsSince;                 ///< without a pause
   std::optional<Millis> mUnlistedAt;  ///< when the store last did not answer
   std::optional<Millis> mHelpAskedAt;
+  bool mLookedUp = false;  ///< this process has looked for the lead
   std::string mLeadAsked;  ///< address of the lead asked last
   size_t mHelper = 0;      ///< which of the candidates is asked
   ConfigText mConfig;
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -322,12 +322,17 @@
   }
 }
 
-asio::awaitable<Result<std::optional<LeadHolder>>> LeadClaim::Holder() {
+asio::awaitable<Result<std::optional<LeadHolder>>> LeadClaim::Holder(
+    bool aMayBeOld) {
   if (mKnown) {
     co_return mKnown;
   }
-  const Result<std::optional<StoreItem>> item =
-      co_await mNode.mStore.Get(kLeadKey);
+  Result<std::optional<StoreItem>> item = std::optional<StoreItem>();
+  if (aMayBeOld) {
+    item = co_await mNode.mStore.GetOld(kLeadKey);
+  } else {
+    item = co_await mNode.mStore.Get(kLeadKey);
+  }
   if (!item) {
     co_return item.error();
   }
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -61,6 +61,12 @@
   co_return found == mItems.end() ? std::nullopt : std::optional(found->second);
 }
 
+asio::awaitable<Result<std::optional<StoreItem>>> FakeStore::GetOld(
+    std::string aKey) {
+  ++mOldReads;
+  co_return co_await Get(std::move(aKey));
+}
+
 asio::awaitable<Result<StoreList>> FakeStore::List(std::string aPrefix,
                                                    std::string aAfter) {
   ++mCounts.mReads;
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -32,6 +32,8 @@
  public:
   asio::awaitable<Result<std::optional<StoreItem>>> Get(
       std::string aKey) override;
+  asio::awaitable<Result<std::optional<StoreItem>>> GetOld(
+      std::string aKey) override;
   asio::awaitable<Result<StoreList>> List(std::string aPrefix,
                                           std::string aAfter) override;
   asio::awaitable<Result<StoreEvents>> Watch(std::string aPrefix,
@@ -52,6 +54,7 @@
 
   std::deque<StoreFault> mFaults;  ///< of the next changes, in order
   bool mDown = false;              ///< every call is refused
+  uint64_t mOldReads = 0;          ///< reads that need not be the newest
   Millis mDelay;                   ///< before each call and after each change
 
  private:
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <random>
+#include <utility>
 
 #include "crash_guard.h"
 #include "rillwall/compression.h"
@@ -383,7 +384,10 @@
 }
 
 asio::awaitable<void> ViewExchange::LookUp() {
-  const Result<std::optional<LeadHolder>> holder = co_await mLead.Holder();
+  // All hosts look for the lead as they start. One that is not found so, or has
+  // changed since, is looked for again.
+  const bool first = !std::exchange(mLookedUp, true);
+  const Result<std::optional<LeadHolder>> holder = co_await mLead.Holder(first);
   const Millis now = mNode.Now();
   if (holder && *holder) {
     mPlan.LeadFound(now);
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(WhoDoesNotKnowANodeIsNoWitness);
   CPPUNIT_TEST(UsageGoesToTheLeadUntilItIsTaken);
   CPPUNIT_TEST(UsageIsKeptIfTheOtherDoesNotLead);
+  CPPUNIT_TEST(FirstLookUpIsTheCheapOne);
   CPPUNIT_TEST(OfManyReplicasASubsetIsTold);
   CPPUNIT_TEST(CandidateOfTheZoneTellsTheSubset);
   CPPUNIT_TEST(SilentCandidateIsPassedOver);
@@ -164,6 +165,19 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, mWorld.mStore.Counts().mReads);
   }
 
+  void FirstLookUpIsTheCheapOne() {
+    mEntry.mLead.Forget();
+    const auto lookUp = [&]() -> asio::awaitable<bool> {
+      co_await mEntry.mView.LookUp();
+      co_return true;
+    };
+    for (uint64_t reads = 1; reads <= 3; ++reads) {
+      mEntry.mTest.Run(lookUp());
+      CPPUNIT_ASSERT_EQUAL(reads, mWorld.mStore.Counts().mReads);
+      CPPUNIT_ASSERT_EQUAL(uint64_t{1}, mWorld.mStore.mOldReads);
+    }
+  }
+
   void OfManyReplicasASubsetIsTold() {
     Fill(mTable);
     mGiver.mView.ReadTable(mTable, mGiver.Now());
