--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -132,6 +132,10 @@
     auto operator<=>(const AnswerKey&) const = default;
   };
 
+  /// This node has just read the store.
+  void NoteListed(Millis aAsked);
+  /// The candidate that tells this host its subset did not answer.
+  void PassOverTeller();
   /// \return whom this node knows
   ViewContacts Contacts() const;
   /// \return the question to a source, with the usage that it lacks
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -18,12 +18,6 @@
 /// A node that was asked in the lead's place goes on reading the store for so
 /// long: some questions later, whoever asked has come again or found the lead.
 constexpr Millis kHelpFor{5000};
-/// A node that has listed the replicas for so long has been asked by all nodes
-/// that live; one that did not for a while is asked by others again.
-constexpr Millis kCountFor{10000};
-constexpr Millis kCountAnewAfter{3000};
-/// Then a candidate that did not answer is asked again.
-constexpr Millis kTellerAgain{8000};
 /// Answers kept as text: the marks of listeners that are some changes behind.
 constexpr size_t kMaxTexts = 64;
 /// The operator's text may have some hundred KB.
@@ -63,28 +57,12 @@
   mTable = nullptr;
   mLog.Take(aReplicas);
   mLogWithoutWeights.Take(WithoutVersions(aReplicas));
-  if (!mListedAt || aAsked - *mListedAt > kCountAnewAfter) {
-    mListsSince = aAsked;
-  }
-  mListedAt = aAsked;
+  NoteListed(aAsked);
   if (mLog.Number() != before) {
     mTexts.clear();
   }
 }
 
-void ViewExchange::ReadTable(const RegistryTable& aTable, Millis aAsked) {
-  mTable = &aTable;
-  if (!mListedAt || aAsked - *mListedAt > kCountAnewAfter) {
-    mListsSince = aAsked;
-  }
-  mListedAt = aAsked;
-}
-
-bool ViewExchange::ReadsForOthers() const {
-  const bool candidate = !mNode.mIdentity.mTakesClients;
-  return mLead.Held() || Helping() || (candidate && Large());
-}
-
 void ViewExchange::Configured(ConfigText aConfig) {
   mPackedConfig.clear();
   mConfig = std::move(aConfig);
@@ -108,19 +86,6 @@
   mTexts.clear();
 }
 
-size_t ViewExchange::CountedHosts() const {
-  const bool all = mListedAt && *mListedAt - mListsSince >= kCountFor;
-  if (!all) {
-    return 0;
-  }
-  // Hosts spread evenly over the candidates that tell them subsets.
-  const size_t tellers =
-      mTable == nullptr
-          ? 1
-          : mNodes.Candidates(mNode.mIdentity.mAddress).size() + 1;
-  return mNodes.Hosts() * tellers;
-}
-
 bool ViewExchange::Helping() const {
   return mHelpAskedAt && mNode.Now() - *mHelpAskedAt < kHelpFor;
 }
@@ -165,44 +130,6 @@
   }
 }
 
-ReplicaDelta ViewExchange::SubsetOf(const ViewQuestion& aQuestion) const {
-  ReplicaDelta delta;
-  delta.mNumber = static_cast<int64_t>(mTable->Changes());
-  delta.mDigest = aQuestion.mReplicas.mDigest;
-  const bool sameRun = aQuestion.mRun == mNode.mIdentity.mRun;
-  if (!aQuestion.mReplicasWanted ||
-      (sameRun && aQuestion.mReplicas.mNumber == delta.mNumber)) {
-    return delta;
-  }
-  const NodeEntry& from = aQuestion.mFrom;
-  std::vector<Replica> subset =
-      aQuestion.mVersions
-          ? mTable->WorkingSet({})
-          : WithoutVersions(mTable->SubsetFor({from.mAddress, from.mZone}));
-  uint64_t digest = 0;
-  for (const Replica& replica : subset) {
-    digest += DigestOf(replica);
-  }
-  if (digest != delta.mDigest) {
-    delta.mFull = true;
-    delta.mChanged = std::move(subset);
-    delta.mDigest = digest;
-  }
-  return delta;
-}
-
-std::string ViewExchange::SubsetText(const ViewQuestion& aQuestion,
-                                     bool aNodes) {
-  SharedView view;
-  view.mRun = mNode.mIdentity.mRun;
-  view.mVersions = aQuestion.mVersions;
-  view.mLarge = true;
-  view.mReplicas = SubsetOf(aQuestion);
-  const bool sameRun = aQuestion.mRun == view.mRun;
-  AddCommon(view, sameRun ? aQuestion.mCrashes : 0, aNodes);
-  return EncodeView(view);
-}
-
 HttpResponse ViewExchange::Answer(const HttpRequest& aRequest) {
   const Millis now = mNode.Now();
   const ViewQuestion question = DecodeQuestion(
@@ -345,29 +272,6 @@
   return mLead.Known() && mLead.Known()->mAddress == aAddress;
 }
 
-std::optional<std::string> ViewExchange::Teller() const {
-  const NodeIdentity& self = mNode.mIdentity;
-  if (!self.mTakesClients || !mLargeTold || mOwnsSteps()) {
-    return std::nullopt;
-  }
-  if (mLead.Known() && !mNode.mUsage.Untold(mLead.Known()->mRun).empty()) {
-    // Usage is for the lead, and for nobody else.
-    return std::nullopt;
-  }
-  const std::vector<std::string> near =
-      mNodes.CandidatesIn(self.mZone, self.mAddress);
-  if (near.empty()) {
-    return std::nullopt;
-  }
-  const bool forgiven = mNode.Now() - mTellerMissedAt > kTellerAgain;
-  const size_t shift = forgiven ? 0 : mTellerShift;
-  // After each of them it is the lead's turn.
-  if (shift % (near.size() + 1) == near.size()) {
-    return std::nullopt;
-  }
-  return near[(std::hash<std::string>()(self.mName) + shift) % near.size()];
-}
-
 std::optional<std::string> ViewExchange::KeeperOf(
     const std::string& aStep) const {
   const std::vector<std::string> candidates =
@@ -414,9 +318,7 @@
     return;
   }
   if (!Leads(aAddress)) {
-    mTellerShift =
-        mNode.Now() - mTellerMissedAt > kTellerAgain ? 1 : mTellerShift + 1;
-    mTellerMissedAt = mNode.Now();
+    PassOverTeller();
     return;
   }
   // One that can't be reached is gone. One that is late is asked again, later.
@@ -494,54 +396,6 @@
   co_return co_await Take(std::move(*view), *endpoint);
 }
 
-asio::awaitable<void> ViewExchange::Introduce() {
-  const std::optional<LeadHolder> lead = mLead.Known();
-  const NodeIdentity& self = mNode.mIdentity;
-  const Result<Endpoint> endpoint =
-      lead && lead->mAddress != self.mAddress
-          ? Endpoint::Parse(lead->mAddress)
-          : Error(ErrorKind::Unavailable, "Nobody else leads.");
-  if (!endpoint) {
-    co_return;
-  }
-  ViewQuestion question;
-  question.mFrom = {self.mAddress, self.mTakesClients, self.mZone};
-  question.mVersions = false;
-  question.mReplicasWanted = false;
-  HttpRequest request;
-  request.mTarget = EncodeQuestion(question);
-  const Result<HttpResponse> answer =
-      co_await mNode.mClient.Send(*endpoint, std::move(request), mPlan.Limit());
-  const Result<SharedView> view =
-      answer && answer->mStatus == kOk
-          ? DecodeView(answer->mBody)
-          : Error(ErrorKind::Unavailable, "The lead does not answer.");
-  if (view) {
-    TakeNodes(*view);
-  } else {
-    Event("introduction-unanswered")
-        .Text("node", lead->mAddress)
-        .Text("why", view.error().Detail())
-        .Write();
-  }
-}
-
-void ViewExchange::TakeNodes(const SharedView& aView) {
-  const Millis now = mNode.Now();
-  // What stays the same is heard again.
-  const std::vector<NodeEntry> nodes =
-      aView.mNodes ? *aView.mNodes : mNodes.List();
-  if (mTable != nullptr) {
-    // The hosts that ask this node are known better here.
-    mNodes.HeardOf(nodes, now);
-  } else {
-    mNodes.Adopt(nodes, now);
-  }
-  if (aView.mLead) {
-    mLead.Learn(*aView.mLead);
-  }
-}
-
 asio::awaitable<std::optional<ViewNews>> ViewExchange::Take(SharedView aView,
                                                             Endpoint aFrom) {
   TakeCrashNews(mNode, aView.mCrashes, aView.mRun);
