--- a/src/include/rillwall/load_plan.h
+++ b/src/include/rillwall/load_plan.h
@@ -9,12 +9,8 @@
 /// more, which run nothing of it, while those with a version before go on
 /// serving.
 ///
-/// What that buys, on 45 days with faults of twelve replicas and three
-/// trainers, as the part of the possible value of a day that callers and
-/// trainers had, less costs: 0.75 in place of 0.71 with each replica given to
-/// one model (difference 0.043, standard error 0.006). On one model with eleven
-/// replicas, 25 days: 0.75 in place of 0.70, together with the order of items
-/// and the pace.
+/// A version is loaded by as many replicas as its steps need, however many
+/// there are. A plan costs R times models for each load that it orders.
 ///
 /// Pure: no state, no I/O and no clock.
 
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -40,9 +40,8 @@
 /// events: they decide between replicas that are alike.
 constexpr double kOtherZoneTextCost = 0.02;
 
-/// Median pace and order by cost may be so old: an eighth of the time over
-/// which paces are smoothed, a twentieth of that for which told loads count. No
-/// choice that matters is another one for that.
+/// Median pace and order by cost may be so old: far less than the time over
+/// which paces are smoothed and for which told loads count.
 constexpr Millis kRankAge{50};
 /// Share by which a replica's pace may differ from the one that it is ordered
 /// by: far less than what a full batch makes (0.15) or slower hardware (0.3).
--- a/src/librillwall_coordination/rollout_book.cpp
+++ b/src/librillwall_coordination/rollout_book.cpp
@@ -35,9 +35,8 @@
 }
 
 bool RolloutBook::Place::operator<(const Place& aOther) const {
-  // The longest first: the last item to end decides when the step is whole. By
-  // its own hint: with that of its group's longest, 0.02 less of a day's value
-  // (45 days with faults, twelve replicas, three trainers).
+  // The longest first, each by its own hint: the last item to end decides when
+  // the step is whole.
   return std::tuple(mRank, -mExpected, mItem) <
          std::tuple(aOther.mRank, -aOther.mExpected, aOther.mItem);
 }
--- a/src/librillwall_coordination/text_move.cpp
+++ b/src/librillwall_coordination/text_move.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Moves as they are decided here keep 0.035 of a day's value against none (45
-// days with faults, twelve replicas of which a third is slower by 1.3).
-
 /// What a move takes from the text itself, in ms: a connection, the prompt and
 /// the text read again beside other prompts, and the event that was under way.
 constexpr double kMoveMs = 80;
--- a/src/librillwall_coordination/view_plan.cpp
+++ b/src/librillwall_coordination/view_plan.cpp
@@ -38,8 +38,7 @@
 /// the call; short, as their clients wait.
 constexpr Millis kLonely{2000};
 /// When all nodes start for the first time, the lead is claimed within this.
-/// Who looks earlier has to look again: one call a node saved, 250 of 1,600 of
-/// a calm day with 250 entry hosts.
+/// Who looks earlier has to look again, which is one call of each node.
 constexpr Millis kFirstClaim{800};
 /// Sources that answer, and have not heard from the store themselves, mean that
 /// it is away, for them at least. A node then leaves it alone for so long, and
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -29,9 +29,8 @@
 constexpr Millis kOrderFlight{1000};
 constexpr Millis kRetryPause{200};
 /// Candidates that learn at once that the claim is free look at it within this,
-/// not all together: with two dozen of them some three still race for it, in
-/// place of all, each with a lease and a change that fails. Two wait 20 ms for
-/// it on average.
+/// not all together: each one that races for it makes a lease and a change that
+/// fails.
 constexpr Millis kClaimSpread{60};
 constexpr Millis kReserveLook{500};
 constexpr Millis kWatchWait{25000};
--- a/src/librillwall_rollout/rollout_listing.cpp
+++ b/src/librillwall_rollout/rollout_listing.cpp
@@ -26,9 +26,7 @@
 constexpr int64_t kWorthKeeping = 20;
 constexpr Millis kKeepEvery{700};
 /// A write to the host's own disk costs a ms or two, and nothing that is
-/// shared: a quarter of a second of generation is worth it. When all processes
-/// were killed in the middle of steps that takes 7 to 8 s each, this brought a
-/// day 0.02 of what its trainers could earn (mean of 45 days with faults).
+/// shared: a quarter of a second of generation is worth it.
 constexpr int64_t kWorthSpooling = 6;
 constexpr Millis kSpoolEvery{250};
 constexpr Millis kFirstRetry{30};
