--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -17,7 +17,7 @@
   recovers   after all faults, requests and a new step are served
   processes  no process ends by itself
 
-usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N]
+usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N] [--services N]
                [--faults none|all|NAME,...] [--keep DIR]
 Ends with "N passed, N failed"; the logs of a failed run stay in its folder.
 """
@@ -154,7 +154,8 @@
         self.begun = time.monotonic()
         await self.store.server.start()
         self.engines = [Engine(self.store, self.rng, "engine", ZONES[i % 3], {MODEL: 1}, self.made) for i in range(4)]
-        self.services = [Service(self.store, self.rng, "plain", ZONES[i % 3], self.runs) for i in range(3)]
+        self.services = [Service(self.store, self.rng, "plain", ZONES[i % 3], self.runs)
+                         for i in range(self.args.services)]
         for replica in self.engines + self.services:
             await self.start_replica(replica)
         self.configure()
@@ -579,6 +580,7 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--leads", type=int, default=3)
+    parser.add_argument("--services", type=int, default=3)
     parser.add_argument("--faults", default="all")
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
