--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -411,7 +411,6 @@
     co_return std::nullopt;
   }
   TakeNodes(aView);
-  mLargeTold = aView.mLarge;
   ViewNews news;
   const bool changed = before.mDigest != mMirror.Mark().mDigest ||
                        mMirrorVersions != aView.mVersions;
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -250,9 +250,15 @@
     mEntry.Ask();
     CPPUNIT_ASSERT(mEntry.mView.Large());
     CPPUNIT_ASSERT(!mEntry.mView.ReadsForOthers());
-    // The replicas become few again.
+    // The replicas become few again, and it hears so from the lead.
     mGiver.mView.Listed({ReplicaOf("a")}, mGiver.Now());
-    candidate.Ask();
+    candidate.mView.Listed({ReplicaOf("a")}, candidate.Now());
+    CPPUNIT_ASSERT(candidate.mView.ReadsForOthers());
+    const auto introduce = [&]() -> asio::awaitable<bool> {
+      co_await candidate.mView.Introduce();
+      co_return true;
+    };
+    candidate.mTest.Run(introduce());
     CPPUNIT_ASSERT(!candidate.mView.ReadsForOthers());
   }
 
--- a/src/librillwall_rollout/view_subset.cpp
+++ b/src/librillwall_rollout/view_subset.cpp
@@ -152,6 +152,7 @@
   if (aView.mLead) {
     mLead.Learn(*aView.mLead);
   }
+  mLargeTold = aView.mLarge;
 }
 
 size_t ViewExchange::CountedHosts() const {
