--- a/testsuite/crashing/crashing.py
+++ b/testsuite/crashing/crashing.py
@@ -130,7 +130,7 @@
     parser.add_argument("--binary", required=True)
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
-    args.seed, args.entries, args.leads, args.faults = SEED, 3, 3, "none"
+    args.seed, args.entries, args.leads, args.services, args.faults = SEED, 3, 3, 3, "none"
     lock = take_addresses(SEED)
     scenario = Scenario(args)
     asyncio.run(scenario.go())
