--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -425,6 +425,8 @@
     async def fault_replace(self):
         """A replica is removed and another one starts at its address."""
         kind = self.rng.choice([self.engines, self.services])
+        if not kind:
+            return  # the fault "crash" has all replicas of this kind down
         old = self.rng.choice(kind)
         old.server.stop()
         self.store.revision += 1
