Load of replicas: interface for balancing and admission control

Cause: the fourth figure of a replica's load report, how long work takes at the moment, was dropped, and admission control needs an estimate of the response time before a request is sent. Change: ReplicaLoad and its parser, ReplicaPool::UsesCurrentLoad() and EstimateAnswer() in a first form, the setting for admission control (the platform's contract 'pressure'). Nothing uses the estimate yet.

--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -28,6 +28,7 @@
 #include "rillwall/home_regions.h"
 #include "rillwall/millis.h"
 #include "rillwall/replica_demand.h"
+#include "rillwall/replica_load.h"
 #include "rillwall/replica_pace.h"
 
 namespace rillwall {
@@ -142,6 +143,21 @@
   /// \param aRequests requests that it runs and queues, including those of this
   /// node
   void ObserveLoad(const std::string& aId, int64_t aRequests, Millis aNow);
+  /// Records a load report with all its figures.
+  void ObserveLoad(const std::string& aId, const ReplicaLoad& aReport,
+                   Millis aNow);
+  /// Sets whether the settings call for admission control on all services whose
+  /// replicas report their load.
+  void SetAdmission(bool aRequired) { mAdmissionRequired = aRequired; }
+  /// \return whether plain requests to the service are placed by the current
+  /// load of its replicas: they report how long work takes at the moment, or
+  /// they report their load and admission control is required
+  bool UsesCurrentLoad(std::string_view aService) const;
+  /// \return the expected response time of the replica that Choose() would
+  /// select for a plain request; nothing if the service does not use the
+  /// current load, or nothing recent enough is known
+  std::optional<AnswerEstimate> EstimateAnswer(
+      const ReplicaRequirements& aRequirements, Millis aNow) const;
   /// Records the time between two events of a stream, in ms.
   void ObservePace(const std::string& aId, double aMsPerEvent, Millis aNow);
   /// \param aExtraTexts number of texts that would be added there
@@ -187,9 +203,10 @@
     ReplicaPace mPace;                ///< pace of its streams
     int64_t mOtherNodesRequests = 0;  ///< requests of other nodes there
     Millis mLoadReportedAt;           ///< when the replica reported that load
-    double mRankedPace = 0;           ///< pace at the time it was ranked
-    std::optional<double> mRank;      ///< cost while it has a free slot
-    SendWindow mColdSends;            ///< recent requests while it is cold
+    std::optional<ReplicaLoad> mReport;  ///< newest report with all its figures
+    double mRankedPace = 0;              ///< pace at the time it was ranked
+    std::optional<double> mRank;         ///< cost while it has a free slot
+    SendWindow mColdSends;               ///< recent requests while it is cold
   };
   /// Entry of the order by cost.
   struct Rank {
@@ -249,6 +266,7 @@
   std::set<std::string> mEvacuated;
   ColdShare mCold;
   std::map<std::string, double> mColdRates;  ///< by service
+  bool mAdmissionRequired = false;  ///< by the settings, for all services
 };
 
 }  // namespace rillwall
--- a/src/librillwall_rollout/node_context.cpp
+++ b/src/librillwall_rollout/node_context.cpp
@@ -1,16 +1,13 @@
 #include "rillwall/node_context.h"
 
-#include <boost/algorithm/string/split.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <optional>
-#include <vector>
 
 #include "rillwall/event_log.h"
-#include "rillwall/numbers.h"
 
 namespace rillwall {
 
@@ -20,17 +17,9 @@
   if (load == nullptr) {
     return;
   }
-  std::vector<std::string> fields;
-  boost::split(fields, *load, [](char aChar) { return aChar == ','; });
-  // Replicas may append further figures.
-  constexpr size_t kFields = 3;
-  if (fields.size() < kFields) {
-    return;
-  }
-  const std::optional<int64_t> running = ParseNumber(fields[0]);
-  const std::optional<int64_t> waiting = ParseNumber(fields[1]);
-  if (running && waiting) {
-    aNode.mReplicas.ObserveLoad(aReplica, *running + *waiting, aNode.Now());
+  const Result<ReplicaLoad> report = ParseReplicaLoad(*load);
+  if (report) {
+    aNode.mReplicas.ObserveLoad(aReplica, *report, aNode.Now());
   }
 }
 
