rollout: hand-over of a step between two live owners

Cause: a new lead took over each open step whose owner failed its health check, and an owner fails it for a moment longer than the store's outage lasts. The texts in the memory of such an owner, which is alive, were generated again.

Change: where the rollout routes of a service differ in priority, a new lead asks each owner address once for its state (GET /node/handover) and leaves a step with an owner that answers and reaches the store within 2.5 s. Otherwise the new owner changes the record first and then fetches the texts from the old owner (POST /node/handover, 500 ms), which stops its runs of the step.

--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -160,8 +160,17 @@
   /// Restores texts that an earlier owner persisted, where they are longer than
   /// the texts of this tracker.
   /// \param aParts in the order in which they were written
+  /// \param aInStore the store holds the parts; otherwise the texts are
+  /// persisted again from their first event
   /// \return events of unlisted texts that need not be generated again
-  int64_t RestoreTexts(const std::vector<RolloutPart>& aParts);
+  int64_t RestoreTexts(const std::vector<RolloutPart>& aParts,
+                       bool aInStore = true);
+  /// \param aMaxBytes size of the parts after which no further text is added
+  /// \return the texts that are not listed, each from its first event; complete
+  /// texts come first
+  std::vector<RolloutPart> UnlistedTexts(size_t aMaxBytes) const;
+  /// \return number of complete texts that are not listed
+  size_t CompleteUnlistedTexts() const;
 
   /// \return the next item to run, or nothing if no item waits
   std::optional<RolloutPick> Next() const;
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -20,6 +20,7 @@
 #include "rillwall/result_cache.h"
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
+#include "rillwall/step_handover.h"
 #include "rillwall/step_spool.h"
 #include "rillwall/text_move.h"
 
@@ -113,8 +114,9 @@
   /// Ends a step: stops its runs and marks its record as ended.
   asio::awaitable<std::optional<Error>> End(std::string aId);
 
-  /// Takes over all open steps whose owner does not answer. To be called by a
-  /// new lead.
+  /// Takes over all open steps whose owner does not answer. Where steps are
+  /// handed over, a step stays with an owner that answers and reaches the store
+  /// again within a short time. To be called by a new lead.
   /// \param aGone address that is known not to answer; may be empty
   asio::awaitable<void> AdoptOrphans(std::string aGone = {});
   /// Removes steps that ended long ago from the store. To be called by the
@@ -131,6 +133,13 @@
   /// \return whether a step is here and still open
   bool Owns(const std::string& aId) const;
   size_t OpenSteps() const;
+  /// \return this node's state as an owner, except for mReachesStore
+  OwnerState State() const;
+  /// Stops the runs of a step that another node has taken over.
+  /// \return the step's unlisted texts for the new owner; NotFound if the step
+  /// is not here, Unavailable if the request is not for this process or names
+  /// no newer record
+  Result<std::vector<RolloutPart>> HandOver(const HandoverRequest& aRequest);
 
  private:
   using StepPtr = std::shared_ptr<RolloutStep>;
@@ -194,6 +203,27 @@
                                                int64_t aRevision);
   asio::awaitable<bool> IsHealthy(std::string aAddress);
 
+  /// \return whether the step of a record is handed over (HandsOverSteps)
+  bool HandsOver(const StepRecord& aRecord) const;
+  /// One question to an owner, shared by all its steps.
+  struct OwnerCheck;
+  /// Asks an owner for its state until it reaches the store, for a short time.
+  asio::awaitable<std::optional<OwnerState>> CheckOwner(std::string aAddress);
+  /// \return whether a step stays with the owner that its record names
+  asio::awaitable<bool> OwnerKeeps(std::string aId, StepRecord aRecord);
+  /// Takes a step over unless it stays with its owner.
+  asio::awaitable<void> AdoptUnlessKept(std::string aId, StepRecord aRecord,
+                                        int64_t aRevision);
+  /// A step that another node owns now, with the texts that it may ask for.
+  struct FormerStep {
+    StepPtr mStep;
+    Millis mLostAt;
+    bool mHandedOver = false;
+  };
+  /// Keeps a lost step's texts for a short time, for its new owner.
+  void KeepFormerStep(const StepPtr& aStep);
+  void ForgetFormerSteps();
+
   /// \return whether this node was confirmed as the owner recently enough for
   /// the step not to have ended elsewhere
   bool MayStart(const RolloutStep& aStep) const;
@@ -231,6 +261,8 @@
   asio::awaitable<std::optional<Error>> CheckTakeovers();
   /// Stops a step that this node no longer owns, and removes it.
   void Drop(const StepPtr& aStep, const char* aWhy);
+  /// Stops a step's runs and removes it.
+  void Release(const StepPtr& aStep);
   std::vector<StepPtr> RunningSteps() const;
   void StopRuns(RolloutStep& aStep);
   void Tick();
@@ -247,6 +279,8 @@
   std::set<std::string> mTakeovers;
   std::map<std::string, AcceptancePtr> mAcceptances;
   std::map<std::string, std::string> mRemoteOwners;  ///< addresses, by step
+  std::map<std::string, std::shared_ptr<OwnerCheck>> mOwnerChecks;
+  std::map<std::string, FormerStep> mFormerSteps;
   LengthHints mLengths;
   bool mVerifying = false;              ///< a check of all steps is under way
   std::optional<Error> mVerifyFailure;  ///< of the last check of all steps
--- a/src/include/rillwall/route_table.h
+++ b/src/include/rillwall/route_table.h
@@ -116,4 +116,7 @@
 /// \return null if no target has a positive weight
 const std::string* PickService(const Route& aRoute, uint64_t aKey);
 
+/// \return whether the rollout routes of a service differ in priority
+bool HasRankedRollouts(const RouteTable& aRoutes, std::string_view aService);
+
 }  // namespace rillwall
--- a/src/librillwall_coordination/rollout_tracker.cpp
+++ b/src/librillwall_coordination/rollout_tracker.cpp
@@ -200,7 +200,8 @@
   }
 }
 
-int64_t RolloutTracker::RestoreTexts(const std::vector<RolloutPart>& aParts) {
+int64_t RolloutTracker::RestoreTexts(const std::vector<RolloutPart>& aParts,
+                                     bool aInStore) {
   std::map<size_t, RolloutText> texts;
   for (const RolloutPart& part : aParts) {
     const std::optional<size_t> item = IndexOf(part.mItem);
@@ -220,7 +221,9 @@
     text.mVersions = part.mVersions;
     text.mWhole = part.mWhole;
     text.mScore = part.mScore;
-    text.mStored = {text.mEvents, text.mOutput.size(), false};
+    if (aInStore) {
+      text.mStored = {text.mEvents, text.mOutput.size(), false};
+    }
   }
   for (auto& [item, text] : texts) {
     AdoptRestored(item, std::move(text));
@@ -232,6 +235,31 @@
   return events;
 }
 
+std::vector<RolloutPart> RolloutTracker::UnlistedTexts(size_t aMaxBytes) const {
+  std::vector<RolloutPart> parts;
+  size_t bytes = 0;
+  for (const bool whole : {true, false}) {
+    for (size_t i = 0; bytes < aMaxBytes && i < mStates.size(); ++i) {
+      RolloutText text = mStates[i].mText;
+      if (mStates[i].mListed || text.mEvents == 0 || text.mWhole != whole) {
+        continue;
+      }
+      text.mStored = PersistedPrefix();
+      parts.push_back(
+          TakePart(mSpec.mItems[i].mId, text, &RolloutText::mStored));
+      bytes += parts.back().mOutput.size();
+    }
+  }
+  return parts;
+}
+
+size_t RolloutTracker::CompleteUnlistedTexts() const {
+  return static_cast<size_t>(
+      std::count_if(mStates.begin(), mStates.end(), [](const State& aState) {
+        return !aState.mListed && aState.mText.mWhole;
+      }));
+}
+
 std::optional<RolloutPick> RolloutTracker::Next() const {
   if (mWaiting.empty()) {
     return std::nullopt;
--- a/src/librillwall_coordination/route_table.cpp
+++ b/src/librillwall_coordination/route_table.cpp
@@ -80,4 +80,24 @@
   return nullptr;
 }
 
+bool HasRankedRollouts(const RouteTable& aRoutes, std::string_view aService) {
+  const auto leadsTo = [aService](const Route& aRoute) {
+    return aRoute.mKind == RequestKind::Rollout &&
+           std::any_of(aRoute.mTargets.begin(), aRoute.mTargets.end(),
+                       [aService](const RouteTarget& aTarget) {
+                         return aTarget.mService == aService;
+                       });
+  };
+  std::optional<int> first;
+  for (const Route& route : aRoutes.Routes()) {
+    if (leadsTo(route) && first.value_or(route.mPriority) != route.mPriority) {
+      return true;
+    }
+    if (leadsTo(route)) {
+      first = route.mPriority;
+    }
+  }
+  return false;
+}
+
 }  // namespace rillwall
--- a/src/librillwall_coordination/route_table_test.cpp
+++ b/src/librillwall_coordination/route_table_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(KeysFollowWeights);
   CPPUNIT_TEST(NoWeightGivesNoService);
   CPPUNIT_TEST(FindsServices);
+  CPPUNIT_TEST(RankedRolloutsDifferInPriority);
   CPPUNIT_TEST_SUITE_END();
 
   void LongestPrefixOfTheHostWins() {
@@ -77,6 +78,26 @@
     CPPUNIT_ASSERT(*table.Service("two") == two);
     CPPUNIT_ASSERT(table.Service("three") == nullptr);
   }
+
+  // Routes of other kinds and of other services must not turn the switch on.
+  void RankedRolloutsDifferInPriority() {
+    Route one = RouteOf("a", "/1/", "s");
+    one.mKind = RequestKind::Rollout;
+    one.mPriority = 1;
+    Route other = one;
+    other.mPrefix = "/2/";
+    const auto ranked = [&](const Route& aOther) {
+      return HasRankedRollouts(RouteTable(1, {one, aOther}, {}, {}), "s");
+    };
+    CPPUNIT_ASSERT(!ranked(other));
+    other.mPriority = 0;
+    CPPUNIT_ASSERT(ranked(other));
+    other.mTargets = {{"t", 1}};
+    CPPUNIT_ASSERT(!ranked(other));
+    other.mTargets = {{"s", 1}};
+    other.mKind = RequestKind::Idempotent;
+    CPPUNIT_ASSERT(!ranked(other));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -243,7 +243,11 @@
   }
   const NodeIdentity& self = mNode.mIdentity;
   const std::string before = aRecord.mOwner;
+  const std::string formerAddress = aRecord.mAddress;
   const std::string takenFrom = aRecord.mRun;
+  const bool handsOver = HandsOverSteps(*routes, route);
+  const int64_t takenRevision = mTakenRevision;
+  const Millis asked = mNode.Now();
   aRecord.mOwner = self.mName;
   aRecord.mAddress = self.mAddress;
   aRecord.mRun = self.mRun;
@@ -263,6 +267,11 @@
                     "Another node has just taken the step over.");
   }
   // From here on no previous owner can append.
+  std::vector<RolloutPart> handedOver;
+  if (handsOver && formerAddress != self.mAddress) {
+    HandoverRequest request{aId, takenFrom, done->mRevision};
+    handedOver = co_await FetchTexts(mNode, formerAddress, std::move(request));
+  }
   Result<std::string> body = co_await LoadBody(aId);
   if (!body) {
     co_return body.error();
@@ -287,6 +296,8 @@
   step->mNextPart = stored->mNext;
   const int64_t restoredEvents = step->mTracker.RestoreTexts(stored->mParts);
   const int64_t restoredFromDisk = step->mTracker.RestoreTexts(spooled);
+  const int64_t restoredFromOwner = step->mTracker.RestoreTexts(
+      UsableParts(step->mTracker, std::move(handedOver)), false);
   Event("step-taken-over")
       .Id(aId)
       .Text("from", before)
@@ -295,8 +306,20 @@
       .Number("total", static_cast<int64_t>(step->mTracker.Total()))
       .Number("restored_events", restoredEvents)
       .Number("with_disk", restoredFromDisk)
+      .Number("with_owner", restoredFromOwner)
       .Write();
   mNode.mMetrics.Count("steps_taken_over_total");
+  if (handsOver) {
+    // The hand-over lengthens the time since the record was written, in which a
+    // further owner may have taken the step.
+    step->mVerifiedAt = asked;
+    if (mTakenRevision != takenRevision) {
+      const std::optional<Error> lost = co_await VerifyRecord(step);
+      if (lost) {
+        co_return *lost;
+      }
+    }
+  }
   StartReadyItems();
   co_return step;
 }
@@ -336,6 +359,12 @@
       continue;
     }
     const std::string& address = record->mAddress;
+    if (address != mNode.mIdentity.mAddress && address != aGone &&
+        HandsOver(*record)) {
+      Launch(mNode.mIo, "take-over",
+             AdoptUnlessKept(id, *record, item.mRevision));
+      continue;
+    }
     if (address != mNode.mIdentity.mAddress && !healthy.contains(address)) {
       healthy[address] = co_await IsHealthy(address);
     }
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -130,8 +130,8 @@
   const bool mine = record->mAddress == mNode.mIdentity.mAddress;
   bool take = mine;
   if (!mine && aAdopt) {
-    const bool healthy = co_await IsHealthy(record->mAddress);
-    take = !healthy;
+    const bool keeps = co_await OwnerKeeps(aId, *record);
+    take = !keeps;
   }
   if (!take) {
     if (mRemoteOwners.size() > kMaxRemoteOwners) {
@@ -224,9 +224,14 @@
 }
 
 void RolloutService::Drop(const StepPtr& aStep, const char* aWhy) {
-  mSpool.Remove(aStep->Id());
   Event("step-lost").Id(aStep->Id()).Text("why", aWhy).Write();
   mNode.mMetrics.Count("steps_lost_total");
+  KeepFormerStep(aStep);
+  Release(aStep);
+}
+
+void RolloutService::Release(const StepPtr& aStep) {
+  mSpool.Remove(aStep->Id());
   StopRuns(*aStep);
   const auto found = mSteps.find(aStep->Id());
   if (found != mSteps.end() && found->second == aStep) {
@@ -346,6 +351,7 @@
     ScheduleSpool(step);
     MoveFromSlowReplicas(step);
   }
+  ForgetFormerSteps();
   if (verify && !mVerifying) {
     Launch(mNode.mIo, "verify",
            [](RolloutService* aSelf) -> asio::awaitable<void> {
