rollout: tests of the hand-over; the old owner directs readers to the new one

Cause: an old owner without a path to the store answered readers that had its address cached with 503, also after it had handed the step over.

--- a/src/include/rillwall/step_handover.h
+++ b/src/include/rillwall/step_handover.h
@@ -31,6 +31,7 @@
   std::string mStep;
   std::string mRun;       ///< run id of the old owner
   int64_t mRevision = 0;  ///< of the record that names the new owner
+  std::string mAddress;   ///< where the new owner serves other nodes
   bool operator==(const HandoverRequest&) const = default;
 };
 
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -269,7 +269,7 @@
   // From here on no previous owner can append.
   std::vector<RolloutPart> handedOver;
   if (handsOver && formerAddress != self.mAddress) {
-    HandoverRequest request{aId, takenFrom, done->mRevision};
+    HandoverRequest request{aId, takenFrom, done->mRevision, self.mAddress};
     handedOver = co_await FetchTexts(mNode, formerAddress, std::move(request));
   }
   Result<std::string> body = co_await LoadBody(aId);
--- a/src/librillwall_rollout/step_handover.cpp
+++ b/src/librillwall_rollout/step_handover.cpp
@@ -40,6 +40,7 @@
   body["step"] = aRequest.mStep;
   body["run"] = aRequest.mRun;
   body["revision"] = aRequest.mRevision;
+  body["address"] = aRequest.mAddress;
   return json::serialize(body);
 }
 
@@ -53,6 +54,7 @@
   request.mStep = reader.String("step");
   request.mRun = reader.String("run");
   request.mRevision = reader.Int("revision");
+  request.mAddress = reader.String("address");
   if (reader.Failed()) {
     return reader.Failure();
   }
@@ -258,14 +260,15 @@
                       : FaultOf(aRequest, *step, mNode.mIdentity.mRun);
   if (!fault.empty()) {
     Event("handover-refused").Id(aRequest.mStep).Text("why", fault).Write();
-    return Error(
-        step == nullptr ? ErrorKind::NotFound : ErrorKind::Unavailable,
-        "No hand-over, because " + fault + "; generate its texts again.");
+    return Error(step == nullptr ? ErrorKind::NotFound : ErrorKind::Unavailable,
+                 "No texts are sent, as " + fault + "; generate them again.");
   }
   if (owned != mSteps.end()) {
     Release(step);
   }
   mFormerSteps[aRequest.mStep] = {step, mNode.Now(), true};
+  // Callers are directed to the new owner even while the store is away.
+  mRemoteOwners[aRequest.mStep] = aRequest.mAddress;
   std::vector<RolloutPart> parts =
       step->mTracker.UnlistedTexts(kMaxHandoverBytes);
   const auto complete = static_cast<size_t>(
--- a/src/librillwall_rollout/step_handover_test.cpp
+++ b/src/librillwall_rollout/step_handover_test.cpp
@@ -219,7 +219,6 @@
     return std::move(*result);
   }
   /// Lets the old host accept a step and lose its path to the store.
-  /// \param aEvents events that the engine has then generated
   void AcceptAndCut(int64_t aEventMs = 1, RolloutSpec aSpec = Spec()) {
     mEngine.mDefaultScript.mEventTime = Millis(aEventMs);
     const Route route = *mOld.mNode.mRoutes.Read()->Find("h", "/r/");
@@ -236,7 +235,7 @@
     Adopt();
     RunUntil([&] { return mNew.mService.Owns("s1"); });
   }
-  /// Runs until the new host has listed all items, and checks them.
+  /// Runs until a host has listed all items, and checks them.
   void CheckListed(Host& aHost) {
     std::set<std::string> items;
     size_t listed = 0;
@@ -254,7 +253,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, listed);
     CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, items.size());
   }
-  /// \return whether the engine has received requests for texts again
+  /// \return number of texts that the engine was asked for again
   size_t Regenerated() const { return mEngine.mRequests.size() - kTexts; }
 
   // The store answers the new lead a moment earlier than the old one.
@@ -276,6 +275,9 @@
     CompleteTexts();
     AdoptAndTake();
     CPPUNIT_ASSERT(!mOld.mService.Owns("s1"));
+    // Readers with an old location are directed on while the store is away.
+    const auto place = Run(mOld.mService.Locate("s1", false));
+    CPPUNIT_ASSERT(place && place->mAddress == mNew.mNode.mIdentity.mAddress);
     CheckListed(mNew);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Regenerated());
     CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, mScorer.mRequests.size());
@@ -287,6 +289,7 @@
     RunFor(400);
     AdoptAndTake();
     RunUntil([&] { return mEngine.mRequests.size() == 2 * kTexts; });
+    RunFor(200);  // the engine notices closed connections when it writes
     CPPUNIT_ASSERT_EQUAL(kTexts, mEngine.mRunning);
     for (size_t i = kTexts; i < 2 * kTexts; ++i) {
       const std::string* last = mEngine.mRequests[i].Find("Last-Event");
@@ -413,12 +416,12 @@
       const auto parts = mOld.mService.HandOver(aRequest);
       return parts ? std::optional<ErrorKind>() : parts.error().Kind();
     };
-    CPPUNIT_ASSERT(kindOf({"s2", "old-run", 99}) == ErrorKind::NotFound);
-    CPPUNIT_ASSERT(kindOf({"s1", "x-run", 99}) == ErrorKind::Unavailable);
-    CPPUNIT_ASSERT(kindOf({"s1", "old-run", revision}) ==
+    CPPUNIT_ASSERT(kindOf({"s2", "old-run", 99, "a"}) == ErrorKind::NotFound);
+    CPPUNIT_ASSERT(kindOf({"s1", "x-run", 99, "a"}) == ErrorKind::Unavailable);
+    CPPUNIT_ASSERT(kindOf({"s1", "old-run", revision, "a"}) ==
                    ErrorKind::Unavailable);
     CPPUNIT_ASSERT(mOld.mService.Owns("s1"));
-    CPPUNIT_ASSERT(!kindOf({"s1", "old-run", revision + 1}));
+    CPPUNIT_ASSERT(!kindOf({"s1", "old-run", revision + 1, "a"}));
     CPPUNIT_ASSERT(!mOld.mService.Owns("s1"));
   }
 
