soak: the lead changes while the owner of a running step lives

Cause: the takeover from a live owner had no test with real processes.

Complete texts that an engine is asked for again are counted, and must be at most 1 in 100.

--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -16,9 +16,10 @@
              to few more replicas
   recovers   requests and a new step are served after all faults
   processes  no process ends by itself
+  handover   with --handover: after a change of the lead, complete texts are not generated again
 
 usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N] [--services N]
-               [--faults none|all|NAME,...] [--keep DIR]
+               [--faults none|all|NAME,...] [--handover] [--keep DIR]
 Ends with "N passed, N failed". The logs of a failed run stay in its folder.
 """
 
@@ -35,6 +36,7 @@
 import tempfile
 import time
 
+from handover import Handover
 from standins import CRASHING, Engine, Service, Store, events_of, text_of
 from web import Proxy, call
 
@@ -143,6 +145,7 @@
         self.newest_version, self.stopping, self.config_version = 1, False, 0
         self.whole_steps, self.started = 0, []
         self.crashes, self.crashing_items = {}, False  # crashes: request -> (time, calm) of each replica it crashed
+        self.handover = Handover(self) if args.handover else None
         self.host_faults, self.host_fault_end = 0, 0.0  # running faults of hosts or store, and when the last one ended
 
     def check(self, name, holds, what):
@@ -207,6 +210,7 @@
         routes = [route("r1", "/status/", "idempotent", "plain"),
                   route("r2", "/charge/", "non_idempotent", "plain"),
                   route("r3", "/steps/", "rollout", "engine", **{"due-ms": 7500, "max-wait-s": 60})]
+        routes += [self.handover.route(route)] if self.handover else []
         routes += [route(f"x{i}", f"/x{i}/", "idempotent", "plain") for i in range(self.config_version)]
         self.store.write("op/config", {
             "version": self.config_version, "routes": routes,
@@ -260,9 +264,9 @@
             await self.run_step(number, 25)
             number += 1
 
-    async def run_step(self, number, limit):
+    async def run_step(self, number, limit, step=None):
         """Submits a step and reads it until enough groups are complete. Returns whether they are."""
-        step, name = self.make_step(number), f"{self.rng.getrandbits(64):016x}"
+        step, name = step or self.make_step(number), f"{self.rng.getrandbits(64):016x}"
         end = time.monotonic() + limit
         accepted = False
         while not accepted and time.monotonic() < end:
@@ -544,6 +548,8 @@
             self.trainer(), self.reader(), self.reader())]
         faults = asyncio.create_task(self.inject())
         await asyncio.sleep(self.args.seconds)
+        if self.handover:
+            await self.handover.run()
         self.stopping = True
         await asyncio.gather(faults, *work)
         await self.final_checks()
@@ -590,6 +596,7 @@
     parser.add_argument("--leads", type=int, default=3)
     parser.add_argument("--services", type=int, default=3)
     parser.add_argument("--faults", default="all")
+    parser.add_argument("--handover", action="store_true", help="change the lead while a step runs")
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
     lock = take_addresses(args.seed)
@@ -598,7 +605,7 @@
     lock.close()
     print(f"seed {soak.args.seed}: served {soak.served}, whole steps {soak.whole_steps}, faults {soak.faults}, "
           f"checks {soak.counts}")
-    conclude(soak, "soak", CHECKS)
+    conclude(soak, "soak", CHECKS + ["handover"] * args.handover)
 
 
 if __name__ == "__main__":
