ReplicaPool: plain requests are placed by expected response time

Cause: a host sends one plain request in six seconds, so the smoothed latency by which it chose was out of date, and a replica that slows down for 600 ms or that is inherently slower was not recognized. Change: for services whose replicas send the fourth load figure (or report their load while admission control is required) Choose() takes the replica with the least expected time: wait for a slot, usual work of the route times the current percentage, network, zone, new connection, recent errors. Figures lose their weight with age and return to what is usual for the replica: the percentage over 600 ms, the requests over 1 s. A replica that refuses because it is full is not paused, a failed health check avoids a replica for 1 s of 2, and not for 10 s after it served. UsesCurrentLoad() is a count, O(1) in replicas. An unusable report is dropped, and logged once per replica and minute.

--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -76,6 +76,22 @@
   int64_t mMinVersion = 0;      ///< oldest weight version that may serve it
   bool mNeedsFreeSlot = false;  ///< only a replica with a free slot
   AllowedRegions mRegions;      ///< only a replica in one of these regions
+  std::string mRoute;           ///< route of a plain request; empty: not known
+  /// Sorted ids of replicas to which this host has an idle connection. Used
+  /// only for services that are placed by current load.
+  std::vector<std::string> mConnected;
+};
+
+/// Current load of one eligible replica, for probes and for operators.
+struct ReplicaFigures {
+  const Replica* mReplica = nullptr;
+  std::optional<ReplicaLoad> mReport;
+  std::optional<Millis> mAge;  ///< of mReport
+  double mPercent = 0;
+  int64_t mInFlight = 0;  ///< requests of this host
+  ExpectedTime mExpected;
+  bool mConnected = false;  ///< this host has an idle connection
+  bool mPaused = false;     ///< avoided after failures or a failed health check
 };
 
 /// Changes made by the newest registry snapshot.
@@ -158,6 +174,21 @@
   /// current load, or nothing recent enough is known
   std::optional<AnswerEstimate> EstimateAnswer(
       const ReplicaRequirements& aRequirements, Millis aNow) const;
+  /// Drops the report of a replica whose newest one cannot be read.
+  /// \return whether to log it: true once per replica and minute
+  bool DropLoad(const std::string& aId, Millis aNow);
+  /// Records the response to a plain request, for services that are placed by
+  /// current load. Call it after the load of the response's header.
+  /// \param aError the response was a server error
+  void ObserveAnswer(const std::string& aId, const std::string& aRoute,
+                     Millis aLatency, bool aError, Millis aNow);
+  /// Records the answer to a probe of the health path.
+  void ObserveProbe(const std::string& aId, bool aHealthy, Millis aRoundTrip,
+                    Millis aNow);
+  /// \return the eligible replicas for a plain request with their load, in the
+  /// order in which equal ones are chosen
+  std::vector<ReplicaFigures> Figures(const ReplicaRequirements& aRequirements,
+                                      Millis aNow) const;
   /// Records the time between two events of a stream, in ms.
   void ObservePace(const std::string& aId, double aMsPerEvent, Millis aNow);
   /// \param aExtraTexts number of texts that would be added there
@@ -203,10 +234,11 @@
     ReplicaPace mPace;                ///< pace of its streams
     int64_t mOtherNodesRequests = 0;  ///< requests of other nodes there
     Millis mLoadReportedAt;           ///< when the replica reported that load
-    std::optional<ReplicaLoad> mReport;  ///< newest report with all its figures
-    double mRankedPace = 0;              ///< pace at the time it was ranked
-    std::optional<double> mRank;         ///< cost while it has a free slot
-    SendWindow mColdSends;               ///< recent requests while it is cold
+    CurrentLoad mLoad;
+    std::optional<Millis> mBadReportLoggedAt;
+    double mRankedPace = 0;       ///< pace at the time it was ranked
+    std::optional<double> mRank;  ///< cost while it has a free slot
+    SendWindow mColdSends;        ///< recent requests while it is cold
   };
   /// Entry of the order by cost.
   struct Rank {
@@ -224,8 +256,23 @@
     /// Median of all replicas, in ms per event; 0: unknown.
     double mTypicalPace = 0;
     Millis mRankedAt;
-    bool mOutdated = true;  ///< ranks must be recomputed before the next use
+    bool mOutdated = true;     ///< ranks must be recomputed before the next use
+    int64_t mReporting = 0;    ///< replicas with a load report
+    int64_t mWithPercent = 0;  ///< replicas whose report has a percentage
   };
+  /// Adds a replica's report to the counts of its service, or removes it.
+  static void CountReport(const State& aState, int64_t aSign);
+  /// \return mean requests of other hosts at the service's replicas with a
+  /// recent report, assumed for replicas without one
+  static double TypicalRequests(const Service& aService, Millis aNow);
+  ExpectedTime Expect(const State& aState,
+                      const ReplicaRequirements& aRequirements, double aTypical,
+                      Millis aNow) const;
+  std::optional<std::string> ChooseByLoad(
+      const ReplicaRequirements& aRequirements, Millis aNow) const;
+  /// \return whether the replica's own figures tell that it refused because it
+  /// was full
+  bool RefusedAsFull(const State& aState, Millis aNow) const;
   /// \return requests at the replica, as far as known
   static int64_t LoadOf(const State& aState, Millis aNow);
   /// \return cost of a plain request by load and latency; lower is better
@@ -266,6 +313,7 @@
   std::set<std::string> mEvacuated;
   ColdShare mCold;
   std::map<std::string, double> mColdRates;  ///< by service
+  std::map<std::string, WorkTimes> mWork;    ///< by service
   bool mAdmissionRequired = false;  ///< by the settings, for all services
 };
 
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -142,6 +142,7 @@
     state.mService = &service;
     service.mStates.push_back(&state);
     state.mRank.reset();
+    CountReport(state, 1);
   }
 }
 
@@ -221,61 +222,6 @@
   }
 }
 
-void ReplicaPool::ObserveLoad(const std::string& aId,
-                              const ReplicaLoad& aReport, Millis aNow) {
-  State* state = Lookup(aId);
-  if (state != nullptr) {
-    state->mReport = aReport;
-    ObserveLoad(aId, aReport.mRunning + aReport.mWaiting, aNow);
-  }
-}
-
-bool ReplicaPool::UsesCurrentLoad(std::string_view aService) const {
-  const auto found = mServices.find(aService);
-  const auto reports = [this](const State* aState) {
-    const std::optional<ReplicaLoad>& report = aState->mReport;
-    return report && (mAdmissionRequired || report->mWorkPercent);
-  };
-  return found != mServices.end() &&
-         std::any_of(found->second.mStates.begin(), found->second.mStates.end(),
-                     reports);
-}
-
-std::optional<AnswerEstimate> ReplicaPool::EstimateAnswer(
-    const ReplicaRequirements& aRequirements, Millis aNow) const {
-  const auto found = mServices.find(aRequirements.mService);
-  if (found == mServices.end() || !UsesCurrentLoad(aRequirements.mService)) {
-    return std::nullopt;
-  }
-  std::optional<AnswerEstimate> best;
-  int64_t freeSlots = 0;
-  for (const State* state : found->second.mStates) {
-    const Millis age = aNow - state->mLoadReportedAt;
-    if (!state->mReport || age > kReportedLoadMaxAge ||
-        !IsEligible(*state, aRequirements, aNow) ||
-        Paused(*state, aRequirements, aNow)) {
-      continue;
-    }
-    const ReplicaLoad& report = *state->mReport;
-    const int64_t requests = LoadOf(*state, aNow);
-    freeSlots += std::max<int64_t>(0, report.mSlots - requests);
-    const double work =
-        state->mLatency > 0 ? state->mLatency : kAssumedLatencyMs;
-    const int64_t ahead = std::max<int64_t>(0, requests + 1 - report.mSlots);
-    const double wait =
-        work * static_cast<double>(ahead) / static_cast<double>(report.mSlots);
-    const AnswerEstimate estimate{Millis(std::llround(wait + work)),
-                                  Millis(std::llround(wait)), age, 0};
-    if (!best || estimate.mExpected < best->mExpected) {
-      best = estimate;
-    }
-  }
-  if (best) {
-    best->mFreeSlots = freeSlots;
-  }
-  return best;
-}
-
 bool ReplicaPool::IsEligible(const State& aState,
                              const ReplicaRequirements& aRequirements,
                              Millis aNow) const {
@@ -402,8 +348,12 @@
 
 std::optional<std::string> ReplicaPool::Choose(
     const ReplicaRequirements& aRequirements, Millis aNow) const {
-  return aRequirements.mNeedsFreeSlot ? ChooseFree(aRequirements, aNow)
-                                      : ChooseAny(aRequirements, aNow);
+  if (aRequirements.mNeedsFreeSlot) {
+    return ChooseFree(aRequirements, aNow);
+  }
+  return aRequirements.mModel.empty() && UsesCurrentLoad(aRequirements.mService)
+             ? ChooseByLoad(aRequirements, aNow)
+             : ChooseAny(aRequirements, aNow);
 }
 
 std::optional<std::string> ReplicaPool::ChooseFree(
@@ -517,6 +467,9 @@
             : state.mLatency * (1 - kLatencyWeight) + latency * kLatencyWeight;
     return;
   }
+  if (aOutcome == ReplicaOutcome::Refused && RefusedAsFull(state, aNow)) {
+    return;
+  }
   ++state.mFailures;
   state.mPausedUntil = aNow + PauseAfter(state.mFailures);
 }
--- a/src/librillwall_rollout/node_context.cpp
+++ b/src/librillwall_rollout/node_context.cpp
@@ -20,6 +20,11 @@
   const Result<ReplicaLoad> report = ParseReplicaLoad(*load);
   if (report) {
     aNode.mReplicas.ObserveLoad(aReplica, *report, aNode.Now());
+  } else if (aNode.mReplicas.DropLoad(aReplica, aNode.Now())) {
+    Event("load-report-unusable")
+        .Text("replica", aReplica)
+        .Text("why", report.error().Detail())
+        .Write();
   }
 }
 
