Probes for the load of replicas before a client's request

Cause: figures from earlier responses are seconds old in calm, and in a surge older than the queues are stable. Change: before the choice of a replica, CallUpstream() asks the health path of up to three replicas to which a connection is open: the best two by what is known and one at random (probe_plan, without I/O; load_probe). No connection is opened for a probe (HttpClient::HasIdle), scorer calls do not probe, and a late answer serves the next choice. The service's health-path is read from the configuration. An answer that names another replica is not used.

--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -219,6 +219,9 @@
   /// Checks whether an upstream still listens, by opening a new connection.
   /// Without TLS, the connection is kept for a later call.
   asio::awaitable<Listening> Probe(const Endpoint& aEndpoint, Millis aTimeout);
+  /// \return whether there is an idle connection to the endpoint that is not
+  /// known to be closed
+  bool HasIdle(const Endpoint& aEndpoint) const;
   /// Limits the time to connect within the timeout of a call, so that a host
   /// that does not respond delays the call by at most this time. Without it,
   /// only the timeout of the call applies.
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -43,6 +43,7 @@
   std::string mPriority;   ///< priority of the request; 0 goes first
   std::string mReplicaLoad;  ///< in responses: "running,waiting,slots,..."
   std::string mAccount;      ///< the client account, as sent to upstreams
+  std::string mReplicaId;  ///< in responses to health checks: the replica's id
 };
 
 /// The identity of this node.
--- a/src/include/rillwall/route_table.h
+++ b/src/include/rillwall/route_table.h
@@ -67,6 +67,7 @@
   Millis mColdDuration;  ///< time after its start that a replica is cold
   /// Requests that a cold replica accepts from all hosts.
   double mColdPerSecond = 0;
+  std::string mHealthPath;  ///< of its replicas' health checks; may be empty
   bool operator==(const ServiceSpec&) const = default;
 };
 
--- a/src/include/rillwall/upstream_call.h
+++ b/src/include/rillwall/upstream_call.h
@@ -24,6 +24,10 @@
   Millis mDeadline;   ///< when the caller must have its response
   Millis mTargetLatency;
   AllowedRegions mRegions;  ///< regions in which the request may be served
+  std::string mRoute;       ///< name of its route; may be empty
+  /// Whether replicas may be asked for their load first. Not for scorer calls,
+  /// whose sender sees enough responses.
+  bool mProbes = false;
 };
 
 /// A replica's response, either whole or as its beginning and a stream of the
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -78,6 +78,8 @@
   call.mAttempts = aRoute.mAttempts;
   call.mTargetLatency = aRoute.mTargetLatency;
   call.mDeadline = DeadlineOf(aNode, aRoute, aRequest);
+  call.mRoute = aRoute.mName;
+  call.mProbes = true;
   call.mRegions = RegionsOf(*aNode.mRoutes.Read(), aRoute, aCaller.mAccount);
   return call;
 }
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -284,6 +284,7 @@
     call.mRequest.mHeaders.push_back({mNode.mHeaders.mRequestId, scorer->mId});
     call.mService = *service;
     call.mRegions = RegionsOf(*routes, *route, aStep->mTracker.Spec().mAccount);
+    call.mRoute = route->mName;
     call.mKind = RequestKind::Idempotent;
     call.mDeadline =
         mNode.Now() +
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -245,6 +245,14 @@
 
 asio::awaitable<void> ScriptedReplica::Handle(const HttpRequest& aRequest,
                                               HttpExchange& aExchange) {
+  if (aRequest.mTarget == kHealthPath) {
+    ++mHealthChecks;
+    HttpResponse health;
+    health.mStatus = mHealthStatus;
+    health.mHeaders = {{mNames.mReplicaLoad, mLoad}, {mNames.mReplicaId, mId}};
+    co_await aExchange.Respond(std::move(health));
+    co_return;
+  }
   mRequests.push_back(aRequest);
   ReplicaScript script = mDefaultScript;
   if (!mScripts.empty()) {
@@ -267,6 +275,9 @@
   head.mHeaders.push_back({mNames.mRequestId, echo});
   head.mHeaders.push_back({mNames.mSignature, "signed-" + echo});
   head.mHeaders.push_back({mNames.mWeightVersion, std::to_string(mVersion)});
+  if (!mLoad.empty()) {
+    head.mHeaders.push_back({mNames.mReplicaLoad, mLoad});
+  }
   if (script.mNotRun) {
     head.mHeaders.push_back({mNames.mNotRun, "1"});
   }
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -101,6 +101,10 @@
   int64_t mSlots = 8;
   bool mStreams = true;  ///< answers with events, else with a plain body
   int mRunning = 0;
+  std::string mLoad;  ///< load report of its responses; empty: none
+  static constexpr char kHealthPath[] = "/healthy";
+  int mHealthStatus = 200;
+  int mHealthChecks = 0;  ///< received; they are not in mRequests
 
  private:
   asio::awaitable<void> Handle(const HttpRequest& aRequest,
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -4,6 +4,7 @@
 
 #include "crash_guard.h"
 #include "rillwall/event_log.h"
+#include "rillwall/load_probe.h"
 #include "rillwall/request_digest.h"
 
 namespace rillwall {
@@ -30,6 +31,7 @@
     mRequirements.mService = mCall.mService;
     mRequirements.mZone = mNode.mIdentity.mZone;
     mRequirements.mRegions = mCall.mRegions;
+    mRequirements.mRoute = mCall.mRoute;
   }
 
   NodeContext& mNode;
@@ -325,10 +327,34 @@
   }
 }
 
+/// Brings the figures behind the choice of a replica up to date.
+asio::awaitable<void> PrepareChoice(CallRun& aRun) {
+  NodeContext& node = aRun.mNode;
+  FindConnected(node, aRun.mRequirements);
+  if (aRun.mCall.mProbes) {
+    co_await RefreshLoad(node, aRun.mRequirements, kProbeWait);
+    FindConnected(node, aRun.mRequirements);
+  }
+}
+
+/// Records the latency and the status of a response for the choice of replicas.
+void ObserveAnswer(const CallRun& aRun, const std::string& aReplica,
+                   const TryResult& aResult, Millis aStarted) {
+  if (aResult.mEnd == TryOutcome::Answered && !aResult.mResponse.mRest) {
+    const Millis now = aRun.mNode.Now();
+    aRun.mNode.mReplicas.ObserveAnswer(
+        aReplica, aRun.mCall.mRoute, now - aStarted,
+        aResult.mResponse.mHead.mStatus >= kFirstServerError, now);
+  }
+}
+
 asio::awaitable<Result<UpstreamResponse>> Run(CallRun& aRun) {
   NodeContext& node = aRun.mNode;
   bool deadlinePassed = false;
   while (true) {
+    if (node.mReplicas.UsesCurrentLoad(aRun.mCall.mService)) {
+      co_await PrepareChoice(aRun);
+    }
     const bool cancelled = co_await Cancelled();
     deadlinePassed = node.Now() >= aRun.mCall.mDeadline;
     if (deadlinePassed || cancelled) {
@@ -360,6 +386,7 @@
       count.NotRun();
     }
     use.End(OutcomeOf(result.mEnd));
+    ObserveAnswer(aRun, *id, result, use.Started());
     co_await RecordOutcome(aRun, replica, result);
     const int status = result.mResponse.mHead.mStatus;
     CallStep step = aRun.mAttempts.RecordTry(result.mEnd, status);
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/address.hpp>
 #include <limits>
@@ -56,6 +57,7 @@
   void Release(Connection aConnection) override;
   /// \return an idle connection that is not known to be closed, or nullptr
   Connection TakeIdle(const Endpoint& aEndpoint);
+  bool HasIdle(const Endpoint& aEndpoint);
   /// Connects the socket of a new connection.
   /// \return timed_out if it was not connected in time
   asio::awaitable<error_code> Dial(HttpClientConnection& aConnection,
@@ -147,6 +149,19 @@
   }
 }
 
+bool HttpClient::Impl::HasIdle(const Endpoint& aEndpoint) {
+  const Millis suspended = mSuspendedFor();
+  const std::lock_guard lock(mMutex);
+  const auto found = mIdle.find(aEndpoint);
+  return found != mIdle.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const Connection& aEach) {
+                       return suspended - aEach->mSuspendedWhenIdle <
+                                  kMinSuspension &&
+                              !aEach->mSocket.Stale();
+                     });
+}
+
 asio::awaitable<error_code> HttpClient::Impl::Dial(
     HttpClientConnection& aConnection, TimePoint aDeadline) {
   error_code code;
@@ -296,6 +311,10 @@
   return mImpl->Probe(aEndpoint, aTimeout);
 }
 
+bool HttpClient::HasIdle(const Endpoint& aEndpoint) const {
+  return mImpl->HasIdle(aEndpoint);
+}
+
 void HttpClient::SetConnectTimeout(Millis aTimeout) {
   mImpl->mConnectTimeout = aTimeout;
 }
