--- a/src/librillwall_coordination/fair_queue.h
+++ b/src/librillwall_coordination/fair_queue.h
@@ -86,6 +86,11 @@
   /// \param aTokens actual minus expected tokens
   void Ended(Tenant aTenant, int64_t aTokens);
 
+  /// \return whether a tenant has been served more than its share, compared
+  /// with the tenant of the last call started
+  bool Ahead(Tenant aTenant) const {
+    return mTenants[aTenant].mTime > mVirtualTime;
+  }
   /// \return tokens served to a tenant
   int64_t Served(Tenant aTenant) const { return mTenants[aTenant].mServed; }
   size_t Tenants() const { return mTenants.size(); }
--- a/src/librillwall_coordination/retry_budget.cpp
+++ b/src/librillwall_coordination/retry_budget.cpp
@@ -5,15 +5,13 @@
 namespace rillwall {
 
 namespace {
-// Bounds the bucket, so that a quiet hour does not pay for a burst of retries.
-constexpr double kMaxBalance = 10;
 constexpr double kInteractiveReserve = 4;
 // In floating point, ten times 0.1 is less than 1.
 constexpr double kEpsilon = 1e-9;
 }  // namespace
 
 void RetryBudget::Deposit() {
-  mBalance = std::min(mBalance + mRatio, kMaxBalance);
+  mBalance = std::min(mBalance + mRatio, mMaxBalance);
 }
 
 bool RetryBudget::TryWithdraw(CallClass aClass) {
--- a/src/librillwall_coordination/retry_budget.h
+++ b/src/librillwall_coordination/retry_budget.h
@@ -18,8 +18,14 @@
 /// Token bucket of retries.
 class RetryBudget {
  public:
+  /// Bounds the bucket, so that a quiet hour does not pay for a burst of
+  /// retries.
+  static constexpr double kMaxBalance = 10;
+
   /// \param aRatio retries per first attempt
-  explicit RetryBudget(double aRatio) : mRatio(aRatio) {}
+  /// \param aMaxBalance most retries in the bucket
+  explicit RetryBudget(double aRatio, double aMaxBalance = kMaxBalance)
+      : mRatio(aRatio), mMaxBalance(aMaxBalance) {}
 
   /// Adds the share of one first attempt.
   void Deposit();
@@ -33,6 +39,7 @@
 
  private:
   double mRatio;
+  double mMaxBalance;
   double mBalance = 0;
   bool mCreditUsed = false;
   uint64_t mDenied = 0;
