request_gate: admission of calls before they are sent

Cause: admission_control decides without I/O; nothing asked it yet. A refused try went to the next replica at once and the round was repeated until the deadline, which is what made surges collapse.

Change: CallUpstream() asks Admit() first, so that clients' requests and scorer calls take the same way. Clients' requests carry the priority of the account or else of the route, and the route's timeout, by which a return is recognized. Scorer calls only wait; they leave capacity to others at first and get their whole bound once they have waited for their target latency. After a refusal by a replica, another try comes from the retry budget, and only if the wait at the other replica is short enough.

--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -69,6 +69,8 @@
                      ///< zone is ever evacuated
 };
 
+class RequestGate;
+
 /// Shared state of one serving node. Used on the node's thread only.
 struct NodeContext {
   NodeContext(asio::io_context& aIo, StorePort& aStore)
@@ -88,6 +90,8 @@
   ServiceMetrics mMetrics;
   UsageMeter mUsage;
   CrashTable mCrashes;
+  /// Admission of calls; null until the first call that needs it.
+  std::shared_ptr<RequestGate> mGate;
   /// Returns the time of day in ms since 1970. Usage is counted by it.
   std::function<int64_t()> mTimeOfDay = WallClockMs;
   bool mStopping = false;  ///< the stop signal has arrived
--- a/src/include/rillwall/upstream_call.h
+++ b/src/include/rillwall/upstream_call.h
@@ -23,6 +23,10 @@
   int mAttempts = 1;  ///< most replicas that may run the request
   Millis mDeadline;   ///< when the caller must have its response
   Millis mTargetLatency;
+  /// Time that a client's first attempt has; 0: unknown.
+  Millis mTimeout;
+  int mPriority = 0;        ///< 0 is the most urgent
+  bool mDelayOnly = false;  ///< waits for capacity instead of being refused
   AllowedRegions mRegions;  ///< regions in which the request may be served
 };
 
--- a/src/librillwall_coordination/service_admission.cpp
+++ b/src/librillwall_coordination/service_admission.cpp
@@ -20,6 +20,8 @@
 /// is nearly empty. Otherwise clients that ignore the time named to them would
 /// take the place of others.
 constexpr int64_t kUnpromisedDivisor = 4;
+/// Part of the bound for calls that are only delayed, when they arrive.
+constexpr double kFirstDelayPart = 0.25;
 /// Part of the target latency for the way between the client and this host.
 constexpr int64_t kMarginDivisor = 10;
 /// Part of the target latency that a call may wait at this host.
@@ -123,6 +125,15 @@
   const Millis useful = late ? aEntry.mCall.mDeadline : InTimeUntil(aEntry);
   Millis bound = WaitBound(aEntry, aNow);
   const bool unpromised = aEntry.mReturned && !aEntry.mPromised;
+  if (aEntry.mCall.mDelayOnly) {
+    // Calls that only wait leave the capacity to others at first. They get the
+    // whole bound once they have waited for their target latency.
+    const Millis waited = std::min(aNow - aEntry.mFirstAttempt, aEntry.mTarget);
+    const auto part =
+        static_cast<double>(waited.Count()) /
+        static_cast<double>(std::max<int64_t>(1, aEntry.mTarget.Count()));
+    bound = Scaled(bound, kFirstDelayPart + (1 - kFirstDelayPart) * part);
+  }
   if ((late || unpromised) && !slow && !aEntry.mPromised &&
       !aEntry.mCall.mDelayOnly) {
     bound = bound / kUnpromisedDivisor;
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -78,6 +78,10 @@
   call.mAttempts = aRoute.mAttempts;
   call.mTargetLatency = aRoute.mTargetLatency;
   call.mDeadline = DeadlineOf(aNode, aRoute, aRequest);
+  if (aRoute.mTimeout > kResponseMargin) {
+    call.mTimeout = aRoute.mTimeout - kResponseMargin;
+  }
+  call.mPriority = aCaller.mPriority.value_or(aRoute.mPriority);
   call.mRegions = RegionsOf(*aNode.mRoutes.Read(), aRoute, aCaller.mAccount);
   return call;
 }
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -285,6 +285,9 @@
     call.mService = *service;
     call.mRegions = RegionsOf(*routes, *route, aStep->mTracker.Spec().mAccount);
     call.mKind = RequestKind::Idempotent;
+    call.mTargetLatency = route->mTargetLatency;
+    call.mPriority = route->mPriority;
+    call.mDelayOnly = true;
     call.mDeadline =
         mNode.Now() +
         std::max(kScorerTimeout, route->mTargetLatency * kScorerTimeoutFactor);
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -5,6 +5,7 @@
 #include "crash_guard.h"
 #include "rillwall/event_log.h"
 #include "rillwall/request_digest.h"
+#include "rillwall/request_gate.h"
 
 namespace rillwall {
 
@@ -35,6 +36,7 @@
   NodeContext& mNode;
   const UpstreamCall mCall;
   CallAttempts mAttempts;
+  AdmissionTicket mTicket;
   ReplicaRequirements mRequirements;
   /// Best response among failed tries.
   std::optional<UpstreamResponse> mFailedResponse;
@@ -129,6 +131,18 @@
                                        CrashTable::kCrashesToStopRetries;
 }
 
+/// \return whether a request that a replica refused may be tried at another
+/// one. When the replicas are full, the answer is a refusal, because a round
+/// through all of them would only delay it.
+bool MayRetryRefused(CallRun& aRun, const std::string& aReplica) {
+  if (!aRun.mTicket.RefusedByReplica()) {
+    return false;
+  }
+  ReplicaRequirements others = aRun.mRequirements;
+  others.mExcluded.push_back(aReplica);
+  return aRun.mTicket.MaySend(others);
+}
+
 HttpRequest MakeTryRequest(const CallRun& aRun, const std::string& aReplica,
                            Millis aLeft) {
   HttpRequest request = aRun.mCall.mRequest;
@@ -344,7 +358,7 @@
     const std::optional<std::string> id =
         node.mReplicas.Choose(aRun.mRequirements, node.Now());
     if (!id) {
-      if (aRun.mRequirements.mExcluded.empty()) {
+      if (aRun.mRequirements.mExcluded.empty() || aRun.mTicket.Active()) {
         break;
       }
       aRun.mRequirements.mExcluded.clear();
@@ -353,6 +367,7 @@
     }
     const Replica replica = *node.mReplicas.Find(*id);
     InFlightRequest use(node, *id);
+    aRun.mTicket.Sent();
     UsageCount count(aRun);
     TryResult result = co_await TryOnce(aRun, replica);
     if (result.mEnd == TryOutcome::NotSent ||
@@ -366,6 +381,10 @@
     if (step == CallStep::Retry && !MayRetryElsewhere(aRun, result)) {
       step = CallStep::Fail;
     }
+    if (step == CallStep::Retry && result.mEnd == TryOutcome::Refused &&
+        !MayRetryRefused(aRun, *id)) {
+      step = CallStep::Fail;
+    }
     LogTry(aRun, *id, result, step);
     if (step == CallStep::Deliver) {
       result.mResponse.mReplica = *id;
@@ -383,6 +402,9 @@
   if (aRun.mFailedResponse) {
     co_return std::move(*aRun.mFailedResponse);
   }
+  if (aRun.mTicket.Active() && aRun.mAttempts.Run() == RunState::NotRun) {
+    co_return aRun.mTicket.Refusal();
+  }
   co_return aRun.mAttempts.Failure(deadlinePassed);
 }
 
@@ -412,7 +434,12 @@
 
 asio::awaitable<Result<UpstreamResponse>> CallUpstream(NodeContext& aNode,
                                                        UpstreamCall aCall) {
+  Result<AdmissionTicket> ticket = co_await Admit(aNode, aCall);
+  if (!ticket) {
+    co_return ticket.error();
+  }
   CallRun run(aNode, std::move(aCall));
+  run.mTicket = std::move(*ticket);
   Result<UpstreamResponse> answer = co_await Run(run);
   co_return answer;
 }
