--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -80,6 +80,10 @@
   call.mDeadline = DeadlineOf(aNode, aRoute, aRequest);
   call.mRoute = aRoute.mName;
   call.mProbes = true;
+  if (aRoute.mTimeout > kResponseMargin) {
+    call.mTimeout = aRoute.mTimeout - kResponseMargin;
+  }
+  call.mPriority = aCaller.mPriority.value_or(aRoute.mPriority);
   call.mRegions = RegionsOf(*aNode.mRoutes.Read(), aRoute, aCaller.mAccount);
   return call;
 }
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -286,6 +286,9 @@
     call.mRegions = RegionsOf(*routes, *route, aStep->mTracker.Spec().mAccount);
     call.mRoute = route->mName;
     call.mKind = RequestKind::Idempotent;
+    call.mTargetLatency = route->mTargetLatency;
+    call.mPriority = route->mPriority;
+    call.mDelayOnly = true;
     call.mDeadline =
         mNode.Now() +
         std::max(kScorerTimeout, route->mTargetLatency * kScorerTimeoutFactor);
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -6,6 +6,7 @@
 #include "rillwall/event_log.h"
 #include "rillwall/load_probe.h"
 #include "rillwall/request_digest.h"
+#include "rillwall/request_gate.h"
 
 namespace rillwall {
 
@@ -37,6 +38,7 @@
   NodeContext& mNode;
   const UpstreamCall mCall;
   CallAttempts mAttempts;
+  AdmissionTicket mTicket;
   ReplicaRequirements mRequirements;
   /// Best response among failed tries.
   std::optional<UpstreamResponse> mFailedResponse;
@@ -131,6 +133,18 @@
                                        CrashTable::kCrashesToStopRetries;
 }
 
+/// \return whether a request that a replica refused may be tried at another
+/// one. When the replicas are full, the answer is a refusal, because a round
+/// through all of them would only delay it.
+bool MayRetryRefused(CallRun& aRun, const std::string& aReplica) {
+  if (!aRun.mTicket.RefusedByReplica()) {
+    return false;
+  }
+  ReplicaRequirements others = aRun.mRequirements;
+  others.mExcluded.push_back(aReplica);
+  return aRun.mTicket.MaySend(others);
+}
+
 HttpRequest MakeTryRequest(const CallRun& aRun, const std::string& aReplica,
                            Millis aLeft) {
   HttpRequest request = aRun.mCall.mRequest;
@@ -370,7 +384,7 @@
     const std::optional<std::string> id =
         node.mReplicas.Choose(aRun.mRequirements, node.Now());
     if (!id) {
-      if (aRun.mRequirements.mExcluded.empty()) {
+      if (aRun.mRequirements.mExcluded.empty() || aRun.mTicket.Active()) {
         break;
       }
       aRun.mRequirements.mExcluded.clear();
@@ -379,6 +393,7 @@
     }
     const Replica replica = *node.mReplicas.Find(*id);
     InFlightRequest use(node, *id);
+    aRun.mTicket.Sent();
     UsageCount count(aRun);
     TryResult result = co_await TryOnce(aRun, replica);
     if (result.mEnd == TryOutcome::NotSent ||
@@ -393,6 +408,10 @@
     if (step == CallStep::Retry && !MayRetryElsewhere(aRun, result)) {
       step = CallStep::Fail;
     }
+    if (step == CallStep::Retry && result.mEnd == TryOutcome::Refused &&
+        !MayRetryRefused(aRun, *id)) {
+      step = CallStep::Fail;
+    }
     LogTry(aRun, *id, result, step);
     if (step == CallStep::Deliver) {
       result.mResponse.mReplica = *id;
@@ -410,6 +429,9 @@
   if (aRun.mFailedResponse) {
     co_return std::move(*aRun.mFailedResponse);
   }
+  if (aRun.mTicket.Active() && aRun.mAttempts.Run() == RunState::NotRun) {
+    co_return aRun.mTicket.Refusal();
+  }
   co_return aRun.mAttempts.Failure(deadlinePassed);
 }
 
@@ -439,7 +461,12 @@
 
 asio::awaitable<Result<UpstreamResponse>> CallUpstream(NodeContext& aNode,
                                                        UpstreamCall aCall) {
+  Result<AdmissionTicket> ticket = co_await Admit(aNode, aCall);
+  if (!ticket) {
+    co_return ticket.error();
+  }
   CallRun run(aNode, std::move(aCall));
+  run.mTicket = std::move(*ticket);
   Result<UpstreamResponse> answer = co_await Run(run);
   co_return answer;
 }
