--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "rillwall/millis.h"
+#include "rillwall/text_move.h"
 
 namespace rillwall {
 
@@ -123,6 +124,24 @@
   std::string mAvoid;  ///< replica that ran it last; may be empty
 };
 
+/// An item that has not ended, as the order of steps needs it.
+struct OpenItem {
+  size_t mItem = 0;         ///< index in the step
+  int64_t mEventsLeft = 0;  ///< expected; 0: unknown, or the text is whole
+  int64_t mLengthHint = 0;
+  bool mWaiting = false;  ///< it may start
+  bool mHeld = false;     ///< it may not start for now
+  bool mWhole = false;    ///< only the score is missing
+  bool operator==(const OpenItem&) const = default;
+};
+
+/// A group that is not complete.
+struct OpenGroup {
+  std::vector<OpenItem> mItems;  ///< that have not ended
+  bool mCarriedOver = false;     ///< an earlier step contained the group too
+  bool mBegun = false;  ///< an item runs, has ended or has a part of its text
+};
+
 /// Tracks the items of one step: which item runs next, which have ended, and
 /// which results can be listed, that is written to the store for the trainer to
 /// read. Used by the owner of the step only.
@@ -165,6 +184,15 @@
 
   /// \return the next item to run, or nothing if no item waits
   std::optional<RolloutPick> Next() const;
+  /// \return whether an item waits, that is whether it may start now
+  bool IsWaiting(size_t aItem) const {
+    return mStates[aItem].mPhase == Phase::Waiting;
+  }
+  /// \return the groups that are not complete, with their expected lengths
+  std::vector<OpenGroup> OpenGroups(const LengthHints& aLengths) const;
+  /// \return how often an item was queued; a change means that an order of the
+  /// waiting items may lack some
+  uint64_t Queued() const { return mQueued; }
   /// Reports that a replica began to run an item.
   void Started(size_t aItem, const std::string& aReplica);
   /// \return the replica that runs an item or ran it last
@@ -231,6 +259,7 @@
     bool operator<(const StartOrder& aOther) const;
   };
   StartOrder StartOrderOf(size_t aItem) const;
+  void Enqueue(size_t aItem);
   static bool WorthStoring(const State& aState, int64_t aMinEvents);
   static bool WorthSpooling(const State& aState, int64_t aMinEvents);
   /// Extends a persisted prefix to the end of the text.
@@ -249,8 +278,10 @@
   const bool mSingleVersion;
   std::map<std::string, size_t> mIndex;
   std::map<std::string, Group> mGroups;
+  std::vector<size_t> mGroupOf;  ///< by item: position of its group
   std::vector<State> mStates;
   std::set<StartOrder> mWaiting;
+  uint64_t mQueued = 0;
   std::set<size_t> mDeferred;
   std::vector<RolloutResult> mUnlisted;
   size_t mEnded = 0;
--- a/src/librillwall_coordination/rollout_tracker.cpp
+++ b/src/librillwall_coordination/rollout_tracker.cpp
@@ -53,8 +53,12 @@
     mIndex.emplace(item.mId, i);
     ++mGroups[item.mGroup].mSize;
   }
+  std::map<std::string, size_t> positions;
   for (size_t i = 0; i < mStates.size(); ++i) {
-    mWaiting.insert(StartOrderOf(i));
+    const std::string& group = mSpec.mItems[i].mGroup;
+    mGroupOf.push_back(
+        positions.emplace(group, positions.size()).first->second);
+    Enqueue(i);
   }
 }
 
@@ -65,6 +69,11 @@
           aItem};
 }
 
+void RolloutTracker::Enqueue(size_t aItem) {
+  mWaiting.insert(StartOrderOf(aItem));
+  ++mQueued;
+}
+
 std::optional<size_t> RolloutTracker::IndexOf(const std::string& aItem) const {
   const auto found = mIndex.find(aItem);
   if (found == mIndex.end()) {
@@ -106,7 +115,7 @@
   if (state.mText.mWhole && !state.mText.mScore.empty()) {
     End(aItem, RolloutEnd::Completed);
   } else {
-    mWaiting.insert(StartOrderOf(aItem));
+    Enqueue(aItem);
   }
   return true;
 }
@@ -194,7 +203,7 @@
   }
   mWaiting.erase(StartOrderOf(aItem));
   state.mText = std::move(aText);
-  mWaiting.insert(StartOrderOf(aItem));
+  Enqueue(aItem);
   if (state.mText.mWhole && !state.mText.mScore.empty()) {
     End(aItem, RolloutEnd::Completed);
   }
@@ -258,7 +267,7 @@
     return true;
   }
   state.mPhase = Phase::Waiting;
-  mWaiting.insert(StartOrderOf(aItem));
+  Enqueue(aItem);
   return false;
 }
 
@@ -279,7 +288,7 @@
       continue;
     }
     mStates[*at].mPhase = Phase::Waiting;
-    mWaiting.insert(StartOrderOf(*at));
+    Enqueue(*at);
     at = mDeferred.erase(at);
   }
 }
@@ -346,6 +355,41 @@
   });
 }
 
+std::vector<OpenGroup> RolloutTracker::OpenGroups(
+    const LengthHints& aLengths) const {
+  std::vector<OpenGroup> groups(mGroups.size());
+  for (size_t i = 0; i < mStates.size(); ++i) {
+    const State& state = mStates[i];
+    OpenGroup& group = groups[mGroupOf[i]];
+    const bool begun = state.mPhase == Phase::Running ||
+                       state.mPhase == Phase::Ended || state.mText.mEvents > 0;
+    group.mBegun = group.mBegun || begun;
+    if (state.mPhase == Phase::Ended) {
+      continue;
+    }
+    OpenItem item;
+    item.mItem = i;
+    item.mLengthHint = mSpec.mItems[i].mLengthHint;
+    item.mWaiting = state.mPhase == Phase::Waiting;
+    item.mHeld = state.mPhase == Phase::Deferred;
+    item.mWhole = state.mText.mWhole;
+    if (!item.mWhole) {
+      item.mEventsLeft = ExpectedRemainingEvents(
+          state.mText.mEvents, aLengths.Events(item.mLengthHint));
+    }
+    group.mItems.push_back(item);
+  }
+  for (OpenGroup& group : groups) {
+    if (!group.mItems.empty()) {
+      const RolloutItem& first = mSpec.mItems[group.mItems.front().mItem];
+      group.mCarriedOver = mGroups.at(first.mGroup).mCarriedOver;
+    }
+  }
+  std::erase_if(groups,
+                [](const OpenGroup& aGroup) { return aGroup.mItems.empty(); });
+  return groups;
+}
+
 std::map<std::string, RolloutText> RolloutTracker::TextsOfOpenGroups() const {
   std::map<std::string, RolloutText> texts;
   for (size_t i = 0; i < mStates.size(); ++i) {
