Steps: items start by least slack, with a request priority

StartReadyItems runs steps in order of acceptance and items by hint. Where the rollout routes to a service differ in priority, the owner now starts items in the order of step_order. A long text does not start at a replica that is too slow for it; the next shorter item takes the slot.

Items are then sent with a request priority from their class and slack, and the trainer's own header is dropped.

--- a/src/include/rillwall/load_plan.h
+++ b/src/include/rillwall/load_plan.h
@@ -29,6 +29,14 @@
 
 namespace rillwall {
 
+/// What an open step requires of the weights of its model.
+struct VersionNeed {
+  std::string mModel;
+  int64_t mMinVersion = 0;  ///< oldest version that the step accepts
+  int64_t mReplicas = 0;    ///< replicas with it that complete the step in time
+  Millis mSlack;            ///< least slack of its groups
+};
+
 /// A model for which a trainer has named a version.
 struct LoadTarget {
   std::string mModel;
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 
+#include "rillwall/load_plan.h"
 #include "rillwall/node_context.h"
 #include "rillwall/result_cache.h"
 #include "rillwall/rollout.h"
@@ -58,6 +59,7 @@
                      int64_t aTotal, int64_t aAfter);
 
 struct RolloutStep;
+class StepSchedule;
 
 /// Owns rollout steps on this node. Used on the node's thread only.
 class RolloutService {
@@ -130,6 +132,9 @@
   asio::awaitable<void> Run();
   /// \return whether a step is here and still open
   bool Owns(const std::string& aId) const;
+  /// \return what the open steps require of the weights of their models; empty
+  /// unless their services are ordered by priority
+  std::vector<VersionNeed> VersionNeeds() const;
   size_t OpenSteps() const;
 
  private:
@@ -198,6 +203,14 @@
   /// the step not to have ended elsewhere
   bool MayStart(const RolloutStep& aStep) const;
   bool StartNext(const StepPtr& aStep);
+  /// Starts items in the order of mSchedule.
+  /// \param aSteps steps whose items it orders
+  void StartInOrder(const std::vector<StepPtr>& aSteps);
+  /// Starts a waiting item.
+  /// \param aAccepts whether the item may run at a replica; empty: at any
+  /// \return whether it does not wait any more
+  bool StartItem(const StepPtr& aStep, const RolloutPick& aPick,
+                 const std::function<bool(const std::string&)>& aAccepts);
   /// \return the service that the route picks for an item; null if there is
   /// none
   static const std::string* ServiceOf(const RolloutStep& aStep, size_t aItem);
@@ -248,6 +261,7 @@
   std::map<std::string, AcceptancePtr> mAcceptances;
   std::map<std::string, std::string> mRemoteOwners;  ///< addresses, by step
   LengthHints mLengths;
+  std::unique_ptr<StepSchedule> mSchedule;
   bool mVerifying = false;              ///< a check of all steps is under way
   std::optional<Error> mVerifyFailure;  ///< of the last check of all steps
   /// Of the key that marks takeovers from this process.
--- a/src/include/rillwall/step_order.h
+++ b/src/include/rillwall/step_order.h
@@ -21,12 +21,13 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "rillwall/millis.h"
 #include "rillwall/rollout.h"
+#include "rillwall/route_table.h"
 
 namespace rillwall {
 
@@ -84,6 +85,10 @@
   bool mOverloaded = false;
 };
 
+/// \return the services whose items are ordered: those that receive them from
+/// rollout routes of different priorities
+std::set<std::string> OrderedServices(const RouteTable& aRoutes);
+
 /// \param aSteps open steps of one service
 /// \return their waiting items in the order in which they start
 StepOrder OrderSteps(const std::vector<StepState>& aSteps, Millis aNow,
--- a/src/librillwall_coordination/rollout_tracker_test.cpp
+++ b/src/librillwall_coordination/rollout_tracker_test.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(LongerOfTwoTextsIsRestored);
   CPPUNIT_TEST(DeferredItemIsSkipped);
   CPPUNIT_TEST(DeferredItemIsTerminatedWithTheRest);
+  CPPUNIT_TEST(OpenGroupsTellWhatIsLeft);
   CPPUNIT_TEST_SUITE_END();
 
   RolloutTracker mTracker{Spec(), kAttempts, false};
@@ -439,6 +440,30 @@
     CPPUNIT_ASSERT_EQUAL(std::string("d1\nd2\nd3"),
                          tracker.Text(*tracker.IndexOf("b1")).mOutput);
   }
+
+  /// The order of several steps is made from the groups that are not complete.
+  void OpenGroupsTellWhatIsLeft() {
+    LengthHints lengths;
+    lengths.Learn(10, 5);
+    RolloutTracker tracker(Spec(), kAttempts, false);
+    const uint64_t queued = tracker.Queued();
+    CPPUNIT_ASSERT_EQUAL(std::string("b1"), StartNext(tracker));
+    tracker.Text(2).Append("e", 5);
+    CPPUNIT_ASSERT_EQUAL(std::string("b2"), StartNext(tracker));
+    Finish(tracker, "b2");
+    tracker.Defer(1);
+    const std::vector<OpenGroup> groups = tracker.OpenGroups(lengths);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, groups.size());
+    const std::vector<OpenItem> first = {{0, 5, 10, true},
+                                         {1, 5, 10, false, true}};
+    CPPUNIT_ASSERT(groups[0].mItems == first && !groups[0].mBegun);
+    CPPUNIT_ASSERT(groups[1].mItems == std::vector<OpenItem>({{2, 44, 90}}));
+    CPPUNIT_ASSERT(groups[1].mBegun);
+    CPPUNIT_ASSERT_EQUAL(queued, tracker.Queued());
+    tracker.Interrupted(2, false);
+    CPPUNIT_ASSERT_EQUAL(queued + 1, tracker.Queued());
+    CPPUNIT_ASSERT(tracker.IsWaiting(2) && !tracker.IsWaiting(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutTrackerTest);
--- a/src/librillwall_coordination/step_order.cpp
+++ b/src/librillwall_coordination/step_order.cpp
@@ -260,6 +260,24 @@
 
 }  // namespace
 
+std::set<std::string> OrderedServices(const RouteTable& aRoutes) {
+  std::map<std::string, int> priorities;
+  std::set<std::string> ordered;
+  for (const Route& route : aRoutes.Routes()) {
+    if (route.mKind != RequestKind::Rollout) {
+      continue;
+    }
+    for (const RouteTarget& target : route.mTargets) {
+      const auto [at, added] =
+          priorities.emplace(target.mService, route.mPriority);
+      if (at->second != route.mPriority) {
+        ordered.insert(target.mService);
+      }
+    }
+  }
+  return ordered;
+}
+
 StepOrder OrderSteps(const std::vector<StepState>& aSteps, Millis aNow,
                      OrderPolicy aPolicy) {
   std::vector<RankedGroup> groups;
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -57,7 +57,13 @@
   request.mTarget = item.mPath;
   request.mBody = item.mBody;
   request.mHeaders.push_back({"Host", aStep.mRecord.mHost});
+  const auto priority = aStep.mPriorities.find(aItem);
+  const bool ordered = priority != aStep.mPriorities.end();
   for (const RolloutHeader& header : item.mHeaders) {
+    if (ordered && boost::iequals(header.mName, names.mPriority)) {
+      // The owner decides, not the trainer.
+      continue;
+    }
     request.mHeaders.push_back({header.mName, header.mValue});
   }
   SetAccountHeader(aNode, *aNode.mRoutes.Read(), aStep.mTracker.Spec().mAccount,
@@ -66,6 +72,10 @@
   request.mHeaders.push_back({names.mExpectReplica, aReplica.mId});
   const Millis left = std::max(Millis(1), aStep.mGiveUpAt - aNode.Now());
   request.mHeaders.push_back({names.mTimeLeft, std::to_string(left.Count())});
+  if (ordered) {
+    request.mHeaders.push_back(
+        {names.mPriority, std::to_string(priority->second)});
+  }
   const RolloutText& text = aStep.mTracker.Text(aItem);
   if (text.mEvents > 0) {
     request.mHeaders.push_back(
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -12,6 +12,7 @@
 #include "rillwall/rollout_service.h"
 #include "rillwall/upstream_call.h"
 #include "rollout_step.h"
+#include "step_schedule.h"
 
 namespace rillwall {
 
@@ -97,6 +98,10 @@
 
 void RolloutService::StartReadyItems() {
   std::vector<StepPtr> steps = RunningSteps();
+  const std::vector<StepPtr> ordered = mSchedule->Extract(steps);
+  if (!ordered.empty()) {
+    StartInOrder(ordered);
+  }
   // Older steps go first: a trainer names its next version when its older step
   // ends.
   std::sort(steps.begin(), steps.end(),
@@ -167,40 +172,49 @@
   if (!pick) {
     return false;
   }
-  if (aStep->mTracker.Text(pick->mItem).mWhole) {
+  aStep->mPriorities.erase(pick->mItem);
+  return StartItem(aStep, *pick, {});
+}
+
+bool RolloutService::StartItem(
+    const StepPtr& aStep, const RolloutPick& aPick,
+    const std::function<bool(const std::string&)>& aAccepts) {
+  if (aStep->mTracker.Text(aPick.mItem).mWhole) {
     // The text was carried over whole, but without its score.
-    aStep->mTracker.Started(pick->mItem, std::string());
-    Launch(mNode.mIo, "score", ScoreItem(aStep, pick->mItem));
+    aStep->mTracker.Started(aPick.mItem, std::string());
+    Launch(mNode.mIo, "score", ScoreItem(aStep, aPick.mItem));
     return true;
   }
-  if (ItemHeld(mNode, *aStep, pick->mItem)) {
+  if (ItemHeld(mNode, *aStep, aPick.mItem)) {
     // The other items of the step continue without this one.
-    aStep->mTracker.Defer(pick->mItem);
+    aStep->mTracker.Defer(aPick.mItem);
     Event("item-held")
-        .Id(aStep->mTracker.Item(pick->mItem).mId)
+        .Id(aStep->mTracker.Item(aPick.mItem).mId)
         .Text("step", aStep->Id())
         .Write();
     return true;
   }
-  const std::optional<std::string> replica = ChooseReplica(*aStep, *pick);
-  if (!replica) {
+  const std::optional<std::string> replica = ChooseReplica(*aStep, aPick);
+  if (!replica || (aAccepts && !aAccepts(*replica))) {
     return false;
   }
-  aStep->mTracker.Started(pick->mItem, *replica);
+  aStep->mTracker.Started(aPick.mItem, *replica);
   const Replica entry = *mNode.mReplicas.Find(*replica);
-  Launch(mNode.mIo, "item", RunItem(aStep, pick->mItem, entry));
+  Launch(mNode.mIo, "item", RunItem(aStep, aPick.mItem, entry));
   return true;
 }
 
 asio::awaitable<void> RolloutService::RunItem(StepPtr aStep, size_t aItem,
                                               Replica aReplica) {
   InFlightRequest use(mNode, aReplica.mId, aStep->mTracker.Spec().mModel);
+  std::optional<StepSchedule::Run> run(*mSchedule);
   RolloutTracker& tracker = aStep->mTracker;
   const int64_t before = tracker.Text(aItem).mEvents;
   std::string why;
   const ItemRunEnd end =
       co_await GenerateText(mNode, *aStep, aItem, aReplica, why);
   use.End(OutcomeOf(end), true);
+  run.reset();
   const int64_t events = tracker.Text(aItem).mEvents - before;
   const bool replicaEnded =
       co_await RecordRunOutcome(mNode, *aStep, aItem, aReplica, end, events);
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -8,6 +8,7 @@
 #include "item_run.h"
 #include "rillwall/event_log.h"
 #include "rollout_step.h"
+#include "step_schedule.h"
 
 namespace rillwall {
 
@@ -73,7 +74,8 @@
     : mSpool(aNode.mIo),
       mNode(aNode),
       mDecoder(std::move(aDecoder)),
-      mArchives(kArchiveBytes) {}
+      mArchives(kArchiveBytes),
+      mSchedule(std::make_unique<StepSchedule>(aNode)) {}
 
 RolloutService::~RolloutService() = default;
 
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -77,6 +77,8 @@
   /// By item, computed on first use. While all slots are taken, items are
   /// checked thousands of times a second, and each digest would take 1 us.
   std::map<size_t, RequestDigest> mDigests;
+  /// Request priorities of started items, where the service is ordered.
+  std::map<size_t, int> mPriorities;
   int64_t mNextPart = 0;   ///< number of the next write of unfinished texts
   bool mSpooling = false;  ///< texts are being written to the disk
   Millis mLastSpoolAt;     ///< when the last write to the disk began
