--- a/src/include/rillwall/route_table.h
+++ b/src/include/rillwall/route_table.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -58,6 +59,18 @@
   bool operator==(const Route&) const = default;
 };
 
+/// How many replicas of a service may be ordered, and what they cost.
+struct ScalingSpec {
+  int64_t mMin = 0;  ///< least replicas in each availability zone
+  int64_t mMax = 0;  ///< most replicas in each zone, of both kinds together
+  Millis mBoot;      ///< from an order until a new replica serves
+  /// Price of a revocable replica as a fraction of its zone's price.
+  double mSpotPrice = 1;
+  /// Price of one second of an ordinary replica, by availability zone.
+  std::map<std::string, double> mZonePrices;
+  bool operator==(const ScalingSpec&) const = default;
+};
+
 /// One service, the limits of its replicas and the models that they serve.
 struct ServiceSpec {
   std::string mName;
@@ -67,6 +80,10 @@
   Millis mColdDuration;  ///< time after its start that a replica is cold
   /// Requests that a cold replica accepts from all hosts.
   double mColdPerSecond = 0;
+  std::optional<ScalingSpec> mScaling;  ///< set if replicas may be ordered
+  /// Why the configured scaling can't be used; empty if it can, or there is
+  /// none.
+  std::string mScalingFault;
   bool operator==(const ServiceSpec&) const = default;
 };
 
