--- a/src/include/rillwall/json.h
+++ b/src/include/rillwall/json.h
@@ -71,6 +71,11 @@
 
   /// \return whether the field exists and is not null
   bool Has(std::string_view aName) const { return Find(aName) != nullptr; }
+  /// \return whether the field exists and is an object
+  bool HasObject(std::string_view aName) const {
+    const json::value* found = Find(aName);
+    return found != nullptr && found->is_object();
+  }
   bool Failed() const { return mFailure.has_value(); }
   /// \return the first error; requires Failed()
   const Error& Failure() const { return *mFailure; }
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -51,6 +51,9 @@
   bool mDraining = false;
   std::vector<ModelVersion> mModels;
   bool mCold = false;  ///< it currently accepts only few requests a second
+  bool mSpot = false;  ///< the platform may take it away after a notice
+  /// Time until it leaves, from its termination notice; 0: no notice.
+  Millis mLeavesIn;
 
   /// \return the version of a model, 0 if the replica does not serve it
   int64_t VersionOf(std::string_view aModel) const;
@@ -168,6 +171,17 @@
   void UpdateVersion(const std::string& aId, const std::string& aModel,
                      int64_t aVersion);
 
+  /// Notes at what instant replicas with a termination notice leave. To be
+  /// called after Update().
+  void RecordNotices(Millis aNow);
+  /// \return when the replica leaves by its termination notice, if it has one
+  std::optional<Millis> LeavesAt(const std::string& aId) const;
+  /// Sets the replicas that get a text only if no other has a free slot,
+  /// because they are to be removed once they are idle.
+  void SetVacated(std::set<std::string> aIds);
+  /// \return requests at the replica, of this node and, as far as known, others
+  int64_t LoadAt(const std::string& aId, Millis aNow) const;
+
   /// \return the entry, or null if it is not listed
   const Replica* Find(const std::string& aId) const;
   int64_t InFlight(const std::string& aId) const;
@@ -207,6 +221,8 @@
     double mRankedPace = 0;              ///< pace at the time it was ranked
     std::optional<double> mRank;         ///< cost while it has a free slot
     SendWindow mColdSends;               ///< recent requests while it is cold
+    std::optional<Millis> mLeavesAt;     ///< by its termination notice
+    bool mVacated = false;               ///< see SetVacated()
   };
   /// Entry of the order by cost.
   struct Rank {
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -200,6 +200,9 @@
   size_t Waiting() const { return mWaiting.size(); }
   size_t Total() const { return mStates.size(); }
   size_t Ended() const { return mEnded; }
+  bool HasEnded(size_t aItem) const {
+    return mStates[aItem].mPhase == Phase::Ended;
+  }
   /// \return groups whose items have all ended
   size_t WholeGroups() const { return mWholeGroups; }
   /// \return whether the trainer can go on: at least mTargetGroups groups are
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -20,6 +20,7 @@
 #include "rillwall/result_cache.h"
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
+#include "rillwall/scale_demand.h"
 #include "rillwall/step_spool.h"
 #include "rillwall/text_move.h"
 
@@ -131,6 +132,8 @@
   /// \return whether a step is here and still open
   bool Owns(const std::string& aId) const;
   size_t OpenSteps() const;
+  /// \return what the unfinished texts of the open steps here need of a service
+  std::vector<StepDemand> DemandOn(const std::string& aService) const;
 
  private:
   using StepPtr = std::shared_ptr<RolloutStep>;
--- a/src/include/rillwall/usage_reporter.h
+++ b/src/include/rillwall/usage_reporter.h
@@ -58,6 +58,11 @@
   /// has no new counts
   void RecordReport(const NodeEntry& aFrom, const std::string& aText);
 
+  /// Path of the state of the reports.
+  static constexpr char kPath[] = "/node/usage";
+  /// \return the windows that are counted, fixed and accepted, as JSON
+  HttpResponse Status() const;
+
   /// Sends reports while this node leads. Runs until the node stops.
   asio::awaitable<void> Run();
 
@@ -91,6 +96,7 @@
   NodeContext& mNode;
   LeadClaim& mLead;
   UsagePort& mPort;
+  int64_t mAccepted = 0;  ///< reports that the platform accepted from this node
   Millis mReportDelay{10000};
   UsageTotals mTotals;
   Jitter mJitter;
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -43,6 +43,9 @@
 /// the time of its events. It decides only between otherwise equal replicas.
 constexpr double kOtherZoneTextCost = 0.02;
 
+/// Larger than the cost of any replica without it.
+constexpr double kVacatedCost = 1000.0;
+
 /// Maximum age of the median pace and of the order by cost: much shorter than
 /// the time constants of paces and the validity of reported loads.
 constexpr Millis kRankMaxAge{50};
@@ -397,6 +400,7 @@
   const bool near = replica.mZone == aState.mService->mZone;
   double cost = pace > 0 && typical > 0 ? pace / typical : 1;
   cost += kFullBatchCost * SlotShare(replica, LoadOf(aState, aNow));
+  cost += aState.mVacated ? kVacatedCost : 0;
   return cost + (near ? 0 : kOtherZoneTextCost);
 }
 
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -45,6 +45,12 @@
   if (aReplica.mCold) {
     object["cold"] = true;
   }
+  if (aReplica.mSpot) {
+    object["spot"] = true;
+  }
+  if (aReplica.mLeavesIn > Millis(0)) {
+    object["leaves_ms"] = aReplica.mLeavesIn.Count();
+  }
   if (aReplica.mStartedAtMs != 0) {
     object["born"] = aReplica.mStartedAtMs;
   }
@@ -63,6 +69,8 @@
   replica.mSlots = aReader.Int("slots");
   replica.mDraining = aReader.Bool("draining");
   replica.mCold = aReader.Bool("cold", false);
+  replica.mSpot = aReader.Bool("spot", false);
+  replica.mLeavesIn = Millis(aReader.Int("leaves_ms", 0));
   replica.mStartedAtMs = aReader.Int("born", 0);
   const json::object* models = aReader.Object("models");
   if (models == nullptr) {
--- a/src/librillwall_rollout/usage_reporter.cpp
+++ b/src/librillwall_rollout/usage_reporter.cpp
@@ -206,6 +206,7 @@
         co_await mPort.Report(fixed.mReport, std::move(claim));
     ++fixed.mTries;
     fixed.mAccepted = !failed;
+    mAccepted += failed ? 0 : 1;
     const Millis pause = BackoffDelay(fixed.mTries, kFirstPause, kLongestPause);
     fixed.mNextTry = mNode.Now() + mJitter.EqualJitter(pause);
     Event("usage-reported")
