--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -22,6 +22,7 @@
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
 #include "rillwall/step_handover.h"
+#include "rillwall/scale_demand.h"
 #include "rillwall/step_spool.h"
 #include "rillwall/text_move.h"
 
@@ -145,6 +146,8 @@
   /// is not here, Unavailable if the request is not for this process or names
   /// no newer record
   Result<std::vector<RolloutPart>> HandOver(const HandoverRequest& aRequest);
+  /// \return what the unfinished texts of the open steps here need of a service
+  std::vector<StepDemand> DemandOn(const std::string& aService) const;
 
  private:
   using StepPtr = std::shared_ptr<RolloutStep>;
