--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -17,6 +17,7 @@
 #include <string>
 
 #include "rillwall/crash_table.h"
+#include "rillwall/hedge_plan.h"
 #include "rillwall/http.h"
 #include "rillwall/millis.h"
 #include "rillwall/rcu.h"
@@ -70,6 +71,15 @@
                      ///< zone is ever evacuated
 };
 
+/// Counts of the balancing by current load, for operators.
+struct LoadCounts {
+  uint64_t mProbesSent = 0;
+  uint64_t mProbesAnswered = 0;
+  uint64_t mProbesLate = 0;
+  uint64_t mHedgesSent = 0;
+  uint64_t mHedgesWon = 0;
+};
+
 /// Shared state of one serving node. Used on the node's thread only.
 struct NodeContext {
   NodeContext(asio::io_context& aIo, StorePort& aStore)
@@ -86,6 +96,8 @@
   Millis mConfigConfirmedAt;  ///< when mRoutes were last confirmed to be the
                               ///< newest
   ReplicaPool mReplicas;
+  HedgePlan mHedges;
+  LoadCounts mLoadCounts;
   ServiceMetrics mMetrics;
   UsageMeter mUsage;
   CrashTable mCrashes;
--- a/src/librillwall_coordination/replica_pool_load.cpp
+++ b/src/librillwall_coordination/replica_pool_load.cpp
@@ -36,6 +36,8 @@
 constexpr int64_t kMinQueueForSlotTime = 3;
 /// Time between log lines about one replica's malformed reports.
 constexpr Millis kBadReportInterval{60000};
+/// Age up to which a report belongs to the refusal that has just ended.
+constexpr Millis kRefusalReportAge{10};
 constexpr double kPercent = 100;
 
 }  // namespace
@@ -129,7 +131,7 @@
 
 bool ReplicaPool::RefusedAsFull(const State& aState, Millis aNow) const {
   const std::optional<ReplicaLoad>& report = aState.mLoad.Report();
-  return report && aState.mLoad.Age(aNow) == Millis(0) &&
+  return report && aState.mLoad.Age(aNow) <= kRefusalReportAge &&
          report->mWaiting > 0 && UsesCurrentLoad(aState.mReplica.mService);
 }
 
@@ -148,9 +150,9 @@
 ExpectedTime ReplicaPool::Expect(const State& aState,
                                  const ReplicaRequirements& aRequirements,
                                  double aTypical, Millis aNow) const {
-  static const WorkTimes sUnknown;
+  static const WorkTimes kUnknown;
   const auto found = mWork.find(aRequirements.mService);
-  const WorkTimes& times = found == mWork.end() ? sUnknown : found->second;
+  const WorkTimes& times = found == mWork.end() ? kUnknown : found->second;
   const Replica& replica = aState.mReplica;
   const CurrentLoad& load = aState.mLoad;
   const double factor = load.Percent(aNow) / kPercent;
--- a/src/librillwall_rollout/load_probe.cpp
+++ b/src/librillwall_rollout/load_probe.cpp
@@ -63,9 +63,11 @@
   --aRound->mOpen;
   const bool valid =
       answer && RecordAnswer(aNode, aId, *answer, aNode.Now() - begun);
+  aNode.mLoadCounts.mProbesAnswered += valid ? 1 : 0;
   aNode.mMetrics.Count(valid ? "load_probes_answered_total"
                              : "load_probes_failed_total");
   if (aRound->mOver) {
+    ++aNode.mLoadCounts.mProbesLate;
     aNode.mMetrics.Count("load_probes_late_total");
   } else if (aRound->mOpen == 0 ||
              (valid && IsReadyNow(aNode, aRound->mRequirements, aId))) {
@@ -121,6 +123,7 @@
   if (round->mOpen == 0) {
     co_return;
   }
+  aNode.mLoadCounts.mProbesSent += round->mOpen;
   aNode.mMetrics.Count("load_probes_sent_total", {}, round->mOpen);
   co_await WaitOnTimer(round->mTimer, aLimit);
   round->mOver = true;
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "crash_guard.h"
+#include "hedged_try.h"
 #include "rillwall/event_log.h"
 #include "rillwall/load_probe.h"
 #include "rillwall/request_digest.h"
@@ -99,8 +100,18 @@
   std::string mWhy;
   bool mConnectionClosed = false;  ///< the replica closed the connection
   bool mReplicaEnded = false;      ///< the replica's process has ended since
+  /// The replica of the second try, if this is that one's result.
+  std::optional<Replica> mHedge;
+  /// How the first try ended, if this is the second one's result.
+  ReplicaOutcome mFirstOutcome = ReplicaOutcome::Abandoned;
 };
 
+/// \return whether the replica has certainly not run the request
+bool CertainlyNotRun(const TryResult& aResult) {
+  return aResult.mEnd == TryOutcome::NotSent ||
+         aResult.mEnd == TryOutcome::Refused;
+}
+
 /// \return whether a response shows that its replica survived the request. The
 /// head of a stream does not show that. Neither does an error: a replica whose
 /// time for the request ran out answers too, and would have ended later.
@@ -348,6 +359,111 @@
   }
 }
 
+bool Succeeded(const TryResult& aResult) {
+  return aResult.mEnd == TryOutcome::Answered &&
+         aResult.mResponse.mHead.mStatus < kFirstServerError;
+}
+
+/// Sends the request to a second replica while the first try runs, if the
+/// service has spare capacity.
+/// \param aSent called before the request is sent
+/// \return nothing if it was not sent
+asio::awaitable<std::optional<TryResult>> SecondTry(
+    CallRun& aRun, const std::string& aFirst, std::function<void()> aSent) {
+  NodeContext& node = aRun.mNode;
+  ReplicaRequirements requirements = aRun.mRequirements;
+  requirements.mExcluded.push_back(aFirst);
+  if (aRun.mCall.mProbes) {
+    FindConnected(node, requirements);
+    co_await RefreshLoad(node, requirements, kProbeWait);
+  }
+  const Millis now = node.Now();
+  const std::optional<AnswerEstimate> estimate =
+      node.mReplicas.EstimateAnswer(requirements, now);
+  if (!node.mHedges.TryHedge(estimate, aRun.mCall.mDeadline - now)) {
+    co_return std::nullopt;
+  }
+  const std::optional<std::string> id =
+      node.mReplicas.Choose(requirements, now);
+  if (!id) {
+    co_return std::nullopt;
+  }
+  const Replica replica = *node.mReplicas.Find(*id);
+  Event("hedged")
+      .Id(aRun.mCall.mId)
+      .Text("first", aFirst)
+      .Text("second", *id)
+      .Number("expected_ms", estimate->mExpected.Count())
+      .Number("figures_age_ms", estimate->mAge.Count())
+      .Number("free_slots", estimate->mFreeSlots)
+      .Write();
+  ++node.mLoadCounts.mHedgesSent;
+  node.mMetrics.Count("hedged_requests_sent_total");
+  aSent();
+  InFlightRequest use(node, *id);
+  UsageCount count(aRun);
+  TryResult result = co_await TryOnce(aRun, replica);
+  if (CertainlyNotRun(result)) {
+    count.NotRun();
+  }
+  use.End(OutcomeOf(result.mEnd));
+  ObserveAnswer(aRun, *id, result, use.Started());
+  result.mHedge = replica;
+  co_return result;
+}
+
+/// Runs a try, and a second one at another replica if the first takes longer
+/// than nearly all tries of its route.
+asio::awaitable<TryResult> TryHedged(CallRun& aRun, const Replica& aReplica) {
+  NodeContext& node = aRun.mNode;
+  const UpstreamCall& call = aRun.mCall;
+  if (call.mKind != RequestKind::Idempotent ||
+      !node.mReplicas.UsesCurrentLoad(call.mService)) {
+    co_return co_await TryOnce(aRun, aReplica);
+  }
+  node.mHedges.Started();
+  const Millis started = node.Now();
+  const std::optional<Millis> delay = node.mHedges.DelayOf(call.mRoute);
+  TryResult result;
+  if (delay && aRun.mAttempts.MayAbandonTry()) {
+    HedgedTries<TryResult> tries{node,
+                                 call.mDeadline,
+                                 [&] { return TryOnce(aRun, aReplica); },
+                                 [&](std::function<void()> aSent) {
+                                   return SecondTry(aRun, aReplica.mId,
+                                                    std::move(aSent));
+                                 },
+                                 Succeeded,
+                                 *delay};
+    HedgedResult<TryResult> ended = co_await RunHedged(tries);
+    // Both were cancelled: the first one may have run.
+    result.mEnd = TryOutcome::TimedOut;
+    if (ended.mValue) {
+      result = std::move(*ended.mValue);
+    }
+    const std::optional<TryResult>& other =
+        ended.mSecond ? tries.mFirstResult : tries.mSecondResult;
+    if (tries.mSecondSent && !(other && CertainlyNotRun(*other))) {
+      aRun.mAttempts.RecordTry(TryOutcome::TimedOut, 0);
+      node.mMetrics.Count("hedged_requests_cancelled_total");
+    }
+    if (ended.mSecond && tries.mFirstResult) {
+      result.mFirstOutcome = OutcomeOf(tries.mFirstResult->mEnd);
+      co_await RecordOutcome(aRun, aReplica, *tries.mFirstResult);
+    }
+    if (ended.mSecond && Succeeded(result)) {
+      ++node.mLoadCounts.mHedgesWon;
+      node.mMetrics.Count("hedged_requests_won_total");
+    }
+  } else {
+    result = co_await TryOnce(aRun, aReplica);
+  }
+  if (result.mEnd == TryOutcome::Answered) {
+    node.mHedges.ObserveTry(call.mRoute, node.Now() - started);
+  }
+  co_return result;
+}
+
 asio::awaitable<Result<UpstreamResponse>> Run(CallRun& aRun) {
   NodeContext& node = aRun.mNode;
   bool deadlinePassed = false;
@@ -367,7 +483,7 @@
     if (held) {
       break;
     }
-    const std::optional<std::string> id =
+    std::optional<std::string> id =
         node.mReplicas.Choose(aRun.mRequirements, node.Now());
     if (!id) {
       if (aRun.mRequirements.mExcluded.empty()) {
@@ -377,16 +493,21 @@
       co_await Sleep(node.mIo, kRefusedPause);
       continue;
     }
-    const Replica replica = *node.mReplicas.Find(*id);
+    Replica replica = *node.mReplicas.Find(*id);
     InFlightRequest use(node, *id);
     UsageCount count(aRun);
-    TryResult result = co_await TryOnce(aRun, replica);
-    if (result.mEnd == TryOutcome::NotSent ||
-        result.mEnd == TryOutcome::Refused) {
-      count.NotRun();
+    TryResult result = co_await TryHedged(aRun, replica);
+    if (result.mHedge) {
+      replica = *result.mHedge;
+      id = replica.mId;
+      use.End(result.mFirstOutcome);
+    } else {
+      if (CertainlyNotRun(result)) {
+        count.NotRun();
+      }
+      use.End(OutcomeOf(result.mEnd));
+      ObserveAnswer(aRun, *id, result, use.Started());
     }
-    use.End(OutcomeOf(result.mEnd));
-    ObserveAnswer(aRun, *id, result, use.Started());
     co_await RecordOutcome(aRun, replica, result);
     const int status = result.mResponse.mHead.mStatus;
     CallStep step = aRun.mAttempts.RecordTry(result.mEnd, status);
--- a/src/rillwall/cli_test.cpp
+++ b/src/rillwall/cli_test.cpp
@@ -174,6 +174,7 @@
   CPPUNIT_TEST(HealthReflectsReadiness);
   CPPUNIT_TEST(DrainShowsProgressUntilTheNodeEnds);
   CPPUNIT_TEST(SuspectsAreListedClearedAndHeld);
+  CPPUNIT_TEST(LoadOfAServiceIsShown);
   CPPUNIT_TEST(TokenMakePrintsTokenAndDeclaration);
   CPPUNIT_TEST(EveryVerbHasAnExample);
   CPPUNIT_TEST_SUITE_END();
@@ -215,6 +216,19 @@
     CPPUNIT_ASSERT(RunOnNode("suspects --hold 00ff --clear 00ff").mExit >= 100);
   }
 
+  void LoadOfAServiceIsShown() {
+    Reply("GET /node/load?service=s", 200,
+          R"({"replicas":[{"replica":"i-1","percent":250,"age_ms":4}],)"
+          R"("probes_sent":12,"hedges_won":3})");
+    const Outcome shown = RunOnNode("load s");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(shown.mError, 0, shown.mExit);
+    CPPUNIT_ASSERT(Contains(shown.mOut, "i-1"));
+    CPPUNIT_ASSERT(Contains(shown.mOut, "250"));
+    CPPUNIT_ASSERT(Contains(shown.mOut, "probes: 12 sent"));
+    CPPUNIT_ASSERT(Contains(shown.mOut, "3 won"));
+    CPPUNIT_ASSERT(RunOnNode("load").mExit >= 100);
+  }
+
   void ChangeNotYetInForceExitsPartial() {
     Reply("DELETE /admin/policies/a", 200,
           R"({"revision":5,"accepted":true,"in_force":2,"nodes":3,)"
--- a/src/rillwall/cli_verbs.cpp
+++ b/src/rillwall/cli_verbs.cpp
@@ -110,6 +110,7 @@
   AddPolicyVerbs(aApp, context);
   AddFleetVerbs(aApp, context);
   AddDrainVerb(aApp, context);
+  AddLoadVerb(aApp, context);
   AddSuspectsVerb(aApp, context);
   AddLocalVerbs(aApp, context);
   aApp.footer(kExitCodes);
