--- a/src/include/rillwall/event_log.h
+++ b/src/include/rillwall/event_log.h
@@ -19,7 +19,7 @@
 /// Builds one event; Write() emits it.
 class Event {
  public:
-  /// \param aName what happened, such as "routed"
+  /// \param aName what happened, such as "routed"; a string literal
   explicit Event(std::string_view aName);
   /// Adds the id of the request, step or item that the event concerns.
   Event& Id(std::string_view aId) { return Text("id", aId); }
@@ -27,6 +27,11 @@
   Event& Text(std::string_view aName, std::string_view aValue);
   Event& Number(std::string_view aName, int64_t aValue);
   Event& Flag(std::string_view aName, bool aValue);
+  /// Limits the lines of this event's name to kMaxBoundedLines a second, for
+  /// events that a surge would write by the thousand. A later "suppressed"
+  /// event gives the number of lines left out. \param aBounded whether the
+  /// limit applies to this line
+  Event& Bounded(bool aBounded);
   /// Appends the line to the log; does nothing before StartEventLog().
   void Write();
 
@@ -34,8 +39,13 @@
   /// Appends the separator and the name of a field.
   void Name(std::string_view aName);
   std::string mLine;
+  std::string mBoundedName;  ///< name of the event; empty: not bounded
+  const std::string_view mName;
 };
 
+/// Most lines of one bounded event in a second.
+inline constexpr int kMaxBoundedLines = 20;
+
 /// Where and how events are written. The default is standard output.
 struct EventLogOptions {
   int mDescriptor = 1;  ///< file descriptor; it is made non-blocking
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -209,7 +209,10 @@
   const std::string labels = "status=\"" + std::to_string(response.mStatus) +
                              "\",reason=\"" + ErrorName(aError.Kind()) + "\"";
   aNode.mMetrics.Count("refusals_total", labels);
+  // Errors before the route is known concern no service, so the bound applies
+  // on hosts that have any service with admission control.
   Event("refused")
+      .Bounded(aNode.mGate != nullptr)
       .Id(aId)
       .Number("status", response.mStatus)
       .Text("kind", ErrorName(aError.Kind()))
@@ -236,7 +239,9 @@
   }
   const Millis started = aNode.Now();
   UpstreamCall call = MakeCall(aNode, aRoute, aCaller, aRequest, *id);
+  const bool bounded = aNode.mReplicas.UsesCurrentLoad(call.mService);
   Event("routed")
+      .Bounded(bounded)
       .Id(*id)
       .Text("route", aRoute.mName)
       .Text("account", aCaller.mAccount)
@@ -255,7 +260,7 @@
       peerGone.async_wait(asio::as_tuple(asio::use_awaitable)));
   aExchange.OnPeerDisconnected(nullptr);
   if (ended.index() == 1) {
-    Event("client-left").Id(*id).Write();
+    Event("client-left").Bounded(bounded).Id(*id).Write();
     aNode.mMetrics.Count("clients_left_total");
     aExchange.Abort();
   }
--- a/src/librillwall_rollout/request_gate.cpp
+++ b/src/librillwall_rollout/request_gate.cpp
@@ -133,6 +133,7 @@
   const AnswerEstimate figures = aEstimate.value_or(AnswerEstimate());
   const size_t waiting = mControl.Waiting(call.mService);
   Event("admission")
+      .Bounded(true)
       .Id(aState.mId)
       .Text("service", call.mService)
       .Text("account", call.mAccount)
--- a/src/librillwall_rollout/request_gate_test.cpp
+++ b/src/librillwall_rollout/request_gate_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 
+#include "rillwall/account_report.h"
 #include "rillwall/relay.h"
 #include "rollout_test_support.h"
 
@@ -81,6 +82,9 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Sent());
     SetLoad(0, 0);
     CPPUNIT_ASSERT(Call(CallOf()).has_value());
+    const std::string accounts = HandleAccountsRequest(mTest.mNode).mBody;
+    CPPUNIT_ASSERT(accounts.find(R"("admitted":1,"waiting":0,"refused":1)") !=
+                   std::string::npos);
   }
 
   /// Guards against a refused request that goes through all replicas again and
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -318,6 +318,7 @@
             const TryResult& aResult, CallStep aStep) {
   const bool delivered = aStep == CallStep::Deliver;
   Event(delivered ? "answered" : "try-failed")
+      .Bounded(aRun.mTicket.Active())
       .Id(aRun.mCall.mId)
       .Text("replica", aReplica)
       .Number("try", aRun.mAttempts.Tries())
--- a/src/librillwall_state/event_log.cpp
+++ b/src/librillwall_state/event_log.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <map>
 
 #include "rillwall/millis.h"
 
@@ -21,6 +22,15 @@
 /// write.
 constexpr size_t kMaxTextBytes = 700;
 
+constexpr int64_t kRateWindowMs = 1000;
+
+/// Lines of one bounded event in the current second.
+struct LineRate {
+  int64_t mWindow = 0;  ///< number of the second
+  int mWritten = 0;
+  uint64_t mSuppressed = 0;
+};
+
 /// Buffer and counters of the event log.
 struct EventSink {
   EventLogOptions mOptions;
@@ -28,6 +38,7 @@
   uint64_t mDropped = 0;
   uint64_t mDroppedReported = 0;
   bool mStarted = false;
+  std::map<std::string, LineRate, std::less<>> mRates;  ///< by event name
 };
 
 EventSink& Sink() {
@@ -72,9 +83,50 @@
   return true;
 }
 
+/// Reports the suppressed lines of a second that has passed.
+void ReportSuppressed(EventSink& aSink, const std::string& aName,
+                      LineRate& aRate) {
+  if (aRate.mSuppressed == 0) {
+    return;
+  }
+  const std::string line = "{\"time_ms\":" + std::to_string(WallClockMs()) +
+                           R"(,"event":"suppressed","kind":")" + aName +
+                           "\",\"lines\":" + std::to_string(aRate.mSuppressed) +
+                           "}\n";
+  aRate.mSuppressed = 0;
+  Append(aSink, line);
+}
+
+/// \return whether a line of a bounded event may be written now
+bool WithinRate(EventSink& aSink, const std::string& aName) {
+  LineRate& rate = aSink.mRates[aName];
+  const int64_t window = WallClockMs() / kRateWindowMs;
+  if (rate.mWindow != window) {
+    ReportSuppressed(aSink, aName, rate);
+    rate.mWindow = window;
+    rate.mWritten = 0;
+  }
+  if (rate.mWritten >= kMaxBoundedLines) {
+    ++rate.mSuppressed;
+    return false;
+  }
+  ++rate.mWritten;
+  return true;
+}
+
+/// Reports the suppressed lines of all seconds that have passed.
+void ReportAllSuppressed(EventSink& aSink) {
+  const int64_t window = WallClockMs() / kRateWindowMs;
+  for (auto& [name, rate] : aSink.mRates) {
+    if (rate.mWindow != window) {
+      ReportSuppressed(aSink, name, rate);
+    }
+  }
+}
+
 }  // namespace
 
-Event::Event(std::string_view aName) {
+Event::Event(std::string_view aName) : mName(aName) {
   mLine.reserve(256);
   mLine = "{\"time_ms\":";
   mLine += std::to_string(WallClockMs());
@@ -105,12 +157,20 @@
   return *this;
 }
 
+Event& Event::Bounded(bool aBounded) {
+  mBoundedName = aBounded ? mName : std::string_view();
+  return *this;
+}
+
 void Event::Write() {
   EventSink& sink = Sink();
   if (!sink.mStarted) {
     return;
   }
   const bool first = sink.mPending.empty();
+  if (!mBoundedName.empty() && !WithinRate(sink, mBoundedName)) {
+    return;
+  }
   mLine += "}\n";
   if (Append(sink, mLine) && first && sink.mOptions.mOnPending) {
     sink.mOptions.mOnPending();
@@ -129,6 +189,7 @@
 
 bool FlushEvents() {
   EventSink& sink = Sink();
+  ReportAllSuppressed(sink);
   if (sink.mDropped > sink.mDroppedReported) {
     const uint64_t unreported = sink.mDropped - sink.mDroppedReported;
     std::string line =
--- a/src/librillwall_state/event_log_test.cpp
+++ b/src/librillwall_state/event_log_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(RequestsOneFlushPerBatch);
   CPPUNIT_TEST(WritesOnlyWholeLines);
   CPPUNIT_TEST(LongTextsAreTruncated);
+  CPPUNIT_TEST(BoundedEventsAreSummed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -33,6 +34,35 @@
     options.mOnPending = [this] { ++mFlushRequests; };
     StartEventLog(options);
   }
+  /// Guards against a surge that fills the log with one line for each request.
+  void BoundedEventsAreSummed() {
+    constexpr int kLines = 60;
+    for (int i = 0; i < kLines; ++i) {
+      Event("surge").Bounded(true).Number("n", i).Write();
+      Event("calm").Bounded(false).Write();
+      mText += Drain();
+    }
+    // The second of the last line must have passed.
+    ::usleep(1100 * 1000);
+    Event("later").Write();
+    mText += Drain();
+    int written = 0;
+    int calm = 0;
+    int64_t summed = 0;
+    std::istringstream lines(mText);
+    for (std::string line; std::getline(lines, line);) {
+      const boost::json::object event = boost::json::parse(line).as_object();
+      const boost::json::string& name = event.at("event").as_string();
+      written += name == "surge" ? 1 : 0;
+      calm += name == "calm" ? 1 : 0;
+      summed += name == "suppressed" ? event.at("lines").as_int64() : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(kLines, calm);
+    CPPUNIT_ASSERT(written >= kMaxBoundedLines);
+    // The loop may take place in two different seconds.
+    CPPUNIT_ASSERT(written <= 2 * kMaxBoundedLines);
+    CPPUNIT_ASSERT_EQUAL(int64_t{kLines}, written + summed);
+  }
   void tearDown() override {
     Drain();
     FlushEvents();
@@ -45,6 +75,7 @@
 
  private:
   std::array<int, 2> mPipe{};
+  std::string mText;  ///< what was read so far
   int mFlushRequests = 0;
 
   /// Flushes pending events and reads everything from the pipe, without
--- a/src/rillwall/cli_test.cpp
+++ b/src/rillwall/cli_test.cpp
@@ -136,6 +136,7 @@
   AddFleetVerbs(app, context);
   AddDrainVerb(app, context);
   AddSuspectsVerb(app, context);
+  AddAccountsVerb(app, context);
   AddLocalVerbs(app, context);
   try {
     app.parse(aLine);
@@ -174,6 +175,7 @@
   CPPUNIT_TEST(HealthReflectsReadiness);
   CPPUNIT_TEST(DrainShowsProgressUntilTheNodeEnds);
   CPPUNIT_TEST(SuspectsAreListedClearedAndHeld);
+  CPPUNIT_TEST(AccountsAreListed);
   CPPUNIT_TEST(TokenMakePrintsTokenAndDeclaration);
   CPPUNIT_TEST(EveryVerbHasAnExample);
   CPPUNIT_TEST_SUITE_END();
@@ -198,6 +200,16 @@
                          *sent.Find("Authorization"));
   }
 
+  void AccountsAreListed() {
+    Reply("GET /node/accounts", 200,
+          R"({"accounts":[{"account":"acme","priority":1,"admitted":7,)"
+          R"("waiting":0,"refused":3,"last_use_ms":20}],"services":[]})");
+    const Outcome listed = RunOnNode("accounts");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(listed.mError, 0, listed.mExit);
+    CPPUNIT_ASSERT(Contains(listed.mOut, "acme"));
+    CPPUNIT_ASSERT(Contains(listed.mOut, "REFUSED"));
+  }
+
   void SuspectsAreListedClearedAndHeld() {
     const std::string one =
         R"({"suspects":[{"request":"00ff","what":"POST h/p","crashes":3,)"
--- a/src/rillwall/cli_verb.h
+++ b/src/rillwall/cli_verb.h
@@ -74,6 +74,8 @@
 void AddFleetVerbs(CLI::App& aApp, const CliContext& aContext);
 /// Adds `drain`.
 void AddDrainVerb(CLI::App& aApp, const CliContext& aContext);
+/// Adds `accounts`.
+void AddAccountsVerb(CLI::App& aApp, const CliContext& aContext);
 /// Adds `suspects`.
 void AddSuspectsVerb(CLI::App& aApp, const CliContext& aContext);
 /// Adds `token`, `explain` and `settings`, which call no node.
--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -18,7 +18,7 @@
   processes  no process ends by itself
 
 usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N] [--services N]
-               [--faults none|all|NAME,...] [--keep DIR]
+               [--faults none|all|NAME,...] [--surge] [--keep DIR]
 Ends with "N passed, N failed". The logs of a failed run stay in its folder.
 """
 
@@ -36,6 +36,7 @@
 import time
 
 from standins import CRASHING, Engine, Service, Store, events_of, text_of
+from surge import CHECKS as SURGE_CHECKS, LoadedService, Surge
 from web import Proxy, call
 
 ADDRESS_WAIT_S = 120  # a soak of 15 s takes some 25 s in total
@@ -139,6 +140,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.store = Store(self.rng)
         self.event_versions, self.runs, self.refused, self.counts, self.faults = {}, {}, set(), {}, {}
+        self.service_kind = LoadedService if args.surge else Service
         self.failed, self.positions, self.ended, self.served = [], {}, {}, 0
         self.newest_version, self.stopping, self.config_version = 1, False, 0
         self.whole_steps, self.started = 0, []
@@ -156,7 +158,7 @@
         await self.store.server.start()
         self.engines = [Engine(self.store, self.rng, "engine", ZONES[i % 3], {MODEL: 1}, self.event_versions)
                         for i in range(4)]
-        self.services = [Service(self.store, self.rng, "plain", ZONES[i % 3], self.runs)
+        self.services = [self.service_kind(self.store, self.rng, "plain", ZONES[i % 3], self.runs)
                          for i in range(self.args.services)]
         for replica in self.engines + self.services:
             await self.start_replica(replica)
@@ -195,7 +197,7 @@
     def replacement(self, old, kind):
         """Returns a replica at the address of another one."""
         new = (Engine(self.store, self.rng, "engine", old.zone, {MODEL: self.newest_version}, self.event_versions)
-               if kind is self.engines else Service(self.store, self.rng, "plain", old.zone, self.runs))
+               if kind is self.engines else self.service_kind(self.store, self.rng, "plain", old.zone, self.runs))
         new.server.port, new.proxy, new.on_crash = old.server.port, old.proxy, self.crashed
         return new
 
@@ -542,6 +544,8 @@
         work = [asyncio.create_task(each) for each in (
             self.client("status"), self.client("status"), self.client("charge"), self.client("charge"),
             self.trainer(), self.reader(), self.reader())]
+        if self.args.surge:
+            work.append(asyncio.create_task(Surge(self, HOST).run()))
         faults = asyncio.create_task(self.inject())
         await asyncio.sleep(self.args.seconds)
         self.stopping = True
@@ -590,6 +594,7 @@
     parser.add_argument("--leads", type=int, default=3)
     parser.add_argument("--services", type=int, default=3)
     parser.add_argument("--faults", default="all")
+    parser.add_argument("--surge", action="store_true", help="adds a surge of requests; see surge.py")
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
     lock = take_addresses(args.seed)
@@ -598,7 +603,7 @@
     lock.close()
     print(f"seed {soak.args.seed}: served {soak.served}, whole steps {soak.whole_steps}, faults {soak.faults}, "
           f"checks {soak.counts}")
-    conclude(soak, "soak", CHECKS)
+    conclude(soak, "soak", CHECKS + (SURGE_CHECKS if args.surge else []))
 
 
 if __name__ == "__main__":
