admission_control: calls without figures wait for those in flight

Change: such a call waits while others of this host are in flight, whose responses bring figures; without figures the queue sends one call at a time.

--- a/src/librillwall_coordination/service_admission.cpp
+++ b/src/librillwall_coordination/service_admission.cpp
@@ -236,6 +236,11 @@
                                            Millis aNow) {
   Entry entry = MakeEntry(aCall);
   mCounts.mFreeSlots = aEstimate ? aEstimate->mFreeSlots : 0;
+  if (!aEstimate && aCall.mDelayOnly && mCounts.mInFlight > 0) {
+    // The responses to the calls in flight bring figures soon.
+    return Hold(std::move(entry),
+                std::max(aNow + kMinSpacing, aCall.mDeadline - entry.mTarget));
+  }
   if (!aEstimate) {
     Admit(entry, aNow);
     return {AdmissionAction::Send, AdmissionReason::Unknown, {}, {}};
@@ -271,16 +276,26 @@
   if (until <= aNow) {
     return Refuse(aCall, AdmissionReason::TooLate, aEstimate, aNow);
   }
-  entry.mPosition = mFairness.Push(entry.mTenant, aCall.mTicket);
-  mWaiting.emplace(aCall.mTicket, std::move(entry));
-  return {AdmissionAction::Wait, AdmissionReason::Queued, until, {}};
+  return Hold(std::move(entry), until);
+}
+
+AdmissionDecision ServiceAdmission::Hold(Entry aEntry, Millis aUntil) {
+  const uint64_t ticket = aEntry.mCall.mTicket;
+  aEntry.mPosition = mFairness.Push(aEntry.mTenant, ticket);
+  mWaiting.emplace(ticket, std::move(aEntry));
+  return {AdmissionAction::Wait, AdmissionReason::Queued, aUntil, {}};
 }
 
 std::optional<AdmissionCall> ServiceAdmission::StartNext(
     const Estimate& aEstimate, Millis aNow) {
   Entry* first = First(aNow);
-  if (first == nullptr ||
-      (aEstimate && !Judge(*first, *aEstimate, aNow).mFits)) {
+  if (first == nullptr) {
+    return std::nullopt;
+  }
+  // Without figures, one call is sent, whose response brings some.
+  const bool fits = aEstimate ? Judge(*first, *aEstimate, aNow).mFits
+                              : mCounts.mInFlight == 0;
+  if (!fits) {
     return std::nullopt;
   }
   mCounts.mFreeSlots = aEstimate ? aEstimate->mFreeSlots : 0;
--- a/src/librillwall_coordination/service_admission.h
+++ b/src/librillwall_coordination/service_admission.h
@@ -93,6 +93,8 @@
   /// \return time after which the caller should return
   Millis NameReturn(const Entry& aEntry, const Estimate& aEstimate,
                     Millis aNow);
+  /// Adds a call to the queue.
+  AdmissionDecision Hold(Entry aEntry, Millis aUntil);
   /// Records that a call is sent.
   void Admit(Entry& aEntry, Millis aNow);
   /// \return fraction of the wait bounds in force after refusals by replicas
