--- a/src/rillwall/cli_verb.h
+++ b/src/rillwall/cli_verb.h
@@ -76,6 +76,8 @@
 void AddDrainVerb(CLI::App& aApp, const CliContext& aContext);
 /// Adds `load`.
 void AddLoadVerb(CLI::App& aApp, const CliContext& aContext);
+/// Adds `accounts`.
+void AddAccountsVerb(CLI::App& aApp, const CliContext& aContext);
 /// Adds `suspects`.
 void AddSuspectsVerb(CLI::App& aApp, const CliContext& aContext);
 /// Adds `token`, `explain` and `settings`, which call no node.
--- a/src/rillwall/cli_verbs.cpp
+++ b/src/rillwall/cli_verbs.cpp
@@ -112,6 +112,7 @@
   AddDrainVerb(aApp, context);
   AddLoadVerb(aApp, context);
   AddSuspectsVerb(aApp, context);
+  AddAccountsVerb(aApp, context);
   AddLocalVerbs(aApp, context);
   aApp.footer(kExitCodes);
 }
