--- a/src/include/rillwall/load_plan.h
+++ b/src/include/rillwall/load_plan.h
@@ -14,6 +14,9 @@
 /// how many replicas there are. With R replicas, a plan costs R times the
 /// number of models for each load that it starts.
 ///
+/// Steps that are due may need a version on more replicas than have it. Their
+/// models are next, the one with the least slack first.
+///
 /// Pure: no state, no I/O and no clock.
 
 #pragma once
@@ -92,6 +95,7 @@
   std::string mModel;
   int64_t mVersion = 0;
   bool mAbortRuns = true;
+  bool mByDueTime = false;  ///< a step would be late without it
   bool operator==(const PlannedLoad&) const = default;
 };
 
@@ -99,7 +103,13 @@
 /// \param aTargets models of the service that have a named version
 /// \param aMaxConcurrent loads that may run at the same time, including those
 /// in progress
+/// \param aNeeds what open steps require of the weights
 /// \return the loads to start now, most urgent first
+std::vector<PlannedLoad> PlanLoads(std::vector<LoadCandidate> aReplicas,
+                                   const std::vector<LoadTarget>& aTargets,
+                                   size_t aMaxConcurrent,
+                                   const std::vector<VersionNeed>& aNeeds);
+/// The same without such requirements.
 std::vector<PlannedLoad> PlanLoads(std::vector<LoadCandidate> aReplicas,
                                    const std::vector<LoadTarget>& aTargets,
                                    size_t aMaxConcurrent);
--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -69,6 +69,8 @@
   std::map<std::string, size_t> WantedReplicas() const;
   /// Gives orders until the node stops.
   asio::awaitable<void> Run();
+  /// Returns what the open steps require of the weights; may be empty.
+  std::function<std::vector<VersionNeed>()> mNeeds;
   /// Called when a replica serves a new version.
   std::function<void()> mOnLoaded;
 
--- a/src/librillwall_coordination/load_plan.cpp
+++ b/src/librillwall_coordination/load_plan.cpp
@@ -33,11 +33,22 @@
   size_t mNewest = 0;        ///< replicas that have or load the named version
   size_t mUsable = 0;        ///< replicas that can serve its newest step
   int64_t mFreeSlots = 0;    ///< free slots of the usable replicas
+  /// Most urgent step whose version is on too few replicas, or null.
+  const VersionNeed* mNeed = nullptr;
 
   /// \return loads of the newest version relative to the wanted number
   double FillRatio() const {
     return static_cast<double>(mNewest) / mReplicaShare;
   }
+  /// \return whether the model is loaded before another: models of steps that
+  /// would be late come first, then the one with the lowest fill ratio
+  bool Before(const TargetStatus& aOther) const {
+    if (mNeed != nullptr && aOther.mNeed != nullptr) {
+      return mNeed->mSlack < aOther.mNeed->mSlack;
+    }
+    return mNeed != nullptr ||
+           (aOther.mNeed == nullptr && FillRatio() < aOther.FillRatio());
+  }
 };
 
 int64_t FreeSlots(const LoadCandidate& aReplica) {
@@ -49,7 +60,8 @@
 class LoadTable {
  public:
   LoadTable(std::vector<LoadCandidate> aReplicas,
-            const std::vector<LoadTarget>& aTargets);
+            const std::vector<LoadTarget>& aTargets,
+            const std::vector<VersionNeed>& aNeeds);
 
   size_t Loading() const;
   TargetStatus StatusOf(size_t aTarget) const;
@@ -62,6 +74,10 @@
     return mVersions[aReplica * mTargets.size() + aTarget];
   }
   bool Usable(size_t aReplica, size_t aTarget) const;
+  /// \return whether fewer replicas than needed have or load the version
+  bool Unmet(const VersionNeed& aNeed, size_t aTarget) const;
+  /// \return the unmet need with the least slack, or null
+  const VersionNeed* MostUrgentNeed(size_t aTarget) const;
   /// \return number of other models that a replica serves
   size_t OtherModels(size_t aReplica, size_t aTarget) const;
   /// \return whether the weights of a model may be loaded there now
@@ -69,14 +85,16 @@
 
   std::vector<LoadCandidate> mReplicas;
   const std::vector<LoadTarget>& mTargets;
+  const std::vector<VersionNeed>& mNeeds;
   std::vector<int64_t> mVersions;  ///< by replica, then by target
   double mDemand = 0;              ///< of all targets
   int64_t mSlots = 1;              ///< average per replica
 };
 
 LoadTable::LoadTable(std::vector<LoadCandidate> aReplicas,
-                     const std::vector<LoadTarget>& aTargets)
-    : mReplicas(std::move(aReplicas)), mTargets(aTargets) {
+                     const std::vector<LoadTarget>& aTargets,
+                     const std::vector<VersionNeed>& aNeeds)
+    : mReplicas(std::move(aReplicas)), mTargets(aTargets), mNeeds(aNeeds) {
   mVersions.reserve(mReplicas.size() * mTargets.size());
   for (const LoadCandidate& replica : mReplicas) {
     for (const LoadTarget& target : mTargets) {
@@ -106,10 +124,38 @@
   return Version(aReplica, aTarget) >= target.mVersion - target.mAllowedLag;
 }
 
+bool LoadTable::Unmet(const VersionNeed& aNeed, size_t aTarget) const {
+  int64_t count = 0;
+  for (size_t i = 0; i < mReplicas.size(); ++i) {
+    const LoadCandidate& replica = mReplicas[i];
+    const int64_t version = Version(i, aTarget);
+    count += version > 0 && version >= aNeed.mMinVersion &&
+                     !replica.mDraining && !replica.mFailing
+                 ? 1
+                 : 0;
+  }
+  return count < aNeed.mReplicas;
+}
+
+const VersionNeed* LoadTable::MostUrgentNeed(size_t aTarget) const {
+  const LoadTarget& target = mTargets[aTarget];
+  const VersionNeed* urgent = nullptr;
+  for (const VersionNeed& need : mNeeds) {
+    // A version that is not named yet cannot be loaded.
+    if (need.mModel == target.mModel && need.mMinVersion <= target.mVersion &&
+        (urgent == nullptr || need.mSlack < urgent->mSlack) &&
+        Unmet(need, aTarget)) {
+      urgent = &need;
+    }
+  }
+  return urgent;
+}
+
 TargetStatus LoadTable::StatusOf(size_t aTarget) const {
   const LoadTarget& target = mTargets[aTarget];
   TargetStatus status;
   status.mTarget = aTarget;
+  status.mNeed = MostUrgentNeed(aTarget);
   const auto all = static_cast<double>(mReplicas.size());
   const double part = mDemand > 0 ? target.mDemand / mDemand
                                   : 1 / static_cast<double>(mTargets.size());
@@ -146,13 +192,20 @@
       version >= target.mVersion) {
     return false;
   }
+  const int64_t others = aStatus.mFreeSlots - FreeSlots(replica);
+  if (aStatus.mNeed != nullptr && version < aStatus.mNeed->mMinVersion &&
+      !replica.mFailing) {
+    // The step gets nothing of the replica as it is. Running texts of older
+    // steps must fit into the free slots of the others.
+    return replica.RunsOf(target.mModel) == 0 ||
+           others >= replica.RunsOf(target.mModel);
+  }
   if (!Usable(aReplica, aStatus.mTarget)) {
     return static_cast<double>(aStatus.mNewest) < aStatus.mReplicaShare;
   }
   // The replica still serves its weights. Enough usable replicas must remain
   // for the next version, and its running texts must fit into the free slots of
   // the others. One load serves as many steps as the allowed lag plus one.
-  const int64_t others = aStatus.mFreeSlots - FreeSlots(replica);
   const auto steps = static_cast<size_t>(target.mAllowedLag + 1);
   return aStatus.mNewest * steps < aStatus.mUsable &&
          static_cast<double>(aStatus.mNewest) < aStatus.mReplicaShare &&
@@ -186,7 +239,8 @@
   LoadCandidate& replica = mReplicas[aReplica];
   replica.mLoading = ModelVersion{target.mModel, target.mVersion};
   mVersions[aReplica * mTargets.size() + aStatus.mTarget] = target.mVersion;
-  return {replica.mId, target.mModel, target.mVersion, target.mAbortRuns};
+  return {replica.mId, target.mModel, target.mVersion, target.mAbortRuns,
+          aStatus.mNeed != nullptr};
 }
 
 }  // namespace
@@ -233,28 +287,33 @@
 
 std::vector<PlannedLoad> PlanLoads(std::vector<LoadCandidate> aReplicas,
                                    const std::vector<LoadTarget>& aTargets,
-                                   size_t aMaxConcurrent) {
-  LoadTable table(std::move(aReplicas), aTargets);
+                                   size_t aMaxConcurrent,
+                                   const std::vector<VersionNeed>& aNeeds) {
+  LoadTable table(std::move(aReplicas), aTargets, aNeeds);
   std::vector<PlannedLoad> planned;
   for (size_t loading = table.Loading(); loading < aMaxConcurrent; ++loading) {
-    // The model with the lowest fill ratio comes first.
-    std::optional<TargetStatus> leastFilled;
+    std::optional<TargetStatus> next;
     size_t replica = 0;
     for (size_t target = 0; target < aTargets.size(); ++target) {
       const TargetStatus status = table.StatusOf(target);
       const std::optional<size_t> best = table.BestReplica(status);
-      if (best &&
-          (!leastFilled || status.FillRatio() < leastFilled->FillRatio())) {
-        leastFilled = status;
+      if (best && (!next || status.Before(*next))) {
+        next = status;
         replica = *best;
       }
     }
-    if (!leastFilled) {
+    if (!next) {
       break;
     }
-    planned.push_back(table.StartLoad(*leastFilled, replica));
+    planned.push_back(table.StartLoad(*next, replica));
   }
   return planned;
 }
 
+std::vector<PlannedLoad> PlanLoads(std::vector<LoadCandidate> aReplicas,
+                                   const std::vector<LoadTarget>& aTargets,
+                                   size_t aMaxConcurrent) {
+  return PlanLoads(std::move(aReplicas), aTargets, aMaxConcurrent, {});
+}
+
 }  // namespace rillwall
--- a/src/librillwall_coordination/load_plan_test.cpp
+++ b/src/librillwall_coordination/load_plan_test.cpp
@@ -91,6 +91,8 @@
   CPPUNIT_TEST(EachVersionIsServedBeforeTheNextIsNamed);
   CPPUNIT_TEST(StepsThatNeedTheNewestVersionLoadAllReplicas);
   CPPUNIT_TEST(StepsThatAcceptOldVersionsNeedFewLoads);
+  CPPUNIT_TEST(StepThatWouldBeLateIsLoadedFirst);
+  CPPUNIT_TEST(NeededLoadLeavesRunningTexts);
   CPPUNIT_TEST(LagIsLearnedFromSteps);
   CPPUNIT_TEST(SingleEarlyStepDoesNotNarrowTheLag);
   CPPUNIT_TEST(StepsOfAFastTrainerDoNotWidenTheLag);
@@ -254,6 +256,45 @@
                          CarryOutAll(replicas, {{"m", 2, 1, true, 2}}).size());
   }
 
+  /// Versions of two models are named while half of the replicas cannot be
+  /// reached. The model of the step that is due first is loaded on as many of
+  /// the others as the step needs, although the weights that they have of it
+  /// are usable for older steps.
+  void StepThatWouldBeLateIsLoadedFirst() {
+    std::vector<LoadCandidate> replicas = Replicas(12, 4, 4);
+    for (size_t i = 0; i < replicas.size(); i += 2) {
+      replicas[i].mFailing = true;
+    }
+    const std::vector<LoadTarget> targets = {{"m", 5, 3, true},
+                                             {"n", 5, 1, true}};
+    CPPUNIT_ASSERT_EQUAL(std::string("m"),
+                         PlanLoads(replicas, targets, 1)[0].mModel);
+    const std::vector<VersionNeed> needs = {{"m", 5, 2, Millis(2000)},
+                                            {"n", 5, 4, Millis(500)},
+                                            {"n", 6, 9, Millis(100)}};
+    const std::vector<PlannedLoad> planned =
+        PlanLoads(replicas, targets, 6, needs);
+    CPPUNIT_ASSERT_EQUAL(size_t{6}, planned.size());
+    for (size_t i = 0; i < planned.size(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::string(i < 4 ? "n" : "m"), planned[i].mModel);
+      CPPUNIT_ASSERT(planned[i].mByDueTime);
+      const size_t replica = std::stoul(planned[i].mReplica.substr(1));
+      CPPUNIT_ASSERT(!replicas[replica].mFailing);
+    }
+  }
+
+  /// A load for a step that would be late must not end texts that no other
+  /// replica can take.
+  void NeededLoadLeavesRunningTexts() {
+    std::vector<LoadCandidate> replicas = Replicas(2, 4);
+    for (LoadCandidate& replica : replicas) {
+      replica.mRuns["m"] = replica.mSlots;
+      replica.mInFlight = replica.mSlots;
+    }
+    const std::vector<VersionNeed> needs = {{"m", 5, 2, Millis(500)}};
+    CPPUNIT_ASSERT(PlanLoads(replicas, {{"m", 5, 1, true}}, 2, needs).empty());
+  }
+
   void LagIsLearnedFromSteps() {
     AllowedLag lag;
     CPPUNIT_ASSERT_EQUAL(int64_t{1}, lag.Versions());
--- a/src/librillwall_coordination/rollout_decisions_bench.cpp
+++ b/src/librillwall_coordination/rollout_decisions_bench.cpp
@@ -9,6 +9,7 @@
 
 #include "rillwall/load_plan.h"
 #include "rillwall/replica_pool.h"
+#include "rillwall/step_order.h"
 
 namespace rillwall {
 
@@ -133,6 +134,29 @@
 }
 BENCHMARK(PlanOfLoads)->Arg(12)->Arg(102)->Arg(165)->Arg(600);
 
+/// Orders the waiting items of three steps with groups of 16.
+void OrderOfSteps(benchmark::State& aState) {
+  constexpr size_t kGroup = 16;
+  std::vector<StepState> steps(3);
+  for (StepState& step : steps) {
+    step.mDueAt = Millis(7500);
+    step.mGiveUpAt = Millis(12000);
+    step.mSlots = 38 * kSlots;
+    step.mGroups.resize(static_cast<size_t>(aState.range(0)) / kGroup / 3);
+    size_t item = 0;
+    for (OpenGroup& group : step.mGroups) {
+      for (size_t i = 0; i < kGroup; ++i, ++item) {
+        const auto events = static_cast<int64_t>(item * 37 % 129);
+        group.mItems.push_back({item, events, events, true});
+      }
+    }
+  }
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(OrderSteps(steps, Millis(0)));
+  }
+}
+BENCHMARK(OrderOfSteps)->Arg(416)->Arg(10240);
+
 }  // namespace
 
 }  // namespace rillwall
--- a/src/librillwall_coordination/step_order.cpp
+++ b/src/librillwall_coordination/step_order.cpp
@@ -358,7 +358,10 @@
   const auto left = static_cast<double>(
       std::max(Millis(1), aStep.mDueAt - aNow - kAfterText).Count());
   const auto slots = static_cast<double>(std::max<int64_t>(1, aSlots));
-  return std::llround(std::ceil(work * kReplicaReserve / (left * slots)));
+  // The work is 0 while no length is known.
+  const auto least = static_cast<double>(aStep.mGroups.empty() ? 0 : 1);
+  return std::llround(
+      std::max(least, std::ceil(work * kReplicaReserve / (left * slots))));
 }
 
 }  // namespace rillwall
--- a/src/librillwall_coordination/step_order_test.cpp
+++ b/src/librillwall_coordination/step_order_test.cpp
@@ -245,6 +245,7 @@
   CPPUNIT_TEST(GroupsBeyondTheTargetYield);
   CPPUNIT_TEST(UnknownLengthsAreOrderedByHint);
   CPPUNIT_TEST(LastSlotsAreKeptForUrgentTexts);
+  CPPUNIT_TEST(ReplicasFollowTheWorkAndTheTimeLeft);
   CPPUNIT_TEST_SUITE_END();
 
   /// 416 texts within 100 ms on 38 replicas, one fifth of them slow. The slots
@@ -331,6 +332,17 @@
     CPPUNIT_ASSERT_EQUAL(4, RequestPriority(needed, Millis(6000)));
     CPPUNIT_ASSERT(RequestPriority(GroupClass::Late, Millis(0)) > 5);
   }
+
+  /// 200 texts of 2.3 s need 460 s of slots, of which a replica has 40 in time.
+  void ReplicasFollowTheWorkAndTheTimeLeft() {
+    StepState step = MakeState(0, 0, 1);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, ReplicasInTime(step, kSlots, Millis(0)));
+    step.mGroups.resize(1);
+    step.mGroups[0].mItems.assign(200, {0, 50, 1, true});
+    CPPUNIT_ASSERT_EQUAL(int64_t{15}, ReplicasInTime(step, kSlots, Millis(0)));
+    CPPUNIT_ASSERT_EQUAL(int64_t{30},
+                         ReplicasInTime(step, kSlots, Millis(3350)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StepOrderTest);
--- a/src/librillwall_rollout/step_schedule_test.cpp
+++ b/src/librillwall_rollout/step_schedule_test.cpp
@@ -129,6 +129,11 @@
     Configure(1);
     CPPUNIT_ASSERT_EQUAL(std::string("a1 a2 s1 l1 l2 s2 "),
                          RunShortAndLongStep());
+    const std::vector<VersionNeed> needs = mService->VersionNeeds();
+    CPPUNIT_ASSERT(!needs.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("m"), needs[0].mModel);
+    CPPUNIT_ASSERT_EQUAL(int64_t{4}, needs[0].mMinVersion);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, needs[0].mReplicas);
     CPPUNIT_ASSERT(mNode->mNode.mMetrics.Text().find("step_slack_ms") !=
                    std::string::npos);
   }
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -138,7 +138,8 @@
     candidates.push_back(std::move(candidate));
   }
   const std::vector<PlannedLoad> picks =
-      PlanLoads(std::move(candidates), targets, most);
+      PlanLoads(std::move(candidates), targets, most,
+                mNeeds ? mNeeds() : std::vector<VersionNeed>());
   if (picks.empty()) {
     const auto count = static_cast<int64_t>(replicas.size());
     mPlanPausedUntil[aService.mName] =
@@ -146,6 +147,9 @@
   }
   for (const PlannedLoad& pick : picks) {
     mLoading[pick.mReplica] = {pick.mModel, pick.mVersion};
+    if (pick.mByDueTime) {
+      mNode.mMetrics.Count("loads_by_due_time_total");
+    }
     const Replica replica = *mNode.mReplicas.Find(pick.mReplica);
     Launch(mNode.mIo, "load", Load(replica, pick));
   }
