Order of steps: no reserve is kept while it is less than one slot

The count of free slots is up to 100 ms old. When the first replica with a usable version appeared, texts with ample slack waited for the next count although a slot was free. With fewer than 20 slots the reserve is zero, and the choice of a replica alone decides. LastSlotsAreKeptForUrgentTexts fails without it.

--- a/src/librillwall_coordination/step_order.cpp
+++ b/src/librillwall_coordination/step_order.cpp
@@ -325,7 +325,8 @@
 bool MayTakeSlot(GroupClass aClass, Millis aSlack, int64_t aFree,
                  int64_t aSlots) {
   const bool urgent = aClass == GroupClass::Needed && aSlack < kAmpleSlack;
-  return urgent || aFree > aSlots / kReservedSlotPart;
+  const int64_t reserved = aSlots / kReservedSlotPart;
+  return urgent || reserved == 0 || aFree > reserved;
 }
 
 bool MayRunAt(Millis aTimeLeft, Millis aSlack, double aPace) {
--- a/src/librillwall_coordination/step_order_test.cpp
+++ b/src/librillwall_coordination/step_order_test.cpp
@@ -328,6 +328,8 @@
     CPPUNIT_ASSERT(!MayTakeSlot(needed, Millis(5000), 5, 100));
     CPPUNIT_ASSERT(MayTakeSlot(needed, Millis(5000), 6, 100));
     CPPUNIT_ASSERT(!MayTakeSlot(GroupClass::Late, Millis(1000), 5, 100));
+    // A replica may have become usable since the slots were counted.
+    CPPUNIT_ASSERT(MayTakeSlot(GroupClass::Late, Millis(5000), 0, 0));
     CPPUNIT_ASSERT_EQUAL(0, RequestPriority(needed, Millis(-100)));
     CPPUNIT_ASSERT_EQUAL(4, RequestPriority(needed, Millis(6000)));
     CPPUNIT_ASSERT(RequestPriority(GroupClass::Late, Millis(0)) > 5);
