--- a/src/librillwall_coordination/rollout_tracker_test.cpp
+++ b/src/librillwall_coordination/rollout_tracker_test.cpp
@@ -85,6 +85,8 @@
   CPPUNIT_TEST(RegeneratedTextReplacesStoredText);
   CPPUNIT_TEST(PartsOfDisallowedVersionsAreIgnored);
   CPPUNIT_TEST(CarriedOverTextIsStoredAgain);
+  CPPUNIT_TEST(UnlistedTextsBeginWithCompleteOnes);
+  CPPUNIT_TEST(ReceivedTextIsStoredAgain);
   CPPUNIT_TEST(SpooledTextsIncludeTheirScores);
   CPPUNIT_TEST(ListedTextsAreNotSpooled);
   CPPUNIT_TEST(LongerOfTwoTextsIsRestored);
@@ -403,6 +405,29 @@
     CPPUNIT_ASSERT_EQUAL(int64_t{3}, parts[0].mTo);
   }
 
+  // A bounded answer must not lose complete texts to unfinished ones.
+  void UnlistedTextsBeginWithCompleteOnes() {
+    RolloutTracker tracker(Spec(), kAttempts, false);
+    const RolloutPart open{"a1", 0, 2, "e1\ne2", {5}, false, ""};
+    const RolloutPart whole{"b1", 0, 3, "e1\ne2\ne3", {5}, true, "s"};
+    const RolloutPart listed{"b2", 0, 1, "e1", {5}, true, "s"};
+    tracker.RestoreTexts({open, whole, listed});
+    tracker.Listed({{"b2", RolloutEnd::Completed, "e1", {5}, "s"}});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, tracker.CompleteUnlistedTexts());
+    const std::vector<RolloutPart> all = tracker.UnlistedTexts(kAnySize);
+    CPPUNIT_ASSERT(all == (std::vector<RolloutPart>{whole, open}));
+    CPPUNIT_ASSERT(tracker.UnlistedTexts(1) == std::vector<RolloutPart>{whole});
+  }
+
+  // The store holds nothing of a text that another owner has sent.
+  void ReceivedTextIsStoredAgain() {
+    const RolloutPart sent{"b1", 0, 2, "e1\ne2", {5}, false, ""};
+    RolloutTracker tracker(Spec(), kAttempts, false);
+    tracker.RestoreTexts({sent}, false);
+    CPPUNIT_ASSERT(tracker.TakeUnstored(1, kAnySize) ==
+                   std::vector<RolloutPart>{sent});
+  }
+
   void SpooledTextsIncludeTheirScores() {
     RolloutTracker tracker = Running(3);
     std::vector<RolloutPart> parts = tracker.TakeUnspooled(1, kAnySize);
--- a/src/librillwall_rollout/step_handover_test.cpp
+++ b/src/librillwall_rollout/step_handover_test.cpp
@@ -133,7 +133,9 @@
       const RolloutPart later{"i0", 2, 3, "e3", {5}, true, "forged"};
       const RolloutPart unknown{"i9", 0, 3, "e1", {5}, true, "forged"};
       const RolloutPart early{"i1", 0, 1, "e1", {5}, false, "forged"};
-      response = HttpResponse::Json(200, EncodeParts({later, unknown, early}));
+      const RolloutPart unversioned{"i2", 0, 3, "e1", {}, true, "forged"};
+      response = HttpResponse::Json(
+          200, EncodeParts({later, unknown, early, unversioned}));
     }
     co_await aExchange.Respond(std::move(response));
   }
