rollout: an owner that was frozen starts nothing before it asks the store

Cause: items may start while the last check of the steps has failed, as a store that is away records no end of a step. A host that was frozen during an outage relied on a failure from before, and could start items of a step that had moved and ended.

--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -223,6 +223,9 @@
   /// Keeps a lost step's texts for a short time, for its new owner.
   void KeepFormerStep(const StepPtr& aStep);
   void ForgetFormerSteps();
+  /// \return whether a failed check is too old to show that the store is still
+  /// away; false for steps that are not handed over
+  bool VerifyFailureIsOld(const RolloutStep& aStep) const;
 
   /// \return whether this node was confirmed as the owner recently enough for
   /// the step not to have ended elsewhere
@@ -284,6 +287,7 @@
   LengthHints mLengths;
   bool mVerifying = false;              ///< a check of all steps is under way
   std::optional<Error> mVerifyFailure;  ///< of the last check of all steps
+  Millis mVerifyEndedAt;                ///< end of the last check of all steps
   /// Of the key that marks takeovers from this process.
   int64_t mTakenRevision = 0;
   /// Texts, by item, of groups that were unfinished when their step ended.
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -153,7 +153,7 @@
   // record the end of a step either, so items may start. If the store answers,
   // but this node has not managed to ask it or to read its answer, the step may
   // have ended.
-  const bool away = mVerifyFailure.has_value();
+  const bool away = mVerifyFailure.has_value() && !VerifyFailureIsOld(aStep);
   const Millis since = mNode.Now() - aStep.mVerifiedAt;
   return !aStep.mAccepted || away ||
          since < mNode.mBounds.mCancel * kMaxVerifiedAgePercent / kPercent;
--- a/src/librillwall_rollout/rollout_verify.cpp
+++ b/src/librillwall_rollout/rollout_verify.cpp
@@ -54,6 +54,7 @@
   }
   mVerifying = true;
   mVerifyFailure = co_await CheckTakeovers();
+  mVerifyEndedAt = mNode.Now();
   mVerifying = false;
   co_return mVerifyFailure;
 }
--- a/src/librillwall_rollout/step_handover.cpp
+++ b/src/librillwall_rollout/step_handover.cpp
@@ -34,6 +34,11 @@
 /// How long a lost step's texts are kept for its new owner, which asks for them
 /// right after it has changed the record. An owner may detect the loss first.
 constexpr Millis kFormerStepAge{5000};
+/// During an outage a check of the steps ends at least every 2.3 s: it takes
+/// 2.2 s at most (a direct call and one through another node) and is repeated
+/// after a tick. An older failure is from before the host was frozen; a step
+/// may have moved and ended since.
+constexpr Millis kMaxVerifyFailureAge{2500};
 
 std::string EncodeRequest(const HandoverRequest& aRequest) {
   json::object body;
@@ -309,6 +314,11 @@
   });
 }
 
+bool RolloutService::VerifyFailureIsOld(const RolloutStep& aStep) const {
+  return mNode.Now() - mVerifyEndedAt > kMaxVerifyFailureAge &&
+         HandsOver(aStep.mRecord);
+}
+
 struct RolloutService::OwnerCheck {
   explicit OwnerCheck(asio::io_context& aIo) : mDone(aIo) {
     mDone.expires_at(asio::steady_timer::time_point::max());
--- a/src/librillwall_rollout/step_handover_test.cpp
+++ b/src/librillwall_rollout/step_handover_test.cpp
@@ -169,6 +169,7 @@
   CPPUNIT_TEST(OneQuestionForAllStepsOfAnOwner);
   CPPUNIT_TEST(FrozenOwnerDelaysLittle);
   CPPUNIT_TEST(OwnerBackLaterListsNothing);
+  CPPUNIT_TEST(OwnerBackLaterStartsNothingUnconfirmed);
   CPPUNIT_TEST(OwnerReachableInOneDirectionOnly);
   CPPUNIT_TEST(TruncatedAnswerIsNotUsed);
   CPPUNIT_TEST(GarbledPartsAreNotUsed);
@@ -367,6 +368,24 @@
     CheckListed(mNew);
   }
 
+  // The step may have moved and ended while its owner was frozen.
+  void OwnerBackLaterStartsNothingUnconfirmed() {
+    const auto clock = std::make_shared<SuspendedClock>();
+    mOld.mNode.mClock = clock;
+    mEngine.mSlots = 1;
+    setUp();
+    AcceptAndCut(300);
+    RunFor(2000);
+    const size_t requests = mEngine.mRequests.size();
+    CPPUNIT_ASSERT(requests > 1);  // items start during the outage
+    mWorld.mStore.mDelay = Millis(2500);
+    mOld.mPath.mCut = false;
+    clock->Suspend(Millis(20000));
+    RunFor(2000);
+    CPPUNIT_ASSERT_EQUAL(requests, mEngine.mRequests.size());
+    RunUntil([&] { return mEngine.mRequests.size() > requests; });
+  }
+
   // The old owner gets no requests, but reaches the store.
   void OwnerReachableInOneDirectionOnly() {
     mEngine.mEvents = 60;
