--- a/src/include/rillwall/step_handover.h
+++ b/src/include/rillwall/step_handover.h
@@ -50,6 +50,9 @@
 /// one of its services differ in priority
 bool HandsOverSteps(const RouteTable& aRoutes, const Route* aRoute);
 
+/// \return whether steps of any route are handed over
+bool HandsOverAnySteps(const RouteTable& aRoutes);
+
 /// \param aOwner the owner's state; nothing if it does not answer
 /// \param aRun run id of the owner in the step's record
 /// \return whether a step may stay with its owner
--- a/src/librillwall_rollout/step_handover.cpp
+++ b/src/librillwall_rollout/step_handover.cpp
@@ -124,6 +124,14 @@
                      });
 }
 
+bool HandsOverAnySteps(const RouteTable& aRoutes) {
+  return std::any_of(aRoutes.Routes().begin(), aRoutes.Routes().end(),
+                     [&](const Route& aRoute) {
+                       return aRoute.mKind == RequestKind::Rollout &&
+                              HandsOverSteps(aRoutes, &aRoute);
+                     });
+}
+
 bool MayKeepStep(const std::optional<OwnerState>& aOwner,
                  const std::string& aStep, const std::string& aRun) {
   if (!aOwner || !aOwner->mReachesStore) {
