soak: the outage ends for one host before the old lead's other paths are back

Cause: the old lead reached the store through other hosts as soon as the new lead did, so that the rounds with an outage did not show the loss.

Change: the store answers one other candidate 0.7 s before all other hosts.

--- a/testsuite/platform/handover.py
+++ b/testsuite/platform/handover.py
@@ -1,8 +1,8 @@
 """Hand-over of steps, for the soak: the lead changes while the owner of a running step lives.
 
 Each round submits a step with many texts and changes the lead while complete texts are only in the
-owner's memory. In turn, the store is away until the leases lapse, and answers the old lead a moment
-later than the other hosts; or the lead is told to stop. Texts that were complete and that an engine
+owner's memory. In turn, the store is away until the leases lapse, and answers one host a moment earlier
+than the old lead and the others; or the lead is told to stop. Texts that were complete and that an engine
 is asked for again are counted.
 """
 
@@ -11,7 +11,7 @@
 import signal
 
 OUTAGE_S = 6.0
-LATER_S = 0.7  # the store answers the old lead this much later than the other hosts
+LATER_S = 0.7  # the store answers all but one host this much later
 STEP_PARTS = 6  # submissions of the soak's trainer that make one step
 FIRST_TEXTS = 50  # of the 144 texts of a step, complete when the lead changes
 ROUNDS = 4
@@ -76,9 +76,13 @@
 
     async def outage(self, node):
         """The store is away until the leases lapse."""
+        successor = next(each for each in self.soak.nodes if not each.entry and each is not node)
+        later = [each for each in self.soak.nodes if each is not successor]
         self.soak.store.mode = "busy"
         await asyncio.sleep(OUTAGE_S)
-        node.proxy.set("refuse")
+        for each in later:
+            each.proxy.set("refuse")
         self.soak.store.mode = "ok"
         await asyncio.sleep(LATER_S)
-        node.proxy.set("pass")
+        for each in later:
+            each.proxy.set("pass")
