scaling: texts leave replicas with a termination notice; verbs

A replica that the platform takes away ended its streams, and each text lost the time of the failure.

--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -211,6 +211,9 @@
   /// Ends streams at slower replicas if a faster one has a free slot; the items
   /// continue there.
   void MoveFromSlowReplicas(const StepPtr& aStep);
+  /// Ends streams at replicas with a termination notice, unless their texts end
+  /// before the replica leaves; the items continue at other replicas.
+  void MoveFromLeavingReplicas();
   asio::awaitable<void> RunItem(StepPtr aStep, size_t aItem, Replica aReplica);
   asio::awaitable<void> ScoreItem(StepPtr aStep, size_t aItem);
   /// Writes results and unfinished texts to the store if that is due.
--- a/src/include/rillwall/text_move.h
+++ b/src/include/rillwall/text_move.h
@@ -11,6 +11,8 @@
 
 #include <cstdint>
 
+#include "rillwall/millis.h"
+
 namespace rillwall {
 
 /// A running text, and its pace at the current and at the target replica.
@@ -43,4 +45,10 @@
 /// \return whether the gain justifies the move
 bool IsMoveWorthwhile(const TextMove& aMove);
 
+/// \param aPace ms per event; 0: unknown
+/// \param aTimeLeft until the replica of the text leaves
+/// \return whether the text ends before that
+bool EndsBeforeLeaving(int64_t aEvents, int64_t aExpected, double aPace,
+                       Millis aTimeLeft);
+
 }  // namespace rillwall
--- a/src/librillwall_coordination/text_move.cpp
+++ b/src/librillwall_coordination/text_move.cpp
@@ -15,6 +15,9 @@
 /// Replicas of the same speed differ by their batch sizes, which a move
 /// changes: a full replica is slower than an empty one by a tenth.
 constexpr double kMinPaceRatio = 1.15;
+/// Time that a text must have before its replica leaves, relative to the
+/// expected time. Hints are much too low for the longest texts.
+constexpr double kLeavingSafety = 2;
 
 }  // namespace
 
@@ -50,4 +53,14 @@
          MoveGain(aMove) >= kMinGainMs;
 }
 
+bool EndsBeforeLeaving(int64_t aEvents, int64_t aExpected, double aPace,
+                       Millis aTimeLeft) {
+  const auto remaining =
+      static_cast<double>(ExpectedRemainingEvents(aEvents, aExpected));
+  // A text that is not far enough to tell, or of unknown pace, moves.
+  return aPace > 0 && remaining > 0 &&
+         remaining * aPace * kLeavingSafety <=
+             static_cast<double>(aTimeLeft.Count());
+}
+
 }  // namespace rillwall
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -330,6 +330,7 @@
 void RolloutService::Tick() {
   const Millis now = mNode.Now();
   bool verify = false;
+  MoveFromLeavingReplicas();
   for (const StepPtr& step : RunningSteps()) {
     if (now > step->mGiveUpAt && !step->mTracker.AllEnded()) {
       Event("step-overdue")
--- a/src/rillwall/cli_test.cpp
+++ b/src/rillwall/cli_test.cpp
@@ -136,6 +136,7 @@
   AddFleetVerbs(app, context);
   AddDrainVerb(app, context);
   AddSuspectsVerb(app, context);
+  AddScaleVerbs(app, context);
   AddLocalVerbs(app, context);
   try {
     app.parse(aLine);
@@ -174,6 +175,7 @@
   CPPUNIT_TEST(HealthReflectsReadiness);
   CPPUNIT_TEST(DrainShowsProgressUntilTheNodeEnds);
   CPPUNIT_TEST(SuspectsAreListedClearedAndHeld);
+  CPPUNIT_TEST(ScaleAndUsageShowTheDuties);
   CPPUNIT_TEST(TokenMakePrintsTokenAndDeclaration);
   CPPUNIT_TEST(EveryVerbHasAnExample);
   CPPUNIT_TEST_SUITE_END();
@@ -215,6 +217,22 @@
     CPPUNIT_ASSERT(RunOnNode("suspects --hold 00ff --clear 00ff").mExit >= 100);
   }
 
+  void ScaleAndUsageShowTheDuties() {
+    Reply("GET /node/scale?service=llm", 200,
+          R"({"groups":[{"zone":"z1","kind":"spot","present":3,"needed":7}],)"
+          R"("reason":"9 texts","ask":"10.0.0.9:1"})");
+    const Outcome why = RunOnNode("scale --why llm");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(why.mError, 0, why.mExit);
+    CPPUNIT_ASSERT(Contains(why.mOut, "spot"));
+    CPPUNIT_ASSERT(Contains(why.mOut, "9 texts"));
+    CPPUNIT_ASSERT(Contains(why.mOut, "10.0.0.9:1"));
+    CPPUNIT_ASSERT(!Contains(RunOnNode("scale llm").mOut, "9 texts"));
+    CPPUNIT_ASSERT(RunOnNode("scale").mExit != 0);
+    Reply("GET /node/usage", 200,
+          R"({"windows":[{"window":77,"state":"fixed","accounts":2}]})");
+    CPPUNIT_ASSERT(Contains(RunOnNode("usage").mOut, "fixed"));
+  }
+
   void ChangeNotYetInForceExitsPartial() {
     Reply("DELETE /admin/policies/a", 200,
           R"({"revision":5,"accepted":true,"in_force":2,"nodes":3,)"
--- a/src/rillwall/cli_verb.h
+++ b/src/rillwall/cli_verb.h
@@ -31,6 +31,7 @@
   std::string mHold;
   std::vector<std::string> mFiles;
   bool mNoWait = false;
+  bool mWhy = false;
   bool mSteps = false;
   bool mJson = false;
 };
@@ -76,6 +77,8 @@
 void AddDrainVerb(CLI::App& aApp, const CliContext& aContext);
 /// Adds `suspects`.
 void AddSuspectsVerb(CLI::App& aApp, const CliContext& aContext);
+/// Adds `scale` and `usage`.
+void AddScaleVerbs(CLI::App& aApp, const CliContext& aContext);
 /// Adds `token`, `explain` and `settings`, which call no node.
 void AddLocalVerbs(CLI::App& aApp, const CliContext& aContext);
 
--- a/src/rillwall/cli_verbs.cpp
+++ b/src/rillwall/cli_verbs.cpp
@@ -111,6 +111,7 @@
   AddFleetVerbs(aApp, context);
   AddDrainVerb(aApp, context);
   AddSuspectsVerb(aApp, context);
+  AddScaleVerbs(aApp, context);
   AddLocalVerbs(aApp, context);
   aApp.footer(kExitCodes);
 }
