--- a/src/rillwall/cli_verb.h
+++ b/src/rillwall/cli_verb.h
@@ -31,6 +31,7 @@
   std::string mHold;
   std::vector<std::string> mFiles;
   bool mNoWait = false;
+  bool mWhy = false;
   bool mSteps = false;
   bool mJson = false;
 };
@@ -80,6 +81,8 @@
 void AddAccountsVerb(CLI::App& aApp, const CliContext& aContext);
 /// Adds `suspects`.
 void AddSuspectsVerb(CLI::App& aApp, const CliContext& aContext);
+/// Adds `scale` and `usage`.
+void AddScaleVerbs(CLI::App& aApp, const CliContext& aContext);
 /// Adds `token`, `explain` and `settings`, which call no node.
 void AddLocalVerbs(CLI::App& aApp, const CliContext& aContext);
 
--- a/src/rillwall/cli_verbs.cpp
+++ b/src/rillwall/cli_verbs.cpp
@@ -113,6 +113,7 @@
   AddLoadVerb(aApp, context);
   AddSuspectsVerb(aApp, context);
   AddAccountsVerb(aApp, context);
+  AddScaleVerbs(aApp, context);
   AddLocalVerbs(aApp, context);
   aApp.footer(kExitCodes);
 }
