--- a/src/rillwall/cli_test.cpp
+++ b/src/rillwall/cli_test.cpp
@@ -135,6 +135,7 @@
   AddPolicyVerbs(app, context);
   AddFleetVerbs(app, context);
   AddDrainVerb(app, context);
+  AddLoadVerb(app, context);
   AddSuspectsVerb(app, context);
   AddLocalVerbs(app, context);
   try {
