scaling: stand-in for orders in the soak, pause after a raise, docs

In a soak trial counts of revocable replicas were lowered 10 s after they were raised and raised again after the next lost zone. A count now stays for 10 s (ordinary) or 60 s (revocable) after a raise; no test covers this pause alone. The longest text seen counts 1.5 times, since longer ones come.

--- a/src/include/rillwall/scale_orders.h
+++ b/src/include/rillwall/scale_orders.h
@@ -116,7 +116,7 @@
   void Apply(Service& aService, const ReplicaGroup& aGroup,
              const ScaleAnswer& aAnswer);
   void UpdateVacated(Service& aService, const std::set<ReplicaGroup>& aPlanned);
-  void SetMetrics(const Service& aService) const;
+  void SetMetrics() const;
 
   NodeContext& mNode;
   LeadClaim& mLead;
--- a/src/include/rillwall/scale_plan.h
+++ b/src/include/rillwall/scale_plan.h
@@ -114,6 +114,7 @@
   /// State of a group beside what operators see.
   struct Watch {
     bool mRevoked = false;  ///< by a notice, until it may be ordered again
+    std::optional<Millis> mRaisedAt;    ///< when its count was last raised
     std::optional<Millis> mIdleSince;   ///< all replicas of the group are idle
     std::optional<Millis> mShortSince;  ///< fewer than ordered are present
   };
@@ -130,6 +131,8 @@
               Millis aNow);
   /// \return whether the platform is thought to have none to offer
   bool Blocked(const ReplicaGroup& aGroup, Millis aNow) const;
+  /// \return whether the group's count was raised too recently to be lowered
+  bool RaisedRecently(const ReplicaGroup& aGroup, Millis aNow) const;
   /// \return how many replicas of the group can be had now
   int64_t MostOf(const ReplicaGroup& aGroup, Millis aNow);
   void AddRaises(ScalePlan& aPlan, Millis aNow);
--- a/src/librillwall_coordination/scale_demand.cpp
+++ b/src/librillwall_coordination/scale_demand.cpp
@@ -17,6 +17,10 @@
 constexpr int64_t kMaxFillPercent = 85;
 constexpr int64_t kPercent = 100;
 
+/// Longest time of a text, relative to the longest one seen: longer texts come,
+/// and texts on slow replicas take longer.
+constexpr double kLongestFactor = 1.5;
+
 /// Time constant of the average; two steps of a trainer.
 constexpr double kAverageMs = 8000;
 /// Bounds of the utilization, and the value that is restored outside of them.
@@ -29,8 +33,8 @@
 int64_t SlotsByDueTime(const StepDemand& aStep) {
   // With S slots and work W, every order of the texts ends within W / S plus
   // the longest text (Graham's bound).
-  const double spare =
-      static_cast<double>(aStep.mDueIn.Count()) - aStep.mLongestMs;
+  const double spare = static_cast<double>(aStep.mDueIn.Count()) -
+                       aStep.mLongestMs * kLongestFactor;
   if (aStep.mLongestMs <= 0 || spare <= 0) {
     return aStep.mTexts;
   }
--- a/src/librillwall_coordination/scale_plan.cpp
+++ b/src/librillwall_coordination/scale_plan.cpp
@@ -19,6 +19,11 @@
 /// No count is lowered this long after a takeover. Steps of former owners,
 /// whose texts this lead does not see, have ended by then.
 constexpr Millis kTakeoverPause{15000};
+/// A group's count is not lowered this soon after it was raised, so that orders
+/// do not alternate while zones lose and regain their revocable replicas. An
+/// ordinary replica costs several times as much as a revocable one.
+constexpr Millis kOrdinaryHold{10000};
+constexpr Millis kSpotHold{60000};
 /// How long the need that the earlier lead knew counts.
 constexpr Millis kInheritedSpan{60000};
 /// Time beyond twice the boot time after which replicas that are missing are
@@ -124,8 +129,13 @@
 
 void ScalePlanner::Ordered(const ScaleOrder& aOrder, Millis aNow) {
   const ReplicaGroup group{aOrder.mZone, aOrder.mSpot};
-  mGroups[group].mOrdered = aOrder.mCount;
-  mWatches[group].mShortSince = aNow;
+  GroupPlan& plan = mGroups[group];
+  Watch& watch = mWatches[group];
+  if (aOrder.mCount > plan.mOrdered) {
+    watch.mRaisedAt = aNow;
+  }
+  plan.mOrdered = aOrder.mCount;
+  watch.mShortSince = aNow;
 }
 
 void ScalePlanner::Refused(const ScaleOrder& aOrder, int64_t aBefore,
@@ -148,6 +158,14 @@
   return found != mGroups.end() && aNow < found->second.mRefusedUntil;
 }
 
+bool ScalePlanner::RaisedRecently(const ReplicaGroup& aGroup,
+                                  Millis aNow) const {
+  const auto found = mWatches.find(aGroup);
+  const Millis hold = aGroup.mSpot ? kSpotHold : kOrdinaryHold;
+  return found != mWatches.end() && found->second.mRaisedAt &&
+         aNow - *found->second.mRaisedAt < hold;
+}
+
 double ScalePlanner::PriceOf(const ReplicaGroup& aGroup) const {
   const auto price = mSpec.mZonePrices.find(aGroup.mZone);
   const double ordinary = price == mSpec.mZonePrices.end() ? 0 : price->second;
@@ -328,7 +346,8 @@
   for (const auto& [group, plan] : mGroups) {
     const int64_t excess = plan.mOrdered - plan.mNeeded;
     const std::pair<double, int64_t> rank{PriceOf(group), excess};
-    if (excess > 0 && !mWatches[group].mRevoked && (!dearest || rank > first)) {
+    if (excess > 0 && !mWatches[group].mRevoked &&
+        !RaisedRecently(group, aNow) && (!dearest || rank > first)) {
       dearest = group;
       first = rank;
     }
--- a/src/librillwall_coordination/scale_plan_test.cpp
+++ b/src/librillwall_coordination/scale_plan_test.cpp
@@ -247,6 +247,7 @@
 
 class ScalePlanTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ScalePlanTest);
+  CPPUNIT_TEST(StepNeedsASlotForEachTextUnlessTheyFitInTurn);
   CPPUNIT_TEST(DueTimesKeepStepsInTimeWhereUtilizationDoesNot);
   CPPUNIT_TEST(OrdersSettleBelowTheCostOfTheStart);
   CPPUNIT_TEST(LossOfOneZoneDelaysNoStep);
@@ -258,6 +259,19 @@
   CPPUNIT_TEST(NextLeadContinuesFromTheOrders);
   CPPUNIT_TEST_SUITE_END();
 
+  void StepNeedsASlotForEachTextUnlessTheyFitInTurn() {
+    // The longest text is not known yet.
+    CPPUNIT_ASSERT_EQUAL(int64_t{100},
+                         SlotsByDueTime({"t", 100, 90000, 0, Millis(7500)}));
+    CPPUNIT_ASSERT_EQUAL(int64_t{100},
+                         SlotsByDueTime({"t", 100, 90000, 7000, Millis(7500)}));
+    // 90 s of work in the 6 s that are left beside the longest text.
+    CPPUNIT_ASSERT_EQUAL(int64_t{15},
+                         SlotsByDueTime({"t", 100, 90000, 1000, Millis(7500)}));
+    CPPUNIT_ASSERT_EQUAL(int64_t{3},
+                         SlotsByDueTime({"t", 3, 90000, 1000, Millis(-5)}));
+  }
+
   static void AssertBounds(const Platform& aPlatform) {
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, aPlatform.mEndedBusy);
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, aPlatform.mOverMax);
--- a/src/librillwall_rollout/scale_orders.cpp
+++ b/src/librillwall_rollout/scale_orders.cpp
@@ -235,7 +235,7 @@
       StatesOf(aReplicas), mNode.mReplicas.EvacuatedZones(), mNode.Now());
   aService->mReason = plan.mReason;
   UpdateVacated(*aService, plan.mVacated);
-  SetMetrics(*aService);
+  SetMetrics();
   // A newer order waits until the platform has answered one that may have taken
   // effect.
   std::erase_if(plan.mOrders, [&](const ScaleOrder& aOrder) {
@@ -405,14 +405,16 @@
   mNode.mReplicas.SetVacated(std::move(all));
 }
 
-void ScaleOrders::SetMetrics(const Service& aService) const {
+void ScaleOrders::SetMetrics() const {
   int64_t needed = 0;
   int64_t ordered = 0;
   int64_t present = 0;
-  for (const auto& [group, plan] : aService.mPlanner.Groups()) {
-    needed += plan.mNeeded;
-    ordered += plan.mOrdered;
-    present += plan.mPresent;
+  for (const auto& [name, service] : mServices) {
+    for (const auto& [group, plan] : service->mPlanner.Groups()) {
+      needed += plan.mNeeded;
+      ordered += plan.mOrdered;
+      present += plan.mPresent;
+    }
   }
   mNode.mMetrics.Set("scale_replicas_needed", needed);
   mNode.mMetrics.Set("scale_replicas_ordered", ordered);
--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -16,9 +16,11 @@
              to few more replicas
   recovers   requests and a new step are served after all faults
   processes  no process ends by itself
+  orders     with --scaling: orders keep the platform's rules
+  idle       with --scaling: no replica is ended that has work
 
 usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N] [--services N]
-               [--faults none|all|NAME,...] [--keep DIR]
+               [--faults none|all|NAME,...] [--scaling] [--keep DIR]
 Ends with "N passed, N failed". The logs of a failed run stay in its folder.
 """
 
@@ -35,6 +37,7 @@
 import tempfile
 import time
 
+from scaling import Cloud
 from standins import CRASHING, Engine, Service, Store, events_of, text_of
 from web import Proxy, call
 
@@ -87,7 +90,7 @@
 status-s = 120
 [platform]
 address = "127.0.0.1:{self.proxy.port}"
-''')
+{self.soak.cloud.settings() if self.soak.cloud else ''}''')
         await self.launch()
 
     async def launch(self):
@@ -138,6 +141,7 @@
         self.folder = pathlib.Path(args.keep or tempfile.mkdtemp(prefix="platform-soak-"))
         self.folder.mkdir(parents=True, exist_ok=True)
         self.store = Store(self.rng)
+        self.cloud = Cloud(self, ZONES) if args.scaling else None
         self.event_versions, self.runs, self.refused, self.counts, self.faults = {}, {}, set(), {}, {}
         self.failed, self.positions, self.ended, self.served = [], {}, {}, 0
         self.newest_version, self.stopping, self.config_version = 1, False, 0
@@ -154,6 +158,8 @@
     async def build(self):
         self.begun = time.monotonic()
         await self.store.server.start()
+        if self.cloud:
+            await self.cloud.start()
         self.engines = [Engine(self.store, self.rng, "engine", ZONES[i % 3], {MODEL: 1}, self.event_versions)
                         for i in range(4)]
         self.services = [Service(self.store, self.rng, "plain", ZONES[i % 3], self.runs)
@@ -211,7 +217,8 @@
         self.store.write("op/config", {
             "version": self.config_version, "routes": routes,
             "services": [{"name": "plain", "max-conns": 100},
-                         {"name": "engine", "max-conns": 100, "engine": {"slots": 6, "models": [{"name": MODEL}]}}]})
+                         {"name": "engine", "max-conns": 100, "engine": {"slots": 6, "models": [{"name": MODEL}]}}
+                         | (self.cloud.scaling() if self.cloud else {})]})
 
     # Clients.
 
@@ -541,12 +548,14 @@
         await asyncio.sleep(3.5)
         work = [asyncio.create_task(each) for each in (
             self.client("status"), self.client("status"), self.client("charge"), self.client("charge"),
-            self.trainer(), self.reader(), self.reader())]
+            self.trainer(), self.reader(), self.reader(), *([self.cloud.run()] if self.cloud else []))]
         faults = asyncio.create_task(self.inject())
         await asyncio.sleep(self.args.seconds)
         self.stopping = True
         await asyncio.gather(faults, *work)
         await self.final_checks()
+        if self.cloud:
+            self.cloud.conclude()
         for node in self.nodes:
             await node.end(signal.SIGKILL)
         for process in self.started:
@@ -590,6 +599,7 @@
     parser.add_argument("--leads", type=int, default=3)
     parser.add_argument("--services", type=int, default=3)
     parser.add_argument("--faults", default="all")
+    parser.add_argument("--scaling", action="store_true", help="order replicas; see scaling.py")
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
     lock = take_addresses(args.seed)
@@ -598,7 +608,7 @@
     lock.close()
     print(f"seed {soak.args.seed}: served {soak.served}, whole steps {soak.whole_steps}, faults {soak.faults}, "
           f"checks {soak.counts}")
-    conclude(soak, "soak", CHECKS)
+    conclude(soak, "soak", CHECKS + (["orders", "idle"] if args.scaling else []))
 
 
 if __name__ == "__main__":
