--- a/src/librillwall_rollout/request_gate.cpp
+++ b/src/librillwall_rollout/request_gate.cpp
@@ -233,7 +233,7 @@
                  .mArrived = arrived,
                  .mDeadline = aCall.mDeadline,
                  .mDelayOnly = aCall.mDelayOnly};
-  if (!aCall.mDelayOnly) {
+  if (aCall.mProbes) {
     ReplicaRequirements requirements =
         RequirementsOf(mNode, aCall.mService, aCall.mRegions);
     FindConnected(mNode, requirements);
--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -17,9 +17,11 @@
   recovers   requests and a new step are served after all faults
   processes  no process ends by itself
   handover   with --handover: after a change of the lead, complete texts are not generated again
+  orders     with --scaling: orders keep the platform's rules
+  idle       with --scaling: no replica is ended that has work
 
 usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N] [--services N]
-               [--faults none|all|NAME,...] [--handover] [--surge] [--keep DIR]
+               [--faults none|all|NAME,...] [--handover] [--surge] [--scaling] [--keep DIR]
 Ends with "N passed, N failed". The logs of a failed run stay in its folder.
 """
 
@@ -37,6 +39,7 @@
 import time
 
 from handover import Handover
+from scaling import Cloud
 from standins import CRASHING, Engine, Service, Store, events_of, text_of
 from surge import CHECKS as SURGE_CHECKS, LoadedService, Surge
 from web import Proxy, call
@@ -90,7 +93,7 @@
 status-s = 120
 [platform]
 address = "127.0.0.1:{self.proxy.port}"
-''')
+{self.soak.cloud.settings() if self.soak.cloud else ''}''')
         await self.launch()
 
     async def launch(self):
@@ -141,6 +144,7 @@
         self.folder = pathlib.Path(args.keep or tempfile.mkdtemp(prefix="platform-soak-"))
         self.folder.mkdir(parents=True, exist_ok=True)
         self.store = Store(self.rng)
+        self.cloud = Cloud(self, ZONES) if args.scaling else None
         self.event_versions, self.runs, self.refused, self.counts, self.faults = {}, {}, set(), {}, {}
         self.service_kind = LoadedService if args.surge else Service
         self.failed, self.positions, self.ended, self.served = [], {}, {}, 0
@@ -159,6 +163,8 @@
     async def build(self):
         self.begun = time.monotonic()
         await self.store.server.start()
+        if self.cloud:
+            await self.cloud.start()
         self.engines = [Engine(self.store, self.rng, "engine", ZONES[i % 3], {MODEL: 1}, self.event_versions)
                         for i in range(4)]
         self.services = [self.service_kind(self.store, self.rng, "plain", ZONES[i % 3], self.runs)
@@ -217,7 +223,8 @@
         self.store.write("op/config", {
             "version": self.config_version, "routes": routes,
             "services": [{"name": "plain", "max-conns": 100},
-                         {"name": "engine", "max-conns": 100, "engine": {"slots": 6, "models": [{"name": MODEL}]}}]})
+                         {"name": "engine", "max-conns": 100, "engine": {"slots": 6, "models": [{"name": MODEL}]}}
+                         | (self.cloud.scaling() if self.cloud else {})]})
 
     # Clients.
 
@@ -547,7 +554,7 @@
         await asyncio.sleep(3.5)
         work = [asyncio.create_task(each) for each in (
             self.client("status"), self.client("status"), self.client("charge"), self.client("charge"),
-            self.trainer(), self.reader(), self.reader())]
+            self.trainer(), self.reader(), self.reader(), *([self.cloud.run()] if self.cloud else []))]
         if self.args.surge:
             work.append(asyncio.create_task(Surge(self, HOST).run()))
         faults = asyncio.create_task(self.inject())
@@ -557,6 +564,8 @@
         self.stopping = True
         await asyncio.gather(faults, *work)
         await self.final_checks()
+        if self.cloud:
+            self.cloud.conclude()
         for node in self.nodes:
             await node.end(signal.SIGKILL)
         for process in self.started:
@@ -602,6 +611,7 @@
     parser.add_argument("--faults", default="all")
     parser.add_argument("--handover", action="store_true", help="change the lead while a step runs")
     parser.add_argument("--surge", action="store_true", help="adds a surge of requests; see surge.py")
+    parser.add_argument("--scaling", action="store_true", help="order replicas; see scaling.py")
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
     lock = take_addresses(args.seed)
@@ -610,7 +620,9 @@
     lock.close()
     print(f"seed {soak.args.seed}: served {soak.served}, whole steps {soak.whole_steps}, faults {soak.faults}, "
           f"checks {soak.counts}")
-    conclude(soak, "soak", CHECKS + ["handover"] * args.handover + (SURGE_CHECKS if args.surge else []))
+    checks = CHECKS + ["handover"] * args.handover
+    checks += (SURGE_CHECKS if args.surge else []) + (["orders", "idle"] if args.scaling else [])
+    conclude(soak, "soak", checks)
 
 
 if __name__ == "__main__":
