--- a/src/include/rillwall/request_gate.h
+++ b/src/include/rillwall/request_gate.h
@@ -62,7 +62,8 @@
   using TicketState = AdmissionTicket::State;
 
   std::optional<AnswerEstimate> Estimate(const std::string& aService,
-                                         const AllowedRegions& aRegions) const;
+                                         const AllowedRegions& aRegions,
+                                         const std::string& aRoute) const;
   /// Sends as many waiting calls of a service as have capacity now.
   void StartWaiting(const std::string& aService);
   /// Starts waiting calls of a service until none is left.
--- a/src/librillwall_rollout/request_gate.cpp
+++ b/src/librillwall_rollout/request_gate.cpp
@@ -31,10 +31,13 @@
   return "refuse";
 }
 
+/// \param aRoute route whose usual work time is expected; may be empty
 ReplicaRequirements RequirementsOf(const NodeContext& aNode,
                                    const std::string& aService,
-                                   const AllowedRegions& aRegions) {
+                                   const AllowedRegions& aRegions,
+                                   const std::string& aRoute) {
   ReplicaRequirements requirements;
+  requirements.mRoute = aRoute;
   requirements.mService = aService;
   requirements.mZone = aNode.mIdentity.mZone;
   requirements.mRegions = aRegions;
@@ -80,6 +83,7 @@
   std::string mId;
   AdmissionCall mCall;
   AllowedRegions mRegions;
+  std::string mRoute;
   Phase mPhase = Phase::Refused;
   bool mSent = false;
   Millis mAdmittedAt;
@@ -121,9 +125,10 @@
     : mNode(aNode), mControl(std::hash<std::string>()(aNode.mIdentity.mName)) {}
 
 std::optional<AnswerEstimate> RequestGate::Estimate(
-    const std::string& aService, const AllowedRegions& aRegions) const {
+    const std::string& aService, const AllowedRegions& aRegions,
+    const std::string& aRoute) const {
   return mNode.mReplicas.EstimateAnswer(
-      RequirementsOf(mNode, aService, aRegions), mNode.Now());
+      RequirementsOf(mNode, aService, aRegions, aRoute), mNode.Now());
 }
 
 void RequestGate::Report(const TicketState& aState,
@@ -172,7 +177,8 @@
 }
 
 Error RequestGate::Refuse(TicketState& aState, AdmissionReason aReason) {
-  const auto estimate = Estimate(aState.mCall.mService, aState.mRegions);
+  const auto estimate =
+      Estimate(aState.mCall.mService, aState.mRegions, aState.mRoute);
   const AdmissionDecision decision =
       mControl.Refuse(aState.mCall, aReason, estimate, mNode.Now());
   Report(aState, decision, estimate);
@@ -186,7 +192,7 @@
 void RequestGate::StartWaiting(const std::string& aService) {
   while (mControl.Waiting(aService) > 0) {
     const std::optional<uint64_t> ticket =
-        mControl.StartNext(aService, Estimate(aService, {}), mNode.Now());
+        mControl.StartNext(aService, Estimate(aService, {}, {}), mNode.Now());
     if (!ticket) {
       return;
     }
@@ -199,7 +205,7 @@
 
 asio::awaitable<void> RequestGate::Pump(std::string aService) {
   const std::shared_ptr<RequestGate> self = shared_from_this();
-  ReplicaRequirements requirements = RequirementsOf(mNode, aService, {});
+  ReplicaRequirements requirements = RequirementsOf(mNode, aService, {}, {});
   while (mControl.Waiting(aService) > 0) {
     co_await Sleep(mNode.mIo, kPumpInterval);
     const bool clients =
@@ -224,6 +230,7 @@
   const Millis arrived = mNode.Now();
   state.mId = aCall.mId;
   state.mRegions = aCall.mRegions;
+  state.mRoute = aCall.mRoute;
   state.mCall = {.mTicket = ++mLastTicket,
                  .mService = aCall.mService,
                  .mAccount = aCall.mAccount,
@@ -235,11 +242,11 @@
                  .mDelayOnly = aCall.mDelayOnly};
   if (aCall.mProbes) {
     ReplicaRequirements requirements =
-        RequirementsOf(mNode, aCall.mService, aCall.mRegions);
+        RequirementsOf(mNode, aCall.mService, aCall.mRegions, aCall.mRoute);
     FindConnected(mNode, requirements);
     co_await RefreshLoad(mNode, requirements, kProbeLimit);
   }
-  const auto estimate = Estimate(aCall.mService, aCall.mRegions);
+  const auto estimate = Estimate(aCall.mService, aCall.mRegions, aCall.mRoute);
   const AdmissionDecision decision =
       mControl.Arrive(state.mCall, estimate, mNode.Now());
   if (decision.mAction == AdmissionAction::Refuse) {
