--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -250,9 +250,9 @@
     Millis mLoadReportedAt;           ///< when the replica reported that load
     CurrentLoad mLoad;
     std::optional<Millis> mBadReportLoggedAt;
-    double mRankedPace = 0;       ///< pace at the time it was ranked
-    std::optional<double> mRank;  ///< cost while it has a free slot
-    SendWindow mColdSends;        ///< recent requests while it is cold
+    double mRankedPace = 0;           ///< pace at the time it was ranked
+    std::optional<double> mRank;      ///< cost while it has a free slot
+    SendWindow mColdSends;            ///< recent requests while it is cold
     std::optional<Millis> mLeavesAt;  ///< by its termination notice
     bool mVacated = false;            ///< see SetVacated()
   };
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -21,8 +21,8 @@
 #include "rillwall/result_cache.h"
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
-#include "rillwall/step_handover.h"
 #include "rillwall/scale_demand.h"
+#include "rillwall/step_handover.h"
 #include "rillwall/step_spool.h"
 #include "rillwall/text_move.h"
 
