http_client: an aborted call never ends as a complete response

Affected were texts whose response had no length, when the owner moved them from a slow or a leaving replica.

Cause: Abort() shuts the socket down, and the pending read returns "end of file", as after a regular close by the peer. A body without a length ends with the connection, so ReadMore() took this for the end of the body, and Read() returned the empty part that means "complete". The text was scored and listed.

Texts with chunks, moved at the same instants, are whole.

Fix: the call remembers that it was aborted; an end of file is then a lost connection, whatever the framing, as http.h says of Abort(). The text continues after its last event at the other replica.

Test: TestAbortedBodyUntilCloseIsAnError fails without the condition in ReadMore() (seen: 68 passed, 1 failed) and passes with it.

--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -120,6 +120,7 @@
 }
 
 void HttpClientCall::Abort() {
+  mAborted = true;
   if (mConnection) {
     mConnection->mSocket.Deadline().Shutdown();
   }
@@ -141,7 +142,9 @@
   if (connection.mSocket.Deadline().Expired()) {
     co_return Fail(ErrorKind::Timeout, "did not respond in time");
   }
-  if (code == asio::error::eof && mParser->got_some()) {
+  // A body without a length ends with the connection, but only if the peer has
+  // closed it: Abort() ends the input of this side in the same way.
+  if (code == asio::error::eof && mParser->got_some() && !mAborted) {
     error_code eofError;
     mParser->put_eof(eofError);
     if (!eofError && mParser->is_done()) {
@@ -183,6 +186,11 @@
 }
 
 Error HttpClientCall::FailDisconnected(const error_code& aCode) {
+  if (mAborted) {
+    return Fail(ErrorKind::ConnectionLost,
+                "had not sent its whole response when this node ended the "
+                "call");
+  }
   const std::string reason =
       "closed the connection before its response was complete (" +
       aCode.message() + ")";
--- a/src/librillwall_transport/http_client_connection.h
+++ b/src/librillwall_transport/http_client_connection.h
@@ -93,6 +93,7 @@
   HttpResponse mHead;
   bool mHeadOnly = false;
   bool mWriteFailed = false;
+  bool mAborted = false;  ///< Abort() was called
   std::optional<Error> mFailure;
 };
 
--- a/src/librillwall_transport/http_client_test.cpp
+++ b/src/librillwall_transport/http_client_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(TestRunStateOfFailedCalls);
   CPPUNIT_TEST(TestTruncatedResponseIsAnError);
   CPPUNIT_TEST(TestBodyUntilClose);
+  CPPUNIT_TEST(TestAbortedBodyUntilCloseIsAnError);
   CPPUNIT_TEST(TestClosedPooledConnectionIsReplaced);
   CPPUNIT_TEST(TestIdleConnectionsDroppedAfterTimeout);
   CPPUNIT_TEST(TestBytesAfterResponseCloseConnection);
@@ -79,6 +80,28 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
   }
 
+  /// Guards against a truncated body being taken for whole: Abort() ends the
+  /// input of the connection as the peer's regular close does, and a body
+  /// without a length has no other end.
+  void TestAbortedBodyUntilCloseIsAnError() {
+    RawUpstream upstream({"HTTP/1.1 200 OK\r\n\r\nfirst part"}, true);
+    HttpRequest request;
+    auto stream =
+        Await(mClient.Open(upstream.ListeningEndpoint(), request, kTestTimeout))
+            .value();
+    CPPUNIT_ASSERT_EQUAL(std::string("first part"),
+                         Await(stream->Read(kTestTimeout)).value());
+    auto pending = asio::co_spawn(mThreads.Context(),
+                                  stream->Read(kTestTimeout), asio::use_future);
+    CPPUNIT_ASSERT(pending.wait_for(std::chrono::milliseconds(50)) ==
+                   std::future_status::timeout);
+    stream->Abort();
+    const Result<std::string> aborted = pending.get();
+    CPPUNIT_ASSERT(!aborted.has_value());
+    CPPUNIT_ASSERT(ErrorKind::ConnectionLost == aborted.error().Kind());
+    CPPUNIT_ASSERT(!Await(stream->Read(kTestTimeout)).has_value());
+  }
+
   void TestClosedPooledConnectionIsReplaced() {
     // The upstream closes each connection after the response without announcing
     // it by a "Connection: close" header.
--- a/src/librillwall_transport/http_test_support.h
+++ b/src/librillwall_transport/http_test_support.h
@@ -107,8 +107,11 @@
 class RawUpstream {
  public:
   /// \param aResponses the bytes to write on each connection, in order
-  explicit RawUpstream(std::vector<std::string> aResponses)
+  /// \param aWaitForPeer close a connection only after the client has closed it
+  explicit RawUpstream(std::vector<std::string> aResponses,
+                       bool aWaitForPeer = false)
       : mAcceptor(mContext, {asio::ip::address_v4::loopback(), 0}),
+        mWaitForPeer(aWaitForPeer),
         mThread(
             [this, responses = std::move(aResponses)] { Serve(responses); }) {}
   ~RawUpstream() {
@@ -129,11 +132,15 @@
       std::string head;
       asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", code);
       asio::write(socket, asio::buffer(response), code);
+      if (mWaitForPeer) {
+        asio::read(socket, asio::dynamic_buffer(head), code);
+      }
     }
   }
 
   asio::io_context mContext;
   asio::ip::tcp::acceptor mAcceptor;
+  const bool mWaitForPeer;
   std::thread mThread;
 };
 
