rollouts: a step whose route was removed is taken over, read and ended

What callers saw: a trainer had read all results of a step; a configuration removed the step's route, and the owner's process ended (killed, or stopped as planned).

Cause: a step that is not in memory is read through its owner, so that a host takes it over first, and TakeOver() failed if the present configuration has no route for the step. The results were in the store.

Evidence: the 503's text, "This node knows no route for the step", and `take-over-failed` with the same reason at a new lead.

Fix: the step is taken over without a route. Results and bodies are readable, it can be ended, and a whole text is still scored. Other items wait, as items that are held do; they run once a configuration has a rollout route for them, and are given up after the default longest wait, at the earliest 10 s after the takeover. A host without any configuration still refuses and changes nothing (TakeoverWithoutARouteChangesNothing is unchanged). All ways to a former owner's step go through TakeOver(): reads, ends, bodies, a new lead, a restart.

Found beside it: the lookup took any route that matched the path, so that a wider plain route could decide which service ran the items. Only rollout routes count now.

Tests: StepOfARemovedRouteStaysReadable and StepOfARemovedRouteIsGivenUp fail with the old lookup (seen); StepDoesNotRunOnARouteOfAnotherKind, StepRunsOnWhenItsRouteReturns guard what the fix adds.

--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -151,6 +151,8 @@
   /// \param aSingleVersion whether adopted and restored texts must come from
   /// one weight version
   RolloutTracker(RolloutSpec aSpec, int aAttempts, bool aSingleVersion);
+  /// Replaces the limits that were passed to the constructor.
+  void SetLimits(int aAttempts, bool aSingleVersion);
 
   const RolloutSpec& Spec() const { return mSpec; }
   const RolloutItem& Item(size_t aIndex) const { return mSpec.mItems[aIndex]; }
@@ -286,8 +288,8 @@
   RolloutResult ResultOf(size_t aItem, RolloutEnd aEnd) const;
 
   const RolloutSpec mSpec;
-  const int mAttempts;
-  const bool mSingleVersion;
+  int mAttempts;
+  bool mSingleVersion;
   std::map<std::string, size_t> mIndex;
   std::map<std::string, Group> mGroups;
   std::vector<size_t> mGroupOf;  ///< by item: position of its group
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -60,6 +60,10 @@
 RolloutRead ReadFrom(const std::vector<RolloutResult>& aListed, int64_t aFirst,
                      int64_t aTotal, int64_t aAfter);
 
+/// \return the route of an accepted step; null if the configuration has none
+const Route* FindRolloutRoute(const RouteTable& aRoutes,
+                              const StepRecord& aRecord);
+
 struct RolloutStep;
 class StepSchedule;
 
@@ -161,8 +165,14 @@
     int64_t mNext = 0;  ///< number of the next write
   };
 
-  StepPtr MakeStep(RolloutSpec aSpec, const Route& aRoute, StepRecord aRecord,
+  /// \param aRoute null if the configuration has no route for the step
+  StepPtr MakeStep(RolloutSpec aSpec, const Route* aRoute, StepRecord aRecord,
                    int64_t aRevision);
+  /// Sets until when a step waits, by its route and the time of its acceptance.
+  void SetTimeLimits(RolloutStep& aStep) const;
+  /// Gives a step without a route the one of the present configuration, if
+  /// there is one.
+  void AdoptRoute(RolloutStep& aStep);
   /// Adds texts that earlier steps of the account left unfinished.
   void ResumeCarriedTexts(RolloutStep& aStep);
   /// Keeps a step's texts of unfinished groups for a later step.
@@ -238,6 +248,9 @@
   /// \return whether this node was confirmed as the owner recently enough for
   /// the step not to have ended elsewhere
   bool MayStart(const RolloutStep& aStep) const;
+  /// \return whether an item may be sent to a replica: the step has a route,
+  /// and the item is not held
+  bool MayRun(RolloutStep& aStep, size_t aItem) const;
   bool StartNext(const StepPtr& aStep);
   /// Starts items in the order of mSchedule.
   /// \param aSteps steps whose items it orders
--- a/src/librillwall_coordination/rollout_tracker.cpp
+++ b/src/librillwall_coordination/rollout_tracker.cpp
@@ -62,6 +62,11 @@
   }
 }
 
+void RolloutTracker::SetLimits(int aAttempts, bool aSingleVersion) {
+  mAttempts = std::max(aAttempts, 1);
+  mSingleVersion = aSingleVersion;
+}
+
 RolloutTracker::StartOrder RolloutTracker::StartOrderOf(size_t aItem) const {
   const State& state = mStates[aItem];
   const bool started = state.mText.mEvents > 0 || state.mFailures > 0;
--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -207,7 +207,7 @@
   if (aAcceptance->mStep) {
     return;
   }
-  const StepPtr step = MakeStep(aAcceptance->mSpec, aAcceptance->mRoute,
+  const StepPtr step = MakeStep(aAcceptance->mSpec, &aAcceptance->mRoute,
                                 aAcceptance->mRecord, 0);
   step->mAccepted = false;
   aAcceptance->mStep = step;
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -233,14 +233,15 @@
 
 asio::awaitable<Result<RolloutService::StepPtr>> RolloutService::TakeOver(
     std::string aId, StepRecord aRecord, int64_t aRevision) {
-  // The route is looked up before anything changes: otherwise a step that
-  // cannot run here would get an owner that does not know it.
   const auto routes = mNode.mRoutes.Read();
-  const Route* route = routes->Find(aRecord.mHost, aRecord.mPath);
-  if (route == nullptr) {
+  if (routes->Version() == 0) {
     co_return Error(ErrorKind::Unavailable,
-                    "This node knows no route for the step.");
+                    "This node has not received a configuration yet.");
   }
+  // A configuration may have removed the route since the step was accepted. The
+  // step is taken over all the same: its results stay readable, and it can be
+  // ended. Only its items wait.
+  const Route* route = FindRolloutRoute(*routes, aRecord);
   const NodeIdentity& self = mNode.mIdentity;
   const std::string before = aRecord.mOwner;
   const std::string formerAddress = aRecord.mAddress;
@@ -290,7 +291,7 @@
     co_return spec.error();
   }
   const StepPtr step =
-      MakeStep(std::move(*spec), *route, aRecord, done->mRevision);
+      MakeStep(std::move(*spec), route, aRecord, done->mRevision);
   step->mTracker.Restore(*listed);
   step->mListed = std::move(*listed);
   step->mNextPart = stored->mNext;
@@ -307,6 +308,7 @@
       .Number("restored_events", restoredEvents)
       .Number("with_disk", restoredFromDisk)
       .Number("with_owner", restoredFromOwner)
+      .Flag("has_route", step->mHasRoute)
       .Write();
   mNode.mMetrics.Count("steps_taken_over_total");
   if (handsOver) {
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -164,6 +164,10 @@
          since < mNode.mBounds.mCancel * kMaxVerifiedAgePercent / kPercent;
 }
 
+bool RolloutService::MayRun(RolloutStep& aStep, size_t aItem) const {
+  return aStep.mHasRoute && !ItemHeld(mNode, aStep, aItem);
+}
+
 bool RolloutService::StartNext(const StepPtr& aStep) {
   if (!aStep->mRunning || !MayStart(*aStep)) {
     return false;
@@ -185,13 +189,15 @@
     Launch(mNode.mIo, "score", ScoreItem(aStep, aPick.mItem));
     return true;
   }
-  if (ItemHeld(mNode, *aStep, aPick.mItem)) {
+  if (!MayRun(*aStep, aPick.mItem)) {
     // The other items of the step continue without this one.
     aStep->mTracker.Defer(aPick.mItem);
-    Event("item-held")
-        .Id(aStep->mTracker.Item(aPick.mItem).mId)
-        .Text("step", aStep->Id())
-        .Write();
+    if (aStep->mHasRoute) {
+      Event("item-held")
+          .Id(aStep->mTracker.Item(aPick.mItem).mId)
+          .Text("step", aStep->Id())
+          .Write();
+    }
     return true;
   }
   const std::optional<std::string> replica = ChooseReplica(*aStep, aPick);
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -22,6 +22,10 @@
 constexpr Millis kVerifyInterval{1500};
 /// When unfinished items are given up if the route sets no longest wait.
 constexpr Millis kDefaultMaxWait{60000};
+/// Shortest wait of a step's items for a route that the configuration does not
+/// have. A host may be some seconds behind the configuration that added the
+/// route, and the route's own longest wait is unknown.
+constexpr Millis kRouteReturnTimeout{10000};
 /// Texts kept for groups of one account that may be submitted again; enough for
 /// several steps.
 constexpr size_t kMaxCarried = 2000;
@@ -79,22 +83,25 @@
 
 RolloutService::~RolloutService() = default;
 
+const Route* FindRolloutRoute(const RouteTable& aRoutes,
+                              const StepRecord& aRecord) {
+  const Route* route = aRoutes.Find(aRecord.mHost, aRecord.mPath);
+  return route != nullptr && route->mKind == RequestKind::Rollout ? route
+                                                                  : nullptr;
+}
+
 RolloutService::StepPtr RolloutService::MakeStep(RolloutSpec aSpec,
-                                                 const Route& aRoute,
+                                                 const Route* aRoute,
                                                  StepRecord aRecord,
                                                  int64_t aRevision) {
-  RolloutTracker tracker(std::move(aSpec), aRoute.mAttempts,
-                         aRoute.mSingleVersion);
+  const Route route = aRoute != nullptr ? *aRoute : Route();
+  RolloutTracker tracker(std::move(aSpec), route.mAttempts,
+                         route.mSingleVersion);
   const std::string id = tracker.Spec().mId;
-  const Millis wait =
-      aRoute.mMaxWait > Millis(0) ? aRoute.mMaxWait : kDefaultMaxWait;
-  const Millis age(std::max<int64_t>(0, WallClockMs() - aRecord.mAcceptedMs));
   auto step = std::make_shared<RolloutStep>(
-      mNode.mIo, std::move(tracker), aRoute, std::move(aRecord), aRevision);
-  step->mGiveUpAt = mNode.Now() + wait - age;
-  if (aRoute.mDueIn > Millis(0)) {
-    step->mDueAt = mNode.Now() + aRoute.mDueIn - age;
-  }
+      mNode.mIo, std::move(tracker), route, std::move(aRecord), aRevision);
+  step->mHasRoute = aRoute != nullptr;
+  SetTimeLimits(*step);
   step->mVerifiedAt = mNode.Now();
   mSteps[id] = step;
   mRemoteOwners.erase(id);
@@ -104,6 +111,40 @@
   return step;
 }
 
+void RolloutService::SetTimeLimits(RolloutStep& aStep) const {
+  const Route& route = aStep.mRoute;
+  const Millis now = mNode.Now();
+  const Millis age(
+      std::max<int64_t>(0, WallClockMs() - aStep.mRecord.mAcceptedMs));
+  const Millis wait =
+      route.mMaxWait > Millis(0) ? route.mMaxWait : kDefaultMaxWait;
+  aStep.mGiveUpAt = now + wait - age;
+  if (!aStep.mHasRoute) {
+    aStep.mGiveUpAt = std::max(aStep.mGiveUpAt, now + kRouteReturnTimeout);
+  }
+  aStep.mDueAt.reset();
+  if (route.mDueIn > Millis(0)) {
+    aStep.mDueAt = now + route.mDueIn - age;
+  }
+}
+
+void RolloutService::AdoptRoute(RolloutStep& aStep) {
+  const auto routes = mNode.mRoutes.Read();
+  const Route* route = FindRolloutRoute(*routes, aStep.mRecord);
+  if (route == nullptr) {
+    return;
+  }
+  aStep.mRoute = *route;
+  aStep.mHasRoute = true;
+  aStep.mTracker.SetLimits(route->mAttempts, route->mSingleVersion);
+  SetTimeLimits(aStep);
+  Event("step-route-found")
+      .Id(aStep.Id())
+      .Text("route", route->mName)
+      .Number("config", routes->Version())
+      .Write();
+}
+
 asio::awaitable<Result<RolloutLocation>> RolloutService::Locate(std::string aId,
                                                                 bool aAdopt) {
   if (mAcceptances.contains(aId)) {
@@ -339,6 +380,9 @@
   bool verify = false;
   MoveFromLeavingReplicas();
   for (const StepPtr& step : RunningSteps()) {
+    if (!step->mHasRoute) {
+      AdoptRoute(*step);
+    }
     if (now > step->mGiveUpAt && !step->mTracker.AllEnded()) {
       Event("step-overdue")
           .Id(step->Id())
@@ -349,7 +393,7 @@
     verify = verify ||
              (step->mAccepted && now - step->mVerifiedAt > kVerifyInterval);
     step->mTracker.RequeueDeferred(
-        [&](size_t aItem) { return !ItemHeld(mNode, *step, aItem); });
+        [&](size_t aItem) { return MayRun(*step, aItem); });
     ScheduleFlush(step);
     ScheduleSpool(step);
     MoveFromSlowReplicas(step);
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -76,6 +76,10 @@
   CPPUNIT_TEST(ReplacedOwnerKeepsNoTexts);
   CPPUNIT_TEST(TextsOutliveAnOutageAndARestart);
   CPPUNIT_TEST(TakeoverWithoutARouteChangesNothing);
+  CPPUNIT_TEST(StepOfARemovedRouteStaysReadable);
+  CPPUNIT_TEST(StepDoesNotRunOnARouteOfAnotherKind);
+  CPPUNIT_TEST(StepRunsOnWhenItsRouteReturns);
+  CPPUNIT_TEST(StepOfARemovedRouteIsGivenUp);
   CPPUNIT_TEST(SubmissionAfterAnInterruptedTakeover);
   CPPUNIT_TEST(StoredResultsAreNotOverwritten);
   CPPUNIT_TEST(StoppingOwnerStillLists);
@@ -550,6 +554,83 @@
     CPPUNIT_ASSERT_EQUAL(revision, RecordRevision());
   }
 
+  /// Publishes a configuration without rollout routes.
+  void RemoveRolloutRoute(std::vector<Route> aRoutes = {}) {
+    Test().mNode.mRoutes.Publish(std::make_shared<const RouteTable>(
+        2, std::move(aRoutes), StepRoutes().Services(), ClientLimits()));
+  }
+  /// Accepts a step, lists its first result, and restarts the node with a
+  /// configuration that has no route for the step.
+  std::vector<RolloutResult> RestartWithoutRoute() {
+    mEngine.mScripts = {{}, {}};
+    mEngine.mScripts[1].mEventTime = Millis(20000);
+    Accept();
+    const std::vector<RolloutResult> before = Listed(1);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, before.size());
+    Restart("n1-again");
+    RemoveRolloutRoute();
+    return before;
+  }
+
+  /// Guards against results that had been read and can't be read any more: no
+  /// host took over a step whose route had been removed.
+  void StepOfARemovedRouteStaysReadable() {
+    const std::vector<RolloutResult> before = RestartWithoutRoute();
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    CPPUNIT_ASSERT(before == Read()->mResults);
+    CPPUNIT_ASSERT(Service().Body("s1", "i2").has_value());
+    Test().RunFor(Millis(300));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mEngine.mRequests.size());
+    CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
+    CPPUNIT_ASSERT(before == Read()->mResults);
+    Restart("n1-later");
+    RemoveRolloutRoute();
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    CPPUNIT_ASSERT(before == Read()->mResults);
+  }
+
+  /// Guards against items that run by a route of another kind, which matches
+  /// the step's path once the step's own route has been removed.
+  void StepDoesNotRunOnARouteOfAnotherKind() {
+    RestartWithoutRoute();
+    Route plain;
+    plain.mHost = "h";
+    plain.mPrefix = "/";
+    plain.mTargets = {{"engine", 1}};
+    RemoveRolloutRoute({plain});
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    Test().RunFor(Millis(300));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mEngine.mRequests.size());
+  }
+
+  /// Guards against items that wait for ever once their route is back.
+  void StepRunsOnWhenItsRouteReturns() {
+    const std::vector<RolloutResult> before = RestartWithoutRoute();
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    Test().RunFor(Millis(150));
+    Test().mNode.mRoutes.Publish(
+        std::make_shared<const RouteTable>(StepRoutes()));
+    const std::vector<RolloutResult> all = Listed(2);
+    CPPUNIT_ASSERT(before[0] == all[0]);
+    CPPUNIT_ASSERT(all[1].mEnd == RolloutEnd::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3"), all[1].mOutput);
+  }
+
+  /// Guards against a step that stays open for ever without its route.
+  void StepOfARemovedRouteIsGivenUp() {
+    RestartWithoutRoute();
+    StepRecord record =
+        *DecodeStepRecord(mWorld.mStore.Items().at(StepKey("s1")).mValue);
+    record.mAcceptedMs -= 3600 * 1000;
+    mWorld.mStore.Write(StepKey("s1"), EncodeStepRecord(record));
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    const Millis begun = Test().mNode.Now();
+    Test().RunFor(Millis(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Read()->mResults.size());
+    CPPUNIT_ASSERT(Listed(2)[1].mEnd == RolloutEnd::Terminated);
+    CPPUNIT_ASSERT(Test().mNode.Now() - begun > Millis(5000));
+  }
+
   void SubmissionAfterAnInterruptedTakeover() {
     Accept();
     const std::vector<RolloutResult> before = Listed(2);
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -58,7 +58,12 @@
   void Notify() { mChanged.cancel(); }
 
   RolloutTracker mTracker;
-  const Route mRoute;
+  /// As it was when the step was accepted or taken over. While mHasRoute is
+  /// false, it has no targets.
+  Route mRoute;
+  /// False if the configuration had no route for the step when it was taken
+  /// over. Its items wait until there is one again.
+  bool mHasRoute = true;
   StepRecord mRecord;
   int64_t mRevision;                   ///< of the record; guards every append
   std::vector<RolloutResult> mListed;  ///< results in the store, by position
