crash_table: an item that crashes hit by chance runs again

What callers saw: a step ran out of time with one item missing although slots were free.

Cause: CrashTable counted every crash within eight events of a run, and only a whole response, an operator or the hour cleared the count. The item had got further at each of the replicas, which a request that crashes them at one point can not.

Evidence: `request-suspected` with `crashes` 1, 2, 3, then `item-held`, with rising `events` in the `item-run` lines between them.

Fix: a record names the event that the response had reached. A run that delivers a further event clears it. A second kind of evidence for texts without a further event: if replicas are ended together from outside, the requests of one of them are all answered elsewhere, so that none of them was the cause; a record within a second of such a crash does not count. A request that crashes three replicas by itself is held after the third as before: no later event and no crash without a cause speaks for it (ItemThatCrashesAtOnePointIsHeld, SeveralBadRequestsStay- Held, testsuite/crashing). An operator's hold is kept through progress.

The twin: client streams that their clients resume were held in the same way; their events are counted now.

Tests: ItemThatGetsFurtherIsNotHeld and StreamThatGetsFurtherIsNotHeld fail if progress clears nothing (seen).

--- a/src/include/rillwall/crash_table.h
+++ b/src/include/rillwall/crash_table.h
@@ -19,6 +19,22 @@
 /// request is held only if three replicas in a row crashed while they ran it,
 /// without a response in between.
 ///
+/// Progress: a request that is answered by events resumes after the last event
+/// that was received. A replica that delivers a later event has survived the
+/// point at which an earlier replica crashed, so that the request did not cause
+/// that crash. This clears the earlier record (ClearBefore). A text that is hit
+/// by crashes of other origin is therefore held only if three replicas crash
+/// without one event more, while a request that crashes every replica at the
+/// same point is held after three.
+///
+/// Crashes without a cause among the requests: a crash whose requests have all
+/// been cleared was caused by none of them. A record that was made within
+/// kSameCauseSpan of such a crash of another replica, which did not run the
+/// request, does not count towards a hold: several replicas were ended together
+/// from outside. The hold of a harmless request therefore ends when the
+/// requests that ran elsewhere at that time have been answered. Where only a
+/// bad request crashes replicas, no crash is without a cause.
+///
 /// Limits: a record expires kRecordLifetime after it was made. A held request
 /// may then run again, which costs three more replicas if nothing has changed.
 /// Beyond kMaxRecords records, cleared records are evicted first, then records
@@ -35,6 +51,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,6 +71,10 @@
   int64_t mAtMs = 0;
   bool mCleared = false;     ///< the request has been answered since
   std::string mDescription;  ///< method, host and path, for operators
+  /// Events of the response that were received before the crash, including
+  /// those of earlier runs; kAllEvents: no later event clears the record.
+  int64_t mEvents = 0;
+  static constexpr int64_t kAllEvents = std::numeric_limits<int64_t>::max();
   bool operator==(const CrashRecord&) const = default;
 };
 
@@ -79,6 +100,9 @@
   /// request, and short enough that a request that was held by mistake is
   /// released automatically.
   static constexpr Millis kRecordLifetime{3600000};
+  /// Replicas that are ended together, for example with their rack, end within
+  /// this time.
+  static constexpr Millis kSameCauseSpan{1000};
   /// At some 200 bytes each, a small part of the 88 MB of the smallest host.
   static constexpr size_t kMaxRecords = 1024;
 
@@ -92,6 +116,11 @@
   /// operator decided so.
   /// \return number of records that were cleared
   size_t Clear(const RequestDigest& aRequest);
+  /// Clears the records of crashes before an event of a request's response,
+  /// because a replica has delivered that event.
+  /// \param aEvents number of the event
+  /// \return number of records that were cleared
+  size_t ClearBefore(const RequestDigest& aRequest, int64_t aEvents);
   /// Adds records from other hosts or from the store.
   /// \return the records that were new or newly cleared
   std::vector<CrashRecord> Merge(const std::vector<CrashRecord>& aRecords);
@@ -106,7 +135,8 @@
   size_t Crashes(const RequestDigest& aRequest) const;
   /// \return whether a request must not be run
   bool Held(const RequestDigest& aRequest) const {
-    return Crashes(aRequest) >= kCrashesToHold;
+    return Crashes(aRequest) >= kCrashesToHold &&
+           CountingTimes(aRequest).size() >= kCrashesToHold;
   }
   /// \return how long a request is still held; 0 if it is not held
   Millis HeldFor(const RequestDigest& aRequest, int64_t aNowMs) const;
@@ -134,6 +164,12 @@
     // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Key&) const = default;
   };
+  /// One crash of a replica.
+  struct Crash {
+    size_t mRecords = 0;
+    size_t mUncleared = 0;  ///< records that are not cleared
+    int64_t mAtMs = 0;      ///< time of the record that was added first
+  };
   struct Entry {
     CrashRecord mRecord;
     int64_t mNumber = 0;    ///< sequence number of its last change
@@ -148,10 +184,21 @@
   /// \param aLocal whether this host made the change
   /// \return whether that changed anything
   bool Apply(const CrashRecord& aRecord, bool aLocal);
+  /// Clears the records of a request that a predicate selects.
+  /// \return number of records that were cleared
+  template <class Predicate>
+  size_t ClearIf(const RequestDigest& aRequest, Predicate aSelects);
+  /// \return times of the records that count towards a hold of a request
+  std::vector<int64_t> CountingTimes(const RequestDigest& aRequest) const;
+  /// \return whether a replica that did not run the request crashed at about
+  /// the same time as the one of a record, and none of its requests was the
+  /// cause
+  bool CrashedWithoutCauseNear(const CrashRecord& aRecord) const;
   Entries::iterator Erase(Entries::iterator aAt);
   void Evict();
 
   Entries mRecords;
+  std::map<std::string, Crash> mCrashes;  ///< by replica
   int64_t mNumber = 0;
   size_t mSuspects = 0;  ///< records that are not cleared
 };
--- a/src/librillwall_coordination/crash_table.cpp
+++ b/src/librillwall_coordination/crash_table.cpp
@@ -1,6 +1,7 @@
 #include "rillwall/crash_table.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <tuple>
 
 namespace rillwall {
@@ -26,9 +27,14 @@
   }
   if (added) {
     entry.mRecord = aRecord;
+    Crash& crash = mCrashes[aRecord.mReplica];
+    crash.mAtMs = crash.mRecords == 0 ? aRecord.mAtMs : crash.mAtMs;
+    ++crash.mRecords;
+    crash.mUncleared += aRecord.mCleared ? 0 : 1;
     mSuspects += aRecord.mCleared ? 0 : 1;
   } else {
     entry.mRecord.mCleared = true;
+    --mCrashes[aRecord.mReplica].mUncleared;
     --mSuspects;
   }
   entry.mNumber = ++mNumber;
@@ -47,10 +53,13 @@
   return changed;
 }
 
-size_t CrashTable::Clear(const RequestDigest& aRequest) {
+template <class Predicate>
+size_t CrashTable::ClearIf(const RequestDigest& aRequest, Predicate aSelects) {
   std::vector<CrashRecord> cleared;
   ForEachUnclearedRecord(aRequest, [&](const CrashRecord& aRecord) {
-    cleared.push_back(aRecord);
+    if (aSelects(aRecord)) {
+      cleared.push_back(aRecord);
+    }
   });
   for (CrashRecord& record : cleared) {
     record.mCleared = true;
@@ -62,6 +71,16 @@
   return cleared.size();
 }
 
+size_t CrashTable::Clear(const RequestDigest& aRequest) {
+  return ClearIf(aRequest, [](const CrashRecord&) { return true; });
+}
+
+size_t CrashTable::ClearBefore(const RequestDigest& aRequest, int64_t aEvents) {
+  return ClearIf(aRequest, [aEvents](const CrashRecord& aRecord) {
+    return aRecord.mEvents < aEvents;
+  });
+}
+
 std::vector<CrashRecord> CrashTable::Merge(
     const std::vector<CrashRecord>& aRecords) {
   std::vector<CrashRecord> changed;
@@ -75,7 +94,13 @@
 }
 
 CrashTable::Entries::iterator CrashTable::Erase(Entries::iterator aAt) {
-  mSuspects -= aAt->second.mRecord.mCleared ? 0 : 1;
+  const size_t uncleared = aAt->second.mRecord.mCleared ? 0 : 1;
+  mSuspects -= uncleared;
+  const auto crash = mCrashes.find(aAt->first.mReplica);
+  crash->second.mUncleared -= uncleared;
+  if (--crash->second.mRecords == 0) {
+    mCrashes.erase(crash);
+  }
   return mRecords.erase(aAt);
 }
 
@@ -106,12 +131,31 @@
   return count;
 }
 
-Millis CrashTable::HeldFor(const RequestDigest& aRequest,
-                           int64_t aNowMs) const {
+bool CrashTable::CrashedWithoutCauseNear(const CrashRecord& aRecord) const {
+  return std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aEntry) {
+    const auto& [replica, crash] = aEntry;
+    return crash.mUncleared == 0 &&
+           std::abs(crash.mAtMs - aRecord.mAtMs) <= kSameCauseSpan.Count() &&
+           !mRecords.contains({aRecord.mRequest, replica});
+  });
+}
+
+std::vector<int64_t> CrashTable::CountingTimes(
+    const RequestDigest& aRequest) const {
   std::vector<int64_t> times;
   ForEachUnclearedRecord(aRequest, [&](const CrashRecord& aRecord) {
-    times.push_back(aRecord.mAtMs);
+    // An operator's hold counts whatever has crashed.
+    if (aRecord.mEvents == CrashRecord::kAllEvents ||
+        !CrashedWithoutCauseNear(aRecord)) {
+      times.push_back(aRecord.mAtMs);
+    }
   });
+  return times;
+}
+
+Millis CrashTable::HeldFor(const RequestDigest& aRequest,
+                           int64_t aNowMs) const {
+  std::vector<int64_t> times = CountingTimes(aRequest);
   if (times.size() < kCrashesToHold) {
     return {};
   }
--- a/src/librillwall_coordination/crash_table_test.cpp
+++ b/src/librillwall_coordination/crash_table_test.cpp
@@ -17,6 +17,11 @@
   CPPUNIT_TEST(AnswerClears);
   CPPUNIT_TEST(ClearedStaysCleared);
   CPPUNIT_TEST(NewCrashesCountAfterAnAnswer);
+  CPPUNIT_TEST(LaterEventClears);
+  CPPUNIT_TEST(ProgressDoesNotClearAnOperatorsHold);
+  CPPUNIT_TEST(ReplicasThatEndTogetherHoldNothing);
+  CPPUNIT_TEST(SeveralBadRequestsStayHeld);
+  CPPUNIT_TEST(CrashesAtOtherTimesExcuseNothing);
   CPPUNIT_TEST(HeldUntilRecordsExpire);
   CPPUNIT_TEST(OldRecordsAreForgotten);
   CPPUNIT_TEST(ManyRecordsDoNotEvictHeldRequests);
@@ -91,6 +96,86 @@
     CPPUNIT_ASSERT(mTable.Held(DigestFor("/p")));
   }
 
+  CrashRecord RecordAt(const std::string& aReplica, int64_t aEvents) {
+    CrashRecord record = Record("/p", aReplica);
+    record.mEvents = aEvents;
+    return record;
+  }
+
+  /// Guards against a hold of a text that proceeds from crash to crash.
+  void LaterEventClears() {
+    const RequestDigest request = DigestFor("/p");
+    mTable.AddCrash(RecordAt("r1", 2));
+    mTable.AddCrash(Record("/q", "r1"));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mTable.ClearBefore(request, 2));
+    mTable.AddCrash(RecordAt("r2", 2));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mTable.ClearBefore(request, 3));
+    mTable.AddCrash(RecordAt("r3", 3));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mTable.Crashes(request));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mTable.Crashes(DigestFor("/q")));
+    // Without a later event, the third crash is the last one.
+    mTable.AddCrash(RecordAt("r4", 3));
+    mTable.ClearBefore(request, 3);
+    mTable.AddCrash(RecordAt("r5", 3));
+    CPPUNIT_ASSERT(mTable.Held(request));
+  }
+
+  void ProgressDoesNotClearAnOperatorsHold() {
+    for (const char* replica : {"r1", "r2", "r3"}) {
+      mTable.AddCrash(RecordAt(replica, CrashRecord::kAllEvents));
+    }
+    mTable.ClearBefore(DigestFor("/p"), 1000);
+    CPPUNIT_ASSERT(mTable.Held(DigestFor("/p")));
+    mTable.Clear(DigestFor("/p"));
+    CPPUNIT_ASSERT(!mTable.Held(DigestFor("/p")));
+  }
+
+  /// Guards against the hold of a harmless request when many replicas are ended
+  /// from outside, again and again.
+  void ReplicasThatEndTogetherHoldNothing() {
+    const RequestDigest request = DigestFor("/p");
+    for (int round = 0; round < 3; ++round) {
+      const std::string number = std::to_string(round);
+      const int64_t at = 10000 + 5000 * round;
+      mTable.AddCrash(Record("/p", "a" + number, at));
+      mTable.AddCrash(Record("/q" + number, "b" + number, at + 40));
+    }
+    CPPUNIT_ASSERT(mTable.Held(request));
+    mTable.Clear(DigestFor("/q0"));
+    CPPUNIT_ASSERT(!mTable.Held(request));
+    CPPUNIT_ASSERT(mTable.HeldFor(request, 20000) == Millis(0));
+    mTable.Clear(DigestFor("/q1"));
+    mTable.Clear(DigestFor("/q2"));
+    // Crashes under the request alone count.
+    for (const char* replica : {"c0", "c1", "c2"}) {
+      CPPUNIT_ASSERT(!mTable.Held(request));
+      mTable.AddCrash(Record("/p", replica, 60000));
+    }
+    CPPUNIT_ASSERT(mTable.Held(request));
+  }
+
+  void SeveralBadRequestsStayHeld() {
+    for (const char* replica : {"r1", "r2", "r3", "r4", "r5", "r6"}) {
+      const bool first = *(replica + 1) < '4';
+      mTable.AddCrash(Record(first ? "/p" : "/q", replica));
+      mTable.AddCrash(Record(std::string("/harmless-") + replica, replica));
+      mTable.Clear(DigestFor(std::string("/harmless-") + replica));
+    }
+    CPPUNIT_ASSERT(mTable.Held(DigestFor("/p")));
+    CPPUNIT_ASSERT(mTable.Held(DigestFor("/q")));
+  }
+
+  void CrashesAtOtherTimesExcuseNothing() {
+    Hold("/p", 10000);
+    mTable.AddCrash(Record("/q", "r4", 12000));
+    mTable.Clear(DigestFor("/q"));
+    CPPUNIT_ASSERT(mTable.Held(DigestFor("/p")));
+    // The evidence is gone when its records have expired.
+    mTable.AddCrash(Record("/q", "r5", 10500));
+    mTable.Clear(DigestFor("/q"));
+    CPPUNIT_ASSERT(!mTable.Held(DigestFor("/p")));
+  }
+
   void HeldUntilRecordsExpire() {
     const int64_t span = CrashTable::kRecordLifetime.Count();
     CPPUNIT_ASSERT(mTable.HeldFor(DigestFor("/p"), 0) == Millis(0));
--- a/src/librillwall_protocol/crash_record.cpp
+++ b/src/librillwall_protocol/crash_record.cpp
@@ -9,6 +9,7 @@
   object["at_ms"] = aRecord.mAtMs;
   object["cleared"] = aRecord.mCleared;
   object["what"] = aRecord.mDescription;
+  object["events"] = aRecord.mEvents;
   return object;
 }
 
@@ -25,6 +26,8 @@
   record.mAtMs = aReader.Int("at_ms");
   record.mCleared = aReader.Bool("cleared");
   record.mDescription = aReader.String("what", "");
+  // Hosts of older builds do not send the position.
+  record.mEvents = aReader.Int("events", CrashRecord::kAllEvents);
   return record;
 }
 
--- a/src/librillwall_protocol/shared_view_test.cpp
+++ b/src/librillwall_protocol/shared_view_test.cpp
@@ -55,6 +55,15 @@
     const RequestDigest digest(RequestParts{"POST", "h", "/p", "a", "body"});
     const CrashRecord record{digest, "i-1", 1000, true, "POST h/p"};
     CPPUNIT_ASSERT(record == *DecodeCrash(EncodeCrash(record)));
+    CrashRecord within = record;
+    within.mEvents = 17;
+    CPPUNIT_ASSERT(within == *DecodeCrash(EncodeCrash(within)));
+    within.mEvents = CrashRecord::kAllEvents;
+    CPPUNIT_ASSERT(within == *DecodeCrash(EncodeCrash(within)));
+    // A record of an older build is cleared by a whole response only.
+    const std::string older = R"({"request":")" + digest.Text() +
+                              R"(","replica":"i-1","at_ms":1,"cleared":false})";
+    CPPUNIT_ASSERT_EQUAL(CrashRecord::kAllEvents, DecodeCrash(older)->mEvents);
     CPPUNIT_ASSERT_EQUAL(CrashPrefix() + digest.Text() + "/i-1",
                          CrashKey(record));
     CPPUNIT_ASSERT(!DecodeCrash("{}"));
--- a/src/librillwall_rollout/crash_guard.cpp
+++ b/src/librillwall_rollout/crash_guard.cpp
@@ -39,6 +39,20 @@
       .Write();
 }
 
+/// Counts and logs that records of a request were cleared here.
+/// \param aCleared number of these records
+void ReportCleared(NodeContext& aNode, const RequestDigest& aRequest,
+                   std::string_view aId, size_t aCleared) {
+  if (aCleared == 0) {
+    return;
+  }
+  aNode.mMetrics.Count("crash_records_total", "outcome=\"cleared\"");
+  CrashRecord record;
+  record.mRequest = aRequest;
+  record.mCleared = true;
+  LogRecord(aNode, record, aId, "here");
+}
+
 }  // namespace
 
 std::optional<Error> ErrorIfHeld(const NodeContext& aNode,
@@ -66,9 +80,10 @@
 
 void RecordCrash(NodeContext& aNode, const RequestDigest& aRequest,
                  const Replica& aReplica, std::string_view aId,
-                 std::string aDescription) {
-  const CrashRecord record{aRequest, ReplicaIncarnation(aReplica),
-                           aNode.mTimeOfDay(), false, std::move(aDescription)};
+                 std::string aDescription, int64_t aEvents) {
+  const CrashRecord record{
+      aRequest, ReplicaIncarnation(aReplica), aNode.mTimeOfDay(),
+      false,    std::move(aDescription),      aEvents};
   if (aNode.mCrashes.AddCrash(record)) {
     aNode.mMetrics.Count("crash_records_total", "outcome=\"suspected\"");
     LogRecord(aNode, record, aId, "here");
@@ -78,25 +93,25 @@
 asio::awaitable<bool> RecordCrashIfEnded(NodeContext& aNode,
                                          RequestDigest aRequest,
                                          Replica aReplica, std::string aId,
-                                         std::string aDescription) {
+                                         std::string aDescription,
+                                         int64_t aEvents) {
   const bool ended = co_await ReplicaEnded(aNode, aReplica.mAddress);
   if (ended) {
-    RecordCrash(aNode, aRequest, aReplica, aId, std::move(aDescription));
+    RecordCrash(aNode, aRequest, aReplica, aId, std::move(aDescription),
+                aEvents);
   }
   co_return ended;
 }
 
 void ClearRequest(NodeContext& aNode, const RequestDigest& aRequest,
                   std::string_view aId) {
-  const size_t cleared = aNode.mCrashes.Clear(aRequest);
-  if (cleared == 0) {
-    return;
-  }
-  aNode.mMetrics.Count("crash_records_total", "outcome=\"cleared\"");
-  CrashRecord record;
-  record.mRequest = aRequest;
-  record.mCleared = true;
-  LogRecord(aNode, record, aId, "here");
+  ReportCleared(aNode, aRequest, aId, aNode.mCrashes.Clear(aRequest));
+}
+
+void ClearRequestBefore(NodeContext& aNode, const RequestDigest& aRequest,
+                        std::string_view aId, int64_t aEvents) {
+  ReportCleared(aNode, aRequest, aId,
+                aNode.mCrashes.ClearBefore(aRequest, aEvents));
 }
 
 void MergeCrashRecords(NodeContext& aNode,
--- a/src/librillwall_rollout/crash_guard.h
+++ b/src/librillwall_rollout/crash_guard.h
@@ -23,17 +23,19 @@
 /// so records the crash.
 /// \param aId identity of the attempt, for the log
 /// \param aDescription the request as DescribeRequest() gives it
+/// \param aEvents see CrashRecord::mEvents
 /// \return whether the replica has ended
 asio::awaitable<bool> RecordCrashIfEnded(NodeContext& aNode,
                                          RequestDigest aRequest,
                                          Replica aReplica, std::string aId,
-                                         std::string aDescription);
+                                         std::string aDescription,
+                                         int64_t aEvents = 0);
 
 /// Records that a replica ended under a request that this host sent there. The
 /// parameters are those of RecordCrashIfEnded().
 void RecordCrash(NodeContext& aNode, const RequestDigest& aRequest,
                  const Replica& aReplica, std::string_view aId,
-                 std::string aDescription);
+                 std::string aDescription, int64_t aEvents = 0);
 /// \return method, host and path of a request, for operators
 std::string DescribeRequest(const RequestParts& aParts);
 
@@ -41,6 +43,11 @@
 /// it.
 void ClearRequest(NodeContext& aNode, const RequestDigest& aRequest,
                   std::string_view aId);
+/// Clears a request's records of crashes before an event, as a replica has
+/// delivered that event.
+/// \param aEvents number of the event
+void ClearRequestBefore(NodeContext& aNode, const RequestDigest& aRequest,
+                        std::string_view aId, int64_t aEvents);
 
 /// Merges records that another host sent or that the store holds, and logs the
 /// new ones.
--- a/src/librillwall_rollout/item_hold_test.cpp
+++ b/src/librillwall_rollout/item_hold_test.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST_SUITE(ItemHoldTest);
   CPPUNIT_TEST(CrashIsRecordedForTheItem);
   CPPUNIT_TEST(CrashDuringALongRunIsNotRecorded);
+  CPPUNIT_TEST(ItemThatGetsFurtherIsNotHeld);
+  CPPUNIT_TEST(ItemThatCrashesAtOnePointIsHeld);
   CPPUNIT_TEST(HeldItemIsDeferred);
   CPPUNIT_TEST(ClearedItemRuns);
   CPPUNIT_TEST(CompletedItemIsCleared);
@@ -105,6 +107,56 @@
     CPPUNIT_ASSERT(!Crashes().HasSuspects());
   }
 
+  /// Runs an item of ten events at one replica after the other. Each of them
+  /// ends after some events, except for the last one.
+  /// \param aEndsAfter events that each of the first replicas delivers
+  /// \return number of requests to the last replica, and of the listed results
+  std::pair<size_t, size_t> RunAtReplicasThatEnd(
+      const std::vector<int64_t>& aEndsAfter) {
+    std::vector<std::unique_ptr<ScriptedReplica>> replicas;
+    RolloutSpec spec = Spec();
+    spec.mItems.resize(1);
+    const RequestDigest digest = ItemDigest(spec.mItems[0].mBody);
+    const Route route = *mTest.mNode.mRoutes.Read()->Find("h", "/r/");
+    mTest.mNode.mReplicas.Update({mScorer.Entry("scorer")}, false);
+    CPPUNIT_ASSERT(!mTest.Run(mService.Accept(spec, route, kBody)));
+    const auto add = [&](int64_t aEnd) -> ScriptedReplica& {
+      replicas.push_back(std::make_unique<ScriptedReplica>(
+          mWorld.mIo, "r" + std::to_string(replicas.size()), TestHeaders()));
+      replicas.back()->mEvents = 10;
+      replicas.back()->mDefaultScript.mEndsAfter = aEnd;
+      mTest.mNode.mReplicas.Update(
+          {mScorer.Entry("scorer"), replicas.back()->Entry("engine")}, false);
+      return *replicas.back();
+    };
+    for (const int64_t end : aEndsAfter) {
+      const int64_t before = Crashes().Number();
+      const ScriptedReplica& replica = add(end);
+      mTest.RunUntil([&] {
+        return replica.mRequests.size() == 1 && Crashes().Number() > before;
+      });
+      mTest.RunFor(Millis(50));
+    }
+    const ScriptedReplica& last = add(-1);
+    mTest.RunFor(Millis(500));
+    return {last.mRequests.size(), Results().size()};
+  }
+
+  /// Guards against a good item that is never run again: three replicas crashed
+  /// by chance while they ran it, each after later events than the one before.
+  void ItemThatGetsFurtherIsNotHeld() {
+    const auto [runs, results] = RunAtReplicasThatEnd({2, 1, 3});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, runs);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, results);
+    CPPUNIT_ASSERT(!Crashes().HasSuspects());
+  }
+
+  void ItemThatCrashesAtOnePointIsHeld() {
+    const auto [runs, results] = RunAtReplicasThatEnd({2, 0, 0});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, runs);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, results);
+  }
+
   void HeldItemIsDeferred() {
     AddCrashes(ItemDigest("bad"), 3);
     Accept();
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -20,9 +20,8 @@
 constexpr Millis kEventTimeout{1200};
 /// Pause of a model at a replica whose weights are older than listed.
 constexpr Millis kStaleWeightsPause{300};
-/// A request that ends replicas does so as it begins. After this many events a
-/// run is considered survived, and a later end has another cause. Texts have 23
-/// events on average.
+/// A request that ends replicas does so as it begins. After this many events of
+/// a run, the replica's end has another cause. Texts have 23 events on average.
 constexpr int64_t kSurvivalEvents = 8;
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
@@ -280,16 +279,19 @@
                                        size_t aItem, Replica aReplica,
                                        ItemRunEnd aEnd, int64_t aEvents) {
   const std::string& id = aStep.mTracker.Item(aItem).mId;
-  const bool survived = aEnd == ItemRunEnd::Whole || aEvents >= kSurvivalEvents;
-  if (survived && aNode.mCrashes.HasSuspects()) {
+  const int64_t reached = aStep.mTracker.Text(aItem).mEvents;
+  const bool whole = aEnd == ItemRunEnd::Whole;
+  if (whole && aNode.mCrashes.HasSuspects()) {
     ClearRequest(aNode, DigestOf(aStep, aItem), id);
+  } else if (aEvents > 0 && aNode.mCrashes.HasSuspects()) {
+    ClearRequestBefore(aNode, DigestOf(aStep, aItem), id, reached);
   }
-  if (survived || aEnd != ItemRunEnd::Closed) {
+  if (whole || aEvents >= kSurvivalEvents || aEnd != ItemRunEnd::Closed) {
     co_return false;
   }
-  co_return co_await RecordCrashIfEnded(aNode, DigestOf(aStep, aItem), aReplica,
-                                        id,
-                                        DescribeRequest(PartsOf(aStep, aItem)));
+  co_return co_await RecordCrashIfEnded(
+      aNode, DigestOf(aStep, aItem), aReplica, id,
+      DescribeRequest(PartsOf(aStep, aItem)), reached);
 }
 
 }  // namespace rillwall
--- a/src/librillwall_rollout/item_run.h
+++ b/src/librillwall_rollout/item_run.h
@@ -33,9 +33,9 @@
 /// \return whether an item may not run, because replicas ended under it
 bool ItemHeld(const NodeContext& aNode, RolloutStep& aStep, size_t aItem);
 
-/// Updates the crash records of an item after a run: records a crash if the
-/// replica ended as the run began, or clears the item if the replica survived
-/// the run.
+/// Updates the crash records of an item after a run: clears the records of
+/// crashes at events that the run has passed, all of them if the text is whole,
+/// and records a crash if the replica ended as the run began.
 /// \param aEvents number of events that the run delivered
 /// \return whether the replica has ended
 asio::awaitable<bool> RecordRunOutcome(NodeContext& aNode, RolloutStep& aStep,
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -300,7 +300,10 @@
   int64_t sent = 0;
   while (at < mEvents) {
     ++at;
-    if (sent == aScript.mBreakAfter) {
+    if (sent == aScript.mEndsAfter) {
+      mServer.Stop();
+    }
+    if (sent == aScript.mBreakAfter || sent == aScript.mEndsAfter) {
       aExchange.Abort();
       co_return;
     }
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -81,6 +81,7 @@
   int64_t mSkipEvent = -1;    ///< id of an event that is left out
   Millis mEventTime{1};       ///< between two events
   int64_t mVersionAt = -1;    ///< event at which the version increases by one
+  int64_t mEndsAfter = -1;    ///< events after which the process ends
 };
 
 /// An HTTP server on its own port that answers by script.
--- a/src/librillwall_rollout/suspects.cpp
+++ b/src/librillwall_rollout/suspects.cpp
@@ -53,7 +53,8 @@
     Replica placeholder;
     placeholder.mId = kOperatorRecordPrefix + std::to_string(i);
     placeholder.mStartedAtMs = now;
-    RecordCrash(aNode, aRequest, placeholder, {}, "held by an operator");
+    RecordCrash(aNode, aRequest, placeholder, {}, "held by an operator",
+                CrashRecord::kAllEvents);
   }
 }
 
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -6,6 +6,7 @@
 #include "hedged_try.h"
 #include "rillwall/event_log.h"
 #include "rillwall/load_probe.h"
+#include "rillwall/numbers.h"
 #include "rillwall/request_digest.h"
 #include "rillwall/request_gate.h"
 
@@ -240,6 +241,37 @@
   co_return result;
 }
 
+/// Counts the events of an event stream, without parsing their fields.
+class EventCounter {
+ public:
+  void Feed(std::string_view aPart) {
+    for (const char each : aPart) {
+      if (each == '\n') {
+        // An empty line ends an event.
+        mCount += mInEvent && mLineIsEmpty ? 1 : 0;
+        mInEvent = mInEvent && !mLineIsEmpty;
+        mLineIsEmpty = true;
+      } else if (each != '\r') {
+        mInEvent = true;
+        mLineIsEmpty = false;
+      }
+    }
+  }
+  int64_t Count() const { return mCount; }
+
+ private:
+  int64_t mCount = 0;
+  bool mInEvent = false;
+  bool mLineIsEmpty = true;
+};
+
+/// \return number of events that the client of a stream has received before
+int64_t EventsBefore(const CallRun& aRun) {
+  const std::string* last =
+      aRun.mCall.mRequest.Find(aRun.mNode.mHeaders.mLastEvent);
+  return last == nullptr ? 0 : ParseNumber(*last).value_or(0);
+}
+
 /// Passes a replica's stream through, and updates the crash records when it
 /// ends.
 class WatchedStream final : public HttpStream {
@@ -251,16 +283,25 @@
         mDigest(DigestOf(aRun)),
         mDescription(DescribeRequest(PartsOf(aRun.mCall))),
         mReplica(aReplica),
+        mEventsBefore(EventsBefore(aRun)),
         mStream(std::move(aStream)) {}
   const HttpResponse& Head() const override { return mStream->Head(); }
   void Abort() override { mStream->Abort(); }
   asio::awaitable<Result<std::string>> Read(Millis aWait) override {
     Result<std::string> part = co_await mStream->Read(aWait);
+    if (part) {
+      mEvents.Feed(*part);
+    }
     if (part && part->empty() && Head().mStatus < kFirstServerError) {
       ClearRequest(mNode, mDigest, mId);
     }
     if (!part && part.error().Kind() == ErrorKind::ConnectionLost) {
-      co_await RecordCrashIfEnded(mNode, mDigest, mReplica, mId, mDescription);
+      const int64_t reached = mEventsBefore + mEvents.Count();
+      if (mEvents.Count() > 0) {
+        ClearRequestBefore(mNode, mDigest, mId, reached);
+      }
+      co_await RecordCrashIfEnded(mNode, mDigest, mReplica, mId, mDescription,
+                                  reached);
     }
     co_return part;
   }
@@ -271,6 +312,8 @@
   const RequestDigest mDigest;
   const std::string mDescription;
   const Replica mReplica;
+  const int64_t mEventsBefore;
+  EventCounter mEvents;
   const std::unique_ptr<HttpStream> mStream;
 };
 
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(ErrorClearsNothing);
   CPPUNIT_TEST(EndWithinAStreamIsACrash);
   CPPUNIT_TEST(WholeStreamClearsTheRequest);
+  CPPUNIT_TEST(StreamThatGetsFurtherIsNotHeld);
   CPPUNIT_TEST(ErrorStatusMatchesTheRunState);
   CPPUNIT_TEST(ConnectionHeadersAreNotForwarded);
   CPPUNIT_TEST(LoadHeaderMayHaveMoreFields);
@@ -315,6 +316,26 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, Crashes());
   }
 
+  /// Guards against the hold of a stream whose replicas crash by chance: its
+  /// client resumes it, and each replica delivers later events.
+  void StreamThatGetsFurtherIsNotHeld() {
+    int64_t received = 0;
+    for (const char* name : {"a", "b", "c", "d"}) {
+      ScriptedReplica replica(mWorld.mIo, name, TestHeaders());
+      replica.mDefaultScript.mEndsAfter = 2;
+      mTest.mNode.mReplicas.Update({replica.Entry("s")}, false);
+      UpstreamCall call = CallOf(RequestKind::Streaming, 1);
+      call.mRequest.mHeaders.push_back(
+          {TestHeaders().mLastEvent, std::to_string(received)});
+      replica.mEvents = 100;
+      const auto answer = mTest.Run(CallUpstream(mTest.mNode, std::move(call)));
+      CPPUNIT_ASSERT(answer.has_value());
+      CPPUNIT_ASSERT(!ReadToEnd(*answer->mRest));
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, Crashes());
+      received += 2;
+    }
+  }
+
   void ErrorStatusMatchesTheRunState() {
     const Error unknown(ErrorKind::Overloaded, "x", RunState::Unknown);
     CPPUNIT_ASSERT_EQUAL(502, ErrorAnswer(unknown).mStatus);
