rollouts: a submission that is repeated at another host runs at one host

Cause: a submission runs while its record is being written to a store that does not answer. Its sender repeats it, and the repeat may reach another host, which can read no record and ran the same items.

Tests: RepeatedSubmissionRunsOnceDuringAnOutage, RepeatedSubmissionOfAnAcceptedStepRunsOnce and NewLeadCollectsTextsOfAn- UnwrittenStep fail if no host is asked (seen).

--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -82,6 +82,12 @@
   /// until it is opened.
   StepSpool mSpool;
 
+  /// Returns the addresses of the nodes that may run a step too: the lead, and
+  /// the nodes that accept steps in its place.
+  std::function<std::vector<std::string>()> mPeers = [] {
+    return std::vector<std::string>();
+  };
+
   /// Called for each step that this node starts to own, with the number of
   /// tokens that it is expected to generate.
   std::function<void(const RolloutSpec&, double)> mOnStep;
@@ -192,7 +198,8 @@
   using AcceptancePtr = std::shared_ptr<Acceptance>;
   AcceptancePtr MakeAcceptance(RolloutSpec aSpec, Route aRoute,
                                const std::string& aBody);
-  /// Starts the step if the store has not answered after a short delay.
+  /// Starts the step if the store has not answered after a short delay, and no
+  /// other node runs it.
   asio::awaitable<void> StartAfterDelay(AcceptancePtr aAcceptance);
   /// Writes the record until the store answers or nobody waits for it any more.
   asio::awaitable<void> CommitAcceptance(AcceptancePtr aAcceptance);
@@ -202,7 +209,8 @@
   asio::awaitable<std::optional<Result<int64_t>>> CommitOnce(
       AcceptancePtr aAcceptance);
   /// Starts the step unless it runs already.
-  void StartStep(const AcceptancePtr& aAcceptance);
+  /// \param aAwaitsTexts see RolloutStep::mAwaitsTexts
+  void StartStep(const AcceptancePtr& aAcceptance, bool aAwaitsTexts);
   /// Finishes an acceptance once the store has the record.
   /// \param aRevision of the record; 0 if another node wrote it
   /// \param aTook time since the record was first written
@@ -221,6 +229,27 @@
                                                int64_t aRevision);
   asio::awaitable<bool> IsHealthy(std::string aAddress);
 
+  /// A node that runs a step, or keeps its texts.
+  struct StepHolder {
+    std::string mAddress;
+    std::string mRun;
+  };
+  /// A question to several nodes that is under way.
+  struct HolderSearch;
+  /// Records that the store does not answer, or that this node leads now.
+  void RecordUnsettled();
+  /// \return whether a submission that is accepted now may run at another node
+  bool MayRunElsewhere() const;
+  /// Asks one node whether it holds a step.
+  asio::awaitable<void> AskHolder(std::shared_ptr<HolderSearch> aSearch,
+                                  std::string aAddress, std::string aId);
+  /// Asks all nodes that may run a step.
+  /// \return the first one that holds it, or nothing
+  asio::awaitable<std::optional<StepHolder>> FindHolder(std::string aId);
+  /// Takes the texts of an accepted step from the node that ran it before,
+  /// which stops its runs, and starts the other items.
+  asio::awaitable<void> CollectTexts(StepPtr aStep);
+
   /// \return whether the step of a record is handed over (HandsOverSteps)
   bool HandsOver(const StepRecord& aRecord) const;
   /// One question to an owner, shared by all its steps.
@@ -323,6 +352,8 @@
   Millis mVerifyEndedAt;                ///< end of the last check of all steps
   /// Of the key that marks takeovers from this process.
   int64_t mTakenRevision = 0;
+  /// When RecordUnsettled() was last called.
+  std::optional<Millis> mUnsettledAt;
   /// Texts, by item, of groups that were unfinished when their step ended.
   using CarriedTexts = std::map<std::string, RolloutText>;
   std::map<std::string, CarriedTexts> mCarried;  ///< by account
--- a/src/include/rillwall/step_handover.h
+++ b/src/include/rillwall/step_handover.h
@@ -41,6 +41,8 @@
   bool mReachesStore = false;    ///< the store has answered the node recently
   bool mLeaving = false;         ///< the stop signal has arrived
   std::set<std::string> mSteps;  ///< owned, accepted or taken over at present
+  /// Steps of which it has texts: that run here, or ran here a moment ago.
+  std::set<std::string> mHolding;
   /// The node runs an older build, of which only the health is known.
   bool mOlderBuild = false;
   bool operator==(const OwnerState&) const = default;
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -81,6 +81,9 @@
   /// \return the candidate that caches an ended step for all nodes, chosen by a
   /// hash of both names; nothing if no candidate is known
   std::optional<std::string> ArchiveHostOf(const std::string& aStep) const;
+  /// \return addresses of the other nodes that may run steps: the known lead,
+  /// and the advertised nodes, whose number is bounded
+  std::vector<std::string> PossibleOwners() const;
   /// \return whether this node knows weight versions
   bool KnowsVersions() const { return mListedAt || mMirrorVersions; }
   /// Asks the store who leads.
--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -5,6 +5,8 @@
 /// not answer. Its texts are then there after the outage; otherwise they would
 /// be started only after the trainer has waited for the whole outage. A
 /// submission that may have begun to run is never refused as "not run".
+/// step_holder.cpp keeps a submission that was repeated at another node from
+/// running at both.
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -33,6 +35,8 @@
 /// dropped. Senders submit again within a second, perhaps at another host.
 constexpr Millis kAbandonAfter{4000};
 constexpr Millis kTakeoverPoll{10};
+/// How often the other nodes are asked while one of them runs the step.
+constexpr Millis kHolderPoll{500};
 /// Stays below the store's limit of 1 MiB for a value.
 constexpr size_t kPartBytes = 700 * 1000;
 
@@ -139,9 +143,23 @@
 
 asio::awaitable<void> RolloutService::StartAfterDelay(
     AcceptancePtr aAcceptance) {
+  const std::string id = aAcceptance->mSpec.mId;
   co_await Sleep(mNode.mIo, kStartDelay);
-  if (!aAcceptance->mDone) {
-    StartStep(aAcceptance);
+  std::string known;
+  while (!aAcceptance->mDone) {
+    const std::optional<StepHolder> holder = co_await FindHolder(id);
+    if (aAcceptance->mDone) {
+      co_return;
+    }
+    if (!holder) {
+      StartStep(aAcceptance, false);
+      co_return;
+    }
+    if (holder->mAddress != known) {
+      known = holder->mAddress;
+      Event("step-runs-elsewhere").Id(id).Text("node", known).Write();
+    }
+    co_await Sleep(mNode.mIo, kHolderPoll);
   }
 }
 
@@ -196,6 +214,7 @@
   const Error& error = done.error();
   aAcceptance->mMayBeCommitted =
       aAcceptance->mMayBeCommitted || error.Kind() != ErrorKind::KvUnavailable;
+  RecordUnsettled();
   Event("accept-retry")
       .Id(aAcceptance->mSpec.mId)
       .Text("why", error.Detail())
@@ -203,13 +222,15 @@
   co_return std::nullopt;
 }
 
-void RolloutService::StartStep(const AcceptancePtr& aAcceptance) {
+void RolloutService::StartStep(const AcceptancePtr& aAcceptance,
+                               bool aAwaitsTexts) {
   if (aAcceptance->mStep) {
     return;
   }
   const StepPtr step = MakeStep(aAcceptance->mSpec, &aAcceptance->mRoute,
                                 aAcceptance->mRecord, 0);
   step->mAccepted = false;
+  step->mAwaitsTexts = aAwaitsTexts;
   aAcceptance->mStep = step;
   ResumeCarriedTexts(*step);
   StartReadyItems();
@@ -241,7 +262,8 @@
     return;
   }
   const bool ran = aAcceptance->mStep != nullptr;
-  StartStep(aAcceptance);
+  const bool elsewhere = MayRunElsewhere();
+  StartStep(aAcceptance, elsewhere);
   const StepPtr& step = aAcceptance->mStep;
   step->mRevision = aRevision;
   step->mAccepted = true;
@@ -261,6 +283,9 @@
               (step->mDueAt.value_or(mNode.Now()) - mNode.Now()).Count())
       .Write();
   mNode.mMetrics.Count("steps_accepted_total");
+  if (elsewhere) {
+    Launch(mNode.mIo, "collect-texts", CollectTexts(step));
+  }
   ScheduleFlush(step);
 }
 
@@ -277,6 +302,7 @@
   if (found != mSteps.end() && found->second == step) {
     mSteps.erase(found);
   }
+  KeepFormerStep(step);
 }
 
 }  // namespace rillwall
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -341,6 +341,7 @@
 }
 
 asio::awaitable<void> RolloutService::AdoptOrphans(std::string aGone) {
+  RecordUnsettled();
   while (mNode.mRoutes.Read()->Version() == 0 && !mNode.mStopping) {
     // A process that has just started learns the routes within a few ms.
     co_await Sleep(mNode.mIo, kRoutesPoll);
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -160,8 +160,10 @@
   // have ended.
   const bool away = mVerifyFailure.has_value() && !VerifyFailureIsOld(aStep);
   const Millis since = mNode.Now() - aStep.mVerifiedAt;
-  return !aStep.mAccepted || away ||
-         since < mNode.mBounds.mCancel * kMaxVerifiedAgePercent / kPercent;
+  const bool confirmed =
+      !aStep.mAccepted || away ||
+      since < mNode.mBounds.mCancel * kMaxVerifiedAgePercent / kPercent;
+  return confirmed && !aStep.mAwaitsTexts;
 }
 
 bool RolloutService::MayRun(RolloutStep& aStep, size_t aItem) const {
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -69,8 +69,10 @@
   std::vector<RolloutResult> mListed;  ///< results in the store, by position
   /// The target was reached when results were last written.
   bool mTargetReachedAtLastWrite = false;
-  bool mRunning = true;    ///< owned here and not ended
-  bool mAccepted = true;   ///< the store holds the step's record
+  bool mRunning = true;   ///< owned here and not ended
+  bool mAccepted = true;  ///< the store holds the step's record
+  /// Items wait while texts are fetched from another node that ran the step.
+  bool mAwaitsTexts = false;
   bool mFlushing = false;  ///< results or texts are being written
   /// The store may or may not hold the last page.
   bool mWriteUncertain = false;
--- a/src/librillwall_rollout/rollout_verify.cpp
+++ b/src/librillwall_rollout/rollout_verify.cpp
@@ -65,6 +65,7 @@
   const Result<std::optional<StoreItem>> taken =
       co_await mNode.mStore.Get(TakeoverKey(mNode.mIdentity.mRun));
   if (!taken) {
+    RecordUnsettled();
     co_return taken.error();
   }
   const int64_t revision = *taken ? (*taken)->mRevision : 0;
--- a/src/librillwall_rollout/step_handover.cpp
+++ b/src/librillwall_rollout/step_handover.cpp
@@ -66,16 +66,21 @@
   return request;
 }
 
-std::string EncodeState(const OwnerState& aState) {
-  json::array steps;
-  for (const std::string& step : aState.mSteps) {
-    steps.emplace_back(step);
+json::array ToJson(const std::set<std::string>& aNames) {
+  json::array names;
+  for (const std::string& name : aNames) {
+    names.emplace_back(name);
   }
+  return names;
+}
+
+std::string EncodeState(const OwnerState& aState) {
   json::object body;
   body["run"] = aState.mRun;
   body["reaches_store"] = aState.mReachesStore;
   body["leaving"] = aState.mLeaving;
-  body["steps"] = std::move(steps);
+  body["steps"] = ToJson(aState.mSteps);
+  body["holding"] = ToJson(aState.mHolding);
   return json::serialize(body);
 }
 
@@ -92,6 +97,12 @@
   for (std::string& step : reader.Strings("steps")) {
     state.mSteps.insert(std::move(step));
   }
+  // Nodes of older builds do not send this field.
+  if (reader.Has("holding")) {
+    for (std::string& step : reader.Strings("holding")) {
+      state.mHolding.insert(std::move(step));
+    }
+  }
   if (reader.Failed()) {
     return reader.Failure();
   }
@@ -105,9 +116,6 @@
   if (aRequest.mRun != aRun) {
     return "the request names another process of this node";
   }
-  if (!aStep.mAccepted) {
-    return "the step is being accepted";
-  }
   if (aRequest.mRevision <= aStep.mRevision) {
     return "the request names no newer record of the step";
   }
@@ -250,6 +258,12 @@
   state.mLeaving = mNode.mStopping;
   for (const auto& [id, step] : mSteps) {
     state.mSteps.insert(id);
+    state.mHolding.insert(id);
+  }
+  for (const auto& [id, former] : mFormerSteps) {
+    if (!former.mHandedOver) {
+      state.mHolding.insert(id);
+    }
   }
   for (const auto& [id, acceptance] : mAcceptances) {
     state.mSteps.insert(id);
@@ -305,8 +319,13 @@
 
 void RolloutService::KeepFormerStep(const StepPtr& aStep) {
   const auto routes = mNode.mRoutes.Read();
-  if (aStep->mAccepted && HandsOverSteps(*routes, &aStep->mRoute)) {
-    mFormerSteps[aStep->Id()] = {aStep, mNode.Now(), false};
+  // Another node that accepts the step fetches its texts on every route.
+  if (aStep->mAccepted && !HandsOverSteps(*routes, &aStep->mRoute)) {
+    return;
+  }
+  FormerStep& former = mFormerSteps[aStep->Id()];
+  if (former.mStep != aStep) {
+    former = {aStep, mNode.Now(), false};
   }
 }
 
--- a/src/librillwall_rollout/step_handover_test.cpp
+++ b/src/librillwall_rollout/step_handover_test.cpp
@@ -178,6 +178,11 @@
   CPPUNIT_TEST(BothHostsLoseTheStore);
   CPPUNIT_TEST(EndedStepRunsNothingAtTheOldOwner);
   CPPUNIT_TEST(UnrankedRoutesAreHandledAsBefore);
+  CPPUNIT_TEST(RepeatedSubmissionRunsOnceDuringAnOutage);
+  CPPUNIT_TEST(RepeatedSubmissionOfAnAcceptedStepRunsOnce);
+  CPPUNIT_TEST(NewLeadCollectsTextsOfAnUnwrittenStep);
+  CPPUNIT_TEST(TextsOfADiscardedStepAreKept);
+  CPPUNIT_TEST(SubmissionRunsIfItsHolderIsFrozen);
   CPPUNIT_TEST_SUITE_END();
 
   TestWorld mWorld;
@@ -484,6 +489,98 @@
     CheckListed(mNew);
     CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, Regenerated());
   }
+
+  /// Lets the hosts know each other.
+  void Connect() {
+    mOld.mService.mPeers = [this] {
+      return std::vector{mNew.mNode.mIdentity.mAddress};
+    };
+    mNew.mService.mPeers = [this] {
+      return std::vector{mOld.mNode.mIdentity.mAddress};
+    };
+  }
+  std::optional<Error> Submit(Host& aHost) {
+    const Route route = *aHost.mNode.mRoutes.Read()->Find("h", "/r/");
+    return Run(aHost.mService.Accept(Spec(), route, kBody));
+  }
+
+  /// Guards against a submission that two hosts run while the store is away:
+  /// its sender repeats it at the other host, and there is no record of it yet.
+  void RepeatedSubmissionRunsOnceDuringAnOutage() {
+    Connect();
+    mOld.mPath.mCut = true;
+    mNew.mPath.mCut = true;
+    CPPUNIT_ASSERT(Submit(mOld));
+    CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, mEngine.mRequests.size());
+    CPPUNIT_ASSERT(Submit(mNew));
+    CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, mEngine.mRequests.size());
+    // The store answers one host a moment earlier than the other.
+    mNew.mPath.mCut = false;
+    CheckListed(mNew);
+    mOld.mPath.mCut = false;
+    RunFor(600);
+    CPPUNIT_ASSERT(!mOld.mService.Owns("s1"));
+    CPPUNIT_ASSERT(mNew.mService.Owns("s1"));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Regenerated());
+    CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, mScorer.mRequests.size());
+  }
+
+  /// Guards against a step that runs again at a host to which its sender
+  /// repeats it during an outage, as the acknowledgement was lost.
+  void RepeatedSubmissionOfAnAcceptedStepRunsOnce() {
+    Connect();
+    AcceptAndCut();
+    mNew.mPath.mCut = true;
+    CompleteTexts();
+    CPPUNIT_ASSERT(Submit(mNew));
+    CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, mEngine.mRequests.size());
+    mNew.mPath.mCut = false;
+    RunFor(600);
+    CPPUNIT_ASSERT(!mNew.mService.Owns("s1"));
+    mOld.mPath.mCut = false;
+    CheckListed(mOld);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Regenerated());
+  }
+
+  /// Guards against texts that a new lead generates again: the former lead runs
+  /// the step, and the store answers the new lead only.
+  void NewLeadCollectsTextsOfAnUnwrittenStep() {
+    Connect();
+    mOld.mPath.mCut = true;
+    CPPUNIT_ASSERT(Submit(mOld));
+    Adopt();
+    RunFor(50);
+    CPPUNIT_ASSERT(!Submit(mNew));
+    CheckListed(mNew);
+    CPPUNIT_ASSERT(!mOld.mService.Owns("s1"));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Regenerated());
+  }
+
+  /// A host that learns of another host's record keeps its texts for that host
+  /// for a moment.
+  void TextsOfADiscardedStepAreKept() {
+    mOld.mPath.mCut = true;
+    CPPUNIT_ASSERT(Submit(mOld));
+    CompleteTexts();
+    CPPUNIT_ASSERT(!Submit(mNew));
+    mOld.mPath.mCut = false;
+    RunUntil([&] { return !mOld.mService.Owns("s1"); });
+    CPPUNIT_ASSERT(mOld.mService.State().mHolding.contains("s1"));
+    const auto parts = mOld.mService.HandOver({"s1", "old-run", 99, "a"});
+    CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, parts->size());
+    CPPUNIT_ASSERT(!mOld.mService.State().mHolding.contains("s1"));
+  }
+
+  void SubmissionRunsIfItsHolderIsFrozen() {
+    Connect();
+    mOld.mPath.mCut = true;
+    CPPUNIT_ASSERT(Submit(mOld));
+    mOld.mFault = HostFault::Frozen;
+    Adopt();
+    CPPUNIT_ASSERT(!Submit(mNew));
+    CheckListed(mNew);
+    CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, Regenerated());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StepHandoverTest);
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -292,6 +292,18 @@
   return host == candidates.end() ? std::nullopt : std::optional(*host);
 }
 
+std::vector<std::string> ViewExchange::PossibleOwners() const {
+  std::set<std::string> addresses;
+  for (const NodeEntry& node : mNodes.Advertised()) {
+    addresses.insert(node.mAddress);
+  }
+  if (mLead.Known()) {
+    addresses.insert(mLead.Known()->mAddress);
+  }
+  addresses.erase(mNode.mIdentity.mAddress);
+  return {addresses.begin(), addresses.end()};
+}
+
 asio::awaitable<void> ViewExchange::LookUp() {
   // All hosts look up the lead when they start, so the first read may be stale,
   // which costs the store less. A lead that it did not find, or that has
