lead_claim: the mark of the ordering host is repeated after a pause

Cause: the time until orders are allowed was clamped to 1 ms, also when it had passed and the mark had failed.

Fix: once orders are due, a mark that was not written is repeated after kRetryPause (200 ms), as other refused calls of the claim.

Test: RefusedMarkIsRepeatedAfterAPause fails with the old pause (seen) and passes.

--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -101,6 +101,9 @@
   asio::awaitable<std::optional<ClaimState>> ClaimIfFree();
   /// Waits for the renewal interval, then renews the claim.
   asio::awaitable<void> Hold();
+  /// \return time until the claim is renewed, or its holder is marked as the
+  /// ordering host, again
+  Millis HoldPause() const;
   /// Claims if nobody holds the claim, else waits until it changes.
   asio::awaitable<void> AwaitAndClaim();
   /// Watches the claim's key. Returns when the claim must be read again.
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -96,13 +96,19 @@
   if (!mOrderingHostRecorded && mNode.Now() >= mMayOrderFrom) {
     co_await RecordOrderingHost();
   }
-  const Millis untilOrders = std::max(Millis(1), mMayOrderFrom - mNode.Now());
-  co_await Sleep(mNode.mIo, mOrderingHostRecorded
-                                ? kRenewInterval
-                                : std::min(kRenewInterval, untilOrders));
+  co_await Sleep(mNode.mIo, HoldPause());
   co_await Renew();
 }
 
+Millis LeadClaim::HoldPause() const {
+  if (mOrderingHostRecorded) {
+    return kRenewInterval;
+  }
+  const Millis untilOrders = mMayOrderFrom - mNode.Now();
+  return untilOrders > Millis(0) ? std::min(kRenewInterval, untilOrders)
+                                 : kRetryPause;
+}
+
 asio::awaitable<void> LeadClaim::RecordOrderingHost() {
   StoreChange change;
   change.mGuards.push_back(Guard());
--- a/src/librillwall_rollout/lead_claim_test.cpp
+++ b/src/librillwall_rollout/lead_claim_test.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(LiveClaimIsNotTaken);
   CPPUNIT_TEST(UnreachableStoreStopsOrders);
   CPPUNIT_TEST(SuspendedHolderGivesNoOrder);
+  CPPUNIT_TEST(RefusedMarkIsRepeatedAfterAPause);
   CPPUNIT_TEST(HolderIsRead);
   CPPUNIT_TEST(OrdersCarryFenceAndSequence);
   CPPUNIT_TEST(LostOrderIsReadBackAndRepeated);
@@ -274,6 +275,23 @@
     mTest.RunUntil([&] { return mOne.MayOrder(); });
   }
 
+  /// Guards against hundreds of calls to a store that refuses them: the holder
+  /// repeated its mark of the last ordering host without a pause.
+  void RefusedMarkIsRepeatedAfterAPause() {
+    mWorld.mStore.Write("rillwall/lead-last", "another host");
+    Launch(mTest.mIo, "one", mOne.Run());
+    mTest.RunUntil([&] { return mOne.Held(); });
+    mWorld.mStore.mFaults.assign(1000, StoreFault::Refused);
+    const auto tried = [&] { return 1000 - mWorld.mStore.mFaults.size(); };
+    mTest.RunUntil([&] { return tried() == 1; });
+    mTest.RunFor(Millis(1000));
+    CPPUNIT_ASSERT(tried() >= 3);
+    CPPUNIT_ASSERT(tried() <= 7);
+    CPPUNIT_ASSERT(!mOne.MayOrder());
+    mWorld.mStore.mFaults.clear();
+    mTest.RunUntil([&] { return mOne.MayOrder(); });
+  }
+
   void HolderIsRead() {
     CPPUNIT_ASSERT(!mTest.Run(mTwo.Holder())->has_value());
     Launch(mTest.mIo, "one", mOne.Run());
