rollouts: an end request that meets an outage takes effect after it

What callers saw: the end request of a step was answered 502 while the store was away, and its sender gave up.

Cause: End() stopped the step, failed to write its end and forgot it. The step stayed in memory, neither running nor ended.

Fix: the owner marks the record as ended as soon as the store answers, also if another node has taken the step over meanwhile: an end that is not acknowledged in time counts as made. The new owner learns of it by its takeover mark.

Tests: EndDuringAnOutageTakesEffect, EndDuringAnOutageStopsTheNextOwner.

--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -124,7 +124,10 @@
   /// has no such item
   std::optional<std::string> Body(const std::string& aId,
                                   const std::string& aItem) const;
-  /// Ends a step: stops its runs and marks its record as ended.
+  /// Ends a step: stops its runs and marks its record as ended. If the store
+  /// does not answer, the record is marked later.
+  /// \return nothing once the record says so; an error whose Run() is Unknown
+  /// if the step has stopped here and its record is not marked yet
   asio::awaitable<std::optional<Error>> End(std::string aId);
 
   /// Takes over all open steps whose owner does not answer. Where steps are
@@ -229,6 +232,15 @@
                                                int64_t aRevision);
   asio::awaitable<bool> IsHealthy(std::string aAddress);
 
+  /// \return the change that marks a step as ended
+  static StoreChange EndingChange(const RolloutStep& aStep,
+                                  const StepRecord& aRecord);
+  /// Moves a step whose record is marked as ended to the archives.
+  void CloseEnded(const StepPtr& aStep, const StepRecord& aRecord);
+  /// Marks the record of a stopped step as ended once the store answers, also
+  /// if another node has taken the step over meanwhile.
+  asio::awaitable<void> RepeatEnd(StepPtr aStep);
+
   /// A node that runs a step, or keeps its texts.
   struct StepHolder {
     std::string mAddress;
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -39,6 +39,9 @@
 constexpr size_t kMaxRemoteOwners = 4096;
 /// One change of the platform's store takes 32 entries.
 constexpr int64_t kMaxPartRemoves = 28;
+/// Pauses between two writes of the end of a step.
+constexpr Millis kFirstEndPause{100};
+constexpr Millis kLongestEndPause{800};
 
 /// \return the number of tokens that a step is expected to generate
 double WorkOf(const RolloutSpec& aSpec) {
@@ -309,17 +312,13 @@
   }
   StepRecord record = step->mRecord;
   record.mEnded = true;
-  StoreChange change;
-  change.mGuards.push_back({StepKey(aId), step->mRevision});
-  change.mPuts.push_back({StepKey(aId), EncodeStepRecord(record), 0});
-  // The remaining unfinished texts are of no further use. Those beyond the
-  // limit of one change are removed together with the step.
-  for (int64_t i = 0; i < std::min(step->mNextPart, kMaxPartRemoves); ++i) {
-    change.mRemoves.push_back(PartKey(aId, i));
-  }
   const Result<StoreCommit> done =
-      co_await mNode.mStore.Commit(std::move(change));
+      co_await mNode.mStore.Commit(EndingChange(*step, record));
   if (!done) {
+    if (!step->mEndPending) {
+      step->mEndPending = true;
+      Launch(mNode.mIo, "end", RepeatEnd(step));
+    }
     co_return done.error().WithRunState(RunState::Unknown);
   }
   const StoreItem* current =
@@ -332,22 +331,89 @@
                       "Another node serves the step now.");
     }
   }
-  step->mRecord = record;
-  mSpool.Remove(aId);
+  CloseEnded(step, record);
+  co_return std::nullopt;
+}
+
+StoreChange RolloutService::EndingChange(const RolloutStep& aStep,
+                                         const StepRecord& aRecord) {
+  const std::string& id = aStep.Id();
+  StoreChange change;
+  change.mGuards.push_back({StepKey(id), aStep.mRevision});
+  change.mPuts.push_back({StepKey(id), EncodeStepRecord(aRecord), 0});
+  // The remaining unfinished texts are of no further use. Those beyond the
+  // limit of one change are removed together with the step.
+  for (int64_t i = 0; i < std::min(aStep.mNextPart, kMaxPartRemoves); ++i) {
+    change.mRemoves.push_back(PartKey(id, i));
+  }
+  return change;
+}
+
+void RolloutService::CloseEnded(const StepPtr& aStep,
+                                const StepRecord& aRecord) {
+  const std::string& id = aStep->Id();
+  const auto found = mSteps.find(id);
+  if (found == mSteps.end() || found->second != aStep) {
+    return;
+  }
+  aStep->mRecord = aRecord;
+  mSpool.Remove(id);
+  const auto total = static_cast<int64_t>(aStep->mTracker.Total());
   Event("step-ended")
-      .Id(aId)
-      .Number("listed", static_cast<int64_t>(step->mListed.size()))
-      .Number("total", static_cast<int64_t>(step->mTracker.Total()))
+      .Id(id)
+      .Number("listed", static_cast<int64_t>(aStep->mListed.size()))
+      .Number("total", total)
       .Number("whole_groups",
-              static_cast<int64_t>(step->mTracker.WholeGroups()))
+              static_cast<int64_t>(aStep->mTracker.WholeGroups()))
       .Write();
-  CarryTexts(*step);
-  if (!step->mWriteUncertain) {
-    const auto total = static_cast<int64_t>(step->mTracker.Total());
-    mArchives.Add(aId, 0, total, step->mListed);
+  CarryTexts(*aStep);
+  if (!aStep->mWriteUncertain) {
+    mArchives.Add(id, 0, total, aStep->mListed);
   }
-  mSteps.erase(aId);
-  co_return std::nullopt;
+  mSteps.erase(found);
+}
+
+asio::awaitable<void> RolloutService::RepeatEnd(StepPtr aStep) {
+  const std::string key = StepKey(aStep->Id());
+  Millis pause = kFirstEndPause;
+  while (true) {
+    co_await Sleep(mNode.mIo, pause);
+    pause = std::min(kLongestEndPause, pause * 2);
+    const Result<std::optional<StoreItem>> item =
+        co_await mNode.mStore.Get(key);
+    if (!item) {
+      continue;
+    }
+    const Result<StepRecord> stored =
+        *item ? DecodeStepRecord((*item)->mValue)
+              : Error(ErrorKind::NotFound, "The step was removed.");
+    if (!stored) {
+      break;
+    }
+    const bool mine = (*item)->mRevision == aStep->mRevision;
+    StepRecord record = *stored;
+    record.mEnded = true;
+    if (!stored->mEnded) {
+      StoreChange change = EndingChange(*aStep, record);
+      change.mGuards = {{key, (*item)->mRevision}};
+      if (!mine) {
+        // The new owner learns in this way that it has lost the step.
+        change.mPuts.push_back(
+            {TakeoverKey(stored->mRun), std::to_string(WallClockMs()), 0});
+      }
+      const Result<StoreCommit> done =
+          co_await mNode.mStore.Commit(std::move(change));
+      if (!done || !done->mApplied) {
+        continue;
+      }
+    }
+    // If another node has owned the step or an answer was lost, the results
+    // here may not be all of them.
+    aStep->mWriteUncertain = aStep->mWriteUncertain || !mine;
+    CloseEnded(aStep, record);
+    co_return;
+  }
+  Release(aStep);
 }
 
 bool RolloutService::Owns(const std::string& aId) const {
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -70,6 +70,8 @@
   CPPUNIT_TEST(TakeoverMarksThePreviousOwner);
   CPPUNIT_TEST(EndStopsRuns);
   CPPUNIT_TEST(EndedStepStaysReadable);
+  CPPUNIT_TEST(EndDuringAnOutageTakesEffect);
+  CPPUNIT_TEST(EndDuringAnOutageStopsTheNextOwner);
   CPPUNIT_TEST(RestartedNodeTakesItsStepOver);
   CPPUNIT_TEST(NextOwnerResumesUnfinishedTexts);
   CPPUNIT_TEST(EndedStepLeavesNoUnfinishedTexts);
@@ -453,6 +455,52 @@
     CPPUNIT_ASSERT(Read(1)->mResults.at(0) == listed[1]);
   }
 
+  bool StoredAsEnded() {
+    const StoreItem item = mWorld.mStore.Items().at(StepKey("s1"));
+    return DecodeStepRecord(item.mValue)->mEnded;
+  }
+  /// Accepts a step, lists its first result, and ends it while the store is
+  /// away.
+  void EndDuringAnOutage() {
+    mEngine.mScripts = {{}, {}};
+    mEngine.mScripts[1].mEventTime = Millis(20000);
+    Accept();
+    Listed(1);
+    mWorld.mStore.mDown = true;
+    const std::optional<Error> failed = Test().Run(Service().End("s1"));
+    CPPUNIT_ASSERT(failed && failed->Run() == RunState::Unknown);
+    Test().RunFor(Millis(300));
+  }
+
+  /// Guards against a step that can neither be read nor ended: its sender had
+  /// given up, and the owner forgot the end request.
+  void EndDuringAnOutageTakesEffect() {
+    EndDuringAnOutage();
+    mWorld.mStore.mDown = false;
+    Test().RunUntil([&] { return StoredAsEnded(); });
+    Test().RunUntil([&] { return !Service().Owns("s1"); });
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Read()->mResults.size());
+    CPPUNIT_ASSERT(Read(1)->mResults.empty());
+    CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
+  }
+
+  /// Guards against items of an ended step that the next owner runs on.
+  void EndDuringAnOutageStopsTheNextOwner() {
+    EndDuringAnOutage();
+    StepRecord record =
+        *DecodeStepRecord(mWorld.mStore.Items().at(StepKey("s1")).mValue);
+    record.mRun = "next-run";
+    mWorld.mStore.Write(StepKey("s1"), EncodeStepRecord(record));
+    mWorld.mStore.mDown = false;
+    Test().RunUntil([&] { return StoredAsEnded(); });
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         mWorld.mStore.CountOf(TakeoverKey("next-run")));
+    Test().RunUntil([&] { return !Service().Owns("s1"); });
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Read()->mResults.size());
+  }
+
   void RestartedNodeTakesItsStepOver() {
     mEngine.mScripts = {{}, {}};
     mEngine.mScripts[1].mEventTime = Millis(3000);
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -74,6 +74,9 @@
   /// Items wait while texts are fetched from another node that ran the step.
   bool mAwaitsTexts = false;
   bool mFlushing = false;  ///< results or texts are being written
+  /// The step has stopped, and its record is marked as ended as soon as the
+  /// store answers.
+  bool mEndPending = false;
   /// The store may or may not hold the last page.
   bool mWriteUncertain = false;
   std::map<size_t, HttpStream*> mStreams;  ///< by item
