upstream_call: a refused non-idempotent request leaves its connection

Cause: a refused request is sent again with the same identity, often on the same connection. A repeated refusal on it is taken for the answer to the second request, as only the identity tells answers apart; the request then goes to the next replica while this one runs it.

Fix: Open() takes a predicate that decides by the response's head whether the connection may carry another call; non-idempotent calls close it after a refusal.

Test: RefusedNonIdempotentUsesAnotherConnection.

--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -211,11 +211,16 @@
   asio::awaitable<Result<HttpResponse>> Send(const Endpoint& aEndpoint,
                                              HttpRequest aRequest,
                                              Millis aTimeout);
+  /// Decides by the head of a response whether its connection may carry another
+  /// call.
+  using ReusePredicate = std::function<bool(const HttpResponse& aHead)>;
   /// Sends a request and returns once the headers of the response have arrived.
   /// \param aTimeout for connecting, sending and receiving the headers
+  /// \param aMayReuse empty: every complete response allows reuse
   /// \return the response, whose body is read part by part; errors as of Send()
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
-      const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout);
+      const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout,
+      ReusePredicate aMayReuse = nullptr);
   /// Checks whether an upstream still listens, by opening a new connection.
   /// Without TLS, the connection is kept for a later call.
   asio::awaitable<Listening> Probe(const Endpoint& aEndpoint, Millis aTimeout);
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -208,9 +208,23 @@
   return *id == aRun.mCall.mId;
 }
 
-bool IsRefusal(const CallRun& aRun, const HttpResponse& aHead) {
+bool IsRefusal(const NodeContext& aNode, const HttpResponse& aHead) {
   return aHead.mStatus == kMisdirected ||
-         aHead.Find(aRun.mNode.mHeaders.mNotRun) != nullptr;
+         aHead.Find(aNode.mHeaders.mNotRun) != nullptr;
+}
+
+/// \return a predicate that closes the connection of a refused non-idempotent
+/// request. The request is sent again with the same identity; a replica that
+/// repeats its refusal on the connection would seem to refuse that one too,
+/// while it runs it.
+HttpClient::ReusePredicate ReuseUnlessRefused(const CallRun& aRun) {
+  if (aRun.mCall.mKind != RequestKind::NonIdempotent) {
+    return nullptr;
+  }
+  // The stream may outlive the call.
+  return [&node = aRun.mNode](const HttpResponse& aHead) {
+    return !IsRefusal(node, aHead);
+  };
 }
 
 /// Reads a response's body, up to the size that is buffered whole.
@@ -329,8 +343,8 @@
     co_return result;
   }
   HttpRequest request = MakeTryRequest(aRun, aReplica.mId, left);
-  Result<std::unique_ptr<HttpStream>> opened =
-      co_await node.mClient.Open(*endpoint, std::move(request), limit);
+  Result<std::unique_ptr<HttpStream>> opened = co_await node.mClient.Open(
+      *endpoint, std::move(request), limit, ReuseUnlessRefused(aRun));
   if (!opened) {
     result.mEnd = EndOf(opened.error());
     result.mWhy = opened.error().Detail();
@@ -346,7 +360,7 @@
     co_return result;
   }
   ObserveLoad(node, aReplica.mId, head);
-  if (IsRefusal(aRun, head)) {
+  if (IsRefusal(node, head)) {
     result.mEnd = TryOutcome::Refused;
     result.mWhy = "refused with status " + std::to_string(head.mStatus);
     co_return result;
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(IdempotentGoesToAnotherReplica);
   CPPUNIT_TEST(NonIdempotentIsNotSentTwice);
   CPPUNIT_TEST(RefusedByAllIsNotRun);
+  CPPUNIT_TEST(RefusedNonIdempotentUsesAnotherConnection);
   CPPUNIT_TEST(AnswerOfAnotherRequestIsNotDelivered);
   CPPUNIT_TEST(SilentReplicaCostsOneTry);
   CPPUNIT_TEST(TimeoutIsNotARefusal);
@@ -196,6 +197,23 @@
     CPPUNIT_ASSERT(answer.error().Run() == RunState::NotRun);
   }
 
+  /// Guards against a non-idempotent request that runs twice: a replica repeats
+  /// its refusal on the connection on which the request is sent again, and the
+  /// repeated refusal is taken for the answer to that.
+  void RefusedNonIdempotentUsesAnotherConnection() {
+    mTest.mNode.mReplicas.Update({mOne.Entry("s")}, false);
+    for (const RequestKind kind :
+         {RequestKind::Idempotent, RequestKind::NonIdempotent}) {
+      Call(RequestKind::Idempotent, 1);  // leaves an idle connection
+      mOne.mScripts = {{503, true}, {}};
+      const uint64_t before = mTest.mNode.mClient.ConnectionsMade();
+      CPPUNIT_ASSERT_EQUAL(200, Call(kind, 1)->mHead.mStatus);
+      const uint64_t expected = kind == RequestKind::NonIdempotent ? 1 : 0;
+      CPPUNIT_ASSERT_EQUAL(expected,
+                           mTest.mNode.mClient.ConnectionsMade() - before);
+    }
+  }
+
   RequestDigest Digest() {
     const UpstreamCall call = CallOf(RequestKind::Idempotent, 1);
     return RequestDigest(
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -71,12 +71,14 @@
   /// Sends a request on a pooled or new connection and reads the head of the
   /// response.
   asio::awaitable<Result<std::unique_ptr<HttpClientCall>>> Begin(
-      const Endpoint& aEndpoint, const HttpRequest& aRequest, Millis aTimeout);
+      const Endpoint& aEndpoint, const HttpRequest& aRequest, Millis aTimeout,
+      ReusePredicate aMayReuse = nullptr);
   asio::awaitable<Result<HttpResponse>> Send(Endpoint aEndpoint,
                                              HttpRequest aRequest,
                                              Millis aTimeout);
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
-      Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout);
+      Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout,
+      ReusePredicate aMayReuse);
   /// Closes the idle connections to an endpoint after a request on a reused
   /// connection timed out. The idle ones may have stopped responding as well,
   /// and trying them one by one would cost a timeout each.
@@ -235,7 +237,7 @@
 
 asio::awaitable<Result<std::unique_ptr<HttpClientCall>>>
 HttpClient::Impl::Begin(const Endpoint& aEndpoint, const HttpRequest& aRequest,
-                        Millis aTimeout) {
+                        Millis aTimeout, ReusePredicate aMayReuse) {
   if (!ValidRequestLine(aRequest)) {
     co_return Error(ErrorKind::BadRequest,
                     "The request's method or target is not valid.");
@@ -252,8 +254,8 @@
     }
     connection = std::move(*made);
   }
-  auto call = std::make_unique<HttpClientCall>(shared_from_this(),
-                                               std::move(connection));
+  auto call = std::make_unique<HttpClientCall>(
+      shared_from_this(), std::move(connection), std::move(aMayReuse));
   std::optional<Error> error = co_await call->WriteRequest(aRequest);
   if (!error) {
     error = co_await call->ReadHead();
@@ -279,10 +281,11 @@
 }
 
 asio::awaitable<Result<std::unique_ptr<HttpStream>>> HttpClient::Impl::Open(
-    Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout) {
+    Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout,
+    ReusePredicate aMayReuse) {
   const std::shared_ptr<Impl> self = shared_from_this();
   Result<std::unique_ptr<HttpClientCall>> call =
-      co_await Begin(aEndpoint, aRequest, aTimeout);
+      co_await Begin(aEndpoint, aRequest, aTimeout, std::move(aMayReuse));
   if (!call) {
     co_return call.error();
   }
@@ -302,8 +305,10 @@
 }
 
 asio::awaitable<Result<std::unique_ptr<HttpStream>>> HttpClient::Open(
-    const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout) {
-  return mImpl->Open(aEndpoint, std::move(aRequest), aTimeout);
+    const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout,
+    ReusePredicate aMayReuse) {
+  return mImpl->Open(aEndpoint, std::move(aRequest), aTimeout,
+                     std::move(aMayReuse));
 }
 
 asio::awaitable<Listening> HttpClient::Probe(const Endpoint& aEndpoint,
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -23,9 +23,11 @@
 
 HttpClientCall::HttpClientCall(
     std::shared_ptr<HttpConnectionPool> aPool,
-    std::unique_ptr<HttpClientConnection> aConnection)
+    std::unique_ptr<HttpClientConnection> aConnection,
+    HttpClient::ReusePredicate aMayReuse)
     : mPool(std::move(aPool)),
       mConnection(std::move(aConnection)),
+      mMayReuse(std::move(aMayReuse)),
       mPeer(mConnection->mEndpoint.Text()) {}
 
 asio::awaitable<std::optional<Error>> HttpClientCall::WriteRequest(
@@ -204,9 +206,10 @@
   std::unique_ptr<HttpClientConnection> connection = std::move(mConnection);
   // Bytes after the end of the response could be taken for the response to the
   // next call.
-  const bool reusable = !mWriteFailed &&
-                        mParser->get().result_int() != kSwitchingProtocols &&
-                        mParser->keep_alive() && connection->mInput.size() == 0;
+  const bool reusable =
+      !mWriteFailed && mParser->get().result_int() != kSwitchingProtocols &&
+      mParser->keep_alive() && connection->mInput.size() == 0 &&
+      (!mMayReuse || mMayReuse(mHead));
   if (connection->mSocket.Deadline().Clear() && reusable) {
     mPool->Release(std::move(connection));
   }
--- a/src/librillwall_transport/http_client_connection.h
+++ b/src/librillwall_transport/http_client_connection.h
@@ -49,7 +49,8 @@
 class HttpClientCall final : public HttpStream {
  public:
   HttpClientCall(std::shared_ptr<HttpConnectionPool> aPool,
-                 std::unique_ptr<HttpClientConnection> aConnection);
+                 std::unique_ptr<HttpClientConnection> aConnection,
+                 HttpClient::ReusePredicate aMayReuse);
 
   /// Writes the request.
   /// \return an error only if no byte of it was written; after a partial write
@@ -88,6 +89,7 @@
 
   const std::shared_ptr<HttpConnectionPool> mPool;
   std::unique_ptr<HttpClientConnection> mConnection;
+  const HttpClient::ReusePredicate mMayReuse;
   std::string mPeer;
   std::optional<ResponseParser> mParser;
   HttpResponse mHead;
