rollouts: a missed question does not make a second host run a submission

Cause: the host that had found the holder of a submission asks again every 500 ms, and started the step as soon as one question found no holder.

Fix: a known holder counts as gone after four such questions in a row.

Test: LateHolderKeepsItsSubmission.

--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -37,6 +37,9 @@
 constexpr Millis kTakeoverPoll{10};
 /// How often the other nodes are asked while one of them runs the step.
 constexpr Millis kHolderPoll{500};
+/// A node that ran the step is considered gone after this many questions in a
+/// row without an answer. A busy node may be late for one of them.
+constexpr int kMaxHolderMisses = 4;
 /// Stays below the store's limit of 1 MiB for a value.
 constexpr size_t kPartBytes = 700 * 1000;
 
@@ -146,16 +149,18 @@
   const std::string id = aAcceptance->mSpec.mId;
   co_await Sleep(mNode.mIo, kStartDelay);
   std::string known;
+  int misses = 0;
   while (!aAcceptance->mDone) {
     const std::optional<StepHolder> holder = co_await FindHolder(id);
     if (aAcceptance->mDone) {
       co_return;
     }
-    if (!holder) {
+    misses = holder ? 0 : misses + 1;
+    if (!holder && (known.empty() || misses >= kMaxHolderMisses)) {
       StartStep(aAcceptance, false);
       co_return;
     }
-    if (holder->mAddress != known) {
+    if (holder && holder->mAddress != known) {
       known = holder->mAddress;
       Event("step-runs-elsewhere").Id(id).Text("node", known).Write();
     }
--- a/src/librillwall_rollout/step_handover_test.cpp
+++ b/src/librillwall_rollout/step_handover_test.cpp
@@ -183,6 +183,7 @@
   CPPUNIT_TEST(NewLeadCollectsTextsOfAnUnwrittenStep);
   CPPUNIT_TEST(TextsOfADiscardedStepAreKept);
   CPPUNIT_TEST(SubmissionRunsIfItsHolderIsFrozen);
+  CPPUNIT_TEST(LateHolderKeepsItsSubmission);
   CPPUNIT_TEST_SUITE_END();
 
   TestWorld mWorld;
@@ -571,6 +572,21 @@
     CPPUNIT_ASSERT(!mOld.mService.State().mHolding.contains("s1"));
   }
 
+  /// Guards against a submission that a second host starts, as the host that
+  /// runs it was late for one question.
+  void LateHolderKeepsItsSubmission() {
+    Connect();
+    mOld.mPath.mCut = true;
+    mNew.mPath.mCut = true;
+    CPPUNIT_ASSERT(Submit(mOld));
+    CPPUNIT_ASSERT(Submit(mNew));
+    mOld.mFault = HostFault::Frozen;
+    RunFor(900);
+    mOld.mFault = HostFault::None;
+    RunFor(800);
+    CPPUNIT_ASSERT_EQUAL(size_t{kTexts}, mEngine.mRequests.size());
+  }
+
   void SubmissionRunsIfItsHolderIsFrozen() {
     Connect();
     mOld.mPath.mCut = true;
