--- a/src/include/rillwall/crash_record.h
+++ b/src/include/rillwall/crash_record.h
@@ -18,6 +18,9 @@
 
 namespace rillwall {
 
+/// \return the name of a standing in JSON and in the log
+const char* NameOf(CrashStanding aStanding);
+
 json::object ToJson(const CrashRecord& aRecord);
 /// Reads a record; errors are reported through aReader.
 CrashRecord CrashFromJson(JsonReader& aReader);
--- a/src/include/rillwall/crash_table.h
+++ b/src/include/rillwall/crash_table.h
@@ -6,43 +6,51 @@
 /// retry it at any host. The records therefore outlive the attempt in which a
 /// host made them, and hosts share them (CrashSync, ViewExchange). A record
 /// names one request and one replica that crashed while it ran it. Records are
-/// only added or marked as cleared, and a cleared record stays cleared. Hosts
-/// that received the same records are therefore in the same state, in whatever
-/// order they received them, and a host that returns with old records reverts
-/// nothing.
+/// only added, or raised in their standing (CrashStanding), which never falls.
+/// Hosts that received the same records are therefore in the same state, in
+/// whatever order they received them, and a host that returns with old records
+/// reverts nothing.
 ///
 /// Suspects: all requests that ran at a replica when it crashed are suspects,
 /// including those that did not cause the crash. Suspects are still run. The
-/// first complete response to a suspect, at any host, clears it. A request with
-/// kCrashesToHold records that are not cleared is held: no host runs it. Hosts
-/// that have not received the latest records yet may still send it. A harmless
-/// request is held only if three replicas in a row crashed while they ran it,
-/// without a response in between.
+/// first complete response to a suspect, at any host, clears it.
+///
+/// What counts towards a hold:
+/// - Only a run that the replica had begun. If nothing shows that the replica
+///   was alive when the request arrived, the record is unproven. It does not
+///   count, but hosts send the request over new connections from then on, and a
+///   replica that accepts one is alive.
+/// - Runs one after the other: the host that sent the request knew of the
+///   earlier crash, or sent it kClockMargin after that. Other runs count once:
+///   replicas that are ended together while they all run one frequent request
+///   are one crash.
+/// - Crashes that the request explains best. A crash with no suspects left was
+///   caused by none of its requests. If it happened within kSameCauseSpan and
+///   the request did not run there, both crashes probably have the same cause.
+///   Each such crash excuses one record of a request.
 ///
 /// Progress: a request that is answered by events resumes after the last event
 /// that was received. A replica that delivers a later event has survived the
-/// point at which an earlier replica crashed, so that the request did not cause
-/// that crash. This clears the earlier record (ClearBefore). A text that is hit
-/// by crashes of other origin is therefore held only if three replicas crash
-/// without one event more, while a request that crashes every replica at the
-/// same point is held after three.
+/// point at which an earlier replica crashed, so that the request did not crash
+/// that one there (PassEvent).
 ///
-/// Crashes without a cause among the requests: a crash whose requests have all
-/// been cleared was caused by none of them. A record that was made within
-/// kSameCauseSpan of such a crash of another replica, which did not run the
-/// request, does not count towards a hold: several replicas were ended together
-/// from outside. The hold of a harmless request therefore ends when the
-/// requests that ran elsewhere at that time have been answered. Where only a
-/// bad request crashes replicas, no crash is without a cause.
+/// A request is held after kCrashesToHold crashes at one point, or kMaxCrashes
+/// crashes if it gets further between them. Bound: if a request crashes every
+/// replica, one at a time, that number of replicas crash, one more if the first
+/// crash comes within a round trip of the request on a reused connection, and
+/// at most as many more as other replicas crash without a suspect in the same
+/// kSameCauseSpan. Hosts that have not received the latest records yet may
+/// still send it.
 ///
 /// Limits: a record expires kRecordLifetime after it was made. A held request
-/// may then run again, which costs three more replicas if nothing has changed.
+/// may then run again, which costs as many replicas if nothing has changed.
 /// Beyond kMaxRecords records, cleared records are evicted first, then records
 /// of the requests with the fewest records, oldest first. A client that sends
 /// many different requests therefore cannot evict the records of held requests.
 ///
-/// With K records, a lookup costs O(log K). Each record is sent once to each of
-/// H hosts, in some 200 bytes.
+/// With K records, a lookup costs O(log K), and one of a request with three
+/// crashes or more O(K). Each record is sent once to each of H hosts, in some
+/// 200 bytes.
 ///
 /// Pure: the time of day is an argument. Clocks of hosts may differ by seconds,
 /// which is small against the hour that records are kept.
@@ -62,6 +70,14 @@
 
 namespace rillwall {
 
+/// What a crash says about a request that was at the replica. Values rise only.
+enum class CrashStanding {
+  Unproven,  ///< the replica may have crashed before the request arrived
+  Suspect,   ///< the request may have crashed the replica
+  Passed,    ///< another replica has survived the point of the crash since
+  Cleared,   ///< the request did not cause the crash
+};
+
 /// Records that a replica crashed while it ran a request.
 struct CrashRecord {
   RequestDigest mRequest;
@@ -69,30 +85,46 @@
   std::string mReplica;
   /// Time of day at the host that saw the crash, in ms since 1970.
   int64_t mAtMs = 0;
-  bool mCleared = false;     ///< the request has been answered since
+  bool mCleared = false;     ///< see CrashStanding::Cleared
   std::string mDescription;  ///< method, host and path, for operators
   /// Events of the response that were received before the crash, including
   /// those of earlier runs; kAllEvents: no later event clears the record.
   int64_t mEvents = 0;
   static constexpr int64_t kAllEvents = std::numeric_limits<int64_t>::max();
+  /// Time of day when the request was sent; 0: unknown.
+  int64_t mSentMs = 0;
+  /// 1, or one more than the highest order among the records of the request
+  /// that the host knew when it sent the request.
+  int64_t mOrder = 1;
+  bool mReached = true;  ///< false: see CrashStanding::Unproven
+  bool mPassed = false;  ///< see CrashStanding::Passed
+
+  CrashStanding Standing() const {
+    return mCleared    ? CrashStanding::Cleared
+           : mPassed   ? CrashStanding::Passed
+           : !mReached ? CrashStanding::Unproven
+                       : CrashStanding::Suspect;
+  }
   bool operator==(const CrashRecord&) const = default;
 };
 
 /// State of one request that has records.
 struct Suspect {
   RequestDigest mRequest;
-  std::vector<CrashRecord> mRecords;  ///< records that are not cleared
+  std::vector<CrashRecord> mRecords;  ///< suspect and passed ones
   bool mHeld = false;
 };
 
 /// Crash records by request and replica.
 class CrashTable {
  public:
-  /// Crashes after which a request is held. With one, every request that runs
-  /// beside a crashing request is held too, including harmless plain requests;
-  /// with two and with three, only some texts are. Three is the most replicas
-  /// that one request may crash.
+  /// Crashes without progress after which a request is held. With one, every
+  /// request that runs beside a crashing request is held too, including
+  /// harmless plain requests; with two and with three, only some texts are.
   static constexpr size_t kCrashesToHold = 3;
+  /// Crashes after which a request is held that gets further between them.
+  /// Texts that are hit by chance have fewer.
+  static constexpr size_t kMaxCrashes = 6;
   /// Crashes after which a request is not retried at another replica within the
   /// same attempt, because a third replica would more likely crash than answer.
   static constexpr size_t kCrashesToStopRetries = 2;
@@ -103,6 +135,9 @@
   /// Replicas that are ended together, for example with their rack, end within
   /// this time.
   static constexpr Millis kSameCauseSpan{1000};
+  /// More than the clocks of hosts differ, and less than the time after which
+  /// clients repeat a failed request.
+  static constexpr Millis kClockMargin{200};
   /// At some 200 bytes each, a small part of the 88 MB of the smallest host.
   static constexpr size_t kMaxRecords = 1024;
 
@@ -111,16 +146,20 @@
 
   /// Records that a replica crashed here while it ran a request.
   /// \return whether the record is new
-  bool AddCrash(CrashRecord aRecord);
+  bool AddCrash(const CrashRecord& aRecord);
+  /// \return whether any record names the replica
+  bool KnowsCrash(const std::string& aReplica) const {
+    return mCrashes.contains(aReplica);
+  }
   /// Clears the records of a request, because it was answered here or an
   /// operator decided so.
   /// \return number of records that were cleared
   size_t Clear(const RequestDigest& aRequest);
-  /// Clears the records of crashes before an event of a request's response,
-  /// because a replica has delivered that event.
+  /// Marks the records of crashes before an event of a request's response as
+  /// passed, because a replica has delivered that event.
   /// \param aEvents number of the event
-  /// \return number of records that were cleared
-  size_t ClearBefore(const RequestDigest& aRequest, int64_t aEvents);
+  /// \return number of records that were marked
+  size_t PassEvent(const RequestDigest& aRequest, int64_t aEvents);
   /// Adds records from other hosts or from the store.
   /// \return the records that were new or newly cleared
   std::vector<CrashRecord> Merge(const std::vector<CrashRecord>& aRecords);
@@ -130,14 +169,16 @@
 
   /// \return whether any record is not cleared
   bool HasSuspects() const { return mSuspects > 0; }
-  /// \return number of replicas that crashed with this request since it was
-  /// last answered
+  /// \return number of replicas that are recorded as crashed by this request,
+  /// possibly, since it was last answered or got further
   size_t Crashes(const RequestDigest& aRequest) const;
+  /// \return number of replicas that crashed while they ran this request or as
+  /// it was sent to them, since it was last answered
+  size_t CrashesMet(const RequestDigest& aRequest) const;
+  /// \return CrashRecord::mOrder of a run that is sent now
+  int64_t NextOrder(const RequestDigest& aRequest) const;
   /// \return whether a request must not be run
-  bool Held(const RequestDigest& aRequest) const {
-    return Crashes(aRequest) >= kCrashesToHold &&
-           CountingTimes(aRequest).size() >= kCrashesToHold;
-  }
+  bool Held(const RequestDigest& aRequest) const;
   /// \return how long a request is still held; 0 if it is not held
   Millis HeldFor(const RequestDigest& aRequest, int64_t aNowMs) const;
 
@@ -167,8 +208,8 @@
   /// One crash of a replica.
   struct Crash {
     size_t mRecords = 0;
-    size_t mUncleared = 0;  ///< records that are not cleared
-    int64_t mAtMs = 0;      ///< time of the record that was added first
+    size_t mSuspects = 0;  ///< records with this standing
+    int64_t mAtMs = 0;     ///< earliest time in the records
   };
   struct Entry {
     CrashRecord mRecord;
@@ -180,20 +221,30 @@
   template <class Action>
   void ForEachUnclearedRecord(const RequestDigest& aRequest,
                               Action aAction) const;
-  /// Adds a record or its cleared mark.
+  /// Adds a record or raises its standing.
   /// \param aLocal whether this host made the change
   /// \return whether that changed anything
   bool Apply(const CrashRecord& aRecord, bool aLocal);
-  /// Clears the records of a request that a predicate selects.
-  /// \return number of records that were cleared
-  template <class Predicate>
-  size_t ClearIf(const RequestDigest& aRequest, Predicate aSelects);
-  /// \return times of the records that count towards a hold of a request
-  std::vector<int64_t> CountingTimes(const RequestDigest& aRequest) const;
-  /// \return whether a replica that did not run the request crashed at about
-  /// the same time as the one of a record, and none of its requests was the
-  /// cause
-  bool CrashedWithoutCauseNear(const CrashRecord& aRecord) const;
+  /// Changes the records of a request that a predicate selects.
+  /// \param aChange raises the standing of a record
+  /// \return number of records that were changed
+  template <class Predicate, class Change>
+  size_t Raise(const RequestDigest& aRequest, Predicate aSelects,
+               Change aChange);
+  /// \param aMost highest standing that is counted: Suspect or Passed
+  /// \return times of the records that count towards a hold of a request,
+  /// ascending
+  std::vector<int64_t> CountingTimes(const RequestDigest& aRequest,
+                                     CrashStanding aMost) const;
+  /// \return times of crashes without suspects that did not run a request,
+  /// ascending
+  std::vector<int64_t> OtherCrashTimes(const RequestDigest& aRequest) const;
+  /// \return time of day until which a request is held; nothing if it is not
+  std::optional<int64_t> HeldUntil(const RequestDigest& aRequest) const;
+  /// Removes the records that crashes of other replicas excuse.
+  /// \param aRecords by time
+  void RemoveExcused(const RequestDigest& aRequest,
+                     std::vector<CrashRecord>& aRecords) const;
   Entries::iterator Erase(Entries::iterator aAt);
   void Evict();
 
--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -194,6 +194,16 @@
   Unknown,  ///< the connection timed out or failed in another way
 };
 
+/// What a call shows about its upstream, also if it fails.
+struct HttpCallTrace {
+  bool mNewConnection = false;  ///< the upstream accepted one for this call
+  bool mResponding = false;     ///< some byte of a response has arrived
+  /// \return whether the upstream certainly ran when the request was sent. It
+  /// may have ended before that if a pooled connection was closed without a
+  /// response.
+  bool Reached() const { return mNewConnection || mResponding; }
+};
+
 /// Sends requests over pooled connections. Thread-safe.
 class HttpClient {
  public:
@@ -214,13 +224,25 @@
   /// Decides by the head of a response whether its connection may carry another
   /// call.
   using ReusePredicate = std::function<bool(const HttpResponse& aHead)>;
+  /// Parameters of Open() that most calls leave as they are.
+  struct OpenOptions {
+    /// Empty: every complete response allows reuse.
+    ReusePredicate mMayReuse;
+    /// Opens a connection for this call, so that the request is sent only if
+    /// the upstream accepts connections now.
+    bool mNewConnection = false;
+    HttpCallTrace* mTrace = nullptr;  ///< set when the call returns
+  };
   /// Sends a request and returns once the headers of the response have arrived.
   /// \param aTimeout for connecting, sending and receiving the headers
-  /// \param aMayReuse empty: every complete response allows reuse
   /// \return the response, whose body is read part by part; errors as of Send()
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
       const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout,
-      ReusePredicate aMayReuse = nullptr);
+      OpenOptions aOptions);
+  asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
+      const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout) {
+    return Open(aEndpoint, std::move(aRequest), aTimeout, OpenOptions());
+  }
   /// Checks whether an upstream still listens, by opening a new connection.
   /// Without TLS, the connection is kept for a later call.
   asio::awaitable<Listening> Probe(const Endpoint& aEndpoint, Millis aTimeout);
--- a/src/librillwall_coordination/crash_table.cpp
+++ b/src/librillwall_coordination/crash_table.cpp
@@ -1,11 +1,20 @@
 #include "rillwall/crash_table.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <tuple>
 
 namespace rillwall {
 
+namespace {
+
+/// \return whether a run was sent after the crash of an earlier one
+bool FollowsCrash(const CrashRecord& aRun, const CrashRecord& aEarlier) {
+  return aRun.mSentMs == 0 || aRun.mOrder > aEarlier.mOrder ||
+         aRun.mSentMs >= aEarlier.mAtMs + CrashTable::kClockMargin.Count();
+}
+
+}  // namespace
+
 template <class Action>
 void CrashTable::ForEachUnclearedRecord(const RequestDigest& aRequest,
                                         Action aAction) const {
@@ -21,28 +30,29 @@
   const auto [at, added] =
       mRecords.try_emplace({aRecord.mRequest, aRecord.mReplica});
   Entry& entry = at->second;
-  const bool clears = aRecord.mCleared && !entry.mRecord.mCleared;
-  if (!added && !clears) {
+  const CrashStanding before = entry.mRecord.Standing();
+  const CrashStanding after = aRecord.Standing();
+  if (!added && after <= before) {
     return false;
   }
+  Crash& crash = mCrashes[aRecord.mReplica];
+  crash.mAtMs = crash.mRecords == 0 ? aRecord.mAtMs
+                                    : std::min(crash.mAtMs, aRecord.mAtMs);
   if (added) {
-    entry.mRecord = aRecord;
-    Crash& crash = mCrashes[aRecord.mReplica];
-    crash.mAtMs = crash.mRecords == 0 ? aRecord.mAtMs : crash.mAtMs;
     ++crash.mRecords;
-    crash.mUncleared += aRecord.mCleared ? 0 : 1;
-    mSuspects += aRecord.mCleared ? 0 : 1;
   } else {
-    entry.mRecord.mCleared = true;
-    --mCrashes[aRecord.mReplica].mUncleared;
-    --mSuspects;
+    crash.mSuspects -= before == CrashStanding::Suspect ? 1 : 0;
+    mSuspects -= before == CrashStanding::Cleared ? 0 : 1;
   }
+  crash.mSuspects += after == CrashStanding::Suspect ? 1 : 0;
+  mSuspects += after == CrashStanding::Cleared ? 0 : 1;
+  entry.mRecord = aRecord;
   entry.mNumber = ++mNumber;
   entry.mUnsaved = aLocal;
   return true;
 }
 
-bool CrashTable::AddCrash(CrashRecord aRecord) {
+bool CrashTable::AddCrash(const CrashRecord& aRecord) {
   const bool changed = Apply(aRecord, true);
   if (changed) {
     Evict();
@@ -53,32 +63,39 @@
   return changed;
 }
 
-template <class Predicate>
-size_t CrashTable::ClearIf(const RequestDigest& aRequest, Predicate aSelects) {
-  std::vector<CrashRecord> cleared;
+template <class Predicate, class Change>
+size_t CrashTable::Raise(const RequestDigest& aRequest, Predicate aSelects,
+                         Change aChange) {
+  std::vector<CrashRecord> raised;
   ForEachUnclearedRecord(aRequest, [&](const CrashRecord& aRecord) {
     if (aSelects(aRecord)) {
-      cleared.push_back(aRecord);
+      raised.push_back(aRecord);
     }
   });
-  for (CrashRecord& record : cleared) {
-    record.mCleared = true;
+  for (CrashRecord& record : raised) {
+    aChange(record);
     Apply(record, true);
   }
-  if (!cleared.empty() && mOnLocalChange) {
+  if (!raised.empty() && mOnLocalChange) {
     mOnLocalChange();
   }
-  return cleared.size();
+  return raised.size();
 }
 
 size_t CrashTable::Clear(const RequestDigest& aRequest) {
-  return ClearIf(aRequest, [](const CrashRecord&) { return true; });
+  return Raise(
+      aRequest, [](const CrashRecord&) { return true; },
+      [](CrashRecord& aRecord) { aRecord.mCleared = true; });
 }
 
-size_t CrashTable::ClearBefore(const RequestDigest& aRequest, int64_t aEvents) {
-  return ClearIf(aRequest, [aEvents](const CrashRecord& aRecord) {
-    return aRecord.mEvents < aEvents;
-  });
+size_t CrashTable::PassEvent(const RequestDigest& aRequest, int64_t aEvents) {
+  return Raise(
+      aRequest,
+      [aEvents](const CrashRecord& aRecord) {
+        return aRecord.Standing() == CrashStanding::Suspect &&
+               aRecord.mEvents < aEvents;
+      },
+      [](CrashRecord& aRecord) { aRecord.mPassed = true; });
 }
 
 std::vector<CrashRecord> CrashTable::Merge(
@@ -94,10 +111,10 @@
 }
 
 CrashTable::Entries::iterator CrashTable::Erase(Entries::iterator aAt) {
-  const size_t uncleared = aAt->second.mRecord.mCleared ? 0 : 1;
-  mSuspects -= uncleared;
+  const CrashStanding standing = aAt->second.mRecord.Standing();
+  mSuspects -= standing == CrashStanding::Cleared ? 0 : 1;
   const auto crash = mCrashes.find(aAt->first.mReplica);
-  crash->second.mUncleared -= uncleared;
+  crash->second.mSuspects -= standing == CrashStanding::Suspect ? 1 : 0;
   if (--crash->second.mRecords == 0) {
     mCrashes.erase(crash);
   }
@@ -114,7 +131,8 @@
 void CrashTable::Evict() {
   const auto keepRank = [this](Entries::iterator aAt) {
     const CrashRecord& record = aAt->second.mRecord;
-    return std::tuple(!record.mCleared, Crashes(record.mRequest), record.mAtMs);
+    return std::tuple(!record.mCleared, CrashesMet(record.mRequest),
+                      record.mAtMs);
   };
   while (mRecords.size() > kMaxRecords) {
     auto lowest = mRecords.begin();
@@ -126,44 +144,113 @@
 }
 
 size_t CrashTable::Crashes(const RequestDigest& aRequest) const {
+  size_t count = 0;
+  ForEachUnclearedRecord(aRequest, [&](const CrashRecord& aRecord) {
+    count += aRecord.Standing() == CrashStanding::Suspect ? 1 : 0;
+  });
+  return count;
+}
+
+size_t CrashTable::CrashesMet(const RequestDigest& aRequest) const {
   size_t count = 0;
   ForEachUnclearedRecord(aRequest, [&](const CrashRecord&) { ++count; });
   return count;
 }
 
-bool CrashTable::CrashedWithoutCauseNear(const CrashRecord& aRecord) const {
-  return std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aEntry) {
-    const auto& [replica, crash] = aEntry;
-    return crash.mUncleared == 0 &&
-           std::abs(crash.mAtMs - aRecord.mAtMs) <= kSameCauseSpan.Count() &&
-           !mRecords.contains({aRecord.mRequest, replica});
+int64_t CrashTable::NextOrder(const RequestDigest& aRequest) const {
+  int64_t highest = 0;
+  ForEachUnclearedRecord(aRequest, [&](const CrashRecord& aRecord) {
+    highest = std::max(highest, aRecord.mOrder);
   });
+  return highest + 1;
 }
 
-std::vector<int64_t> CrashTable::CountingTimes(
+std::vector<int64_t> CrashTable::OtherCrashTimes(
     const RequestDigest& aRequest) const {
   std::vector<int64_t> times;
-  ForEachUnclearedRecord(aRequest, [&](const CrashRecord& aRecord) {
+  for (const auto& [replica, crash] : mCrashes) {
+    if (crash.mSuspects == 0 && !mRecords.contains({aRequest, replica})) {
+      times.push_back(crash.mAtMs);
+    }
+  }
+  std::sort(times.begin(), times.end());
+  return times;
+}
+
+void CrashTable::RemoveExcused(const RequestDigest& aRequest,
+                               std::vector<CrashRecord>& aRecords) const {
+  const int64_t span = kSameCauseSpan.Count();
+  const std::vector<int64_t> others = OtherCrashTimes(aRequest);
+  auto other = others.begin();
+  std::erase_if(aRecords, [&](const CrashRecord& aRecord) {
     // An operator's hold counts whatever has crashed.
-    if (aRecord.mEvents == CrashRecord::kAllEvents ||
-        !CrashedWithoutCauseNear(aRecord)) {
-      times.push_back(aRecord.mAtMs);
+    if (aRecord.mEvents == CrashRecord::kAllEvents) {
+      return false;
     }
+    other = std::lower_bound(other, others.end(), aRecord.mAtMs - span);
+    if (other == others.end() || *other > aRecord.mAtMs + span) {
+      return false;
+    }
+    ++other;
+    return true;
   });
+}
+
+std::vector<int64_t> CrashTable::CountingTimes(const RequestDigest& aRequest,
+                                               CrashStanding aMost) const {
+  std::vector<CrashRecord> records;
+  ForEachUnclearedRecord(aRequest, [&](const CrashRecord& aRecord) {
+    const CrashStanding standing = aRecord.Standing();
+    if (standing >= CrashStanding::Suspect && standing <= aMost) {
+      records.push_back(aRecord);
+    }
+  });
+  std::sort(records.begin(), records.end(),
+            [](const CrashRecord& aOne, const CrashRecord& aOther) {
+              return std::tie(aOne.mAtMs, aOne.mReplica) <
+                     std::tie(aOther.mAtMs, aOther.mReplica);
+            });
+  RemoveExcused(aRequest, records);
+  std::vector<int64_t> times;
+  const CrashRecord* last = nullptr;
+  for (const CrashRecord& record : records) {
+    if (last == nullptr || FollowsCrash(record, *last)) {
+      times.push_back(record.mAtMs);
+      last = &record;
+    }
+  }
   return times;
 }
 
+bool CrashTable::Held(const RequestDigest& aRequest) const {
+  return CrashesMet(aRequest) >= kCrashesToHold &&
+         HeldUntil(aRequest).has_value();
+}
+
+std::optional<int64_t> CrashTable::HeldUntil(
+    const RequestDigest& aRequest) const {
+  std::optional<int64_t> until;
+  // The request is held until fewer records than the limit remain.
+  const auto consider = [&](CrashStanding aMost, size_t aLimit) {
+    const std::vector<int64_t> times = CountingTimes(aRequest, aMost);
+    if (times.size() >= aLimit) {
+      const int64_t end =
+          times[times.size() - aLimit] + kRecordLifetime.Count();
+      until = std::max(until.value_or(end), end);
+    }
+  };
+  consider(CrashStanding::Suspect, kCrashesToHold);
+  consider(CrashStanding::Passed, kMaxCrashes);
+  return until;
+}
+
 Millis CrashTable::HeldFor(const RequestDigest& aRequest,
                            int64_t aNowMs) const {
-  std::vector<int64_t> times = CountingTimes(aRequest);
-  if (times.size() < kCrashesToHold) {
+  if (CrashesMet(aRequest) < kCrashesToHold) {
     return {};
   }
-  // The request is held until fewer than kCrashesToHold records remain.
-  std::sort(times.rbegin(), times.rend());
-  const Millis left(times[kCrashesToHold - 1] + kRecordLifetime.Count() -
-                    aNowMs);
-  return std::max(left, Millis(1));
+  const std::optional<int64_t> until = HeldUntil(aRequest);
+  return until ? std::max(Millis(*until - aNowMs), Millis(1)) : Millis();
 }
 
 std::vector<CrashRecord> CrashTable::Since(int64_t aNumber) const {
@@ -191,7 +278,8 @@
 
 bool CrashTable::UnsavedIsUrgent() const {
   return std::any_of(mRecords.begin(), mRecords.end(), [](const auto& aEntry) {
-    return aEntry.second.mUnsaved && !aEntry.second.mRecord.mCleared;
+    return aEntry.second.mUnsaved &&
+           aEntry.second.mRecord.Standing() <= CrashStanding::Suspect;
   });
 }
 
@@ -208,7 +296,9 @@
 std::vector<Suspect> CrashTable::Suspects() const {
   std::vector<Suspect> suspects;
   for (const auto& [key, entry] : mRecords) {
-    if (entry.mRecord.mCleared) {
+    const CrashStanding standing = entry.mRecord.Standing();
+    if (standing != CrashStanding::Suspect &&
+        standing != CrashStanding::Passed) {
       continue;
     }
     if (suspects.empty() || suspects.back().mRequest != key.mRequest) {
--- a/src/librillwall_coordination/crash_table_test.cpp
+++ b/src/librillwall_coordination/crash_table_test.cpp
@@ -22,6 +22,14 @@
   CPPUNIT_TEST(ReplicasThatEndTogetherHoldNothing);
   CPPUNIT_TEST(SeveralBadRequestsStayHeld);
   CPPUNIT_TEST(CrashesAtOtherTimesExcuseNothing);
+  CPPUNIT_TEST(UnprovenCrashesHoldNothing);
+  CPPUNIT_TEST(OverlappingRunsCountOnce);
+  CPPUNIT_TEST(OtherCrashExcusesOneRecord);
+  CPPUNIT_TEST(EndUnderTextsThatSurvivedExcuses);
+  CPPUNIT_TEST(ProgressIsBounded);
+  CPPUNIT_TEST(CrashingRequestIsBounded);
+  CPPUNIT_TEST(TextsInStormsAreNotHeld);
+  CPPUNIT_TEST(StandingsMergeInAnyOrder);
   CPPUNIT_TEST(HeldUntilRecordsExpire);
   CPPUNIT_TEST(OldRecordsAreForgotten);
   CPPUNIT_TEST(ManyRecordsDoNotEvictHeldRequests);
@@ -107,15 +115,15 @@
     const RequestDigest request = DigestFor("/p");
     mTable.AddCrash(RecordAt("r1", 2));
     mTable.AddCrash(Record("/q", "r1"));
-    CPPUNIT_ASSERT_EQUAL(size_t{0}, mTable.ClearBefore(request, 2));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mTable.PassEvent(request, 2));
     mTable.AddCrash(RecordAt("r2", 2));
-    CPPUNIT_ASSERT_EQUAL(size_t{2}, mTable.ClearBefore(request, 3));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mTable.PassEvent(request, 3));
     mTable.AddCrash(RecordAt("r3", 3));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, mTable.Crashes(request));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, mTable.Crashes(DigestFor("/q")));
     // Without a later event, the third crash is the last one.
     mTable.AddCrash(RecordAt("r4", 3));
-    mTable.ClearBefore(request, 3);
+    mTable.PassEvent(request, 3);
     mTable.AddCrash(RecordAt("r5", 3));
     CPPUNIT_ASSERT(mTable.Held(request));
   }
@@ -124,7 +132,7 @@
     for (const char* replica : {"r1", "r2", "r3"}) {
       mTable.AddCrash(RecordAt(replica, CrashRecord::kAllEvents));
     }
-    mTable.ClearBefore(DigestFor("/p"), 1000);
+    mTable.PassEvent(DigestFor("/p"), 1000);
     CPPUNIT_ASSERT(mTable.Held(DigestFor("/p")));
     mTable.Clear(DigestFor("/p"));
     CPPUNIT_ASSERT(!mTable.Held(DigestFor("/p")));
@@ -176,6 +184,191 @@
     CPPUNIT_ASSERT(!mTable.Held(DigestFor("/p")));
   }
 
+  /// Guards against the hold of a request that was sent to replicas which had
+  /// ended already.
+  void UnprovenCrashesHoldNothing() {
+    const RequestDigest request = DigestFor("/p");
+    for (const char* replica : {"r1", "r2", "r3", "r4"}) {
+      CrashRecord record = Record("/p", replica);
+      record.mReached = false;
+      mTable.AddCrash(record);
+    }
+    CPPUNIT_ASSERT(!mTable.Held(request));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mTable.Crashes(request));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, mTable.CrashesMet(request));
+    CPPUNIT_ASSERT(mTable.UnsavedIsUrgent());
+    // Another host knows that the replica ran when the request arrived.
+    Hold("/p", 5000);
+    CPPUNIT_ASSERT(mTable.Held(request));
+    mTable.Clear(request);
+    CPPUNIT_ASSERT(!mTable.HasSuspects());
+  }
+
+  static CrashRecord Run(const std::string& aReplica, int64_t aSentMs,
+                         int64_t aAtMs) {
+    CrashRecord record = Record("/p", aReplica, aAtMs);
+    record.mSentMs = aSentMs;
+    return record;
+  }
+
+  /// Guards against the hold of a frequent request when all replicas of its
+  /// service are ended at once.
+  void OverlappingRunsCountOnce() {
+    const RequestDigest request = DigestFor("/p");
+    // The clocks of the hosts differ.
+    for (int i = 0; i < 8; ++i) {
+      mTable.AddCrash(
+          Run("a" + std::to_string(i), 1000 + 20 * i, 1020 + 20 * i));
+    }
+    CPPUNIT_ASSERT(!mTable.Held(request));
+    // One host knows of these crashes, another one sends the request later.
+    CrashRecord second = Run("b", 1170, 1190);
+    second.mOrder = mTable.NextOrder(request);
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, second.mOrder);
+    mTable.AddCrash(second);
+    CPPUNIT_ASSERT(!mTable.Held(request));
+    mTable.AddCrash(Run("c", 1390, 1400));
+    CPPUNIT_ASSERT(mTable.Held(request));
+  }
+
+  /// Guards against a request that crashes replicas and is excused again and
+  /// again by one crash of other origin.
+  void OtherCrashExcusesOneRecord() {
+    const RequestDigest request = DigestFor("/p");
+    mTable.AddCrash(Record("/q", "other", 1500));
+    mTable.Clear(DigestFor("/q"));
+    for (const char* replica : {"r1", "r2", "r3"}) {
+      mTable.AddCrash(Record("/p", replica, 1500));
+    }
+    CPPUNIT_ASSERT(!mTable.Held(request));
+    mTable.AddCrash(Record("/p", "r4", 1500));
+    CPPUNIT_ASSERT(mTable.Held(request));
+  }
+
+  void EndUnderTextsThatSurvivedExcuses() {
+    const RequestDigest request = DigestFor("/p");
+    Hold("/p");
+    CrashRecord survived = Record("/q", "r4");
+    survived.mCleared = true;
+    CPPUNIT_ASSERT(!mTable.KnowsCrash("r4"));
+    mTable.AddCrash(survived);
+    CPPUNIT_ASSERT(mTable.KnowsCrash("r4"));
+    CPPUNIT_ASSERT(!mTable.Held(request));
+    CPPUNIT_ASSERT(!mTable.HasSuspects() || mTable.Crashes(request) == 3);
+  }
+
+  /// \return number of replicas that a request crashes, one after the other,
+  /// until it is held
+  /// \param aFurther number of further events that each run delivers
+  /// \param aOthers times of crashes of other origin
+  static size_t CrashesUntilHeld(int64_t aFurther,
+                                 const std::vector<int64_t>& aOthers) {
+    CrashTable table;
+    const RequestDigest request = DigestFor("/p");
+    for (size_t i = 0; i < aOthers.size(); ++i) {
+      CrashRecord other =
+          Record("/other", "other" + std::to_string(i), aOthers[i]);
+      other.mCleared = true;
+      table.AddCrash(other);
+    }
+    const int64_t pause = 40;
+    size_t crashes = 0;
+    while (!table.Held(request) && crashes < 1000) {
+      const int64_t at = 1000 + pause * static_cast<int64_t>(crashes);
+      CrashRecord record =
+          Run("r" + std::to_string(crashes), at, at + pause / 2);
+      record.mOrder = table.NextOrder(request);
+      record.mEvents = aFurther * static_cast<int64_t>(crashes + 1);
+      if (aFurther > 0) {
+        table.PassEvent(request, record.mEvents);
+      }
+      table.AddCrash(record);
+      ++crashes;
+    }
+    return crashes;
+  }
+
+  void ProgressIsBounded() {
+    CPPUNIT_ASSERT_EQUAL(CrashTable::kCrashesToHold, CrashesUntilHeld(0, {}));
+    CPPUNIT_ASSERT_EQUAL(CrashTable::kMaxCrashes, CrashesUntilHeld(1, {}));
+    CPPUNIT_ASSERT_EQUAL(CrashTable::kMaxCrashes, CrashesUntilHeld(3, {}));
+  }
+
+  /// The bound of a crashing request beside crashes of other origin: each of
+  /// these costs one more replica at most.
+  void CrashingRequestIsBounded() {
+    std::mt19937 random(11);
+    for (int round = 0; round < 300; ++round) {
+      std::vector<int64_t> others;
+      for (size_t i = random() % 12; i > 0; --i) {
+        others.push_back(static_cast<int64_t>(random() % 3000));
+      }
+      CPPUNIT_ASSERT(CrashesUntilHeld(0, others) <=
+                     CrashTable::kCrashesToHold + others.size());
+      CPPUNIT_ASSERT(CrashesUntilHeld(2, others) <=
+                     CrashTable::kMaxCrashes + others.size());
+    }
+  }
+
+  /// Guards against the hold of harmless texts in storms of crashes: four of
+  /// ten replicas end at once every 300 ms, and most of the texts there have
+  /// survived their first events.
+  void TextsInStormsAreNotHeld() {
+    std::mt19937 random(5);
+    const int texts = 100;
+    CrashTable table;
+    for (int storm = 0; storm < 20; ++storm) {
+      const int64_t at = 100000 + 300 * storm;
+      for (int replica = 0; replica < 4; ++replica) {
+        const std::string name =
+            std::to_string(storm) + "-" + std::to_string(replica);
+        for (int run = 0; run < 10; ++run) {
+          const std::string text = "/" + std::to_string(random() % texts);
+          // A third of the texts have just begun and deliver no event.
+          CrashRecord record = Record(text, name, at + replica);
+          record.mSentMs = at - 5;
+          record.mCleared = random() % 3 != 0;
+          table.AddCrash(record);
+        }
+        CrashRecord long_ = Record("/long", name, at + replica);
+        long_.mCleared = true;
+        table.AddCrash(long_);
+      }
+    }
+    for (int text = 0; text < texts; ++text) {
+      // Each of the texts that ended up with three crashes runs on at last.
+      const RequestDigest digest = DigestFor("/" + std::to_string(text));
+      table.PassEvent(digest, 1);
+      CPPUNIT_ASSERT(!table.Held(digest));
+    }
+  }
+
+  void StandingsMergeInAnyOrder() {
+    std::mt19937 random(13);
+    for (int round = 0; round < 200; ++round) {
+      std::vector<CrashRecord> records;
+      for (int i = 0; i < 16; ++i) {
+        CrashRecord record = Record("/" + std::to_string(random() % 3),
+                                    "r" + std::to_string(random() % 6));
+        record.mReached = random() % 4 != 0;
+        record.mPassed = record.mReached && random() % 3 == 0;
+        record.mCleared = random() % 5 == 0;
+        records.push_back(record);
+      }
+      CrashTable one;
+      one.Merge(records);
+      std::shuffle(records.begin(), records.end(), random);
+      CrashTable other;
+      other.Merge(records);
+      for (const char* request : {"/0", "/1", "/2"}) {
+        const RequestDigest digest = DigestFor(request);
+        CPPUNIT_ASSERT_EQUAL(one.Held(digest), other.Held(digest));
+        CPPUNIT_ASSERT_EQUAL(one.Crashes(digest), other.Crashes(digest));
+        CPPUNIT_ASSERT_EQUAL(one.CrashesMet(digest), other.CrashesMet(digest));
+      }
+    }
+  }
+
   void HeldUntilRecordsExpire() {
     const int64_t span = CrashTable::kRecordLifetime.Count();
     CPPUNIT_ASSERT(mTable.HeldFor(DigestFor("/p"), 0) == Millis(0));
--- a/src/librillwall_protocol/crash_record.cpp
+++ b/src/librillwall_protocol/crash_record.cpp
@@ -2,14 +2,32 @@
 
 namespace rillwall {
 
+const char* NameOf(CrashStanding aStanding) {
+  switch (aStanding) {
+    case CrashStanding::Unproven:
+      return "unproven";
+    case CrashStanding::Suspect:
+      return "suspect";
+    case CrashStanding::Passed:
+      return "passed";
+    case CrashStanding::Cleared:
+      return "cleared";
+  }
+  return "suspect";
+}
+
 json::object ToJson(const CrashRecord& aRecord) {
   json::object object;
   object["request"] = aRecord.mRequest.Text();
   object["replica"] = aRecord.mReplica;
   object["at_ms"] = aRecord.mAtMs;
-  object["cleared"] = aRecord.mCleared;
+  // Hosts of older builds know no other standing than these two.
+  object["cleared"] = aRecord.Standing() != CrashStanding::Suspect;
+  object["standing"] = NameOf(aRecord.Standing());
   object["what"] = aRecord.mDescription;
   object["events"] = aRecord.mEvents;
+  object["sent_ms"] = aRecord.mSentMs;
+  object["order"] = aRecord.mOrder;
   return object;
 }
 
@@ -24,10 +42,16 @@
   record.mRequest = *request;
   record.mReplica = aReader.String("replica");
   record.mAtMs = aReader.Int("at_ms");
-  record.mCleared = aReader.Bool("cleared");
+  const std::string standing = aReader.String("standing", "");
+  record.mPassed = standing == NameOf(CrashStanding::Passed);
+  record.mReached = standing != NameOf(CrashStanding::Unproven);
+  record.mCleared =
+      aReader.Bool("cleared") && !record.mPassed && record.mReached;
   record.mDescription = aReader.String("what", "");
-  // Hosts of older builds do not send the position.
+  // Hosts of older builds do not send the position and the time.
   record.mEvents = aReader.Int("events", CrashRecord::kAllEvents);
+  record.mSentMs = aReader.Int("sent_ms", 0);
+  record.mOrder = aReader.Int("order", 1);
   return record;
 }
 
--- a/src/librillwall_rollout/crash_guard.cpp
+++ b/src/librillwall_rollout/crash_guard.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "replica_end.h"
+#include "rillwall/crash_record.h"
 #include "rillwall/event_log.h"
 
 namespace rillwall {
@@ -14,6 +15,8 @@
 /// Up to this many new records are logged one by one; more are logged as one
 /// line.
 constexpr size_t kMaxLoggedRecords = 12;
+/// Time for a close to be noticed, beside the round trips that it takes.
+constexpr Millis kNoticeTime{2};
 
 /// \return an identity of one start of a replica, as a replica may keep its id
 /// when it restarts
@@ -26,7 +29,7 @@
 void LogRecord(const NodeContext& aNode, const CrashRecord& aRecord,
                std::string_view aId, std::string_view aFrom) {
   const CrashTable& crashes = aNode.mCrashes;
-  const bool cleared = aRecord.mCleared;
+  const bool cleared = aRecord.Standing() >= CrashStanding::Passed;
   Event(cleared ? "request-cleared" : "request-suspected")
       .Id(aId)
       .Text("request", aRecord.mRequest.Text())
@@ -35,21 +38,26 @@
       .Number("crashes",
               static_cast<int64_t>(crashes.Crashes(aRecord.mRequest)))
       .Flag("held", crashes.Held(aRecord.mRequest))
+      .Text("standing", NameOf(aRecord.Standing()))
+      .Number("ran_ms",
+              aRecord.mSentMs == 0 ? 0 : aRecord.mAtMs - aRecord.mSentMs)
       .Text("from", aFrom)
       .Write();
 }
 
-/// Counts and logs that records of a request were cleared here.
-/// \param aCleared number of these records
-void ReportCleared(NodeContext& aNode, const RequestDigest& aRequest,
-                   std::string_view aId, size_t aCleared) {
-  if (aCleared == 0) {
+/// Counts and logs that the standing of records was raised here.
+/// \param aRecords number of these records
+void ReportRaised(NodeContext& aNode, const RequestDigest& aRequest,
+                  std::string_view aId, size_t aRecords, bool aPassed) {
+  if (aRecords == 0) {
     return;
   }
-  aNode.mMetrics.Count("crash_records_total", "outcome=\"cleared\"");
+  aNode.mMetrics.Count("crash_records_total",
+                       aPassed ? "outcome=\"passed\"" : "outcome=\"cleared\"");
   CrashRecord record;
   record.mRequest = aRequest;
-  record.mCleared = true;
+  record.mPassed = aPassed;
+  record.mCleared = !aPassed;
   LogRecord(aNode, record, aId, "here");
 }
 
@@ -78,40 +86,59 @@
   return description;
 }
 
-void RecordCrash(NodeContext& aNode, const RequestDigest& aRequest,
-                 const Replica& aReplica, std::string_view aId,
-                 std::string aDescription, int64_t aEvents) {
-  const CrashRecord record{
-      aRequest, ReplicaIncarnation(aReplica), aNode.mTimeOfDay(),
-      false,    std::move(aDescription),      aEvents};
-  if (aNode.mCrashes.AddCrash(record)) {
+void RecordCrash(NodeContext& aNode, const CrashRecord& aRecord,
+                 std::string_view aId) {
+  if (aNode.mCrashes.AddCrash(aRecord)) {
     aNode.mMetrics.Count("crash_records_total", "outcome=\"suspected\"");
-    LogRecord(aNode, record, aId, "here");
+    LogRecord(aNode, aRecord, aId, "here");
   }
 }
 
-asio::awaitable<bool> RecordCrashIfEnded(NodeContext& aNode,
-                                         RequestDigest aRequest,
-                                         Replica aReplica, std::string aId,
-                                         std::string aDescription,
-                                         int64_t aEvents) {
-  const bool ended = co_await ReplicaEnded(aNode, aReplica.mAddress);
-  if (ended) {
-    RecordCrash(aNode, aRequest, aReplica, aId, std::move(aDescription),
-                aEvents);
+asio::awaitable<bool> RecordCrashIfEnded(NodeContext& aNode, CutRun aRun) {
+  const Millis closedAt = aNode.Now();
+  const bool ended = co_await ReplicaEnded(aNode, aRun.mReplica.mAddress);
+  if (!ended) {
+    co_return false;
   }
-  co_return ended;
+  CrashRecord record;
+  record.mRequest = aRun.mRequest;
+  record.mReplica = ReplicaIncarnation(aRun.mReplica);
+  record.mAtMs = aNode.mTimeOfDay();
+  record.mDescription = std::move(aRun.mDescription);
+  record.mEvents = aRun.mEvents;
+  record.mOrder = aRun.mOrder;
+  record.mSentMs = record.mAtMs - (aNode.Now() - aRun.mSentAt).Count();
+  if (aRun.mSurvived) {
+    // One record is enough to tell that the replica ended without a cause here.
+    record.mCleared = true;
+    if (!aNode.mCrashes.KnowsCrash(record.mReplica)) {
+      aNode.mCrashes.AddCrash(record);
+    }
+    co_return true;
+  }
+  // The host of a process that has ended refuses a connection, and closes one
+  // that is open, within a round trip. Only a live replica takes longer.
+  const Millis roundTrip = aNode.Now() - closedAt;
+  record.mReached =
+      aRun.mReached || closedAt - aRun.mSentAt > roundTrip * 2 + kNoticeTime;
+  RecordCrash(aNode, record, aRun.mId);
+  co_return true;
+}
+
+bool NeedsNewConnection(const NodeContext& aNode,
+                        const RequestDigest& aRequest) {
+  return aNode.mCrashes.CrashesMet(aRequest) > 0;
 }
 
 void ClearRequest(NodeContext& aNode, const RequestDigest& aRequest,
                   std::string_view aId) {
-  ReportCleared(aNode, aRequest, aId, aNode.mCrashes.Clear(aRequest));
+  ReportRaised(aNode, aRequest, aId, aNode.mCrashes.Clear(aRequest), false);
 }
 
-void ClearRequestBefore(NodeContext& aNode, const RequestDigest& aRequest,
-                        std::string_view aId, int64_t aEvents) {
-  ReportCleared(aNode, aRequest, aId,
-                aNode.mCrashes.ClearBefore(aRequest, aEvents));
+void PassEvent(NodeContext& aNode, const RequestDigest& aRequest,
+               std::string_view aId, int64_t aEvents) {
+  ReportRaised(aNode, aRequest, aId,
+               aNode.mCrashes.PassEvent(aRequest, aEvents), true);
 }
 
 void MergeCrashRecords(NodeContext& aNode,
--- a/src/librillwall_rollout/crash_guard.h
+++ b/src/librillwall_rollout/crash_guard.h
@@ -18,24 +18,34 @@
 std::optional<Error> ErrorIfHeld(const NodeContext& aNode,
                                  const RequestDigest& aRequest);
 
-/// Handles a replica that closed the connection under a request before its
-/// response was whole: checks whether the replica's process has ended, and if
-/// so records the crash.
-/// \param aId identity of the attempt, for the log
-/// \param aDescription the request as DescribeRequest() gives it
-/// \param aEvents see CrashRecord::mEvents
+/// A run of a request that its replica cut off by closing the connection.
+struct CutRun {
+  RequestDigest mRequest;
+  Replica mReplica;
+  std::string mId;           ///< identity of the attempt, for the log
+  std::string mDescription;  ///< as DescribeRequest() gives it
+  Millis mSentAt;            ///< when the request was sent
+  int64_t mOrder = 1;        ///< see CrashRecord::mOrder
+  /// Whether the replica certainly ran when the request was sent; see
+  /// HttpCallTrace::Reached().
+  bool mReached = true;
+  /// The run had got too far for the request to be the cause.
+  bool mSurvived = false;
+  int64_t mEvents = 0;  ///< see CrashRecord::mEvents
+};
+
+/// Checks whether the replica's process has ended, and if so records the crash.
 /// \return whether the replica has ended
-asio::awaitable<bool> RecordCrashIfEnded(NodeContext& aNode,
-                                         RequestDigest aRequest,
-                                         Replica aReplica, std::string aId,
-                                         std::string aDescription,
-                                         int64_t aEvents = 0);
-
-/// Records that a replica ended under a request that this host sent there. The
-/// parameters are those of RecordCrashIfEnded().
-void RecordCrash(NodeContext& aNode, const RequestDigest& aRequest,
-                 const Replica& aReplica, std::string_view aId,
-                 std::string aDescription, int64_t aEvents = 0);
+asio::awaitable<bool> RecordCrashIfEnded(NodeContext& aNode, CutRun aRun);
+
+/// Adds a crash record of this host, with its log line and counter.
+/// \param aId identity of the attempt, for the log
+void RecordCrash(NodeContext& aNode, const CrashRecord& aRecord,
+                 std::string_view aId);
+/// \return whether a request should be sent over a new connection, because
+/// replicas have crashed while they ran it
+bool NeedsNewConnection(const NodeContext& aNode,
+                        const RequestDigest& aRequest);
 /// \return method, host and path of a request, for operators
 std::string DescribeRequest(const RequestParts& aParts);
 
@@ -43,11 +53,11 @@
 /// it.
 void ClearRequest(NodeContext& aNode, const RequestDigest& aRequest,
                   std::string_view aId);
-/// Clears a request's records of crashes before an event, as a replica has
-/// delivered that event.
+/// Marks a request's records of crashes before an event as passed, as a replica
+/// has delivered that event.
 /// \param aEvents number of the event
-void ClearRequestBefore(NodeContext& aNode, const RequestDigest& aRequest,
-                        std::string_view aId, int64_t aEvents);
+void PassEvent(NodeContext& aNode, const RequestDigest& aRequest,
+               std::string_view aId, int64_t aEvents);
 
 /// Merges records that another host sent or that the store holds, and logs the
 /// new ones.
--- a/src/librillwall_rollout/item_hold_test.cpp
+++ b/src/librillwall_rollout/item_hold_test.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(CrashDuringALongRunIsNotRecorded);
   CPPUNIT_TEST(ItemThatGetsFurtherIsNotHeld);
   CPPUNIT_TEST(ItemThatCrashesAtOnePointIsHeld);
+  CPPUNIT_TEST(ItemThatMeetsEndedReplicasIsNotHeld);
+  CPPUNIT_TEST(ItemPausesAfterCrashes);
   CPPUNIT_TEST(HeldItemIsDeferred);
   CPPUNIT_TEST(ClearedItemRuns);
   CPPUNIT_TEST(CompletedItemIsCleared);
@@ -157,6 +159,63 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, results);
   }
 
+  /// Guards against a good item that is never run again: its replica ended
+  /// after twelve events together with others, and its next runs met pooled
+  /// connections to those.
+  void ItemThatMeetsEndedReplicasIsNotHeld() {
+    ScriptedReplica first(mWorld.mIo, "r0", TestHeaders());
+    first.mEvents = 20;
+    first.mDefaultScript.mEndsAfter = 12;
+    RolloutSpec spec = Spec();
+    spec.mItems.resize(1);
+    const Route route = *mTest.mNode.mRoutes.Read()->Find("h", "/r/");
+    const auto replicas = [&](std::vector<Replica> aEngines) {
+      aEngines.push_back(mScorer.Entry("scorer"));
+      mTest.mNode.mReplicas.Update(aEngines, false);
+    };
+    EndedReplica one(mWorld.mIo, "r1");
+    EndedReplica two(mWorld.mIo, "r2");
+    EndedReplica three(mWorld.mIo, "r3");
+    for (const EndedReplica* replica : {&one, &two, &three}) {
+      mTest.Add(*replica, "engine");
+    }
+    replicas({first.Entry("engine")});
+    CPPUNIT_ASSERT(!mTest.Run(mService.Accept(spec, route, kBody)));
+    mTest.RunUntil([&] { return mTest.mNode.mReplicas.InFlight("r0") > 0; });
+    replicas({first.Entry("engine"), one.Entry("engine"), two.Entry("engine"),
+              three.Entry("engine")});
+    mTest.RunFor(Millis(1000));
+    CPPUNIT_ASSERT_EQUAL(0, one.mRequests + two.mRequests + three.mRequests);
+    ScriptedReplica last(mWorld.mIo, "r4", TestHeaders());
+    last.mEvents = 20;
+    replicas({last.Entry("engine")});
+    CPPUNIT_ASSERT_EQUAL(std::string("bad"), Listed(1)[0].mItem);
+    CPPUNIT_ASSERT(!Crashes().HasSuspects());
+  }
+
+  /// Guards against an item that runs through one replica after the other at
+  /// once while all of them crash.
+  void ItemPausesAfterCrashes() {
+    AddCrashes(ItemDigest("bad"), 2);
+    mEngine.mDefaultScript.mEndsAfter = 0;
+    RolloutSpec spec = Spec();
+    spec.mItems.resize(1);
+    const Route route = *mTest.mNode.mRoutes.Read()->Find("h", "/r/");
+    // The crashes of before have another cause.
+    for (const char* replica : {"x0", "x1", "x2"}) {
+      Crashes().Merge(
+          {{RequestDigest(RequestParts{"POST", "h", "/other", "", ""}), replica,
+            WallClockMs(), true, ""}});
+    }
+    CPPUNIT_ASSERT(!mTest.Run(mService.Accept(spec, route, kBody)));
+    mTest.RunUntil(
+        [&] { return Crashes().CrashesMet(ItemDigest("bad")) == 3; });
+    mTest.Add(mOther, "engine");
+    mTest.RunFor(Millis(100));
+    CPPUNIT_ASSERT(mOther.mRequests.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("bad"), Listed(1)[0].mItem);
+  }
+
   void HeldItemIsDeferred() {
     AddCrashes(ItemDigest("bad"), 3);
     Accept();
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -5,6 +5,7 @@
 
 #include "crash_guard.h"
 #include "rillwall/admission.h"
+#include "rillwall/backoff.h"
 #include "rillwall/numbers.h"
 #include "rillwall/sse.h"
 
@@ -23,6 +24,11 @@
 /// A request that ends replicas does so as it begins. After this many events of
 /// a run, the replica's end has another cause. Texts have 23 events on average.
 constexpr int64_t kSurvivalEvents = 8;
+/// Pauses of an item after its replica has crashed: replicas that end together
+/// are all seen within the first, and the longest bounds how many replicas a
+/// crashing item can end while others crash too.
+constexpr Millis kFirstCrashPause{50};
+constexpr Millis kLongestCrashPause{2000};
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnprocessable = 422;
@@ -47,6 +53,16 @@
                    .first->second;
 }
 
+/// \return whether an item may only be sent to a replica that accepts a
+/// connection now. Replicas often end together, and a pooled connection to one
+/// of them may not show it yet.
+bool NeedsLiveReplica(const NodeContext& aNode, RolloutStep& aStep,
+                      size_t aItem) {
+  return aStep.mCutItems.contains(aItem) ||
+         (aNode.mCrashes.HasSuspects() &&
+          NeedsNewConnection(aNode, DigestOf(aStep, aItem)));
+}
+
 HttpRequest MakeRequest(const NodeContext& aNode, RolloutStep& aStep,
                         size_t aItem, const Replica& aReplica) {
   const RolloutItem& item = aStep.mTracker.Item(aItem);
@@ -224,17 +240,24 @@
 
 asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode, RolloutStep& aStep,
                                          size_t aItem, Replica aReplica,
-                                         std::string& aWhy) {
+                                         ItemRunDetails& aDetails) {
+  std::string& why = aDetails.mWhy;
   const Result<Endpoint> endpoint = Endpoint::Parse(aReplica.mAddress);
   if (!endpoint) {
-    aWhy = endpoint.error().Detail();
+    why = endpoint.error().Detail();
     co_return ItemRunEnd::NotSent;
   }
   HttpRequest request = MakeRequest(aNode, aStep, aItem, aReplica);
-  Result<std::unique_ptr<HttpStream>> opened =
-      co_await aNode.mClient.Open(*endpoint, std::move(request), kHeadTimeout);
+  HttpClient::OpenOptions options;
+  options.mNewConnection = NeedsLiveReplica(aNode, aStep, aItem);
+  options.mTrace = &aDetails.mTrace;
+  if (aNode.mCrashes.HasSuspects()) {
+    aDetails.mOrder = aNode.mCrashes.NextOrder(DigestOf(aStep, aItem));
+  }
+  Result<std::unique_ptr<HttpStream>> opened = co_await aNode.mClient.Open(
+      *endpoint, std::move(request), kHeadTimeout, std::move(options));
   if (!opened) {
-    aWhy = opened.error().Detail();
+    why = opened.error().Detail();
     const bool sent = opened.error().Run() != RunState::NotRun;
     co_return sent ? EndOf(opened.error()) : ItemRunEnd::NotSent;
   }
@@ -244,25 +267,25 @@
   const std::unique_ptr<HttpStream> stream = std::move(*opened);
   const HttpResponse& head = stream->Head();
   ObserveLoad(aNode, aReplica.mId, head);
-  const ItemRunEnd headResult = CheckHead(aNode, aStep, aItem, head, aWhy);
+  const ItemRunEnd headResult = CheckHead(aNode, aStep, aItem, head, why);
   if (headResult != ItemRunEnd::Whole) {
     co_return headResult;
   }
   const int64_t version = NumberOr(head.Find(aNode.mHeaders.mWeightVersion), 0);
   if (!AcceptVersion(aNode, aStep, aItem, aReplica, version)) {
-    aWhy = "unsuitable weight version " + std::to_string(version);
+    why = "unsuitable weight version " + std::to_string(version);
     co_return ItemRunEnd::Broken;
   }
   aStep.mStreams[aItem] = stream.get();
-  ItemRunEnd end = co_await ReadEvents(aNode, aStep, aItem, aReplica, *stream,
-                                       version, aWhy);
+  ItemRunEnd end =
+      co_await ReadEvents(aNode, aStep, aItem, aReplica, *stream, version, why);
   aStep.mStreams.erase(aItem);
   aStep.mMoveReasons.erase(aItem);
   RolloutText& text = aStep.mTracker.Text(aItem);
   const int64_t minVersion = aStep.mTracker.Spec().mMinVersion;
   if (!text.SatisfiesVersions(minVersion, aStep.mRoute.mSingleVersion)) {
     // The weights changed during the stream: none of its text can be used.
-    aWhy = "the weight versions of the text do not fit the step";
+    why = "the weight versions of the text do not fit the step";
     text = RolloutText();
     end = end == ItemRunEnd::Stopped ? end : ItemRunEnd::Broken;
   }
@@ -276,22 +299,40 @@
 }
 
 asio::awaitable<bool> RecordRunOutcome(NodeContext& aNode, RolloutStep& aStep,
-                                       size_t aItem, Replica aReplica,
-                                       ItemRunEnd aEnd, int64_t aEvents) {
+                                       size_t aItem, EndedItemRun aRun) {
   const std::string& id = aStep.mTracker.Item(aItem).mId;
   const int64_t reached = aStep.mTracker.Text(aItem).mEvents;
-  const bool whole = aEnd == ItemRunEnd::Whole;
-  if (whole && aNode.mCrashes.HasSuspects()) {
+  const bool suspects = aNode.mCrashes.HasSuspects();
+  if (aRun.mEnd == ItemRunEnd::Whole && suspects) {
     ClearRequest(aNode, DigestOf(aStep, aItem), id);
-  } else if (aEvents > 0 && aNode.mCrashes.HasSuspects()) {
-    ClearRequestBefore(aNode, DigestOf(aStep, aItem), id, reached);
+  } else if (aRun.mEvents > 0 && suspects) {
+    PassEvent(aNode, DigestOf(aStep, aItem), id, reached);
   }
-  if (whole || aEvents >= kSurvivalEvents || aEnd != ItemRunEnd::Closed) {
+  if (aRun.mDetails.mTrace.mResponding) {
+    aStep.mCutItems.erase(aItem);
+  }
+  if (aRun.mEnd != ItemRunEnd::Closed) {
     co_return false;
   }
-  co_return co_await RecordCrashIfEnded(
-      aNode, DigestOf(aStep, aItem), aReplica, id,
-      DescribeRequest(PartsOf(aStep, aItem)), reached);
+  CutRun cut;
+  cut.mRequest = DigestOf(aStep, aItem);
+  cut.mReplica = std::move(aRun.mReplica);
+  cut.mId = id;
+  cut.mDescription = DescribeRequest(PartsOf(aStep, aItem));
+  cut.mSentAt = aRun.mSentAt;
+  cut.mOrder = aRun.mDetails.mOrder;
+  cut.mReached = aRun.mDetails.mTrace.Reached();
+  cut.mSurvived = aRun.mEvents >= kSurvivalEvents;
+  cut.mEvents = reached;
+  const bool ended = co_await RecordCrashIfEnded(aNode, std::move(cut));
+  const auto crashes =
+      static_cast<int>(aNode.mCrashes.CrashesMet(DigestOf(aStep, aItem)));
+  Millis pause;
+  if (ended && crashes > 0) {
+    pause = BackoffDelay(crashes, kFirstCrashPause, kLongestCrashPause);
+  }
+  aStep.mCutItems[aItem] = aNode.Now() + pause;
+  co_return ended;
 }
 
 }  // namespace rillwall
--- a/src/librillwall_rollout/item_run.h
+++ b/src/librillwall_rollout/item_run.h
@@ -23,23 +23,38 @@
   Stopped,     ///< the step ended here
 };
 
+/// Further facts about the end of a run.
+struct ItemRunDetails {
+  std::string mWhy;      ///< a description of the outcome, for the log
+  HttpCallTrace mTrace;  ///< what the call shows about the replica
+  int64_t mOrder = 1;    ///< see CrashRecord::mOrder
+};
+
 /// Sends the item and reads its events until the stream ends. Text that is
 /// already there is not generated again.
-/// \param aWhy set to a description of the outcome, for the log
 asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode, RolloutStep& aStep,
                                          size_t aItem, Replica aReplica,
-                                         std::string& aWhy);
+                                         ItemRunDetails& aDetails);
 
 /// \return whether an item may not run, because replicas ended under it
 bool ItemHeld(const NodeContext& aNode, RolloutStep& aStep, size_t aItem);
 
-/// Updates the crash records of an item after a run: clears the records of
-/// crashes at events that the run has passed, all of them if the text is whole,
-/// and records a crash if the replica ended as the run began.
-/// \param aEvents number of events that the run delivered
+/// A run of an item that has ended.
+struct EndedItemRun {
+  Replica mReplica;
+  Millis mSentAt;
+  ItemRunEnd mEnd = ItemRunEnd::NotSent;
+  int64_t mEvents = 0;  ///< number of events that the run delivered
+  ItemRunDetails mDetails;
+};
+
+/// Updates the crash records of an item after a run: marks the records of
+/// crashes at events that the run has passed, clears all of them if the text is
+/// whole, and records a crash if the replica has ended. The item then pauses,
+/// the longer the more replicas have ended, and its next run begins only at a
+/// replica that accepts a connection.
 /// \return whether the replica has ended
 asio::awaitable<bool> RecordRunOutcome(NodeContext& aNode, RolloutStep& aStep,
-                                       size_t aItem, Replica aReplica,
-                                       ItemRunEnd aEnd, int64_t aEvents);
+                                       size_t aItem, EndedItemRun aRun);
 
 }  // namespace rillwall
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -167,7 +167,9 @@
 }
 
 bool RolloutService::MayRun(RolloutStep& aStep, size_t aItem) const {
-  return aStep.mHasRoute && !ItemHeld(mNode, aStep, aItem);
+  const auto cut = aStep.mCutItems.find(aItem);
+  const bool pauses = cut != aStep.mCutItems.end() && mNode.Now() < cut->second;
+  return aStep.mHasRoute && !pauses && !ItemHeld(mNode, aStep, aItem);
 }
 
 bool RolloutService::StartNext(const StepPtr& aStep) {
@@ -194,7 +196,7 @@
   if (!MayRun(*aStep, aPick.mItem)) {
     // The other items of the step continue without this one.
     aStep->mTracker.Defer(aPick.mItem);
-    if (aStep->mHasRoute) {
+    if (ItemHeld(mNode, *aStep, aPick.mItem)) {
       Event("item-held")
           .Id(aStep->mTracker.Item(aPick.mItem).mId)
           .Text("step", aStep->Id())
@@ -218,14 +220,15 @@
   std::optional<StepSchedule::Run> run(*mSchedule);
   RolloutTracker& tracker = aStep->mTracker;
   const int64_t before = tracker.Text(aItem).mEvents;
-  std::string why;
+  ItemRunDetails details;
   const ItemRunEnd end =
-      co_await GenerateText(mNode, *aStep, aItem, aReplica, why);
+      co_await GenerateText(mNode, *aStep, aItem, aReplica, details);
   use.End(OutcomeOf(end), true);
   run.reset();
   const int64_t events = tracker.Text(aItem).mEvents - before;
+  EndedItemRun ended{aReplica, use.Started(), end, events, details};
   const bool replicaEnded =
-      co_await RecordRunOutcome(mNode, *aStep, aItem, aReplica, end, events);
+      co_await RecordRunOutcome(mNode, *aStep, aItem, std::move(ended));
   Event("item-run")
       .Id(tracker.Item(aItem).mId)
       .Text("step", aStep->Id())
@@ -234,7 +237,8 @@
       .Number("from_event", before)
       .Number("events", tracker.Text(aItem).mEvents)
       .Number("took_ms", (mNode.Now() - use.Started()).Count())
-      .Text("why", why)
+      .Text("why", details.mWhy)
+      .Flag("new_connection", details.mTrace.mNewConnection)
       .Flag("replica_ended", replicaEnded)
       .Write();
   mNode.mMetrics.Count("item_runs_total",
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -326,6 +326,38 @@
   co_await aExchange.End();
 }
 
+EndedReplica::EndedReplica(asio::io_context& aIo, std::string aId)
+    : mId(std::move(aId)),
+      mAcceptor(aIo,
+                asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      mSocket(aIo),
+      mEndpoint{"127.0.0.1", mAcceptor.local_endpoint().port()} {
+  mAcceptor.async_accept(mSocket, [this](const auto& aCode) {
+    if (aCode) {
+      return;
+    }
+    mAcceptor.close();
+    mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                       [this](const auto& aReadCode) {
+                         if (!aReadCode) {
+                           mRequests += mSocket.available() > 0 ? 1 : 0;
+                           // Bytes that were not read cause a reset.
+                           mSocket.close();
+                         }
+                       });
+  });
+}
+
+Replica EndedReplica::Entry(const std::string& aService) const {
+  Replica entry;
+  entry.mId = mId;
+  entry.mService = aService;
+  entry.mAddress = mEndpoint.Text();
+  entry.mSlots = 8;
+  entry.mModels = {{"m", 5}};
+  return entry;
+}
+
 TestNode::TestNode(TestWorld& aWorld, std::string aRun) : mWorld(aWorld) {
   mNode.mIdentity = {"n1", "z", "n1-address", std::move(aRun), false};
   mNode.mHeaders = TestHeaders();
@@ -338,9 +370,16 @@
   RunUntil([&] { return mNode.Now() >= end; });
 }
 
-void TestNode::Add(const ScriptedReplica& aReplica,
-                   const std::string& aService) {
-  mListed.push_back(aReplica.Entry(aService));
+void TestNode::Add(const EndedReplica& aReplica, const std::string& aService) {
+  Add(aReplica.Entry(aService));
+  const Listening listening =
+      Run(mNode.mClient.Probe(aReplica.Address(), Millis(1000)));
+  CPPUNIT_ASSERT(listening == Listening::Yes);
+  RunUntil([&] { return aReplica.Connected(); });
+}
+
+void TestNode::Add(const Replica& aEntry) {
+  mListed.push_back(aEntry);
   mNode.mReplicas.Update(mListed, false);
 }
 
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -7,6 +7,7 @@
 #include <cppunit/TestAssert.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <map>
 #include <memory>
@@ -121,6 +122,25 @@
   Endpoint mEndpoint;
 };
 
+/// A replica that has ended, though a connection to it has not been closed yet:
+/// the connection is reset when a request arrives, and others are refused.
+class EndedReplica {
+ public:
+  EndedReplica(asio::io_context& aIo, std::string aId);
+  Replica Entry(const std::string& aService) const;
+  /// \return whether the connection that stays open has been made; the first
+  /// one is
+  bool Connected() const { return mSocket.is_open(); }
+  Endpoint Address() const { return mEndpoint; }
+  int mRequests = 0;  ///< that arrived on the connection
+
+ private:
+  const std::string mId;
+  asio::ip::tcp::acceptor mAcceptor;
+  asio::ip::tcp::socket mSocket;
+  Endpoint mEndpoint;
+};
+
 /// An io_context whose pending coroutines can be destroyed while the objects
 /// that they refer to still exist.
 class TestContext : public asio::io_context {
@@ -190,13 +210,20 @@
   /// Suspends the host for the given time.
   void Suspend(Millis aSpan) { mClock->Suspend(aSpan); }
   /// Adds a replica to the node's list, as the registry would.
-  void Add(const ScriptedReplica& aReplica, const std::string& aService);
+  void Add(const ScriptedReplica& aReplica, const std::string& aService) {
+    Add(aReplica.Entry(aService));
+  }
+  /// Adds a replica that has ended to the node's list, and leaves a connection
+  /// to it in the node's pool.
+  void Add(const EndedReplica& aReplica, const std::string& aService);
 
   TestWorld& mWorld;
   TestContext mIo;
   NodeContext mNode{mIo, mWorld.mStore};
 
  private:
+  void Add(const Replica& aEntry);
+
   std::shared_ptr<SuspendedClock> mClock = std::make_shared<SuspendedClock>();
   std::vector<Replica> mListed;
 };
--- a/src/librillwall_rollout/suspects.cpp
+++ b/src/librillwall_rollout/suspects.cpp
@@ -50,11 +50,14 @@
   // and have been cleared.
   const int64_t now = aNode.mTimeOfDay();
   for (size_t i = 0; i < CrashTable::kCrashesToHold; ++i) {
-    Replica placeholder;
-    placeholder.mId = kOperatorRecordPrefix + std::to_string(i);
-    placeholder.mStartedAtMs = now;
-    RecordCrash(aNode, aRequest, placeholder, {}, "held by an operator",
-                CrashRecord::kAllEvents);
+    CrashRecord record;
+    record.mRequest = aRequest;
+    record.mReplica =
+        kOperatorRecordPrefix + std::to_string(i) + '@' + std::to_string(now);
+    record.mAtMs = now;
+    record.mDescription = "held by an operator";
+    record.mEvents = CrashRecord::kAllEvents;
+    RecordCrash(aNode, record, {});
   }
 }
 
@@ -83,7 +86,7 @@
         Error(ErrorKind::BadRequest,
               "The parameter 'action' is neither 'clear' nor 'hold'."));
   }
-  if (aNode.mCrashes.Crashes(*request) == 0) {
+  if (aNode.mCrashes.CrashesMet(*request) == 0) {
     return ErrorAnswer(Error(ErrorKind::NotFound,
                              "No replica is known to have ended under this "
                              "request since it was cleared."));
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -102,7 +102,10 @@
   UpstreamResponse mResponse;
   std::string mWhy;
   bool mConnectionClosed = false;  ///< the replica closed the connection
-  bool mReplicaEnded = false;      ///< the replica's process has ended since
+  HttpCallTrace mTrace;            ///< what the call shows about the replica
+  Millis mSentAt;
+  int64_t mOrder = 1;          ///< see CrashRecord::mOrder
+  bool mReplicaEnded = false;  ///< the replica's process has ended since
   /// The replica of the second try, if this is that one's result.
   std::optional<Replica> mHedge;
   /// How the first try ended, if this is the second one's result.
@@ -130,9 +133,15 @@
   NodeContext& node = aRun.mNode;
   const UpstreamCall& call = aRun.mCall;
   if (aResult.mEnd == TryOutcome::Lost && aResult.mConnectionClosed) {
-    aResult.mReplicaEnded =
-        co_await RecordCrashIfEnded(node, DigestOf(aRun), aReplica, call.mId,
-                                    DescribeRequest(PartsOf(call)));
+    CutRun cut;
+    cut.mRequest = DigestOf(aRun);
+    cut.mReplica = aReplica;
+    cut.mId = call.mId;
+    cut.mDescription = DescribeRequest(PartsOf(call));
+    cut.mSentAt = aResult.mSentAt;
+    cut.mOrder = aResult.mOrder;
+    cut.mReached = aResult.mTrace.Reached();
+    aResult.mReplicaEnded = co_await RecordCrashIfEnded(node, std::move(cut));
   }
   if (node.mCrashes.HasSuspects() && SurvivedRequest(aRun, aResult)) {
     ClearRequest(node, DigestOf(aRun), call.mId);
@@ -228,9 +237,12 @@
 }
 
 /// Reads a response's body, up to the size that is buffered whole.
+/// \param aTry the try so far
+/// \return the try
 asio::awaitable<TryResult> ReadResponse(std::unique_ptr<HttpStream> aStream,
-                                        Millis aDue, NodeContext& aNode) {
-  TryResult result;
+                                        Millis aDue, NodeContext& aNode,
+                                        TryResult aTry) {
+  TryResult result = std::move(aTry);
   result.mEnd = TryOutcome::Answered;
   result.mResponse.mHead = aStream->Head();
   std::string& body = result.mResponse.mHead.mBody;
@@ -290,13 +302,15 @@
 /// ends.
 class WatchedStream final : public HttpStream {
  public:
-  WatchedStream(CallRun& aRun, const Replica& aReplica,
+  WatchedStream(CallRun& aRun, const Replica& aReplica, const TryResult& aTry,
                 std::unique_ptr<HttpStream> aStream)
       : mNode(aRun.mNode),
         mId(aRun.mCall.mId),
         mDigest(DigestOf(aRun)),
         mDescription(DescribeRequest(PartsOf(aRun.mCall))),
         mReplica(aReplica),
+        mSentAt(aTry.mSentAt),
+        mOrder(aTry.mOrder),
         mEventsBefore(EventsBefore(aRun)),
         mStream(std::move(aStream)) {}
   const HttpResponse& Head() const override { return mStream->Head(); }
@@ -312,10 +326,17 @@
     if (!part && part.error().Kind() == ErrorKind::ConnectionLost) {
       const int64_t reached = mEventsBefore + mEvents.Count();
       if (mEvents.Count() > 0) {
-        ClearRequestBefore(mNode, mDigest, mId, reached);
+        PassEvent(mNode, mDigest, mId, reached);
       }
-      co_await RecordCrashIfEnded(mNode, mDigest, mReplica, mId, mDescription,
-                                  reached);
+      CutRun cut;
+      cut.mRequest = mDigest;
+      cut.mReplica = mReplica;
+      cut.mId = mId;
+      cut.mDescription = mDescription;
+      cut.mSentAt = mSentAt;
+      cut.mOrder = mOrder;
+      cut.mEvents = reached;
+      co_await RecordCrashIfEnded(mNode, std::move(cut));
     }
     co_return part;
   }
@@ -326,6 +347,8 @@
   const RequestDigest mDigest;
   const std::string mDescription;
   const Replica mReplica;
+  const Millis mSentAt;
+  const int64_t mOrder;
   const int64_t mEventsBefore;
   EventCounter mEvents;
   const std::unique_ptr<HttpStream> mStream;
@@ -337,14 +360,22 @@
   const Millis limit = TryTimeout(aRun, left);
   const Millis due = node.Now() + limit;
   TryResult result;
+  result.mSentAt = node.Now();
   const Result<Endpoint> endpoint = Endpoint::Parse(aReplica.mAddress);
   if (!endpoint) {
     result.mWhy = endpoint.error().Detail();
     co_return result;
   }
   HttpRequest request = MakeTryRequest(aRun, aReplica.mId, left);
+  HttpClient::OpenOptions options;
+  options.mMayReuse = ReuseUnlessRefused(aRun);
+  if (node.mCrashes.HasSuspects()) {
+    options.mNewConnection = NeedsNewConnection(node, DigestOf(aRun));
+    result.mOrder = node.mCrashes.NextOrder(DigestOf(aRun));
+  }
+  options.mTrace = &result.mTrace;
   Result<std::unique_ptr<HttpStream>> opened = co_await node.mClient.Open(
-      *endpoint, std::move(request), limit, ReuseUnlessRefused(aRun));
+      *endpoint, std::move(request), limit, std::move(options));
   if (!opened) {
     result.mEnd = EndOf(opened.error());
     result.mWhy = opened.error().Detail();
@@ -368,11 +399,12 @@
   if (aRun.mCall.mKind == RequestKind::Streaming) {
     result.mEnd = TryOutcome::Answered;
     result.mResponse.mHead = head;
-    result.mResponse.mRest =
-        std::make_unique<WatchedStream>(aRun, aReplica, std::move(stream));
+    result.mResponse.mRest = std::make_unique<WatchedStream>(
+        aRun, aReplica, result, std::move(stream));
     co_return result;
   }
-  co_return co_await ReadResponse(std::move(stream), due, node);
+  co_return co_await ReadResponse(std::move(stream), due, node,
+                                  std::move(result));
 }
 
 /// \return the digest for a try's log line, so that requests with the same
@@ -522,6 +554,9 @@
     if (ended.mSecond && tries.mFirstResult) {
       result.mFirstOutcome = OutcomeOf(tries.mFirstResult->mEnd);
       co_await RecordOutcome(aRun, aReplica, *tries.mFirstResult);
+    } else if (!Succeeded(result) && !ended.mSecond && tries.mSecondResult) {
+      co_await RecordOutcome(aRun, *tries.mSecondResult->mHedge,
+                             *tries.mSecondResult);
     }
     if (ended.mSecond && Succeeded(result)) {
       ++node.mLoadCounts.mHedgesWon;
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(EndedReplicaIsRecordedAsACrash);
   CPPUNIT_TEST(ClosedConnectionIsNoCrash);
   CPPUNIT_TEST(NoThirdTryAfterTwoCrashes);
+  CPPUNIT_TEST(ReplicasThatHadEndedHoldNothing);
+  CPPUNIT_TEST(SuspectUsesANewConnection);
   CPPUNIT_TEST(HeldRequestIsRefusedAtOnce);
   CPPUNIT_TEST(OtherRequestsAreServed);
   CPPUNIT_TEST(AnswerClearsTheRequest);
@@ -267,6 +269,42 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, Sent() + three.mRequests.size());
   }
 
+  /// Guards against a request that is refused and then held because it met
+  /// pooled connections to replicas that had ended already.
+  void ReplicasThatHadEndedHoldNothing() {
+    for (int round = 0; round < 3; ++round) {
+      EndedReplica first(mWorld.mIo, "first");
+      EndedReplica second(mWorld.mIo, "second");
+      EndedReplica third(mWorld.mIo, "third");
+      TestNode test(mWorld);
+      test.mNode.mCrashes.Merge(mTest.mNode.mCrashes.Since(0));
+      for (const EndedReplica* replica : {&first, &second, &third}) {
+        test.Add(*replica, "s");
+      }
+      const auto ended = test.Run(
+          CallUpstream(test.mNode, CallOf(RequestKind::Idempotent, 3)));
+      CPPUNIT_ASSERT(!ended);
+      // From the first end on, only new connections are used.
+      CPPUNIT_ASSERT_EQUAL(
+          round == 0 ? 1 : 0,
+          first.mRequests + second.mRequests + third.mRequests);
+      mTest.mNode.mCrashes.Merge(test.mNode.mCrashes.Since(0));
+    }
+    CPPUNIT_ASSERT(!mTest.mNode.mCrashes.Held(Digest()));
+    CPPUNIT_ASSERT_EQUAL(200, Call(RequestKind::Idempotent, 1)->mHead.mStatus);
+  }
+
+  void SuspectUsesANewConnection() {
+    Call(RequestKind::Idempotent, 1);
+    Call(RequestKind::Idempotent, 1);
+    const uint64_t made = mTest.mNode.mClient.ConnectionsMade();
+    CPPUNIT_ASSERT_EQUAL(200, Call(RequestKind::Idempotent, 1)->mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(made, mTest.mNode.mClient.ConnectionsMade());
+    MergeCrashes(1);
+    CPPUNIT_ASSERT_EQUAL(200, Call(RequestKind::Idempotent, 1)->mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(made + 1, mTest.mNode.mClient.ConnectionsMade());
+  }
+
   void HeldRequestIsRefusedAtOnce() {
     MergeCrashes(3);
     for (const RequestKind kind :
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -72,13 +72,13 @@
   /// response.
   asio::awaitable<Result<std::unique_ptr<HttpClientCall>>> Begin(
       const Endpoint& aEndpoint, const HttpRequest& aRequest, Millis aTimeout,
-      ReusePredicate aMayReuse = nullptr);
+      OpenOptions aOptions);
   asio::awaitable<Result<HttpResponse>> Send(Endpoint aEndpoint,
                                              HttpRequest aRequest,
                                              Millis aTimeout);
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
       Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout,
-      ReusePredicate aMayReuse);
+      OpenOptions aOptions);
   /// Closes the idle connections to an endpoint after a request on a reused
   /// connection timed out. The idle ones may have stopped responding as well,
   /// and trying them one by one would cost a timeout each.
@@ -237,13 +237,14 @@
 
 asio::awaitable<Result<std::unique_ptr<HttpClientCall>>>
 HttpClient::Impl::Begin(const Endpoint& aEndpoint, const HttpRequest& aRequest,
-                        Millis aTimeout, ReusePredicate aMayReuse) {
+                        Millis aTimeout, OpenOptions aOptions) {
   if (!ValidRequestLine(aRequest)) {
     co_return Error(ErrorKind::BadRequest,
                     "The request's method or target is not valid.");
   }
   const TimePoint deadline = DeadlineIn(aTimeout);
-  Connection connection = TakeIdle(aEndpoint);
+  Connection connection =
+      aOptions.mNewConnection ? nullptr : TakeIdle(aEndpoint);
   const bool reused = connection != nullptr;
   if (reused) {
     connection->mSocket.Deadline().Set(aTimeout);
@@ -255,11 +256,14 @@
     connection = std::move(*made);
   }
   auto call = std::make_unique<HttpClientCall>(
-      shared_from_this(), std::move(connection), std::move(aMayReuse));
+      shared_from_this(), std::move(connection), std::move(aOptions.mMayReuse));
   std::optional<Error> error = co_await call->WriteRequest(aRequest);
   if (!error) {
     error = co_await call->ReadHead();
   }
+  if (aOptions.mTrace != nullptr) {
+    *aOptions.mTrace = {!reused, call->Responding()};
+  }
   if (error && reused && error->Kind() == ErrorKind::Timeout) {
     DropIdle(aEndpoint);
   }
@@ -272,8 +276,9 @@
 asio::awaitable<Result<HttpResponse>> HttpClient::Impl::Send(
     Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout) {
   const std::shared_ptr<Impl> self = shared_from_this();
+  OpenOptions options;
   Result<std::unique_ptr<HttpClientCall>> call =
-      co_await Begin(aEndpoint, aRequest, aTimeout);
+      co_await Begin(aEndpoint, aRequest, aTimeout, std::move(options));
   if (!call) {
     co_return call.error();
   }
@@ -282,10 +287,10 @@
 
 asio::awaitable<Result<std::unique_ptr<HttpStream>>> HttpClient::Impl::Open(
     Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout,
-    ReusePredicate aMayReuse) {
+    OpenOptions aOptions) {
   const std::shared_ptr<Impl> self = shared_from_this();
   Result<std::unique_ptr<HttpClientCall>> call =
-      co_await Begin(aEndpoint, aRequest, aTimeout, std::move(aMayReuse));
+      co_await Begin(aEndpoint, aRequest, aTimeout, std::move(aOptions));
   if (!call) {
     co_return call.error();
   }
@@ -306,9 +311,9 @@
 
 asio::awaitable<Result<std::unique_ptr<HttpStream>>> HttpClient::Open(
     const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout,
-    ReusePredicate aMayReuse) {
+    OpenOptions aOptions) {
   return mImpl->Open(aEndpoint, std::move(aRequest), aTimeout,
-                     std::move(aMayReuse));
+                     std::move(aOptions));
 }
 
 asio::awaitable<Listening> HttpClient::Probe(const Endpoint& aEndpoint,
--- a/src/librillwall_transport/http_client_connection.h
+++ b/src/librillwall_transport/http_client_connection.h
@@ -62,6 +62,8 @@
   /// Reads the whole body. The caller sets the deadline.
   asio::awaitable<Result<HttpResponse>> ReadAll();
 
+  /// \return whether any byte of a response has arrived
+  bool Responding() const { return mParser && mParser->got_some(); }
   /// Removes the deadline until the next Read().
   void ClearDeadline();
 
