soak: storms and racks of crashes, route changes beside lost hosts

The soak lacked what the users' play had: several engines that end at once, again and again, under texts; all replicas of a zone, or all plain services, at once; a rollout route that is removed, moved and brought back with steps open while hosts are killed or stopped in overlapping series; and an item that crashes engines one to three events further on. It checks that steps are completed within 20 s of calm, that no host holds a good request then, and that the item ends six engines at most.

Runs of the other cases draw the same random numbers as before. A soak that ends by an exception leaves no processes any more.

--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -19,9 +19,11 @@
   handover   with --handover: after a change of the lead, complete texts are not generated again
   orders     with --scaling: orders keep the platform's rules
   idle       with --scaling: no replica is ended that has work
+  complete, released   with --storms: see storms.py
 
 usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N] [--services N]
-               [--faults none|all|NAME,...] [--handover] [--surge] [--scaling] [--keep DIR]
+               [--faults none|all|NAME,...] [--handover] [--surge] [--scaling] [--storms]
+               [--keep DIR]
 Ends with "N passed, N failed". The logs of a failed run stay in its folder.
 """
 
@@ -41,6 +43,7 @@
 from handover import Handover
 from scaling import Cloud
 from standins import CRASHING, Engine, Service, Store, events_of, text_of
+from storms import CHECKS as STORM_CHECKS, Storms
 from surge import CHECKS as SURGE_CHECKS, LoadedService, Surge
 from web import Proxy, call
 
@@ -152,6 +155,8 @@
         self.whole_steps, self.started = 0, []
         self.crashes, self.crashing_items = {}, False  # crashes: request -> (time, calm) of each replica it crashed
         self.handover = Handover(self) if args.handover else None
+        self.storms = Storms(self) if args.storms else None
+        self.step_service = "engine"  # which service runs steps; None: their route is removed
         self.host_faults, self.host_fault_end = 0, 0.0  # running faults of hosts or store, and when the last one ended
 
     def check(self, name, holds, what):
@@ -171,6 +176,8 @@
                          for i in range(self.args.services)]
         for replica in self.engines + self.services:
             await self.start_replica(replica)
+        if self.storms:
+            await self.storms.start()
         self.configure()
         self.nodes = [Node(self, i, i < self.args.entries) for i in range(self.args.entries + self.args.leads)]
         await asyncio.gather(*(node.start() for node in self.nodes))
@@ -216,15 +223,17 @@
             return {"name": name, "host": HOST, "prefix": prefix, "type": kind, "service": service,
                     "timeout-ms": 1500, "target-latency-ms": 150, "priority": 2, "attempts": 3} | more
         routes = [route("r1", "/status/", "idempotent", "plain"),
-                  route("r2", "/charge/", "non_idempotent", "plain"),
-                  route("r3", "/steps/", "rollout", "engine", **{"due-ms": 7500, "max-wait-s": 60})]
+                  route("r2", "/charge/", "non_idempotent", "plain")]
+        if self.step_service:
+            routes.append(route("r3", "/steps/", "rollout", self.step_service, **{"due-ms": 7500, "max-wait-s": 60}))
         routes += [self.handover.route(route)] if self.handover else []
         routes += [route(f"x{i}", f"/x{i}/", "idempotent", "plain") for i in range(self.config_version)]
-        self.store.write("op/config", {
-            "version": self.config_version, "routes": routes,
-            "services": [{"name": "plain", "max-conns": 100},
-                         {"name": "engine", "max-conns": 100, "engine": {"slots": 6, "models": [{"name": MODEL}]}}
-                         | (self.cloud.scaling() if self.cloud else {})]})
+        def engines(name):
+            return {"name": name, "max-conns": 100, "engine": {"slots": 6, "models": [{"name": MODEL}]}}
+        services = [{"name": "plain", "max-conns": 100},
+                    engines("engine") | (self.cloud.scaling() if self.cloud else {})]
+        services += [engines("other")] if self.storms else []
+        self.store.write("op/config", {"version": self.config_version, "routes": routes, "services": services})
 
     # Clients.
 
@@ -561,6 +570,8 @@
         await asyncio.sleep(self.args.seconds)
         if self.handover:
             await self.handover.run()
+        if self.storms:
+            await self.storms.run()
         self.stopping = True
         await asyncio.gather(faults, *work)
         await self.final_checks()
@@ -573,6 +584,14 @@
             if process.returncode is None:
                 process.kill()
 
+    def kill_left(self):
+        for process in self.started:
+            if process.returncode is None:
+                try:
+                    os.kill(process.pid, signal.SIGKILL)
+                except ProcessLookupError:
+                    pass
+
 
 def take_addresses(seed):
     """Waits until no other run on this machine uses the addresses of this seed, as two such runs would
@@ -612,16 +631,21 @@
     parser.add_argument("--handover", action="store_true", help="change the lead while a step runs")
     parser.add_argument("--surge", action="store_true", help="adds a surge of requests; see surge.py")
     parser.add_argument("--scaling", action="store_true", help="order replicas; see scaling.py")
+    parser.add_argument("--storms", action="store_true", help="replicas crash in groups, routes change; see storms.py")
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
     lock = take_addresses(args.seed)
     soak = Soak(args)
-    asyncio.run(soak.run())
+    try:
+        asyncio.run(soak.run())
+    finally:
+        soak.kill_left()  # an exception must not leave processes
     lock.close()
     print(f"seed {soak.args.seed}: served {soak.served}, whole steps {soak.whole_steps}, faults {soak.faults}, "
           f"checks {soak.counts}")
     checks = CHECKS + ["handover"] * args.handover
     checks += (SURGE_CHECKS if args.surge else []) + (["orders", "idle"] if args.scaling else [])
+    checks += STORM_CHECKS if args.storms else []
     conclude(soak, "soak", checks)
 
 
--- a/testsuite/platform/standins.py
+++ b/testsuite/platform/standins.py
@@ -11,6 +11,7 @@
 from web import Cut, Server, answer
 
 CRASHING = b"crash"  # a request whose body begins with this crashes each replica that starts to run it
+CREEPING = b"creep"  # an item whose body begins with this crashes each engine one to three events further on
 
 
 def stable_number(text, below):
@@ -175,8 +176,11 @@
         """Crashes the replica if the request is made to crash it."""
         if request.body.startswith(CRASHING):
             await asyncio.sleep(0.02)
-            self.on_crash(self, request)
-            raise Cut
+            self.crash(request)
+
+    def crash(self, request):
+        self.on_crash(self, request)
+        raise Cut
 
     def refused(self, request):
         """Returns an answer that says that nothing ran, or None to run the request."""
@@ -216,6 +220,8 @@
 class Engine(Replica):
     """A model engine. It records the weight version under which each event of each item was generated."""
 
+    event_s = 0.01  # time that an event takes
+
     def __init__(self, store, rng, service, zone, models, event_versions):
         super().__init__(store, rng, service, zone, 6)
         self.versions, self.event_versions = dict(models), event_versions
@@ -270,8 +276,11 @@
         writer.write(f"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\nX-Rillwall-Request-Id: {name}\r\n"
                      f"X-Rillwall-Replica-Load: {self.running},0,{self.slots}\r\n"
                      f"X-Rillwall-Server-Stamp: s\r\nX-Rillwall-Weight-Versions: {version}\r\n\r\n".encode())
+        crash_at = at + self.rng.randint(1, 3) if request.body.startswith(CREEPING) else -1
         while at < events_of(name):
-            await asyncio.sleep(0.01 * (5 if self.fault == "slow" else 1))
+            if at == crash_at:
+                self.crash(request)
+            await asyncio.sleep(self.event_s * (5 if self.fault == "slow" else 1))
             if cut != self.cut or (self.fault == "garble" and self.rng.random() < 0.05):
                 raise Cut
             at += 1
