--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -267,8 +267,8 @@
     return;
   }
   const bool ran = aAcceptance->mStep != nullptr;
-  const bool elsewhere = MayRunElsewhere();
-  StartStep(aAcceptance, elsewhere);
+  const bool mayRunElsewhere = MayRunElsewhere();
+  StartStep(aAcceptance, mayRunElsewhere);
   const StepPtr& step = aAcceptance->mStep;
   step->mRevision = aRevision;
   step->mAccepted = true;
@@ -288,7 +288,7 @@
               (step->mDueAt.value_or(mNode.Now()) - mNode.Now()).Count())
       .Write();
   mNode.mMetrics.Count("steps_accepted_total");
-  if (elsewhere) {
+  if (mayRunElsewhere) {
     Launch(mNode.mIo, "collect-texts", CollectTexts(step));
   }
   ScheduleFlush(step);
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -308,7 +308,7 @@
       .Number("restored_events", restoredEvents)
       .Number("with_disk", restoredFromDisk)
       .Number("with_owner", restoredFromOwner)
-      .Flag("has_route", step->mHasRoute)
+      .Flag("has_route", step->HasRoute())
       .Write();
   mNode.mMetrics.Count("steps_taken_over_total");
   if (handsOver) {
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -169,7 +169,7 @@
 bool RolloutService::MayRun(RolloutStep& aStep, size_t aItem) const {
   const auto cut = aStep.mCutItems.find(aItem);
   const bool pauses = cut != aStep.mCutItems.end() && mNode.Now() < cut->second;
-  return aStep.mHasRoute && !pauses && !ItemHeld(mNode, aStep, aItem);
+  return aStep.HasRoute() && !pauses && !ItemHeld(mNode, aStep, aItem);
 }
 
 bool RolloutService::StartNext(const StepPtr& aStep) {
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -103,7 +103,6 @@
   const std::string id = tracker.Spec().mId;
   auto step = std::make_shared<RolloutStep>(
       mNode.mIo, std::move(tracker), route, std::move(aRecord), aRevision);
-  step->mHasRoute = aRoute != nullptr;
   SetTimeLimits(*step);
   step->mVerifiedAt = mNode.Now();
   mSteps[id] = step;
@@ -122,7 +121,7 @@
   const Millis wait =
       route.mMaxWait > Millis(0) ? route.mMaxWait : kDefaultMaxWait;
   aStep.mGiveUpAt = now + wait - age;
-  if (!aStep.mHasRoute) {
+  if (!aStep.HasRoute()) {
     aStep.mGiveUpAt = std::max(aStep.mGiveUpAt, now + kRouteReturnTimeout);
   }
   aStep.mDueAt.reset();
@@ -138,7 +137,6 @@
     return;
   }
   aStep.mRoute = *route;
-  aStep.mHasRoute = true;
   aStep.mTracker.SetLimits(route->mAttempts, route->mSingleVersion);
   SetTimeLimits(aStep);
   Event("step-route-found")
@@ -446,7 +444,7 @@
   bool verify = false;
   MoveFromLeavingReplicas();
   for (const StepPtr& step : RunningSteps()) {
-    if (!step->mHasRoute) {
+    if (!step->HasRoute()) {
       AdoptRoute(*step);
     }
     if (now > step->mGiveUpAt && !step->mTracker.AllEnded()) {
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -54,16 +54,15 @@
   }
 
   const std::string& Id() const { return mTracker.Spec().mId; }
+  /// \return whether items may run; else they wait until there is a route again
+  bool HasRoute() const { return !mRoute.mTargets.empty(); }
   /// Wakes all readers that wait for a result.
   void Notify() { mChanged.cancel(); }
 
   RolloutTracker mTracker;
-  /// As it was when the step was accepted or taken over. While mHasRoute is
-  /// false, it has no targets.
+  /// As it was when the step was accepted or taken over. Without targets if the
+  /// configuration had no route for the step then.
   Route mRoute;
-  /// False if the configuration had no route for the step when it was taken
-  /// over. Its items wait until there is one again.
-  bool mHasRoute = true;
   StepRecord mRecord;
   int64_t mRevision;                   ///< of the record; guards every append
   std::vector<RolloutResult> mListed;  ///< results in the store, by position
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -271,16 +271,21 @@
 class EventCounter {
  public:
   void Feed(std::string_view aPart) {
-    for (const char each : aPart) {
-      if (each == '\n') {
-        // An empty line ends an event.
-        mCount += mInEvent && mLineIsEmpty ? 1 : 0;
-        mInEvent = mInEvent && !mLineIsEmpty;
-        mLineIsEmpty = true;
-      } else if (each != '\r') {
+    while (!aPart.empty()) {
+      const size_t end = aPart.find('\n');
+      const std::string_view line = aPart.substr(0, end);
+      if (line.find_first_not_of('\r') != std::string_view::npos) {
         mInEvent = true;
         mLineIsEmpty = false;
       }
+      if (end == std::string_view::npos) {
+        return;
+      }
+      // An empty line ends an event.
+      mCount += mInEvent && mLineIsEmpty ? 1 : 0;
+      mInEvent = mInEvent && !mLineIsEmpty;
+      mLineIsEmpty = true;
+      aPart.remove_prefix(end + 1);
     }
   }
   int64_t Count() const { return mCount; }
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -88,9 +88,11 @@
       co_return std::move(*error);
     }
   }
-  HttpResponse response = std::move(mHead);
-  response.mBody = TakeBody();
+  std::string body = TakeBody();
+  // The predicate for reuse looks at the head.
   ReleaseWhenDone();
+  HttpResponse response = std::move(mHead);
+  response.mBody = std::move(body);
   co_return response;
 }
 
