rollouts: only the end of a replica sends an item over a new connection

The change before opened a new connection for an item after any stream that its replica had closed, also if the replica lives on (reset connections).

--- a/src/librillwall_rollout/item_hold_test.cpp
+++ b/src/librillwall_rollout/item_hold_test.cpp
@@ -196,20 +196,20 @@
   /// Guards against an item that runs through one replica after the other at
   /// once while all of them crash.
   void ItemPausesAfterCrashes() {
-    AddCrashes(ItemDigest("bad"), 2);
+    AddCrashes(ItemDigest("bad"), 4);
     mEngine.mDefaultScript.mEndsAfter = 0;
     RolloutSpec spec = Spec();
     spec.mItems.resize(1);
     const Route route = *mTest.mNode.mRoutes.Read()->Find("h", "/r/");
     // The crashes of before have another cause.
-    for (const char* replica : {"x0", "x1", "x2"}) {
+    for (const char* replica : {"x0", "x1", "x2", "x3", "x4"}) {
       Crashes().Merge(
           {{RequestDigest(RequestParts{"POST", "h", "/other", "", ""}), replica,
             WallClockMs(), true, ""}});
     }
     CPPUNIT_ASSERT(!mTest.Run(mService.Accept(spec, route, kBody)));
     mTest.RunUntil(
-        [&] { return Crashes().CrashesMet(ItemDigest("bad")) == 3; });
+        [&] { return Crashes().CrashesMet(ItemDigest("bad")) == 5; });
     mTest.Add(mOther, "engine");
     mTest.RunFor(Millis(100));
     CPPUNIT_ASSERT(mOther.mRequests.empty());
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -58,7 +58,7 @@
 /// of them may not show it yet.
 bool NeedsLiveReplica(const NodeContext& aNode, RolloutStep& aStep,
                       size_t aItem) {
-  return aStep.mCutItems.contains(aItem) ||
+  return aStep.mItemsOfEndedReplicas.contains(aItem) ||
          (aNode.mCrashes.HasSuspects() &&
           NeedsNewConnection(aNode, DigestOf(aStep, aItem)));
 }
@@ -309,7 +309,7 @@
     PassEvent(aNode, DigestOf(aStep, aItem), id, reached);
   }
   if (aRun.mDetails.mTrace.mResponding) {
-    aStep.mCutItems.erase(aItem);
+    aStep.mItemsOfEndedReplicas.erase(aItem);
   }
   if (aRun.mEnd != ItemRunEnd::Closed) {
     co_return false;
@@ -325,13 +325,14 @@
   cut.mSurvived = aRun.mEvents >= kSurvivalEvents;
   cut.mEvents = reached;
   const bool ended = co_await RecordCrashIfEnded(aNode, std::move(cut));
-  const auto crashes =
-      static_cast<int>(aNode.mCrashes.CrashesMet(DigestOf(aStep, aItem)));
-  Millis pause;
-  if (ended && crashes > 0) {
-    pause = BackoffDelay(crashes, kFirstCrashPause, kLongestCrashPause);
+  if (ended) {
+    const auto crashes =
+        static_cast<int>(aNode.mCrashes.CrashesMet(DigestOf(aStep, aItem)));
+    const Millis pause = crashes > 0 ? BackoffDelay(crashes, kFirstCrashPause,
+                                                    kLongestCrashPause)
+                                     : Millis(0);
+    aStep.mItemsOfEndedReplicas[aItem] = aNode.Now() + pause;
   }
-  aStep.mCutItems[aItem] = aNode.Now() + pause;
   co_return ended;
 }
 
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -167,8 +167,9 @@
 }
 
 bool RolloutService::MayRun(RolloutStep& aStep, size_t aItem) const {
-  const auto cut = aStep.mCutItems.find(aItem);
-  const bool pauses = cut != aStep.mCutItems.end() && mNode.Now() < cut->second;
+  const auto cut = aStep.mItemsOfEndedReplicas.find(aItem);
+  const bool pauses =
+      cut != aStep.mItemsOfEndedReplicas.end() && mNode.Now() < cut->second;
   return aStep.HasRoute() && !pauses && !ItemHeld(mNode, aStep, aItem);
 }
 
