crash_table: only crashes within 50 ms count once, not all runs that overlap

Fix: ends count once only within 50 ms of one another (a service that is ended as a whole). A bad request ends replicas as they run it, at different times.

--- a/src/include/rillwall/crash_table.h
+++ b/src/include/rillwall/crash_table.h
@@ -20,10 +20,10 @@
 ///   was alive when the request arrived, the record is unproven. It does not
 ///   count, but hosts send the request over new connections from then on, and a
 ///   replica that accepts one is alive.
-/// - Runs one after the other: the host that sent the request knew of the
-///   earlier crash, or sent it kClockMargin after that. Other runs count once:
-///   replicas that are ended together while they all run one frequent request
-///   are one crash.
+/// - Crashes one after the other: the host that sent the request knew of the
+///   earlier crash, or the replica crashed kSameMomentSpan later. Other crashes
+///   count once: replicas that are ended at one moment while they all run one
+///   frequent request are one crash.
 /// - Crashes that the request explains best. A crash with no suspects left was
 ///   caused by none of its requests. If it happened within kSameCauseSpan and
 ///   the request did not run there, both crashes probably have the same cause.
@@ -135,9 +135,10 @@
   /// Replicas that are ended together, for example with their rack, end within
   /// this time.
   static constexpr Millis kSameCauseSpan{1000};
-  /// More than the clocks of hosts differ, and less than the time after which
-  /// clients repeat a failed request.
-  static constexpr Millis kClockMargin{200};
+  /// Hosts see the ends of replicas that are ended at one moment within this
+  /// time. A request that crashes replicas does so as it is run, at different
+  /// times.
+  static constexpr Millis kSameMomentSpan{50};
   /// At some 200 bytes each, a small part of the 88 MB of the smallest host.
   static constexpr size_t kMaxRecords = 1024;
 
--- a/src/librillwall_coordination/crash_table.cpp
+++ b/src/librillwall_coordination/crash_table.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-/// \return whether a run was sent after the crash of an earlier one
-bool FollowsCrash(const CrashRecord& aRun, const CrashRecord& aEarlier) {
-  return aRun.mSentMs == 0 || aRun.mOrder > aEarlier.mOrder ||
-         aRun.mSentMs >= aEarlier.mAtMs + CrashTable::kClockMargin.Count();
+/// \return whether a crash is not of the same moment as an earlier one
+bool FollowsCrash(const CrashRecord& aCrash, const CrashRecord& aEarlier) {
+  return aCrash.mSentMs == 0 || aCrash.mOrder > aEarlier.mOrder ||
+         aCrash.mAtMs >= aEarlier.mAtMs + CrashTable::kSameMomentSpan.Count();
 }
 
 }  // namespace
