--- a/review/lib2/steps2.py
+++ b/review/lib2/steps2.py
@@ -72,6 +72,9 @@
     def begins(self, item, after, last):
         """Called as a run begins that goes on after an event."""
 
+    def answered(self, writer, answer_bytes):
+        """Called after a whole answer was sent on a channel."""
+
     def data_of(self, item, n):
         """The data of the n-th event of an item."""
         return f"{item}-{n} ".encode() + b"w" * 40
@@ -79,9 +82,15 @@
     async def run(self, request, writer):
         item, model = request.headers["x-rillwall-request-id"], request.headers["x-rillwall-model"]
         at, version, cut = int(request.headers.get("last-event-id", 0)), self.versions[model], self.cuts[model]
-        writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                     f"X-Rillwall-Request-Id: {item}\r\nX-Rillwall-Server-Stamp: 3e1b.{item}\r\n"
-                     f"X-Rillwall-Weight-Versions: {version}\r\nX-Rillwall-Replica-Load: {self.load()}\r\n\r\n".encode())
+        sent = bytearray()
+
+        def send(part):
+            sent.extend(part)
+            writer.write(part)
+
+        send(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+             f"X-Rillwall-Request-Id: {item}\r\nX-Rillwall-Server-Stamp: 3e1b.{item}\r\n"
+             f"X-Rillwall-Weight-Versions: {version}\r\nX-Rillwall-Replica-Load: {self.load()}\r\n\r\n".encode())
         last = events_of(item)
         self.begins(item, at, last)
         while at < last:
@@ -91,10 +100,11 @@
             at += 1
             data = self.data_of(item, at).replace(b"\n", b"\ndata: ")
             event = b"id: %d\ndata: " % at + data + b"\n\n"
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            send(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        send(b"0\r\n\r\n")
         await writer.drain()
+        self.answered(writer, bytes(sent))
 
 
 class Portal(Replica):
