--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,9 +18,9 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib2"))
+sys.path.insert(0, str(FOLDER.parent))
 
-import deploy2  # noqa: E402
+import deployment2  # noqa: E402
 import steps2  # noqa: E402
 from steps2 import read  # noqa: E402
 
@@ -109,8 +109,8 @@
     total = sum(len(lot.results) for lot in lots)
     record.line("sum", lots=len(lots), results_read=total, spoiled_items=len(Engine.spoiled))
     if not lots or total < 100:
-        raise deploy2.CaseError("too few results were read")
+        raise deployment2.CaseError("too few results were read")
     return broken
 
 
-deploy2.main(case, FOLDER)
+deployment2.main(case, FOLDER)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,10 +13,10 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib2"))
+sys.path.insert(0, str(FOLDER.parent))
 
-import deploy2  # noqa: E402
-from deploy2 import GRACE_S, HOST, ZONES, Deployment, Replica, call, read_head  # noqa: E402
+import deployment2  # noqa: E402
+from deployment2 import GRACE_S, HOST, ZONES, Deployment, Replica, call, read_head  # noqa: E402
 
 EVENTS, EVENT_S = 23, 0.04
 TIMEOUT_MS = 10000
@@ -170,7 +170,7 @@
                     "attempts": 3, "sticky": True}],
         "services": [{"name": "huvo11a", "health-path": "/healthz", "max-conns": 150, "protocol": "h1", "tls": False,
                       "engine": {"slots": 12, "kv-capacity": 36982, "models": [{"name": "daka510000"}]}}],
-        "limits": deploy2.limits()})
+        "limits": deployment2.limits()})
     callers = [Caller(deployment, i, log) for i in range(6)]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     await asyncio.sleep(3)
@@ -190,8 +190,8 @@
     served = sum(1 for each in log.values() if each.get("complete"))
     record.line("sum", requests=len(log), complete=served, stops=len(stops))
     if served < 20:
-        raise deploy2.CaseError("too few requests were served")
+        raise deployment2.CaseError("too few requests were served")
     return judge(log, stops, record)
 
 
-deploy2.main(case, FOLDER)
+deployment2.main(case, FOLDER)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")"
 PYTHONDONTWRITEBYTECODE=1 python3 -c '
 import sys
-sys.path.insert(0, "lib2")
-import deploy2
+sys.path.insert(0, ".")
+import deployment2, steps2
 assert sys.version_info >= (3, 9), "Python 3.9 or later is needed"
 print("build-2: the stand-ins load")'
--- a/review/lib2/deploy2.py
+++ b/review/deployment2.py
@@ -20,7 +20,7 @@
 import time
 import re
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "testsuite" / "platform"))
 
 from standins import Store  # noqa: E402
--- a/review/lib2/steps2.py
+++ b/review/steps2.py
@@ -12,8 +12,8 @@
 import random
 import time
 
-import deploy2
-from deploy2 import HOST, ZONES, Deployment, Replica, answer, call
+import deployment2
+from deployment2 import HOST, ZONES, Deployment, Replica, answer, call
 
 MODELS = ["daka510000", "rada7437b5"]
 GROUPS, SIZE, WANT, TIME_LIMIT_S, EVERY_S, TRAIN_S = 24, 4, 0.9, 12.0, 4.0, 0.5
@@ -231,7 +231,7 @@
             {"name": "huvo11a", "health-path": "/healthz", "max-conns": 150, "protocol": "h1", "tls": False,
              "engine": {"slots": 12, "kv-capacity": 36982, "models": [{"name": name} for name in MODELS]}},
             {"name": "wuno96b", "health-path": "/healthz", "max-conns": 96, "protocol": "h1", "tls": False}],
-        "limits": deploy2.limits()})
+        "limits": deployment2.limits()})
     return deployment, engines
 
 
