logs: the list in use, its age and the time of sending for each request and change

Callers' requests reached replicas after these had left, and the log could not tell why: for an answered request it had no time of sending, for a list of replicas neither its age nor the node that sent it (revision 0 stood for all other nodes).

No decision is changed.

--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -205,6 +205,7 @@
 struct HttpCallTrace {
   bool mNewConnection = false;  ///< the upstream accepted one for this call
   bool mResponding = false;     ///< some byte of a response has arrived
+  Millis mUnsent;  ///< from the call until the request began to be written
   /// \return whether the upstream certainly ran when the request was sent. It
   /// may have ended before that if a pooled connection was closed without a
   /// response.
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -60,6 +60,13 @@
   bool operator==(const Replica&) const = default;
 };
 
+/// One reading of the registry, from which a list of replicas comes.
+struct Listing {
+  int64_t mRevision = 0;  ///< of the store; 0: no list was read yet
+  Millis mReadAt;         ///< when the store was asked, by this host's clock
+  bool operator==(const Listing&) const = default;
+};
+
 /// Outcome of one request at a replica.
 enum class ReplicaOutcome {
   Served,       ///< a complete response, whatever its status
@@ -117,6 +124,10 @@
   ReplicaChanges Update(const std::vector<Replica>& aReplicas,
                         bool aKeepMissing);
 
+  /// Records which reading of the registry the replicas in use come from.
+  void SetListing(const Listing& aListing) { mListing = aListing; }
+  const Listing& LastListing() const { return mListing; }
+
   /// Sets the region of each availability zone.
   void SetRegions(RegionMap aRegions) { mRegions = std::move(aRegions); }
   const RegionMap& Regions() const { return mRegions; }
@@ -324,6 +335,7 @@
   /// By name. Replica states point to the map nodes, which do not move. Mutable
   /// because a choice may have to recompute the order.
   mutable std::map<std::string, Service, std::less<>> mServices;
+  Listing mListing;
   size_t mTieBreakOffset = 0;  ///< index of the first replica to consider
   RegionMap mRegions;
   std::set<std::string> mEvacuated;
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -50,6 +50,9 @@
 
 /// What another node's answer changes here.
 struct ViewUpdate {
+  /// The reading of the registry by the node that answered.
+  Listing mListing;
+  std::string mFrom;  ///< address of that node
   /// All replicas, if they differ from those of the previous answer.
   std::optional<std::vector<Replica>> mReplicas;
   /// The answering node follows the configuration.
@@ -85,20 +88,18 @@
   /// and the advertised nodes, whose number is bounded
   std::vector<std::string> PossibleOwners() const;
   /// \return whether this node knows weight versions
-  bool KnowsVersions() const { return mListedAt || mMirrorVersions; }
+  bool KnowsVersions() const { return mListing || mMirrorVersions; }
   /// Asks the store who leads.
   asio::awaitable<void> LookUp();
   /// \return whether others ask this node in place of the lead
   bool Helping() const;
 
   /// Records that this node listed the replicas in the store.
-  /// \param aAsked when it asked the store
-  void Listed(const std::vector<Replica>& aReplicas, Millis aAsked);
+  void Listed(const std::vector<Replica>& aReplicas, const Listing& aListing);
   /// Records that this node updated a table of very many replicas from the
   /// store. From then on others are sent subsets of it.
   /// \param aTable must outlive this object
-  /// \param aAsked when it asked the store
-  void ReadTable(const RegistryTable& aTable, Millis aAsked);
+  void ReadTable(const RegistryTable& aTable, const Listing& aListing);
   /// \return whether there are so many replicas that hosts are sent subsets
   bool Large() const { return mTable != nullptr || mLargeReported; }
   /// \return whether this node reads the store for others: it leads, or is
@@ -150,7 +151,7 @@
   };
 
   /// Records that this node has just read the store.
-  void RecordListing(Millis aAsked);
+  void RecordListing(const Listing& aListing);
   /// Skips the candidate that sends this host its subset, as it did not answer.
   void SkipSubsetSource();
   /// \return which kinds of sources this node knows
@@ -167,7 +168,8 @@
   /// Applies an answer. Fetches the configuration if the answer names a newer
   /// one.
   asio::awaitable<std::optional<ViewUpdate>> ApplyView(SharedView aView,
-                                                       Endpoint aFrom);
+                                                       Endpoint aFrom,
+                                                       Listing aListing);
   /// Applies the nodes and the lead that an answer names.
   void ApplyNodes(const SharedView& aView);
   /// \return the candidate of this host's zone that sends it its subset;
@@ -201,9 +203,9 @@
   bool mLargeReported = false;
   size_t mSubsetSourceShift = 0;  ///< number of candidates to skip
   Millis mSubsetSourceMissedAt;
-  ReplicaMirror mMirror;         ///< replicas of the last answer
-  bool mMirrorVersions = false;  ///< mMirror has weight versions
-  std::optional<Millis> mListedAt;
+  ReplicaMirror mMirror;            ///< replicas of the last answer
+  bool mMirrorVersions = false;     ///< mMirror has weight versions
+  std::optional<Listing> mListing;  ///< this node's last own listing
   Millis mListingSince;  ///< start of the listings without a long gap
   /// When the store last failed to answer.
   std::optional<Millis> mListingFailedAt;
--- a/src/librillwall_rollout/item_run.h
+++ b/src/librillwall_rollout/item_run.h
@@ -28,6 +28,7 @@
   std::string mWhy;      ///< a description of the outcome, for the log
   HttpCallTrace mTrace;  ///< what the call shows about the replica
   int64_t mOrder = 1;    ///< see CrashRecord::mOrder
+  Listing mListing;      ///< list in use when the replica was chosen
 };
 
 /// Sends the item and reads its events until the stream ends. Text that is
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -226,6 +226,7 @@
   RolloutTracker& tracker = aStep->mTracker;
   const int64_t before = tracker.Text(aItem).mEvents;
   ItemRunDetails details;
+  details.mListing = mNode.mReplicas.LastListing();
   const ItemRunEnd end =
       co_await GenerateText(mNode, *aStep, aItem, aReplica, details);
   use.End(OutcomeOf(end), true);
@@ -242,6 +243,9 @@
       .Number("from_event", before)
       .Number("events", tracker.Text(aItem).mEvents)
       .Number("took_ms", (mNode.Now() - use.Started()).Count())
+      .Number("unsent_ms", details.mTrace.mUnsent.Count())
+      .Number("list_age_ms", (use.Started() - details.mListing.mReadAt).Count())
+      .Number("list_revision", details.mListing.mRevision)
       .Text("why", details.mWhy)
       .Flag("new_connection", details.mTrace.mNewConnection)
       .Flag("replica_ended", replicaEnded)
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -107,6 +107,7 @@
   bool mConnectionClosed = false;  ///< the replica closed the connection
   HttpCallTrace mTrace;            ///< what the call shows about the replica
   Millis mSentAt;
+  Listing mListing;            ///< list in use when the replica was chosen
   int64_t mOrder = 1;          ///< see CrashRecord::mOrder
   bool mReplicaEnded = false;  ///< the replica's process has ended since
   /// The replica of the second try, if this is that one's result.
@@ -291,6 +292,7 @@
   const Millis due = node.Now() + limit;
   TryResult result;
   result.mSentAt = node.Now();
+  result.mListing = node.mReplicas.LastListing();
   const Result<Endpoint> endpoint = Endpoint::Parse(aReplica.mAddress);
   if (!endpoint) {
     result.mWhy = endpoint.error().Detail();
@@ -351,13 +353,19 @@
 void LogTry(CallRun& aRun, const std::string& aReplica,
             const TryResult& aResult, CallStep aStep) {
   const bool delivered = aStep == CallStep::Deliver;
+  const Millis now = aRun.mNode.Now();
   Event(delivered ? "answered" : "try-failed")
       .Bounded(aRun.mTicket.Active())
       .Id(aRun.mCall.mId)
       .Text("replica", aReplica)
       .Number("try", aRun.mAttempts.Tries())
       .Number("status", aResult.mResponse.mHead.mStatus)
-      .Number("left_ms", (aRun.mCall.mDeadline - aRun.mNode.Now()).Count())
+      .Number("left_ms", (aRun.mCall.mDeadline - now).Count())
+      .Number("took_ms", (now - aResult.mSentAt).Count())
+      .Number("unsent_ms", aResult.mTrace.mUnsent.Count())
+      .Number("list_age_ms",
+              (aResult.mSentAt - aResult.mListing.mReadAt).Count())
+      .Number("list_revision", aResult.mListing.mRevision)
       .Text("why", aResult.mWhy)
       .Text("request", LoggedDigest(aRun, aResult))
       .Flag("replica_ended", aResult.mReplicaEnded)
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -37,6 +37,8 @@
 /// In answers: age of the list in ms. It is a header, as all nodes with the
 /// same cursor share one body.
 constexpr char kAgeHeader[] = "Rillwall-View-Age";
+/// In answers: revision of the store at which the list was read.
+constexpr char kListRevisionHeader[] = "Rillwall-View-Revision";
 /// In answers with status 503: the store does not answer the node.
 constexpr char kStoreAwayHeader[] = "Rillwall-Store-Away";
 /// In answers: the usage counts that came with the request are recorded.
@@ -45,6 +47,13 @@
 /// may have changed.
 constexpr int kMissesBeforeLookUp = 3;
 
+/// \return the number in a header, or nothing if there is none
+std::optional<int64_t> HeaderNumber(const HttpResponse& aResponse,
+                                    const char* aName) {
+  const std::string* text = aResponse.Find(aName);
+  return text == nullptr ? std::nullopt : ParseNumber(*text);
+}
+
 }  // namespace
 
 ViewExchange::ViewExchange(NodeContext& aNode, LeadClaim& aLead,
@@ -55,12 +64,12 @@
       mPlan(aNode.mBounds.mDrain, std::random_device()()) {}
 
 void ViewExchange::Listed(const std::vector<Replica>& aReplicas,
-                          Millis aAsked) {
+                          const Listing& aListing) {
   const int64_t before = mReplicaLog.Number();
   mTable = nullptr;
   mReplicaLog.Replace(aReplicas);
   mReplicaLogWithoutVersions.Replace(WithoutVersions(aReplicas));
-  RecordListing(aAsked);
+  RecordListing(aListing);
   if (mReplicaLog.Number() != before) {
     mCachedAnswers.clear();
   }
@@ -154,7 +163,7 @@
   }
   HttpResponse response;
   response.mStatus = kUnavailable;
-  if (!mListedAt) {
+  if (!mListing) {
     if (mListingFailedAt && now - *mListingFailedAt < mPlan.PollInterval()) {
       response.mHeaders.push_back({kStoreAwayHeader, "1"});
     }
@@ -172,7 +181,9 @@
                                          ? CachedAnswer(key)
                                          : SubsetText(viewRequest, key.mNodes));
   response.mHeaders.push_back(
-      {kAgeHeader, std::to_string((now - *mListedAt).Count())});
+      {kAgeHeader, std::to_string((now - mListing->mReadAt).Count())});
+  response.mHeaders.push_back(
+      {kListRevisionHeader, std::to_string(mListing->mRevision)});
   if (leads && !aRequest.mBody.empty()) {
     response.mHeaders.push_back({kUsageTakenHeader, "1"});
   }
@@ -394,14 +405,15 @@
     HandleMiss(aSource, *address, answer);
     co_return std::nullopt;
   }
-  const std::string* age = answer->Find(kAgeHeader);
   Result<SharedView> view = DecodeView(answer->mBody);
-  const std::optional<int64_t> ageMs =
-      age == nullptr ? std::nullopt : ParseNumber(*age);
-  if (!view || !ageMs) {
+  const std::optional<int64_t> ageMs = HeaderNumber(*answer, kAgeHeader);
+  const std::optional<int64_t> revision =
+      HeaderNumber(*answer, kListRevisionHeader);
+  if (!view || !ageMs || !revision) {
     Event("view-unread")
         .Text("node", *address)
-        .Text("why", view ? "the answer has no age" : view.error().Detail())
+        .Text("why", view ? "the answer has no age or revision"
+                          : view.error().Detail())
         .Write();
     mPlan.RecordMiss(aSource, mNode.Now());
     co_return std::nullopt;
@@ -410,15 +422,16 @@
     mNode.mUsage.RecordAcknowledgement();
   }
   mPlan.RecordAnswer(aSource, asked, Millis(*ageMs), mNode.Now());
+  const Listing listing{*revision, asked - Millis(*ageMs)};
   if (aSource == ViewSource::Helper && mPlan.Misses(aSource) > 1) {
     // The helper gets no answer from the store either.
     ++mHelperIndex;
   }
-  co_return co_await ApplyView(std::move(*view), *endpoint);
+  co_return co_await ApplyView(std::move(*view), *endpoint, listing);
 }
 
 asio::awaitable<std::optional<ViewUpdate>> ViewExchange::ApplyView(
-    SharedView aView, Endpoint aFrom) {
+    SharedView aView, Endpoint aFrom, Listing aListing) {
   MergeCrashRecords(mNode, aView.mCrashes, aView.mRun);
   mCrashesRun = aView.mRun;
   mCrashesNumber = aView.mCrashNumber;
@@ -433,6 +446,8 @@
   }
   ApplyNodes(aView);
   ViewUpdate update;
+  update.mListing = aListing;
+  update.mFrom = aFrom.Text();
   const bool changed = before.mDigest != mMirror.Cursor().mDigest ||
                        mMirrorVersions != aView.mVersions;
   mMirrorVersions = aView.mVersions;
@@ -468,9 +483,7 @@
         .Write();
     co_return std::nullopt;
   }
-  const std::string* revision = answer->Find(kRevisionHeader);
-  const std::optional<int64_t> number =
-      revision == nullptr ? std::nullopt : ParseNumber(*revision);
+  const std::optional<int64_t> number = HeaderNumber(*answer, kRevisionHeader);
   if (!number) {
     co_return std::nullopt;
   }
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -151,7 +151,7 @@
   ~ViewExchangeTest() override { mWorld.mIo.Close(); }
 
   void setUp() override {
-    mSource.mView.Listed({ReplicaOf("a")}, mSource.Now());
+    mSource.mView.Listed({ReplicaOf("a")}, {1, mSource.Now()});
     mSource.mView.Follows(true);
     mEntry.mLead.Learn(mSource.Holder());
   }
@@ -181,7 +181,7 @@
 
   void SubsetOfManyReplicasIsSent() {
     Fill(mTable);
-    mSource.mView.ReadTable(mTable, mSource.Now());
+    mSource.mView.ReadTable(mTable, {1, mSource.Now()});
     const std::optional<ViewUpdate> update = mEntry.Ask();
     CPPUNIT_ASSERT_EQUAL(RegistryTable::kDefaultSubset,
                          update->mReplicas->size());
@@ -209,10 +209,10 @@
   void CandidateOfTheZoneSendsTheSubset() {
     Fill(mTable);
     Node subsetSource(mWorld, "teller", false);
-    subsetSource.mView.ReadTable(mTable, subsetSource.Now());
+    subsetSource.mView.ReadTable(mTable, {1, subsetSource.Now()});
     subsetSource.mView.Follows(true);
     subsetSource.mLead.Learn(mSource.Holder());
-    mSource.mView.ReadTable(mTable, mSource.Now());
+    mSource.mView.ReadTable(mTable, {1, mSource.Now()});
     mSource.mNodes.RecordContact(subsetSource.Entry(), mSource.Now());
     // The lead's answer names the candidate, and says that there are many
     // replicas.
@@ -228,7 +228,7 @@
 
   void SilentCandidateIsSkipped() {
     Fill(mTable);
-    mSource.mView.ReadTable(mTable, mSource.Now());
+    mSource.mView.ReadTable(mTable, {1, mSource.Now()});
     const NodeIdentity& self = mSource.mTest.mNode.mIdentity;
     mSource.mNodes.RecordContact({kGone, false, "z"}, mSource.Now());
     mSource.mNodes.RecordContact({self.mAddress, false, "other"},
@@ -249,15 +249,15 @@
     candidate.mLead.Learn(mSource.Holder());
     candidate.Ask();
     CPPUNIT_ASSERT(!candidate.mView.ReadsForOthers());
-    mSource.mView.ReadTable(mTable, mSource.Now());
+    mSource.mView.ReadTable(mTable, {1, mSource.Now()});
     candidate.Ask();
     CPPUNIT_ASSERT(candidate.mView.ReadsForOthers());
     mEntry.Ask();
     CPPUNIT_ASSERT(mEntry.mView.Large());
     CPPUNIT_ASSERT(!mEntry.mView.ReadsForOthers());
     // The replicas become few again, and the lead informs the candidate.
-    mSource.mView.Listed({ReplicaOf("a")}, mSource.Now());
-    candidate.mView.Listed({ReplicaOf("a")}, candidate.Now());
+    mSource.mView.Listed({ReplicaOf("a")}, {1, mSource.Now()});
+    candidate.mView.Listed({ReplicaOf("a")}, {1, candidate.Now()});
     CPPUNIT_ASSERT(candidate.mView.ReadsForOthers());
     const auto introduce = [&]() -> asio::awaitable<bool> {
       co_await candidate.mView.Introduce();
@@ -270,8 +270,8 @@
   void IntroductionNamesNodesAndNoReplicas() {
     Fill(mTable);
     Node subsetSource(mWorld, "teller", false);
-    subsetSource.mView.ReadTable(mTable, subsetSource.Now());
-    mSource.mView.ReadTable(mTable, mSource.Now());
+    subsetSource.mView.ReadTable(mTable, {1, subsetSource.Now()});
+    mSource.mView.ReadTable(mTable, {1, mSource.Now()});
     mSource.mNodes.RecordContact({"10.0.0.7:1", false, "y"}, mSource.Now());
     subsetSource.mLead.Learn(mSource.Holder());
     subsetSource.mNodes.RecordContact(mEntry.Entry(), subsetSource.Now());
@@ -297,8 +297,8 @@
   void UsageStillGoesToTheLead() {
     Fill(mTable);
     Node subsetSource(mWorld, "teller", false);
-    subsetSource.mView.ReadTable(mTable, subsetSource.Now());
-    mSource.mView.ReadTable(mTable, mSource.Now());
+    subsetSource.mView.ReadTable(mTable, {1, subsetSource.Now()});
+    mSource.mView.ReadTable(mTable, {1, mSource.Now()});
     mSource.mNodes.RecordContact(subsetSource.Entry(), mSource.Now());
     mEntry.Ask();
     UsageMeter& usage = mEntry.mTest.mNode.mUsage;
@@ -333,21 +333,21 @@
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, reportedHosts());
     const Millis now = mSource.Now();
     for (int64_t second = 0; second <= 10; ++second) {
-      mSource.mView.Listed({ReplicaOf("a")}, now + Millis(second * 1000));
+      mSource.mView.Listed({ReplicaOf("a")}, {1, now + Millis(second * 1000)});
     }
     CPPUNIT_ASSERT_EQUAL(int64_t{16}, reportedHosts());
     // After a gap, other hosts may have asked another node.
-    mSource.mView.Listed({ReplicaOf("a")}, now + Millis(15000));
+    mSource.mView.Listed({ReplicaOf("a")}, {1, now + Millis(15000)});
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, reportedHosts());
   }
 
   void ChangesAreSentOnce() {
     mEntry.Ask();
-    mSource.mView.Listed({ReplicaOf("a"), ReplicaOf("b")}, mSource.Now());
+    mSource.mView.Listed({ReplicaOf("a"), ReplicaOf("b")}, {1, mSource.Now()});
     CPPUNIT_ASSERT_EQUAL(size_t{2}, mEntry.Ask()->mReplicas->size());
     CPPUNIT_ASSERT(!mEntry.Ask()->mReplicas);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, mEntry.mView.ReportedReplicas().size());
-    mSource.mView.Listed({ReplicaOf("b")}, mSource.Now());
+    mSource.mView.Listed({ReplicaOf("b")}, {1, mSource.Now()});
     CPPUNIT_ASSERT(mEntry.Ask()->mReplicas ==
                    std::vector<Replica>{ReplicaOf("b")});
   }
@@ -355,11 +355,11 @@
   // An answer names the age of what the source read, so that a late source
   // cannot pass for a fresh one, however late the answer is.
   void OldViewIsStale() {
-    mSource.mView.Listed({ReplicaOf("a")}, mSource.Now() - Millis(5000));
+    mSource.mView.Listed({ReplicaOf("a")}, {1, mSource.Now() - Millis(5000)});
     CPPUNIT_ASSERT(mEntry.Ask());
     CPPUNIT_ASSERT(!mEntry.mView.Plan().Fresh(mEntry.Now()));
     CPPUNIT_ASSERT_EQUAL(1, mEntry.mView.Plan().Misses(ViewSource::Lead));
-    mSource.mView.Listed({ReplicaOf("a")}, mSource.Now());
+    mSource.mView.Listed({ReplicaOf("a")}, {1, mSource.Now()});
     CPPUNIT_ASSERT(mEntry.Ask());
     CPPUNIT_ASSERT(mEntry.mView.Plan().Fresh(mEntry.Now()));
     CPPUNIT_ASSERT_EQUAL(0, mEntry.mView.Plan().Misses(ViewSource::Lead));
@@ -405,7 +405,7 @@
     mSource.mTest.mNode.mCrashes.Merge({CrashOf("r1")});
     mEntry.Ask();
     Node next{mWorld, "next", false};
-    next.mView.Listed({ReplicaOf("a")}, next.Now());
+    next.mView.Listed({ReplicaOf("a")}, {1, next.Now()});
     next.mTest.mNode.mCrashes.Merge({CrashOf("r2")});
     mEntry.mLead.Forget();
     mEntry.mLead.Learn(next.Holder());
@@ -541,11 +541,11 @@
   void EntryHostsGetNoVersions() {
     Replica replica = ReplicaOf("a");
     replica.mModels = {{"m", 3}};
-    mSource.mView.Listed({replica}, mSource.Now());
+    mSource.mView.Listed({replica}, {1, mSource.Now()});
     CPPUNIT_ASSERT(mEntry.Ask()->mReplicas ==
                    std::vector<Replica>{ReplicaOf("a")});
     replica.mModels = {{"m", 4}};
-    mSource.mView.Listed({replica}, mSource.Now());
+    mSource.mView.Listed({replica}, {1, mSource.Now()});
     CPPUNIT_ASSERT(!mEntry.Ask()->mReplicas);
     // A node that owns steps needs the versions and is sent the whole list.
     CPPUNIT_ASSERT(!mEntry.mView.KnowsVersions());
@@ -557,7 +557,7 @@
   void NewLeadSendsNothingKnown() {
     mEntry.Ask();
     Node next{mWorld, "next", false};
-    next.mView.Listed({ReplicaOf("a")}, next.Now());
+    next.mView.Listed({ReplicaOf("a")}, {1, next.Now()});
     mEntry.mLead.Learn(next.Holder());
     const std::optional<ViewUpdate> update = mEntry.Ask();
     CPPUNIT_ASSERT(update && !update->mReplicas);
@@ -570,8 +570,8 @@
     mEntry.Ask();
     Node wrong{mWorld, "wrong", false};
     wrong.mTest.mNode.mIdentity.mRun = mSource.mTest.mNode.mIdentity.mRun;
-    wrong.mView.Listed({ReplicaOf("c")}, wrong.Now());
-    wrong.mView.Listed({ReplicaOf("b"), ReplicaOf("c")}, wrong.Now());
+    wrong.mView.Listed({ReplicaOf("c")}, {1, wrong.Now()});
+    wrong.mView.Listed({ReplicaOf("b"), ReplicaOf("c")}, {1, wrong.Now()});
     mEntry.mLead.Learn(wrong.Holder());
     CPPUNIT_ASSERT(!mEntry.Ask());
     CPPUNIT_ASSERT_EQUAL(size_t{2}, mEntry.Ask()->mReplicas->size());
@@ -588,7 +588,7 @@
       replicas.push_back(ReplicaOf("replica-" + std::to_string(i)));
       replicas.back().mModels = {{"m0", 3}, {"m1", 4}, {"m2", 5}};
     }
-    mSource.mView.Listed(replicas, mSource.Now());
+    mSource.mView.Listed(replicas, {1, mSource.Now()});
     ViewRequest viewRequest;
     viewRequest.mVersions = false;
     for (size_t i = 0; i < kNodes; ++i) {
--- a/src/librillwall_rollout/view_subset.cpp
+++ b/src/librillwall_rollout/view_subset.cpp
@@ -22,11 +22,12 @@
 
 }  // namespace
 
-void ViewExchange::RecordListing(Millis aAsked) {
-  if (!mListedAt || aAsked - *mListedAt > kMaxListingGap) {
-    mListingSince = aAsked;
+void ViewExchange::RecordListing(const Listing& aListing) {
+  const Millis asked = aListing.mReadAt;
+  if (!mListing || asked - mListing->mReadAt > kMaxListingGap) {
+    mListingSince = asked;
   }
-  mListedAt = aAsked;
+  mListing = aListing;
 }
 
 void ViewExchange::SkipSubsetSource() {
@@ -36,9 +37,10 @@
   mSubsetSourceMissedAt = now;
 }
 
-void ViewExchange::ReadTable(const RegistryTable& aTable, Millis aAsked) {
+void ViewExchange::ReadTable(const RegistryTable& aTable,
+                             const Listing& aListing) {
   mTable = &aTable;
-  RecordListing(aAsked);
+  RecordListing(aListing);
 }
 
 bool ViewExchange::ReadsForOthers() const {
@@ -159,7 +161,8 @@
 }
 
 size_t ViewExchange::HostCount() const {
-  const bool all = mListedAt && *mListedAt - mListingSince >= kFullContactTime;
+  const bool all =
+      mListing && mListing->mReadAt - mListingSince >= kFullContactTime;
   if (!all) {
     return 0;
   }
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -243,6 +243,7 @@
     co_return Error(ErrorKind::BadRequest,
                     "The request's method or target is not valid.");
   }
+  const Millis began = SteadyClock().Now();
   const TimePoint deadline = DeadlineIn(aTimeout);
   Connection connection =
       aOptions.mNewConnection ? nullptr : TakeIdle(aEndpoint);
@@ -259,12 +260,13 @@
   auto call = std::make_unique<HttpClientCall>(
       shared_from_this(), std::move(connection), std::move(aOptions.mMayReuse),
       std::move(aOptions.mEndCheck));
+  const Millis unsent = SteadyClock().Now() - began;
   std::optional<Error> error = co_await call->WriteRequest(aRequest);
   if (!error) {
     error = co_await call->ReadHead();
   }
   if (aOptions.mTrace != nullptr) {
-    *aOptions.mTrace = {!reused, call->Responding()};
+    *aOptions.mTrace = {!reused, call->Responding(), unsent};
   }
   if (error && reused && error->Kind() == ErrorKind::Timeout) {
     DropIdle(aEndpoint);
