--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(EntryHostGetsTheLeadsView);
   CPPUNIT_TEST(ChangesAreSentOnce);
   CPPUNIT_TEST(OldViewIsStale);
+  CPPUNIT_TEST(ListOfAnEarlierReadingIsNotApplied);
   CPPUNIT_TEST(ViewFromBeforeASuspensionIsStale);
   CPPUNIT_TEST(CrashRecordsAreSentOnce);
   CPPUNIT_TEST(NewLeadSendsItsCrashRecords);
@@ -365,6 +366,30 @@
     CPPUNIT_ASSERT_EQUAL(0, mEntry.mView.Plan().Misses(ViewSource::Lead));
   }
 
+  // Guards against requests to replicas that have left: a candidate that once
+  // read the store answered with what it read then, and the asking host
+  // replaced what it knew by it.
+  void ListOfAnEarlierReadingIsNotApplied() {
+    Node former{mWorld, "former", false};
+    former.mView.Listed({ReplicaOf("a"), ReplicaOf("left")},
+                        {5, former.Now() - Millis(20000)});
+    mSource.mView.Listed({ReplicaOf("a")}, {9, mSource.Now()});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mEntry.Ask()->mReplicas->size());
+    // The lead does not answer once; its list is still recent enough.
+    mEntry.mLead.Forget();
+    mEntry.mNodes.Adopt({former.Entry()}, mEntry.Now());
+    const std::optional<ViewUpdate> update = mEntry.Ask();
+    CPPUNIT_ASSERT_EQUAL(1, former.mAsked);
+    CPPUNIT_ASSERT(!update || !update->mReplicas);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mEntry.mView.ReportedReplicas().size());
+    CPPUNIT_ASSERT(!former.mLead.Known());
+    // It is asked again soon, as it reads the store by then.
+    CPPUNIT_ASSERT_EQUAL(1, mEntry.mView.Plan().Misses(ViewSource::Helper));
+    former.mView.Listed({ReplicaOf("a"), ReplicaOf("b")}, {12, former.Now()});
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mEntry.Ask()->mReplicas->size());
+    CPPUNIT_ASSERT_EQUAL(2, former.mAsked);
+  }
+
   void ViewFromBeforeASuspensionIsStale() {
     CPPUNIT_ASSERT(mEntry.Ask());
     CPPUNIT_ASSERT(mEntry.mView.Plan().Fresh(mEntry.Now()));
--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -22,10 +22,11 @@
   idle       with --scaling: no replica is ended that has work
   complete, released   with --storms: see storms.py
   streams, live, complete, released   with --ends: see ends.py
+  left, served   with --leaves: see leaves.py
 
 usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N] [--services N]
                [--faults none|all|NAME,...] [--handover] [--surge] [--scaling] [--storms]
-               [--ends] [--keep DIR]
+               [--ends] [--leaves] [--keep DIR]
 Ends with "N passed, N failed". The logs of a failed run stay in its folder.
 """
 
@@ -44,6 +45,7 @@
 
 from ends import CHECKS as END_CHECKS, Ends
 from handover import Handover
+from leaves import CHECKS as LEAVE_CHECKS, Leaves, LeavingService
 from scaling import Cloud
 from standins import CRASHING, Engine, Service, Store, events_of, text_of
 from storms import CHECKS as STORM_CHECKS, Storms
@@ -153,7 +155,7 @@
         self.store = Store(self.rng)
         self.cloud = Cloud(self, ZONES) if args.scaling else None
         self.event_versions, self.runs, self.refused, self.counts, self.faults = {}, {}, set(), {}, {}
-        self.service_kind = LoadedService if args.surge else Service
+        self.service_kind = LoadedService if args.surge else LeavingService if args.leaves else Service
         self.failed, self.positions, self.ended, self.served = [], {}, {}, 0
         self.newest_version, self.stopping, self.config_version = 1, False, 0
         self.whole_steps, self.started = 0, []
@@ -161,6 +163,7 @@
         self.handover = Handover(self) if args.handover else None
         self.storms = Ends(self) if args.ends else Storms(self) if args.storms else None
         self.stopping_ends = False
+        self.leaves = Leaves(self) if args.leaves else None
         self.quiet, self.trainer_busy = False, False  # quiet: the trainer begins no step
         self.step_service = "engine"  # which service runs steps; None: their route is removed
         self.host_faults, self.host_fault_end = 0, 0.0  # running faults of hosts or store, and when the last one ended
@@ -588,7 +591,7 @@
         if self.args.surge:
             work.append(asyncio.create_task(Surge(self, HOST).run()))
         faults = asyncio.create_task(self.inject())
-        await asyncio.sleep(self.args.seconds)
+        await (self.leaves.run() if self.leaves else asyncio.sleep(self.args.seconds))
         if self.handover:
             await self.handover.run()
         if self.storms:
@@ -654,6 +657,7 @@
     parser.add_argument("--scaling", action="store_true", help="order replicas; see scaling.py")
     parser.add_argument("--storms", action="store_true", help="replicas crash in groups, routes change; see storms.py")
     parser.add_argument("--ends", action="store_true", help="replicas end under answers without a length; see ends.py")
+    parser.add_argument("--leaves", action="store_true", help="replicas leave while the lead changes; see leaves.py")
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
     lock = take_addresses(args.seed)
@@ -669,6 +673,7 @@
     checks += (SURGE_CHECKS if args.surge else []) + (["orders", "idle"] if args.scaling else [])
     checks += STORM_CHECKS if args.storms else []
     checks += END_CHECKS if args.ends else []
+    checks += LEAVE_CHECKS if args.leaves else []
     conclude(soak, "soak", checks)
 
 
