view exchange: what a node knows of the fleet never goes backwards

Callers' requests reached replicas after these had left: after a change of the lead, or when the lead was cut off from the store, entry hosts that were in touch used replicas again of which they had known that they are gone.

Cause: a node keeps the list of replicas that it read when it last led or helped. It answers the next request with it at any age, and the asking host replaced a newer list. As it took the answer for a success, it kept the old one for a period of 0.6 to 1.3 s, or alternated between lists of several candidates. The class is knowledge without an order: whoever answered last was right.

Lists carry the store's revision at which they were read, and a list that is behind is not applied (view-outdated in the log); the answer counts as a miss, so that the source, which begins to read with the request, is asked again after some 0.2 s instead of a period. The age of the answer itself decides whether it is a success, not the age of the newest list known. A node's own reading always counts, and an answer of an earlier release without a revision is ordered by its age.

The same at the twins: the lead is ordered by the revision of its claim, evacuated zones by the revision of their reading; a node with an earlier configuration than the asking one does not count as following it.

--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -72,7 +72,7 @@
   /// Forgets the known lead, so that the next Holder() reads the store.
   void Forget() { mKnown.reset(); }
   /// Records the lead that another node named. Ignored while this node holds
-  /// the claim itself.
+  /// the claim itself, and if a later holder was known before.
   void Learn(const LeadHolder& aHolder);
   /// \return the address of the previous holder if this node ended its lease as
   /// unreachable, else empty
@@ -111,6 +111,8 @@
   /// Probes the holder, and ends its lease if neither this node nor other nodes
   /// reach it.
   asio::awaitable<void> ProbeHolder(std::string aAddress, int64_t aLease);
+  /// Records a holder unless a later one was known before.
+  void Know(LeadHolder aHolder);
   /// Stops holding the claim, and logs the reason.
   void DropClaim(const char* aWhy);
   /// \return how long this host must wait before it gives orders, given that
@@ -134,6 +136,7 @@
   /// When a renewal showed that the lease had ended.
   std::optional<Millis> mLostAt;
   std::optional<LeadHolder> mKnown;
+  int64_t mNewestFence = 0;        ///< of all holders that were known so far
   std::string mUnreachableHolder;  ///< address of the holder whose lease this
                                    ///< node ended
 };
--- a/src/include/rillwall/shared_view.h
+++ b/src/include/rillwall/shared_view.h
@@ -26,6 +26,8 @@
   std::string mAddress;  ///< ip:port where the lead serves other nodes
   std::string mRun;      ///< id of the lead's process start
   std::string mZone;     ///< availability zone; empty: unknown
+  /// Revision of the claim; a later holder has a higher one. 0: unknown.
+  int64_t mFence = 0;
   bool operator==(const LeadHolder&) const = default;
 };
 
@@ -64,6 +66,8 @@
   int64_t mHosts = 0;
   /// Evacuated zones, if the node watches the configuration.
   std::vector<std::string> mEvacuated;
+  /// Revision of the store at which they were read; 0: not known.
+  int64_t mEvacuatedRevision = 0;
   std::optional<LeadHolder> mLead;
   /// Number up to which the requester knows the crash records once it has added
   /// mCrashes.
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -9,6 +9,12 @@
 /// with its age. A view is therefore never older than its reader assumes,
 /// however late a node is.
 ///
+/// What a node knows never goes backwards: lists of replicas, the lead, the
+/// configuration and the evacuated zones are ordered by the store's revision at
+/// which they were read, and an answer that is behind changes nothing. A node
+/// keeps the list that it read when it last led or helped, so that its first
+/// answer after a change of the lead may be far behind.
+///
 /// Cost, with H nodes and R replicas: a node that knows nothing is sent R
 /// entries of some 200 bytes once, from a text that is encoded once for all
 /// nodes. A node that knows the list is sent the changes. Entry hosts (which
@@ -115,8 +121,10 @@
   void ListingFailed() { mListingFailedAt = mNode.Now(); }
   /// Sets the configuration in force here.
   void Configured(ConfigText aConfig);
-  /// Sets the zones that the operator has evacuated. Replaces the previous set.
-  void Evacuated(std::set<std::string> aZones);
+  /// Sets the zones that the operator has evacuated. Replaces the previous set
+  /// unless that is newer.
+  /// \param aRevision of the store when they were read
+  void Evacuated(std::set<std::string> aZones, int64_t aRevision);
   /// Sets whether this node follows the configuration in the store itself.
   void Follows(bool aFollows);
 
@@ -150,6 +158,13 @@
     auto operator<=>(const AnswerKey&) const = default;
   };
 
+  /// \return whether a list is older than one that this node had before
+  bool IsOutdated(const Listing& aListing) const;
+  /// Records that a source has answered with an older list than the known one.
+  void HandleOutdated(ViewSource aSource, const std::string& aAddress,
+                      const SharedView& aView, const Listing& aListing);
+  /// \return whether this node's last attempt to list the replicas failed
+  bool StoreAway() const;
   /// Records that this node has just read the store.
   void RecordListing(const Listing& aListing);
   /// Skips the candidate that sends this host its subset, as it did not answer.
@@ -203,9 +218,11 @@
   bool mLargeReported = false;
   size_t mSubsetSourceShift = 0;  ///< number of candidates to skip
   Millis mSubsetSourceMissedAt;
-  ReplicaMirror mMirror;            ///< replicas of the last answer
-  bool mMirrorVersions = false;     ///< mMirror has weight versions
-  std::optional<Listing> mListing;  ///< this node's last own listing
+  ReplicaMirror mMirror;                  ///< replicas of the last answer
+  bool mMirrorVersions = false;           ///< mMirror has weight versions
+  std::optional<Listing> mListing;        ///< this node's last own listing
+  std::optional<Listing> mNewestListing;  ///< of all lists known so far
+  int64_t mEvacuatedRevision = 0;         ///< see SharedView
   Millis mListingSince;  ///< start of the listings without a long gap
   /// When the store last failed to answer.
   std::optional<Millis> mListingFailedAt;
--- a/src/include/rillwall/view_plan.h
+++ b/src/include/rillwall/view_plan.h
@@ -112,6 +112,8 @@
     return mSourceStates[static_cast<size_t>(aSource)];
   }
   bool Due(ViewSource aSource, Millis aNow) const;
+  /// \return whether a list that was read then is recent enough
+  bool Recent(Millis aListedAt, Millis aNow) const;
 
   Millis mBound;
   SourceState mSourceStates[kSources];
--- a/src/librillwall_coordination/view_plan.cpp
+++ b/src/librillwall_coordination/view_plan.cpp
@@ -93,8 +93,12 @@
   Of(ViewSource::Helper).mNextAskAt = aNow;
 }
 
+bool ViewPlan::Recent(Millis aListedAt, Millis aNow) const {
+  return aNow - aListedAt < mBound * kFreshPercent / kPercent;
+}
+
 bool ViewPlan::Fresh(Millis aNow) const {
-  return mListedAt && aNow - *mListedAt < mBound * kFreshPercent / kPercent;
+  return mListedAt && Recent(*mListedAt, aNow);
 }
 
 bool ViewPlan::Due(ViewSource aSource, Millis aNow) const {
@@ -134,7 +138,7 @@
                                    answerMs * kAnswerTimeWeight;
   const Millis listed = aAsked - aAge;
   mListedAt = mListedAt ? std::max(*mListedAt, listed) : listed;
-  if (!Fresh(aNow)) {
+  if (!Recent(listed, aNow)) {
     RecordStoreUnreachable(aSource, aNow);
     return;
   }
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -18,6 +18,9 @@
   if (!aHolder.mZone.empty()) {
     object["zone"] = aHolder.mZone;
   }
+  if (aHolder.mFence != 0) {
+    object["fence"] = aHolder.mFence;
+  }
   return object;
 }
 
@@ -27,6 +30,7 @@
   holder.mAddress = aReader.String("address");
   holder.mRun = aReader.String("run");
   holder.mZone = aReader.String("zone", "");
+  holder.mFence = aReader.Int("fence", 0);
   return holder;
 }
 
@@ -191,6 +195,9 @@
   if (!aView.mEvacuated.empty()) {
     object["evacuated"] = json::value_from(aView.mEvacuated);
   }
+  if (aView.mEvacuatedRevision > 0) {
+    object["evacuated-revision"] = aView.mEvacuatedRevision;
+  }
   object["crash_number"] = aView.mCrashNumber;
   if (!aView.mCrashes.empty()) {
     object["crashes"] = ToArray(aView.mCrashes);
@@ -221,6 +228,7 @@
   if (reader.Has("evacuated")) {
     view.mEvacuated = reader.Strings("evacuated");
   }
+  view.mEvacuatedRevision = reader.Int("evacuated-revision", 0);
   view.mCrashNumber = reader.Int("crash_number", 0);
   view.mCrashes = ReadArray(reader, "crashes", CrashFromJson);
   const json::object* lead = reader.Object("lead");
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -151,7 +151,8 @@
   const Millis now = mNode.Now();
   const Millis wait = aOrderedLast ? Millis(0) : OrderDelay(now);
   mMayOrderFrom = now + wait;
-  mKnown = holder;
+  mKnown.reset();
+  Know({self.mName, self.mAddress, self.mRun, self.mZone, mFence});
   Event("claim-won")
       .Text("claim", "lead")
       .Number("fence", mFence)
@@ -220,9 +221,10 @@
     co_await TryClaim(0, orderedLast);
     co_return std::nullopt;
   }
-  const Result<LeadHolder> holder = DecodeLead(claim->mValue);
+  Result<LeadHolder> holder = DecodeLead(claim->mValue);
   if (holder) {
-    mKnown = *holder;
+    holder->mFence = claim->mRevision;
+    Know(*holder);
   }
   if (holder && holder->mName == self.mName && holder->mRun != self.mRun) {
     // The claim of the previous process on this host, which has ended and gives
@@ -328,8 +330,16 @@
 
 void LeadClaim::Learn(const LeadHolder& aHolder) {
   if (!Held()) {
-    mKnown = aHolder;
+    Know(aHolder);
+  }
+}
+
+void LeadClaim::Know(LeadHolder aHolder) {
+  if (aHolder.mFence != 0 && aHolder.mFence < mNewestFence) {
+    return;
   }
+  mNewestFence = std::max(mNewestFence, aHolder.mFence);
+  mKnown = std::move(aHolder);
 }
 
 asio::awaitable<Result<std::optional<LeadHolder>>> LeadClaim::Holder(
@@ -349,11 +359,12 @@
   if (!*item) {
     co_return std::optional<LeadHolder>();
   }
-  const Result<LeadHolder> holder = DecodeLead((*item)->mValue);
+  Result<LeadHolder> holder = DecodeLead((*item)->mValue);
   if (!holder) {
     co_return holder.error();
   }
-  mKnown = *holder;
+  holder->mFence = (*item)->mRevision;
+  Know(*holder);
   co_return mKnown;
 }
 
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -81,7 +81,14 @@
   mCachedAnswers.clear();
 }
 
-void ViewExchange::Evacuated(std::set<std::string> aZones) {
+void ViewExchange::Evacuated(std::set<std::string> aZones, int64_t aRevision) {
+  if (aRevision < mEvacuatedRevision) {
+    return;
+  }
+  if (aRevision > mEvacuatedRevision) {
+    mEvacuatedRevision = aRevision;
+    mCachedAnswers.clear();
+  }
   if (!mNode.mReplicas.Evacuate(std::move(aZones))) {
     return;
   }
@@ -134,6 +141,7 @@
   if (mFollows) {
     const std::set<std::string>& zones = mNode.mReplicas.EvacuatedZones();
     aView.mEvacuated.assign(zones.begin(), zones.end());
+    aView.mEvacuatedRevision = mEvacuatedRevision;
   }
   aView.mLead = mLead.Known();
   aView.mCrashNumber = mNode.mCrashes.Number();
@@ -164,7 +172,7 @@
   HttpResponse response;
   response.mStatus = kUnavailable;
   if (!mListing) {
-    if (mListingFailedAt && now - *mListingFailedAt < mPlan.PollInterval()) {
+    if (StoreAway()) {
       response.mHeaders.push_back({kStoreAwayHeader, "1"});
     }
     return response;
@@ -184,6 +192,9 @@
       {kAgeHeader, std::to_string((now - mListing->mReadAt).Count())});
   response.mHeaders.push_back(
       {kListRevisionHeader, std::to_string(mListing->mRevision)});
+  if (StoreAway()) {
+    response.mHeaders.push_back({kStoreAwayHeader, "1"});
+  }
   if (leads && !aRequest.mBody.empty()) {
     response.mHeaders.push_back({kUsageTakenHeader, "1"});
   }
@@ -343,7 +354,10 @@
       .Number("misses", mPlan.Misses(aSource))
       .Write();
   if (aSource == ViewSource::Helper) {
-    ++mHelperIndex;
+    // A helper that has not read the store yet begins to when it is asked.
+    const bool begins = aAnswer && aAnswer->Find(kStoreAwayHeader) == nullptr &&
+                        mPlan.Misses(aSource) == 1;
+    mHelperIndex += begins ? 0 : 1;
     return;
   }
   if (!Leads(aAddress)) {
@@ -409,11 +423,10 @@
   const std::optional<int64_t> ageMs = HeaderNumber(*answer, kAgeHeader);
   const std::optional<int64_t> revision =
       HeaderNumber(*answer, kListRevisionHeader);
-  if (!view || !ageMs || !revision) {
+  if (!view || !ageMs) {
     Event("view-unread")
         .Text("node", *address)
-        .Text("why", view ? "the answer has no age or revision"
-                          : view.error().Detail())
+        .Text("why", view ? "the answer has no age" : view.error().Detail())
         .Write();
     mPlan.RecordMiss(aSource, mNode.Now());
     co_return std::nullopt;
@@ -421,8 +434,18 @@
   if (view->mRun == leadRun && answer->Find(kUsageTakenHeader) != nullptr) {
     mNode.mUsage.RecordAcknowledgement();
   }
+  const Listing listing{revision.value_or(0), asked - Millis(*ageMs)};
+  if (IsOutdated(listing)) {
+    const bool away = answer->Find(kStoreAwayHeader) != nullptr;
+    if (away) {
+      mPlan.RecordStoreUnreachable(aSource, mNode.Now());
+    } else {
+      mPlan.RecordMiss(aSource, mNode.Now());
+    }
+    HandleOutdated(aSource, *address, *view, listing);
+    co_return std::nullopt;
+  }
   mPlan.RecordAnswer(aSource, asked, Millis(*ageMs), mNode.Now());
-  const Listing listing{*revision, asked - Millis(*ageMs)};
   if (aSource == ViewSource::Helper && mPlan.Misses(aSource) > 1) {
     // The helper gets no answer from the store either.
     ++mHelperIndex;
@@ -430,6 +453,44 @@
   co_return co_await ApplyView(std::move(*view), *endpoint, listing);
 }
 
+bool ViewExchange::IsOutdated(const Listing& aListing) const {
+  if (!mNewestListing) {
+    return false;
+  }
+  // A node of an earlier release names no revision.
+  const bool comparable =
+      aListing.mRevision != 0 && mNewestListing->mRevision != 0;
+  return comparable ? aListing.mRevision < mNewestListing->mRevision
+                    : aListing.mReadAt < mNewestListing->mReadAt;
+}
+
+void ViewExchange::HandleOutdated(ViewSource aSource,
+                                  const std::string& aAddress,
+                                  const SharedView& aView,
+                                  const Listing& aListing) {
+  Event("view-outdated")
+      .Text("node", aAddress)
+      .Number("revision", aListing.mRevision)
+      .Number("known", mNewestListing->mRevision)
+      .Number("list_age_ms", (mNode.Now() - aListing.mReadAt).Count())
+      .Number("misses", mPlan.Misses(aSource))
+      .Write();
+  // These are ordered by themselves.
+  MergeCrashRecords(mNode, aView.mCrashes, aView.mRun);
+  if (aView.mLead) {
+    mLead.Learn(*aView.mLead);
+  }
+  if (aSource == ViewSource::Helper && mPlan.Misses(aSource) > 1) {
+    ++mHelperIndex;
+  }
+}
+
+bool ViewExchange::StoreAway() const {
+  const bool failedLast =
+      mListingFailedAt && (!mListing || *mListingFailedAt > mListing->mReadAt);
+  return failedLast && mNode.Now() - *mListingFailedAt < kHelpDuration;
+}
+
 asio::awaitable<std::optional<ViewUpdate>> ViewExchange::ApplyView(
     SharedView aView, Endpoint aFrom, Listing aListing) {
   MergeCrashRecords(mNode, aView.mCrashes, aView.mRun);
@@ -444,6 +505,7 @@
         .Write();
     co_return std::nullopt;
   }
+  mNewestListing = aListing;
   ApplyNodes(aView);
   ViewUpdate update;
   update.mListing = aListing;
@@ -457,9 +519,13 @@
   if (aView.mHosts > 0) {
     mNode.mReplicas.Cold().SetHostCount(static_cast<size_t>(aView.mHosts));
   }
-  update.mFollowsConfig = aView.mConfig > 0;
-  if (update.mFollowsConfig) {
-    Evacuated({aView.mEvacuated.begin(), aView.mEvacuated.end()});
+  // A node that knows an earlier configuration than this one does not follow
+  // it in time.
+  update.mFollowsConfig =
+      aView.mConfig > 0 && aView.mConfig >= mConfig.mRevision;
+  if (aView.mConfig > 0) {
+    Evacuated({aView.mEvacuated.begin(), aView.mEvacuated.end()},
+              aView.mEvacuatedRevision);
   }
   if (aView.mConfig > mConfig.mRevision) {
     update.mConfig = co_await FetchConfig(aFrom, aView.mConfig);
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -33,6 +33,12 @@
   CPPUNIT_TEST(ChangesAreSentOnce);
   CPPUNIT_TEST(OldViewIsStale);
   CPPUNIT_TEST(ListOfAnEarlierReadingIsNotApplied);
+  CPPUNIT_TEST(OwnReadingReplacesEveryList);
+  CPPUNIT_TEST(OldAnswerIsNoSuccess);
+  CPPUNIT_TEST(HelperThatBeginsToReadIsAskedAgain);
+  CPPUNIT_TEST(EarlierLeadIsNotLearned);
+  CPPUNIT_TEST(EarlierEvacuationIsNotApplied);
+  CPPUNIT_TEST(NodeWithAnEarlierConfigurationDoesNotFollow);
   CPPUNIT_TEST(ViewFromBeforeASuspensionIsStale);
   CPPUNIT_TEST(CrashRecordsAreSentOnce);
   CPPUNIT_TEST(NewLeadSendsItsCrashRecords);
@@ -312,12 +318,12 @@
 
   void EvacuatedZonesAreSent() {
     mSource.mView.Configured({"text", 7});
-    mSource.mView.Evacuated({"z"});
+    mSource.mView.Evacuated({"z"}, 7);
     mEntry.Ask();
     CPPUNIT_ASSERT(mEntry.mTest.mNode.mReplicas.Evacuated("z"));
     // A node that does not follow the configuration does not know its zones.
     mSource.mView.Follows(false);
-    mSource.mView.Evacuated({});
+    mSource.mView.Evacuated({}, 8);
     mEntry.Ask();
     CPPUNIT_ASSERT(mEntry.mTest.mNode.mReplicas.Evacuated("z"));
     mSource.mView.Follows(true);
@@ -390,6 +396,81 @@
     CPPUNIT_ASSERT_EQUAL(2, former.mAsked);
   }
 
+  // The store decides, also after it was replaced by an empty one.
+  void OwnReadingReplacesEveryList() {
+    mSource.mView.Listed({ReplicaOf("a")}, {9, mSource.Now()});
+    CPPUNIT_ASSERT(mEntry.Ask());
+    mEntry.mView.Listed({ReplicaOf("b")}, {2, mEntry.Now()});
+    mSource.mView.Listed({ReplicaOf("b")}, {3, mSource.Now()});
+    CPPUNIT_ASSERT(mEntry.Ask());
+  }
+
+  // Guards against a host that waits a whole period after an old answer, as
+  // the list that it has is still recent enough.
+  void OldAnswerIsNoSuccess() {
+    CPPUNIT_ASSERT(mEntry.Ask());
+    mSource.mView.Listed({ReplicaOf("a")}, {2, mSource.Now() - Millis(5000)});
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT(mEntry.mView.Plan().Fresh(mEntry.Now()));
+    CPPUNIT_ASSERT_EQUAL(1, mEntry.mView.Plan().Misses(ViewSource::Lead));
+  }
+
+  // Guards against hosts that ask one candidate after the other, each of which
+  // begins to read the store for them.
+  void HelperThatBeginsToReadIsAskedAgain() {
+    Node one{mWorld, "one", false};
+    Node other{mWorld, "other", false};
+    mEntry.mLead.Forget();
+    mEntry.mNodes.Adopt({one.Entry(), other.Entry()}, mEntry.Now());
+    CPPUNIT_ASSERT(!mEntry.Ask());
+    Node& asked = one.mAsked > 0 ? one : other;
+    CPPUNIT_ASSERT(asked.mView.Helping());
+    asked.mView.Listed({ReplicaOf("a")}, {2, asked.Now()});
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT_EQUAL(2, asked.mAsked);
+    CPPUNIT_ASSERT_EQUAL(2, one.mAsked + other.mAsked);
+  }
+
+  void EarlierLeadIsNotLearned() {
+    const LeadHolder first{"first", "127.0.0.1:1", "r1", "z", 5};
+    const LeadHolder second{"second", "127.0.0.1:2", "r2", "z", 9};
+    mEntry.mLead.Learn(second);
+    mEntry.mLead.Learn(first);
+    CPPUNIT_ASSERT(*mEntry.mLead.Known() == second);
+    // Nor after the known one did not answer.
+    mEntry.mLead.Forget();
+    mEntry.mLead.Learn(first);
+    CPPUNIT_ASSERT(!mEntry.mLead.Known());
+    mEntry.mLead.Learn(second);
+    CPPUNIT_ASSERT(*mEntry.mLead.Known() == second);
+  }
+
+  void EarlierEvacuationIsNotApplied() {
+    mSource.mView.Configured({"text", 3});
+    mSource.mView.Evacuated({"z"}, 7);
+    CPPUNIT_ASSERT(mEntry.Ask());
+    Node former{mWorld, "former", false};
+    former.mView.Listed({ReplicaOf("a")}, {1, former.Now()});
+    former.mView.Configured({"text", 3});
+    former.mView.Follows(true);
+    former.mView.Evacuated({}, 5);
+    mEntry.mLead.Learn(former.Holder());
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT(former.mAsked > 0);
+    CPPUNIT_ASSERT(mEntry.mTest.mNode.mReplicas.Evacuated("z"));
+    former.mView.Evacuated({}, 8);
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT(!mEntry.mTest.mNode.mReplicas.Evacuated("z"));
+  }
+
+  // Guards against an old configuration that counts as confirmed.
+  void NodeWithAnEarlierConfigurationDoesNotFollow() {
+    mSource.mView.Configured({"the text", 7});
+    mEntry.mView.Configured({"a later text", 8});
+    const std::optional<ViewUpdate> update = mEntry.Ask();
+    CPPUNIT_ASSERT(update && !update->mFollowsConfig && !update->mConfig);
+  }
+
   void ViewFromBeforeASuspensionIsStale() {
     CPPUNIT_ASSERT(mEntry.Ask());
     CPPUNIT_ASSERT(mEntry.mView.Plan().Fresh(mEntry.Now()));
--- a/src/librillwall_rollout/view_subset.cpp
+++ b/src/librillwall_rollout/view_subset.cpp
@@ -28,6 +28,7 @@
     mListingSince = asked;
   }
   mListing = aListing;
+  mNewestListing = aListing;
 }
 
 void ViewExchange::SkipSubsetSource() {
--- a/testsuite/platform/leaves.py
+++ b/testsuite/platform/leaves.py
@@ -6,7 +6,8 @@
 A second part does the same beside outages of the store, with pauses in which hosts are in touch again.
 
   left      a request reaches no replica later than the bound after the store has taken its notice, nor after its
-            entry was removed; taken from requests of clients at entry hosts that are in touch
+            entry was removed, if the store was undisturbed then; taken from requests of clients at entry hosts
+            that are in touch
   served    nearly all requests of clients are served meanwhile
 """
 
@@ -53,11 +54,19 @@
 
     def check_arrival(self, replica):
         now = time.monotonic()
-        if replica.left_at is None or now - self.undisturbed_since < CONTACT_S:
+        if replica.left_at is None or not self.undisturbed(now):
             return
         late = now - replica.left_at
         self.soak.check("left", late <= BOUND_S, f"a request reached {replica.id} {late:.2f} s after it had left")
 
+    def undisturbed(self, now):
+        return now - self.undisturbed_since >= CONTACT_S
+
+    def leave(self, replica):
+        now = time.monotonic()
+        if self.undisturbed(now) and replica.left_at is None:
+            replica.left_at = now
+
     async def client(self):
         while not self.ending:
             self.asked += 1
@@ -78,11 +87,11 @@
         if self.rng.random() < 0.5:
             old.state = "draining"
             old.register()
-            old.left_at = time.monotonic()
+            self.leave(old)
             await asyncio.sleep(self.rng.uniform(0.2, 2.0))
         self.soak.store.revision += 1
         self.soak.store.remove(f"servers/{old.id}")
-        old.left_at = old.left_at or time.monotonic()
+        self.leave(old)
         await asyncio.sleep(self.rng.uniform(*LINGER_S))
         old.server.stop()
         old.proxy.stop()
