registry: only entries that lapsed in an outage of the store are kept after it

Callers' requests could reach a replica that had left right after an outage of the store, or just before it, for longer than the bound.

Cause: for 2.2 s after the store was back, every entry that was missing was kept, also one that had been listed since and was then removed, which is a replica's word that it leaves. The reader kept them until its next poll (1 s), its hosts until they asked again (1.3 s), a failed poll was repeated after 0.5 s: together 5 s and more, the time after which a host counts as in touch.

The first list after an outage decides which entries have lapsed; an entry that is missing later is gone. The same for a large registry, which is read by changes (MissingEntries).

EntriesRemovedLaterAreNotKept and HostsAskAgainWhenLapsedReplicasAreRemoved are new as well. RegistryTable's tests name what becomes of missing entries where they gave a bool; the values are the same.

--- a/src/include/rillwall/registry_table.h
+++ b/src/include/rillwall/registry_table.h
@@ -38,6 +38,14 @@
   bool operator==(const RegistryEntry&) const = default;
 };
 
+/// What becomes of a known entry that a reading of the registry lacks. Entries
+/// may lapse while the store is away, and are written again once it is back.
+enum class MissingEntries {
+  Remove,
+  Keep,       ///< the first reading after the store was away
+  KeepKnown,  ///< keep those that were kept before; others are gone for good
+};
+
 /// Identifies the host that requests a subset.
 struct SubsetRequest {
   /// Name or address of the host; must not change between requests.
@@ -60,16 +68,21 @@
   RegistryTable& operator=(const RegistryTable&) = delete;
 
   /// Replaces all entries with a complete listing.
-  /// \param aKeepMissing keep entries that the listing lacks for now, because
-  /// the registry has just recovered and live replicas register again
-  void ReplaceAll(std::vector<RegistryEntry> aEntries, bool aKeepMissing);
+  /// \param aMissing what becomes of the entries that the listing lacks
+  void ReplaceAll(std::vector<RegistryEntry> aEntries, MissingEntries aMissing);
   /// Adds or updates an entry. An older revision is ignored.
   void Put(RegistryEntry aEntry);
   /// Handles the removal of an entry.
   /// \param aRevision revision of the removal; an entry that was written later
   /// stays
-  /// \param aKeepMissing keep the entry until DropMissing()
-  void Remove(const std::string& aId, int64_t aRevision, bool aKeepMissing);
+  /// \param aMissing what becomes of the entry; a kept one stays until
+  /// DropMissing()
+  void Remove(const std::string& aId, int64_t aRevision,
+              MissingEntries aMissing);
+  /// \return whether an entry is kept although it is missing
+  bool IsMissing(const std::string& aId) const {
+    return mMissing.contains(aId);
+  }
   /// Removes the entries that were kept although they are missing.
   void DropMissing();
   void Clear();
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -102,6 +102,9 @@
 
   /// Records that this node listed the replicas in the store.
   void Listed(const std::vector<Replica>& aReplicas, const Listing& aListing);
+  /// Records that replicas of the list have lapsed and will be removed from it
+  /// after some time; 0: none. Nodes that are sent the list ask again then.
+  void ListChangesIn(Millis aSpan) { mListChangesAt = mNode.Now() + aSpan; }
   /// Records that this node updated a table of very many replicas from the
   /// store. From then on others are sent subsets of it.
   /// \param aTable must outlive this object
@@ -226,6 +229,7 @@
   Millis mListingSince;  ///< start of the listings without a long gap
   /// When the store last failed to answer.
   std::optional<Millis> mListingFailedAt;
+  Millis mListChangesAt;  ///< see ListChangesIn()
   std::optional<Millis> mHelpAskedAt;
   bool mLookedUp = false;  ///< this process has asked the store for the lead
   std::string mLastLeadAddress;  ///< address of the lead that was asked last
--- a/src/include/rillwall/view_plan.h
+++ b/src/include/rillwall/view_plan.h
@@ -74,6 +74,10 @@
   /// Asks the sources at once, because the node needs more than it was sent.
   void AskNow(Millis aNow);
 
+  /// Asks a source at a time or soon after it, if not before. All nodes may
+  /// name the same time.
+  void AskBy(ViewSource aSource, Millis aAt);
+
   /// \return the source to ask now, or nothing if none is due
   std::optional<ViewSource> Next(const ViewContacts& aContacts,
                                  Millis aNow) const;
--- a/src/librillwall_coordination/many_replicas_test.cpp
+++ b/src/librillwall_coordination/many_replicas_test.cpp
@@ -38,7 +38,7 @@
     const Replica replica = ReplicaAt(i);
     entries.push_back({replica.mId, 1, replica});
   }
-  aTable.ReplaceAll(std::move(entries), false);
+  aTable.ReplaceAll(std::move(entries), MissingEntries::Remove);
 }
 
 SubsetRequest HostAt(size_t aIndex) {
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(OwnersShareOneWorkingSet);
   CPPUNIT_TEST(IncompleteListingKeepsMissingEntries);
   CPPUNIT_TEST(MissingEntriesAreKeptUntilDropped);
+  CPPUNIT_TEST(EntriesRemovedLaterAreNotKept);
   CPPUNIT_TEST(OlderRevisionsChangeNothing);
   CPPUNIT_TEST(UnreadableEntriesNameNoReplica);
   CPPUNIT_TEST(DemandDoublesTheWantedReplicas);
@@ -146,7 +147,7 @@
     const std::set<std::string> after = IdsOf(table.SubsetFor(HostAt(2)));
     CPPUNIT_ASSERT_EQUAL(before.size(), after.size());
     CPPUNIT_ASSERT(!after.contains(leaving.mId));
-    table.Remove(leaving.mId, 3, false);
+    table.Remove(leaving.mId, 3, MissingEntries::Remove);
     CPPUNIT_ASSERT(after == IdsOf(table.SubsetFor(HostAt(2))));
   }
 
@@ -154,7 +155,7 @@
     RegistryTable table;
     Fill(table, 1000);
     for (size_t i = 1; i < 1000; i += kZones) {
-      table.Remove(ReplicaAt(i).mId, 2, false);
+      table.Remove(ReplicaAt(i).mId, 2, MissingEntries::Remove);
     }
     CPPUNIT_ASSERT_EQUAL(RegistryTable::kDefaultSubset,
                          table.SubsetFor(HostAt(1)).size());
@@ -208,15 +209,15 @@
     for (size_t i = 0; i < 500; ++i) {
       half.push_back({ReplicaAt(i).mId, 1, ReplicaAt(i)});
     }
-    table.ReplaceAll(half, true);
+    table.ReplaceAll(half, MissingEntries::Keep);
     CPPUNIT_ASSERT_EQUAL(size_t{1000}, table.Size());
   }
 
   void MissingEntriesAreKeptUntilDropped() {
     RegistryTable table;
     Fill(table, 1000);
-    table.Remove("i-5", 7, true);
-    table.Remove("i-6", 8, true);
+    table.Remove("i-5", 7, MissingEntries::Keep);
+    table.Remove("i-6", 8, MissingEntries::Keep);
     CPPUNIT_ASSERT_EQUAL(size_t{1000}, table.Size());
     table.Put({"i-5", 9, ReplicaAt(5)});
     table.DropMissing();
@@ -224,6 +225,24 @@
     CPPUNIT_ASSERT(table.Find("i-6") == nullptr);
   }
 
+  // Guards against replicas that leave right after the store is back and are
+  // kept like those whose entries lapsed while it was away.
+  void EntriesRemovedLaterAreNotKept() {
+    RegistryTable table;
+    Fill(table, 1000);
+    table.Remove("i-5", 7, MissingEntries::Keep);
+    table.Remove("i-6", 8, MissingEntries::KeepKnown);
+    CPPUNIT_ASSERT(table.IsMissing("i-5"));
+    CPPUNIT_ASSERT(table.Find("i-6") == nullptr);
+    std::vector<RegistryEntry> half;
+    for (size_t i = 500; i < 1000; ++i) {
+      half.push_back({ReplicaAt(i).mId, 9, ReplicaAt(i)});
+    }
+    table.ReplaceAll(half, MissingEntries::KeepKnown);
+    CPPUNIT_ASSERT_EQUAL(size_t{501}, table.Size());
+    CPPUNIT_ASSERT(table.Find("i-5") != nullptr);
+  }
+
   void OlderRevisionsChangeNothing() {
     RegistryTable table;
     Fill(table, 200);
@@ -231,7 +250,7 @@
     moved.mAddress = "10.0.0.9:80";
     table.Put({"i-5", 9, moved});
     table.Put({"i-5", 4, ReplicaAt(5)});
-    table.Remove("i-5", 8, false);
+    table.Remove("i-5", 8, MissingEntries::Remove);
     CPPUNIT_ASSERT(table.Find("i-5")->mReplica == moved);
     const uint64_t changes = table.Changes();
     // A heartbeat changes only the revision.
--- a/src/librillwall_coordination/registry_table.cpp
+++ b/src/librillwall_coordination/registry_table.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 void RegistryTable::ReplaceAll(std::vector<RegistryEntry> aEntries,
-                               bool aKeepMissing) {
+                               MissingEntries aMissing) {
   std::set<std::string> listed;
   for (RegistryEntry& entry : aEntries) {
     listed.insert(entry.mId);
@@ -34,7 +34,7 @@
     }
   }
   for (const std::string& id : gone) {
-    Remove(id, mEntries.at(id).mRevision, aKeepMissing);
+    Remove(id, mEntries.at(id).mRevision, aMissing);
   }
 }
 
@@ -61,12 +61,14 @@
 }
 
 void RegistryTable::Remove(const std::string& aId, int64_t aRevision,
-                           bool aKeepMissing) {
+                           MissingEntries aMissing) {
   const auto at = mEntries.find(aId);
   if (at == mEntries.end() || at->second.mRevision > aRevision) {
     return;
   }
-  if (aKeepMissing) {
+  const bool keep = aMissing == MissingEntries::Keep ||
+                    (aMissing == MissingEntries::KeepKnown && IsMissing(aId));
+  if (keep) {
     mMissing.insert(aId);
   } else {
     Erase(at);
--- a/src/librillwall_coordination/view_plan.cpp
+++ b/src/librillwall_coordination/view_plan.cpp
@@ -48,7 +48,8 @@
 /// and asks other helpers; otherwise every node would call the store while no
 /// call succeeds.
 constexpr Millis kStoreAwayPause{8000};
-/// Requests to a new lead are spread over this time.
+/// Requests that all nodes send after one event, such as a change of the lead,
+/// are spread over this time.
 constexpr Millis kNewLeadSpread{300};
 /// Interval at which a node checks which sources are due. A check costs far
 /// less than a request.
@@ -93,6 +94,11 @@
   Of(ViewSource::Helper).mNextAskAt = aNow;
 }
 
+void ViewPlan::AskBy(ViewSource aSource, Millis aAt) {
+  Millis& next = Of(aSource).mNextAskAt;
+  next = std::min(next, aAt + mJitter.FullJitter(kNewLeadSpread));
+}
+
 bool ViewPlan::Recent(Millis aListedAt, Millis aNow) const {
   return aNow - aListedAt < mBound * kFreshPercent / kPercent;
 }
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -39,7 +39,11 @@
 constexpr char kAgeHeader[] = "Rillwall-View-Age";
 /// In answers: revision of the store at which the list was read.
 constexpr char kListRevisionHeader[] = "Rillwall-View-Revision";
-/// In answers with status 503: the store does not answer the node.
+/// In answers: time in ms after which replicas will be removed from the list.
+constexpr char kChangesInHeader[] = "Rillwall-View-Changes-In";
+/// Time for the sender to read the store once more.
+constexpr Millis kReadMargin{50};
+/// In answers: the store does not answer the node.
 constexpr char kStoreAwayHeader[] = "Rillwall-Store-Away";
 /// In answers: the usage counts that came with the request are recorded.
 constexpr char kUsageTakenHeader[] = "Rillwall-Usage-Taken";
@@ -192,6 +196,10 @@
       {kAgeHeader, std::to_string((now - mListing->mReadAt).Count())});
   response.mHeaders.push_back(
       {kListRevisionHeader, std::to_string(mListing->mRevision)});
+  if (mListChangesAt > now) {
+    response.mHeaders.push_back(
+        {kChangesInHeader, std::to_string((mListChangesAt - now).Count())});
+  }
   if (StoreAway()) {
     response.mHeaders.push_back({kStoreAwayHeader, "1"});
   }
@@ -446,6 +454,11 @@
     co_return std::nullopt;
   }
   mPlan.RecordAnswer(aSource, asked, Millis(*ageMs), mNode.Now());
+  const std::optional<int64_t> changesIn =
+      HeaderNumber(*answer, kChangesInHeader);
+  if (changesIn) {
+    mPlan.AskBy(aSource, mNode.Now() + Millis(*changesIn) + kReadMargin);
+  }
   if (aSource == ViewSource::Helper && mPlan.Misses(aSource) > 1) {
     // The helper gets no answer from the store either.
     ++mHelperIndex;
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(OldAnswerIsNoSuccess);
   CPPUNIT_TEST(HelperThatBeginsToReadIsAskedAgain);
   CPPUNIT_TEST(EarlierLeadIsNotLearned);
+  CPPUNIT_TEST(HostsAskAgainWhenLapsedReplicasAreRemoved);
   CPPUNIT_TEST(EarlierEvacuationIsNotApplied);
   CPPUNIT_TEST(NodeWithAnEarlierConfigurationDoesNotFollow);
   CPPUNIT_TEST(ViewFromBeforeASuspensionIsStale);
@@ -81,7 +82,7 @@
       const Replica replica = ReplicaOf("i-" + std::to_string(i));
       entries.push_back({replica.mId, 1, replica});
     }
-    aTable.ReplaceAll(std::move(entries), false);
+    aTable.ReplaceAll(std::move(entries), MissingEntries::Remove);
   }
 
   /// A node with its server for other nodes.
@@ -203,9 +204,9 @@
     while (knows("i-" + std::to_string(other))) {
       ++other;
     }
-    mTable.Remove("i-" + std::to_string(other), 2, false);
+    mTable.Remove("i-" + std::to_string(other), 2, MissingEntries::Remove);
     CPPUNIT_ASSERT(!mEntry.Ask()->mReplicas);
-    mTable.Remove(known.mId, 3, false);
+    mTable.Remove(known.mId, 3, MissingEntries::Remove);
     const std::optional<ViewUpdate> later = mEntry.Ask();
     CPPUNIT_ASSERT_EQUAL(RegistryTable::kDefaultSubset,
                          later->mReplicas->size());
@@ -431,6 +432,19 @@
     CPPUNIT_ASSERT_EQUAL(2, one.mAsked + other.mAsked);
   }
 
+  void HostsAskAgainWhenLapsedReplicasAreRemoved() {
+    const ViewContacts contacts{true, false, false};
+    const Millis soon(480);
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT(!mEntry.mView.Plan().Next(contacts, mEntry.Now() + soon));
+    mSource.mView.ListChangesIn(Millis(100));
+    CPPUNIT_ASSERT(mEntry.Ask());
+    CPPUNIT_ASSERT(mEntry.mView.Plan().Next(contacts, mEntry.Now() + soon) ==
+                   ViewSource::Lead);
+    CPPUNIT_ASSERT(
+        !mEntry.mView.Plan().Next(contacts, mEntry.Now() + Millis(50)));
+  }
+
   void EarlierLeadIsNotLearned() {
     const LeadHolder first{"first", "127.0.0.1:1", "r1", "z", 5};
     const LeadHolder second{"second", "127.0.0.1:2", "r2", "z", 9};
