http client, items: bytes that are no answer may come without end

Callers' requests were at risk in two ways.

The line of a chunk's length was read into memory until the time limit of the call, up to 10 s for a stream, at the speed of the link; the parser limits heads and trailers only. It is refused now beyond the 64 KB that a head may have.

An item stayed at its replica for as long as bytes arrived that are no event, such as comments or blank lines, as each read got the full time again. Now the next event must come within 1.2 s of the one before, whatever else arrives; then the text goes on at another replica behind its last event.

TestBytesWithoutEndAreRefused (64 MB in a status line, a header, a chunk's line and a trailer), TextBeforeCommentsWithoutEndGoesOn and TextBeforeBlankLinesWithoutEndGoesOn fail without the change (seen); TextBeforeLineWithoutEndGoesOn passes without it, by the limit of an event.

--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -16,8 +16,8 @@
 /// Longest wait for a stream's head: a full replica queues requests, and a
 /// crashed one is silent.
 constexpr Millis kHeadTimeout{2000};
-/// Longest pause between two events. Events take some 40 ms each, four times
-/// that on a slowed replica.
+/// Longest pause between two events, whatever else arrives. Events take some
+/// 40 ms each, four times that on a slowed replica.
 constexpr Millis kEventTimeout{1200};
 /// Pause of a model at a replica whose weights are older than listed.
 constexpr Millis kStaleWeightsPause{300};
@@ -210,9 +210,11 @@
   RolloutText& text = aStep.mTracker.Text(aItem);
   EventReader reader(aNode, text, aVersion);
   Millis lastAt;
+  Millis due = aNode.Now() + kEventTimeout;
   while (true) {
     const int64_t before = text.mEvents;
-    const Result<std::string> part = co_await aStream.Read(kEventTimeout);
+    const Millis left = std::max(Millis(1), due - aNode.Now());
+    const Result<std::string> part = co_await aStream.Read(left);
     if (!aStep.mRunning) {
       co_return ItemRunEnd::Stopped;
     }
@@ -234,6 +236,13 @@
     if (!aWhy.empty()) {
       co_return ItemRunEnd::Broken;
     }
+    const Millis now = aNode.Now();
+    if (text.mEvents > before) {
+      due = now + kEventTimeout;
+    } else if (now >= due) {
+      aWhy = "bytes arrived, but no event in time";
+      co_return ItemRunEnd::Broken;
+    }
     ObservePace(aNode, aReplica.mId, text.mEvents - before, lastAt);
   }
 }
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -424,6 +424,13 @@
   const std::string response = ResponseTo(request);
   co_await asio::async_write(*aSocket, asio::buffer(response),
                              asio::as_tuple(asio::use_awaitable));
+  bool open = !mEndless.empty();
+  while (open) {
+    const auto [failed, written] = co_await asio::async_write(
+        *aSocket, asio::buffer(mEndless), asio::as_tuple(asio::use_awaitable));
+    open = !failed;
+    co_await Wait(Millis(5));
+  }
   if (mRequests.size() > before) {
     End();
   }
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -159,6 +159,9 @@
   Replica Entry(const std::string& aService) const;
   UnframedEnd mEnd = UnframedEnd::Lives;  ///< at the next response
   std::string mBody;                      ///< of its responses
+  /// Bytes that it repeats after its next response until the peer closes the
+  /// connection.
+  std::string mEndless;
   /// Bytes of the response to a request that resumes after an event.
   std::string mBodyAfterEvent;
   std::vector<HttpRequest> mRequests;  ///< that it ran
--- a/src/librillwall_rollout/unframed_response_test.cpp
+++ b/src/librillwall_rollout/unframed_response_test.cpp
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(TextOfLiveReplicaIsWhole);
   CPPUNIT_TEST(UnprovenTextGoesOn);
   CPPUNIT_TEST(TextThatEndsWithinAnEventGoesOn);
+  CPPUNIT_TEST(TextBeforeCommentsWithoutEndGoesOn);
+  CPPUNIT_TEST(TextBeforeBlankLinesWithoutEndGoesOn);
+  CPPUNIT_TEST(TextBeforeLineWithoutEndGoesOn);
   CPPUNIT_TEST(UnprovenScorerCallIsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
@@ -248,6 +251,32 @@
     CheckTextGoesOn(UnframedEnd::Lives, "id: 3\ndata: e");
   }
 
+  // Guards against an item that stays at a replica for good, and against memory
+  // that grows, if bytes that are no events come without end.
+  void CheckBytesWithoutEnd(const std::string& aBytes) {
+    UnframedReplica first(mWorld.mIo, "first");
+    first.mBody = kEvents;
+    first.mEndless = aBytes;
+    mOther.mStreams = true;
+    mOther.mRequests.clear();
+    Use({first.Entry("engine"), mScorer.Entry("scorer")});
+    const RolloutResult result = RunItem("i1", [&] {
+      mTest.RunUntil([&] { return first.mRequests.size() == 1; });
+      Use({mOther.Entry("engine"), mScorer.Entry("scorer")});
+    });
+    CPPUNIT_ASSERT(RolloutEnd::Completed == result.mEnd);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3"), result.mOutput);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mOther.mRequests.size());
+  }
+
+  void TextBeforeCommentsWithoutEndGoesOn() {
+    CheckBytesWithoutEnd(": a comment\n");
+  }
+  void TextBeforeBlankLinesWithoutEndGoesOn() { CheckBytesWithoutEnd("\n"); }
+  void TextBeforeLineWithoutEndGoesOn() {
+    CheckBytesWithoutEnd(std::string(64 * 1024, 'x'));
+  }
+
   void UnprovenScorerCallIsRepeated() {
     UnframedReplica scorer(mWorld.mIo, "first");
     scorer.mEnd = UnframedEnd::Ends;
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -183,7 +183,11 @@
     const size_t parsed = mParser->put(input.data(), code);
     input.consume(parsed);
     if (code == http::error::need_more) {
-      return std::nullopt;
+      // The parser limits the head, but not the line of a chunk's length.
+      return input.size() > kMaxHeaderBytes
+                 ? std::optional(Fail(ErrorKind::TooLarge,
+                                      "sent a line over the size limit"))
+                 : std::nullopt;
     }
     if (code == http::error::body_limit) {
       return Fail(ErrorKind::TooLarge, "sent a response over the size limit");
--- a/src/librillwall_transport/http_client_test.cpp
+++ b/src/librillwall_transport/http_client_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(TestDestroyedStreamCancelsCall);
   CPPUNIT_TEST(TestProbe);
   CPPUNIT_TEST(TestSuspensionDropsIdleConnections);
+  CPPUNIT_TEST(TestBytesWithoutEndAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -74,6 +75,24 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
   }
 
+  /// Guards against memory that grows with bytes that an upstream sends without
+  /// end, in a head or in the line of a chunk's length. Each response is 64 MB.
+  void TestBytesWithoutEndAreRefused() {
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(64 * 1024 * 1024, 'x');
+    for (const std::string& begin :
+         {std::string(), std::string("HTTP/1.1 200 OK\r\nX-Long: "),
+          chunked + "1;", chunked + "1\r\na\r\n0\r\nX-Long: "}) {
+      RawUpstream upstream({begin + filler});
+      const Error error = Failure(upstream.ListeningEndpoint());
+      CPPUNIT_ASSERT(ErrorKind::TooLarge == error.Kind() ||
+                     ErrorKind::UpstreamFailed == error.Kind());
+      CPPUNIT_ASSERT(RunState::NotRun != error.Run());
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
+  }
+
   /// Receives the response of an upstream that sends no length and closes the
   /// connection in order.
   Result<HttpResponse> ReceiveUntilClose(EndCheck aEndCheck) {
