--- a/src/include/rillwall/lead_claim.h
+++ b/src/include/rillwall/lead_claim.h
@@ -111,7 +111,7 @@
   /// Probes the holder, and ends its lease if neither this node nor other nodes
   /// reach it.
   asio::awaitable<void> ProbeHolder(std::string aAddress, int64_t aLease);
-  /// Records a holder unless a later one was known before.
+  /// Records the holder that the store names.
   void Know(LeadHolder aHolder);
   /// Stops holding the claim, and logs the reason.
   void DropClaim(const char* aWhy);
@@ -136,7 +136,7 @@
   /// When a renewal showed that the lease had ended.
   std::optional<Millis> mLostAt;
   std::optional<LeadHolder> mKnown;
-  int64_t mNewestFence = 0;        ///< of all holders that were known so far
+  int64_t mNewestFence = 0;        ///< of the last holder that was known
   std::string mUnreachableHolder;  ///< address of the holder whose lease this
                                    ///< node ended
 };
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -124,8 +124,7 @@
   void ListingFailed() { mListingFailedAt = mNode.Now(); }
   /// Sets the configuration in force here.
   void Configured(ConfigText aConfig);
-  /// Sets the zones that the operator has evacuated. Replaces the previous set
-  /// unless that is newer.
+  /// Sets the zones that the operator has evacuated. Replaces the previous set.
   /// \param aRevision of the store when they were read
   void Evacuated(std::set<std::string> aZones, int64_t aRevision);
   /// Sets whether this node follows the configuration in the store itself.
@@ -164,8 +163,10 @@
   /// \return whether a list is older than one that this node had before
   bool IsOutdated(const Listing& aListing) const;
   /// Records that a source has answered with an older list than the known one.
+  /// \param aStoreAway the source says that the store does not answer it
   void HandleOutdated(ViewSource aSource, const std::string& aAddress,
-                      const SharedView& aView, const Listing& aListing);
+                      const SharedView& aView, const Listing& aListing,
+                      bool aStoreAway);
   /// \return whether this node's last attempt to list the replicas failed
   bool StoreAway() const;
   /// Records that this node has just read the store.
--- a/src/librillwall_rollout/lead_claim.cpp
+++ b/src/librillwall_rollout/lead_claim.cpp
@@ -151,7 +151,6 @@
   const Millis now = mNode.Now();
   const Millis wait = aOrderedLast ? Millis(0) : OrderDelay(now);
   mMayOrderFrom = now + wait;
-  mKnown.reset();
   Know({self.mName, self.mAddress, self.mRun, self.mZone, mFence});
   Event("claim-won")
       .Text("claim", "lead")
@@ -329,16 +328,14 @@
 }
 
 void LeadClaim::Learn(const LeadHolder& aHolder) {
-  if (!Held()) {
+  const bool earlier = aHolder.mFence != 0 && aHolder.mFence < mNewestFence;
+  if (!Held() && !earlier) {
     Know(aHolder);
   }
 }
 
 void LeadClaim::Know(LeadHolder aHolder) {
-  if (aHolder.mFence != 0 && aHolder.mFence < mNewestFence) {
-    return;
-  }
-  mNewestFence = std::max(mNewestFence, aHolder.mFence);
+  mNewestFence = aHolder.mFence == 0 ? mNewestFence : aHolder.mFence;
   mKnown = std::move(aHolder);
 }
 
@@ -364,7 +361,11 @@
     co_return holder.error();
   }
   holder->mFence = (*item)->mRevision;
-  Know(*holder);
+  if (aMayBeOld) {
+    Learn(*holder);
+  } else {
+    Know(*holder);
+  }
   co_return mKnown;
 }
 
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -86,10 +86,7 @@
 }
 
 void ViewExchange::Evacuated(std::set<std::string> aZones, int64_t aRevision) {
-  if (aRevision < mEvacuatedRevision) {
-    return;
-  }
-  if (aRevision > mEvacuatedRevision) {
+  if (aRevision != mEvacuatedRevision) {
     mEvacuatedRevision = aRevision;
     mCachedAnswers.clear();
   }
@@ -444,13 +441,8 @@
   }
   const Listing listing{revision.value_or(0), asked - Millis(*ageMs)};
   if (IsOutdated(listing)) {
-    const bool away = answer->Find(kStoreAwayHeader) != nullptr;
-    if (away) {
-      mPlan.RecordStoreUnreachable(aSource, mNode.Now());
-    } else {
-      mPlan.RecordMiss(aSource, mNode.Now());
-    }
-    HandleOutdated(aSource, *address, *view, listing);
+    HandleOutdated(aSource, *address, *view, listing,
+                   answer->Find(kStoreAwayHeader) != nullptr);
     co_return std::nullopt;
   }
   mPlan.RecordAnswer(aSource, asked, Millis(*ageMs), mNode.Now());
@@ -480,7 +472,12 @@
 void ViewExchange::HandleOutdated(ViewSource aSource,
                                   const std::string& aAddress,
                                   const SharedView& aView,
-                                  const Listing& aListing) {
+                                  const Listing& aListing, bool aStoreAway) {
+  if (aStoreAway) {
+    mPlan.RecordStoreUnreachable(aSource, mNode.Now());
+  } else {
+    mPlan.RecordMiss(aSource, mNode.Now());
+  }
   Event("view-outdated")
       .Text("node", aAddress)
       .Number("revision", aListing.mRevision)
@@ -536,7 +533,7 @@
   // it in time.
   update.mFollowsConfig =
       aView.mConfig > 0 && aView.mConfig >= mConfig.mRevision;
-  if (aView.mConfig > 0) {
+  if (aView.mConfig > 0 && aView.mEvacuatedRevision >= mEvacuatedRevision) {
     Evacuated({aView.mEvacuated.begin(), aView.mEvacuated.end()},
               aView.mEvacuatedRevision);
   }
