sse: line feeds at the beginning of an event's data stay; streams are read as the standard has it

Cause: `data` lines were joined with a line feed only if the data so far was not empty, so that empty lines at the beginning were dropped. Beside it: an event whose only data line is empty was dropped, lines ended with LF only, a byte order mark became part of the first field, and `data` without a colon was taken for an unknown field.

Change: an incremental parser of lines (CR, LF, CRLF, cut at any byte) that remembers whether a data line has come. Each byte is read once; before, an event that was not complete was read again at each part. A comment at the end is no open event.

--- a/src/librillwall_protocol/sse.cpp
+++ b/src/librillwall_protocol/sse.cpp
@@ -1,55 +1,26 @@
 #include "rillwall/sse.h"
 
+#include <utility>
+
 namespace rillwall {
 
 namespace {
 
 constexpr size_t kMaxEventBytes = 1024 * 1024;
+constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
-std::string_view TrimCarriageReturn(std::string_view aLine) {
-  if (!aLine.empty() && aLine.back() == '\r') {
-    aLine.remove_suffix(1);
-  }
-  return aLine;
-}
-
-// Returns the value if the line is of the named field.
-std::optional<std::string_view> FieldValue(std::string_view aLine,
-                                           std::string_view aName) {
-  if (!aLine.starts_with(aName)) {
-    return std::nullopt;
-  }
-  aLine.remove_prefix(aName.size());
-  if (!aLine.empty() && aLine.front() == ' ') {
-    aLine.remove_prefix(1);
-  }
-  return aLine;
-}
-
-// Stores a non-standard field. Skips comments, which begin with a colon.
-void AddExtensionField(SseEvent& aEvent, std::string_view aLine) {
+/// Splits a line into its field's name and value. A line without a colon is a
+/// field with an empty value.
+SseField FieldOf(std::string_view aLine) {
   const size_t colon = aLine.find(':');
-  if (colon == 0 || colon == std::string_view::npos) {
-    return;
+  if (colon == std::string_view::npos) {
+    return {std::string(aLine), std::string()};
   }
-  const std::string_view name = aLine.substr(0, colon);
-  const auto value = FieldValue(aLine.substr(colon), ":");
-  aEvent.mOthers.push_back({std::string(name), std::string(*value)});
-}
-
-void AddLine(SseEvent& aEvent, std::string_view aLine) {
-  if (const auto data = FieldValue(aLine, "data:")) {
-    if (!aEvent.mData.empty()) {
-      aEvent.mData += '\n';
-    }
-    aEvent.mData += *data;
-  } else if (const auto name = FieldValue(aLine, "event:")) {
-    aEvent.mName = *name;
-  } else if (const auto id = FieldValue(aLine, "id:")) {
-    aEvent.mId = *id;
-  } else {
-    AddExtensionField(aEvent, aLine);
+  std::string_view value = aLine.substr(colon + 1);
+  if (!value.empty() && value.front() == ' ') {
+    value.remove_prefix(1);
   }
+  return {std::string(aLine.substr(0, colon)), std::string(value)};
 }
 
 }  // namespace
@@ -59,34 +30,95 @@
     mBuffer.erase(0, mStart);
     mStart = 0;
   }
-  if (mBuffer.size() + aPart.size() > 2 * kMaxEventBytes) {
+  if (mBuffer.size() + mEventBytes + aPart.size() > 2 * kMaxEventBytes) {
     return Error(ErrorKind::TooLarge, "An event of the stream is over 1 MB.");
   }
   mBuffer += aPart;
   return std::nullopt;
 }
 
-std::optional<SseEvent> SseParser::Next() {
-  SseEvent event;
-  size_t at = mStart;
-  while (true) {
-    const size_t end = mBuffer.find('\n', at);
-    if (end == std::string::npos) {
-      return std::nullopt;
+bool SseParser::SkipByteOrderMark() {
+  const std::string_view begin = std::string_view(mBuffer).substr(mStart);
+  if (begin.size() < kByteOrderMark.size() &&
+      kByteOrderMark.starts_with(begin)) {
+    return false;
+  }
+  mStart += begin.starts_with(kByteOrderMark) ? kByteOrderMark.size() : 0;
+  mAtBegin = false;
+  return true;
+}
+
+void SseParser::SkipLineFeed() {
+  if (mAfterCarriageReturn && mStart < mBuffer.size()) {
+    mStart += mBuffer[mStart] == '\n' ? 1 : 0;
+    mAfterCarriageReturn = false;
+  }
+}
+
+std::optional<std::string_view> SseParser::NextLine() {
+  SkipLineFeed();
+  const size_t end = mBuffer.find_first_of("\r\n", mStart + mScanned);
+  if (end == std::string::npos) {
+    mScanned = mBuffer.size() - mStart;
+    return std::nullopt;
+  }
+  const std::string_view line =
+      std::string_view(mBuffer).substr(mStart, end - mStart);
+  mAfterCarriageReturn = mBuffer[end] == '\r';
+  mStart = end + 1;
+  mScanned = 0;
+  return line;
+}
+
+void SseParser::AddLine(std::string_view aLine) {
+  if (aLine.starts_with(':')) {
+    return;  // a comment
+  }
+  mEventBytes += aLine.size() + 1;
+  SseField field = FieldOf(aLine);
+  if (field.mName == "data") {
+    // A data line may be empty, also the first one.
+    mEvent.mData += mHasData ? "\n" : "";
+    mEvent.mData += field.mValue;
+    mHasData = true;
+  } else if (field.mName == "event") {
+    mEvent.mName = std::move(field.mValue);
+  } else if (field.mName == "id") {
+    if (field.mValue.find('\0') == std::string::npos) {
+      mEvent.mId = std::move(field.mValue);
     }
-    const std::string_view line =
-        TrimCarriageReturn(std::string_view(mBuffer).substr(at, end - at));
-    at = end + 1;
-    if (!line.empty()) {
-      AddLine(event, line);
+  } else {
+    mEvent.mOthers.push_back(std::move(field));
+  }
+}
+
+std::optional<SseEvent> SseParser::Next() {
+  if (mAtBegin && !SkipByteOrderMark()) {
+    return std::nullopt;
+  }
+  while (const std::optional<std::string_view> line = NextLine()) {
+    if (!line->empty()) {
+      AddLine(*line);
       continue;
     }
-    mStart = at;
-    if (!event.mData.empty() || !event.mName.empty() || !event.mId.empty()) {
+    const bool counts =
+        mHasData || !mEvent.mName.empty() || !mEvent.mId.empty();
+    mEventBytes = 0;
+    mHasData = false;
+    SseEvent event = std::exchange(mEvent, SseEvent());
+    if (counts) {
+      SkipLineFeed();
       return event;
     }
-    event = SseEvent();
   }
+  return std::nullopt;
+}
+
+bool SseParser::InEvent() const {
+  const bool lineFeedOnly = mAfterCarriageReturn &&
+                            mBuffer.size() == mStart + 1 &&
+                            mBuffer[mStart] == '\n';
+  return mEventBytes > 0 || (mStart < mBuffer.size() && !lineFeedOnly);
 }
 
 std::string SseData(std::string_view aData) {
