steps: bytes that are not UTF-8 never reach a record; what a record holds otherwise stays readable

Cause: event data was written raw into JSON, and the parser rejects a whole page for one string that is not UTF-8.

Change, at the one place where a replica's bytes become text: an event that is not UTF-8 is a broken run, and the item goes on behind its last sound event. The other side: a page that an earlier release wrote with wrong bytes is read with U+FFFD in their place and named in the log (`record-unread`); a part of a text that can't be read is left out, and its number is no longer used again (the store refused that, and the owner lost the step each time). Pages are cut by their encoded size: texts of quotes made values over the store's limit, which it refused for good.

PagesAreLimitedByTheirEncodedSize and EncodedSizeIsKnown were not seen to fail.

--- a/src/include/rillwall/listing_plan.h
+++ b/src/include/rillwall/listing_plan.h
@@ -9,8 +9,10 @@
 #pragma once
 
 #include <cstddef>
+#include <vector>
 
 #include "rillwall/millis.h"
+#include "rillwall/rollout.h"
 
 namespace rillwall {
 
@@ -28,4 +30,9 @@
 /// \return whether the collected results should be written now
 bool ShouldWriteResults(const ListingState& aState);
 
+/// Takes results from the front, as many as fit in one page, but at least one.
+/// \param aMaxBytes limit for the encoded texts
+std::vector<RolloutResult> TakePage(std::vector<RolloutResult>& aWaiting,
+                                    size_t aMaxBytes);
+
 }  // namespace rillwall
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -118,6 +118,9 @@
   bool operator==(const RolloutResult&) const = default;
 };
 
+/// \return the size in bytes of a text as a string of JSON
+size_t EncodedBytes(std::string_view aText);
+
 /// The next item to run.
 struct RolloutPick {
   size_t mItem = 0;    ///< index in the step
--- a/src/librillwall_coordination/listing_plan.cpp
+++ b/src/librillwall_coordination/listing_plan.cpp
@@ -1,5 +1,7 @@
 #include "rillwall/listing_plan.h"
 
+#include <iterator>
+
 namespace rillwall {
 
 namespace {
@@ -28,4 +30,20 @@
   return aState.mWaited >= (due ? kDueBatchDelay : kBatchDelay);
 }
 
+std::vector<RolloutResult> TakePage(std::vector<RolloutResult>& aWaiting,
+                                    size_t aMaxBytes) {
+  size_t count = 0;
+  for (size_t bytes = 0; count < aWaiting.size(); ++count) {
+    bytes += EncodedBytes(aWaiting[count].mOutput);
+    if (count > 0 && bytes >= aMaxBytes) {
+      break;
+    }
+  }
+  const auto middle = aWaiting.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<RolloutResult> page(std::make_move_iterator(aWaiting.begin()),
+                                  std::make_move_iterator(middle));
+  aWaiting.erase(aWaiting.begin(), middle);
+  return page;
+}
+
 }  // namespace rillwall
--- a/src/librillwall_coordination/listing_plan_test.cpp
+++ b/src/librillwall_coordination/listing_plan_test.cpp
@@ -14,10 +14,28 @@
   CPPUNIT_TEST(LastResultIsWrittenAtOnce);
   CPPUNIT_TEST(ResultsAreBatchedUntilTheDueTime);
   CPPUNIT_TEST(DueResultsAreWrittenSoon);
+  CPPUNIT_TEST(PagesAreLimitedByTheirEncodedSize);
   CPPUNIT_TEST_SUITE_END();
 
   ListingState mState{false, false, false, Millis(0), true, Millis(-5000)};
 
+  // The store refused a page of texts full of quotes for good.
+  void PagesAreLimitedByTheirEncodedSize() {
+    const auto result = [](const std::string& aText) {
+      return RolloutResult{"i", RolloutEnd::Completed, aText, {1}, "s"};
+    };
+    std::vector<RolloutResult> waiting = {
+        result(std::string(100, '"')), result(std::string(100, 'a')),
+        result(std::string(400, '\x01')), result("b")};
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, TakePage(waiting, 303).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, TakePage(waiting, 303).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, TakePage(waiting, 303).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), TakePage(waiting, 303)[0].mOutput);
+    CPPUNIT_ASSERT(waiting.empty());
+    waiting = {result("a"), result("b"), result("c")};
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, TakePage(waiting, 303).size());
+  }
+
   bool ShouldWriteAfter(int64_t aWaitedMs) {
     mState.mWaited = Millis(aWaitedMs);
     return ShouldWriteResults(mState);
--- a/src/librillwall_coordination/rollout_tracker.cpp
+++ b/src/librillwall_coordination/rollout_tracker.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -10,9 +11,27 @@
 
 constexpr int kRankStarted = 0;
 constexpr int kRankNew = 1;
+constexpr size_t kQuotes = 2;
+
+/// \return the size of a character in JSON, as far as it is escaped
+size_t EncodedBytes(char aChar) {
+  constexpr std::string_view kShortEscapes = "\"\\\b\f\n\r\t";
+  constexpr size_t kShortEscape = 2;
+  constexpr size_t kLongEscape = 6;
+  if (kShortEscapes.find(aChar) != std::string_view::npos) {
+    return kShortEscape;
+  }
+  return static_cast<unsigned char>(aChar) < ' ' ? kLongEscape : 1;
+}
 
 }  // namespace
 
+size_t EncodedBytes(std::string_view aText) {
+  return std::accumulate(
+      aText.begin(), aText.end(), kQuotes,
+      [](size_t aSum, char aChar) { return aSum + EncodedBytes(aChar); });
+}
+
 void RolloutText::Append(const std::string& aData, int64_t aVersion) {
   if (mEvents > 0) {
     mOutput += '\n';
@@ -171,7 +190,7 @@
   for (size_t i = 0; bytes < aMaxBytes && i < mStates.size(); ++i) {
     if (aSelects(mStates[i], aMinEvents)) {
       parts.push_back(TakePart(mSpec.mItems[i].mId, mStates[i].mText, aPrefix));
-      bytes += parts.back().mOutput.size();
+      bytes += EncodedBytes(parts.back().mOutput);
     }
   }
   return parts;
--- a/src/librillwall_protocol/rollout_record_test.cpp
+++ b/src/librillwall_protocol/rollout_record_test.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(PartsRoundTrip);
   CPPUNIT_TEST(MalformedTextIsRejected);
   CPPUNIT_TEST(KeysSortByPosition);
+  CPPUNIT_TEST(EncodedSizeIsKnown);
   CPPUNIT_TEST_SUITE_END();
 
   void RecordRoundTrips() {
@@ -47,6 +48,19 @@
         !DecodeResultPage(R"({"first":1,"total":2,"results":[{}]})"));
   }
 
+  void EncodedSizeIsKnown() {
+    std::string text = "k\xC4\x9F";
+    for (char each = 0; each < 0x7f; ++each) {
+      text += each;
+    }
+    const ResultPage page{0, {{"i", RolloutEnd::Completed, text, {}, ""}}, 1};
+    ResultPage empty = page;
+    empty.mResults[0].mOutput.clear();
+    CPPUNIT_ASSERT_EQUAL(
+        EncodeResultPage(page).size() - EncodeResultPage(empty).size(),
+        EncodedBytes(text) - EncodedBytes(""));
+  }
+
   void KeysSortByPosition() {
     CPPUNIT_ASSERT(PageKey("s", 9) < PageKey("s", 10));
     CPPUNIT_ASSERT(PageKey("s", 99) < PageKey("s", 1000));
--- a/src/librillwall_protocol/wire_convert.cpp
+++ b/src/librillwall_protocol/wire_convert.cpp
@@ -5,7 +5,7 @@
 
 #include <limits>
 
-#include "utf8.h"
+#include "rillwall/utf8.h"
 
 namespace rillwall {
 
--- a/src/librillwall_rollout/crash_guard.cpp
+++ b/src/librillwall_rollout/crash_guard.cpp
@@ -5,6 +5,7 @@
 #include "replica_end.h"
 #include "rillwall/crash_record.h"
 #include "rillwall/event_log.h"
+#include "rillwall/utf8.h"
 
 namespace rillwall {
 
@@ -94,7 +95,8 @@
   description += aParts.mHost;
   description += aParts.mTarget;
   description.resize(std::min(description.size(), kMaxDescriptionBytes));
-  return description;
+  // It is part of the view that all hosts share.
+  return ReplaceInvalidUtf8(description);
 }
 
 void RecordCrash(NodeContext& aNode, const CrashRecord& aRecord,
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -8,6 +8,7 @@
 #include "rillwall/admission.h"
 #include "rillwall/numbers.h"
 #include "rillwall/sse.h"
+#include "rillwall/utf8.h"
 
 namespace rillwall {
 
@@ -122,6 +123,10 @@
         return "event " + event->mId + " came after " +
                std::to_string(mText.mEvents);
       }
+      // Records of a step, and what trainers read, are JSON.
+      if (!IsUtf8(event->mData)) {
+        return "event " + event->mId + " is not valid UTF-8";
+      }
       mText.Append(event->mData, mVersion);
     }
     return {};
--- a/src/librillwall_rollout/rollout_listing.cpp
+++ b/src/librillwall_rollout/rollout_listing.cpp
@@ -3,7 +3,6 @@
 /// disk while the store does not answer.
 
 #include <algorithm>
-#include <iterator>
 
 #include "rillwall/event_log.h"
 #include "rillwall/listing_plan.h"
@@ -16,8 +15,8 @@
 
 /// Results that end within this time are written together.
 constexpr Millis kBatchDelay{20};
-/// Limit for the text of one page, whose encoded form stays below the store's
-/// limit of 1 MiB for a value.
+/// Limit for the encoded texts of one page, which stays below the store's limit
+/// of 1 MiB for a value.
 constexpr size_t kMaxPageBytes = 600 * 1000;
 /// Together with a page, this stays below the 1 MB that the store takes in one
 /// change.
@@ -56,23 +55,6 @@
                      });
 }
 
-/// Takes results from the front, as many as fit in one page.
-std::vector<RolloutResult> TakePage(std::vector<RolloutResult>& aWaiting) {
-  size_t bytes = 0;
-  size_t count = 0;
-  while (
-      count < aWaiting.size() &&
-      (count == 0 || bytes + aWaiting[count].mOutput.size() < kMaxPageBytes)) {
-    bytes += aWaiting[count].mOutput.size();
-    ++count;
-  }
-  const auto middle = aWaiting.begin() + static_cast<std::ptrdiff_t>(count);
-  std::vector<RolloutResult> page(std::make_move_iterator(aWaiting.begin()),
-                                  std::make_move_iterator(middle));
-  aWaiting.erase(aWaiting.begin(), middle);
-  return page;
-}
-
 }  // namespace
 
 void RolloutService::ScheduleFlush(const StepPtr& aStep) {
@@ -112,7 +94,7 @@
     ResultPage page;
     page.mFirst = static_cast<int64_t>(aStep->mListed.size());
     page.mTotal = static_cast<int64_t>(aStep->mTracker.Total());
-    page.mResults = TakePage(waiting);
+    page.mResults = TakePage(waiting, kMaxPageBytes);
     if (!page.mResults.empty()) {
       const std::string key = PageKey(id, page.mFirst);
       change.mGuards.push_back({key, 0});
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -9,6 +9,7 @@
 #include "rillwall/event_log.h"
 #include "rillwall/numbers.h"
 #include "rillwall/rollout_service.h"
+#include "rillwall/utf8.h"
 #include "rollout_step.h"
 
 namespace rillwall {
@@ -28,6 +29,35 @@
 /// Keys of one change of the store; the platform takes 32 entries.
 constexpr size_t kMaxRemovesPerChange = 30;
 
+void LogUnread(const StoreItem& aItem, const Error& aError, bool aRepaired) {
+  Event("record-unread")
+      .Text("key", aItem.mKey)
+      .Number("revision", aItem.mRevision)
+      .Number("bytes", static_cast<int64_t>(aItem.mValue.size()))
+      .Flag("repaired", aRepaired)
+      .Text("why", aError.Detail())
+      .Write();
+}
+
+/// Decodes a page of results. Earlier releases wrote texts that are not UTF-8;
+/// the results of such a page are readable once the wrong bytes are replaced.
+/// \return an error that names the page
+Result<ResultPage> DecodeStoredPage(const StoreItem& aItem) {
+  Result<ResultPage> page = DecodeResultPage(aItem.mValue);
+  if (page) {
+    return page;
+  }
+  const Error failed = page.error();
+  page = DecodeResultPage(ReplaceInvalidUtf8(aItem.mValue));
+  LogUnread(aItem, failed, page.has_value());
+  if (!page) {
+    return Error(ErrorKind::Unavailable,
+                 "The record " + aItem.mKey + " can't be read: " +
+                     failed.Detail() + " Remove the step or the record.");
+  }
+  return page;
+}
+
 }  // namespace
 
 asio::awaitable<void> RolloutService::Sweep() {
@@ -123,7 +153,7 @@
   }
   std::vector<RolloutResult> listed;
   for (const StoreItem& item : pages->mItems) {
-    Result<ResultPage> page = DecodeResultPage(item.mValue);
+    Result<ResultPage> page = DecodeStoredPage(item);
     if (!page) {
       co_return page.error();
     }
@@ -145,14 +175,14 @@
   }
   StoredTexts stored;
   for (const StoreItem& item : items->mItems) {
+    const std::string number = item.mKey.substr(PartPrefix(aId).size());
+    stored.mNext = ParseNumber(number).value_or(stored.mNext) + 1;
     const Result<std::vector<RolloutPart>> parts = DecodeParts(item.mValue);
     if (!parts) {
-      Event("texts-unread").Id(aId).Text("why", parts.error().Detail()).Write();
+      LogUnread(item, parts.error(), false);
       continue;
     }
     stored.mParts.insert(stored.mParts.end(), parts->begin(), parts->end());
-    const std::string number = item.mKey.substr(PartPrefix(aId).size());
-    stored.mNext = ParseNumber(number).value_or(stored.mNext) + 1;
   }
   co_return stored;
 }
@@ -358,6 +388,9 @@
   for (const StoreItem& item : all->mItems) {
     const Result<StepRecord> record = DecodeStepRecord(item.mValue);
     const std::string id = item.mKey.substr(sizeof(kStepPrefix) - 1);
+    if (!record) {
+      LogUnread(item, record.error(), false);
+    }
     if (!record || record->mEnded || mSteps.contains(id)) {
       continue;
     }
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -12,6 +12,7 @@
 #include "rillwall/move_plan.h"
 #include "rillwall/rollout_service.h"
 #include "rillwall/upstream_call.h"
+#include "rillwall/utf8.h"
 #include "rollout_step.h"
 #include "step_schedule.h"
 
@@ -359,7 +360,8 @@
     const int status = answer ? answer->mHead.mStatus : 0;
     const std::string* signature =
         answer ? answer->mHead.Find(mNode.mHeaders.mSignature) : nullptr;
-    if (status / 100 == 2 && signature != nullptr) {
+    // A signature that no record can hold is no answer of a sound scorer.
+    if (status / 100 == 2 && signature != nullptr && IsUtf8(*signature)) {
       tracker.Text(aItem).mScore = *signature;
       break;
     }
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -74,6 +74,8 @@
   CPPUNIT_TEST(EndDuringAnOutageStopsTheNextOwner);
   CPPUNIT_TEST(RestartedNodeTakesItsStepOver);
   CPPUNIT_TEST(NextOwnerResumesUnfinishedTexts);
+  CPPUNIT_TEST(UnreadablePartStopsNothing);
+  CPPUNIT_TEST(PageWithWrongBytesStaysReadable);
   CPPUNIT_TEST(EndedStepLeavesNoUnfinishedTexts);
   CPPUNIT_TEST(ReplacedOwnerKeepsNoTexts);
   CPPUNIT_TEST(TextsOutliveAnOutageAndARestart);
@@ -541,6 +543,38 @@
     }
   }
 
+  // The number of an unreadable part was used again, and the store refused it.
+  void UnreadablePartStopsNothing() {
+    AcceptLongTexts();
+    mWorld.mStore.Write(PartKey("s1", 0), "{");
+    Restart("n1-again");
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    Test().RunUntil(
+        [&] { return mWorld.mStore.CountOf(PartPrefix("s1")) > 1; });
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Listed(2).size());
+  }
+
+  // An earlier release wrote pages with bytes that are not UTF-8.
+  void PageWithWrongBytesStaysReadable() {
+    Accept();
+    const std::vector<RolloutResult> listed = Listed(2);
+    std::string page = mWorld.mStore.Items().at(PageKey("s1", 0)).mValue;
+    page.replace(page.find("e2"), 2, "\xFF!");
+    mWorld.mStore.Write(PageKey("s1", 0), page);
+    for (const char* run : {"n1-again", "n1-after"}) {
+      Restart(run);
+      CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+      const Result<RolloutRead> answer = Read();
+      CPPUNIT_ASSERT(answer.has_value());
+      std::vector<RolloutResult> read = answer->mResults;
+      CPPUNIT_ASSERT_EQUAL(std::string("e1\n\xEF\xBF\xBD!\ne3"),
+                           read.at(0).mOutput);
+      read[0].mOutput = listed[0].mOutput;
+      CPPUNIT_ASSERT(read == listed);
+      Test().Run(Service().End("s1"));
+    }
+  }
+
   void EndedStepLeavesNoUnfinishedTexts() {
     AcceptLongTexts();
     CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -285,7 +285,9 @@
   head.mStatus = script.mStatus;
   const std::string echo = script.mWrongId ? "other" : id ? *id : "";
   head.mHeaders.push_back({mNames.mRequestId, echo});
-  head.mHeaders.push_back({mNames.mSignature, "signed-" + echo});
+  head.mHeaders.push_back({mNames.mSignature, script.mSignature.empty()
+                                                  ? "signed-" + echo
+                                                  : script.mSignature});
   head.mHeaders.push_back({mNames.mWeightVersion, std::to_string(mVersion)});
   if (!mLoad.empty()) {
     head.mHeaders.push_back({mNames.mReplicaLoad, mLoad});
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -83,6 +83,7 @@
   Millis mEventTime{1};       ///< between two events
   int64_t mVersionAt = -1;    ///< event at which the version increases by one
   int64_t mEndsAfter = -1;    ///< events after which the process ends
+  std::string mSignature = {};  ///< of a scorer; empty: a sound one
 };
 
 /// An HTTP server on its own port that answers by script.
--- a/src/librillwall_rollout/unframed_response_test.cpp
+++ b/src/librillwall_rollout/unframed_response_test.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(TextBeforeCommentsWithoutEndGoesOn);
   CPPUNIT_TEST(TextBeforeBlankLinesWithoutEndGoesOn);
   CPPUNIT_TEST(TextBeforeLineWithoutEndGoesOn);
+  CPPUNIT_TEST(TextWithWrongBytesGoesOn);
+  CPPUNIT_TEST(SignatureWithWrongBytesIsNotTaken);
   CPPUNIT_TEST(UnprovenScorerCallIsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
@@ -251,6 +253,23 @@
     CheckTextGoesOn(UnframedEnd::Lives, "id: 3\ndata: e");
   }
 
+  // One event that was not UTF-8 made all results of its step unreadable.
+  void TextWithWrongBytesGoesOn() {
+    CheckTextGoesOn(UnframedEnd::Lives, "id: 3\ndata: e\xff\xfe\n\n");
+  }
+
+  // The same for a signature.
+  void SignatureWithWrongBytesIsNotTaken() {
+    mOther.mStreams = true;
+    mScorer.mScripts = {{}, {}};
+    mScorer.mScripts[0].mSignature = "signed-\xc3";
+    Use({mOther.Entry("engine"), mScorer.Entry("scorer")});
+    const RolloutResult result = RunItem("i1", [] {});
+    CPPUNIT_ASSERT(RolloutEnd::Completed == result.mEnd);
+    CPPUNIT_ASSERT_EQUAL(std::string("signed-i1-score"), result.mScore);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, mScorer.mRequests.size());
+  }
+
   // Guards against an item that stays at a replica for good, and against memory
   // that grows, if bytes that are no events come without end.
   void CheckBytesWithoutEnd(const std::string& aBytes) {
--- a/src/librillwall_state/event_log.cpp
+++ b/src/librillwall_state/event_log.cpp
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "rillwall/millis.h"
+#include "rillwall/utf8.h"
 
 namespace rillwall {
 
@@ -57,7 +58,9 @@
     aLine += '"';
     return;
   }
-  aLine += boost::json::serialize(boost::json::string(aText));
+  // A reader of the log rejects a line that is not UTF-8.
+  aLine +=
+      boost::json::serialize(boost::json::string(ReplaceInvalidUtf8(aText)));
 }
 
 /// \return the end of the next write: as many whole lines as fit into an atomic
