replicas: a connection is reused only after the answer to its own request

Cause: a connection went back to the pool as soon as a response had been read whole, before anybody had looked whose it was. A late second response was then taken for the next request's, and the replica worked on at a slot that nobody counted. A refused stream was tried again on the same connection with the same identity, so that a repeated refusal looked like the answer to that try. An item took a refusal with another's identity for its own.

A connection with anything else on it is closed, and so is that of a refused request that must not run twice. A refused idempotent request keeps its connection, as full replicas reset new ones, but its next try at the same replica uses another one. Nodes among themselves and the store answer each request once; no disruption there sends a second one.

RefusedNonIdempotentUsesAnotherConnection becomes RefusedRequestUsesAnotherConnection: it asked for no new connection of idempotent requests, which let a repeated refusal pass there too, and now asks for one for each kind.

--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -7,6 +7,7 @@
 #include "replica_end.h"
 #include "rillwall/admission.h"
 #include "rillwall/numbers.h"
+#include "rillwall/replica_answer.h"
 #include "rillwall/sse.h"
 #include "rillwall/utf8.h"
 
@@ -26,7 +27,6 @@
 /// a run, the replica's end has another cause. Texts have 23 events on average.
 constexpr int64_t kSurvivalEvents = 8;
 constexpr int kOk = 200;
-constexpr int kMisdirected = 421;
 constexpr int kUnprocessable = 422;
 
 int64_t NumberOr(const std::string* aText, int64_t aDefault) {
@@ -143,16 +143,14 @@
 /// \return Whole if the stream may be read, else how the run ended
 ItemRunEnd CheckHead(NodeContext& aNode, RolloutStep& aStep, size_t aItem,
                      const HttpResponse& aHead, std::string& aWhy) {
-  const HeaderNames& names = aNode.mHeaders;
   aWhy = "status " + std::to_string(aHead.mStatus);
-  const std::string* id = aHead.Find(names.mRequestId);
-  if (aHead.mStatus == kMisdirected || aHead.Find(names.mNotRun) != nullptr) {
-    return ItemRunEnd::Refused;
-  }
-  if (id == nullptr || *id != aStep.mTracker.Item(aItem).mId) {
+  if (!IsAnswerTo(aNode, aHead, aStep.mTracker.Item(aItem).mId)) {
     aWhy = "the response belongs to another request";
     return ItemRunEnd::Broken;
   }
+  if (IsRefusal(aNode, aHead)) {
+    return ItemRunEnd::Refused;
+  }
   if (aHead.mStatus == kUnprocessable) {
     return ItemRunEnd::Impossible;
   }
@@ -268,6 +266,8 @@
   options.mNewConnection = NeedsLiveReplica(aNode, aStep, aItem);
   options.mTrace = &aDetails.mTrace;
   options.mEndCheck = EndCheckFor(aNode, aReplica);
+  options.mMayReuse = ReuseAfterAnswer(aNode, aStep.mTracker.Item(aItem).mId,
+                                       AfterRefusal::Close);
   if (aNode.mCrashes.HasSuspects()) {
     aDetails.mOrder = aNode.mCrashes.NextOrder(DigestOf(aStep, aItem));
   }
--- a/src/librillwall_rollout/load_probe.cpp
+++ b/src/librillwall_rollout/load_probe.cpp
@@ -5,6 +5,7 @@
 
 #include "rillwall/event_log.h"
 #include "rillwall/probe_plan.h"
+#include "rillwall/replica_answer.h"
 
 namespace rillwall {
 
@@ -43,7 +44,7 @@
 bool RecordAnswer(NodeContext& aNode, const std::string& aId,
                   const HttpResponse& aAnswer, Millis aRoundTrip) {
   const std::string* id = aAnswer.Find(aNode.mHeaders.mReplicaId);
-  if (id == nullptr || *id != aId) {
+  if (id == nullptr || *id != aId || !IsAnswerTo(aNode, aAnswer, {})) {
     return false;
   }
   ObserveLoad(aNode, aId, aAnswer);
@@ -59,6 +60,7 @@
   request.mTarget = std::move(aPath);
   HttpClient::OpenOptions options;
   options.mEndCheck = AnyEnd();  // only the head is used
+  options.mMayReuse = ReuseAfterAnswer(aNode, {}, AfterRefusal::Keep);
   const Millis begun = aNode.Now();
   const Result<HttpResponse> answer = co_await aNode.mClient.Send(
       aEndpoint, std::move(request), kProbeTimeout, std::move(options));
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -1,6 +1,7 @@
 #include "rillwall/upstream_call.h"
 
 #include <algorithm>
+#include <set>
 
 #include "crash_guard.h"
 #include "hedged_try.h"
@@ -8,6 +9,7 @@
 #include "rillwall/event_log.h"
 #include "rillwall/load_probe.h"
 #include "rillwall/numbers.h"
+#include "rillwall/replica_answer.h"
 #include "rillwall/request_digest.h"
 #include "rillwall/request_gate.h"
 #include "watched_stream.h"
@@ -24,7 +26,6 @@
 constexpr Millis kMinTryTimeout{200};
 /// Pause before replicas that refused are tried again.
 constexpr Millis kRefusedPause{25};
-constexpr int kMisdirected = 421;
 constexpr int kFirstServerError = 500;
 
 /// The state of one call.
@@ -48,6 +49,7 @@
   std::optional<UpstreamResponse> mFailedResponse;
   bool mCounted = false;  ///< the request has begun to run at some replica
   std::optional<RequestDigest> mDigest;  ///< computed on first use
+  std::set<std::string> mRefusedBy;      ///< ids of replicas
 };
 
 RequestParts PartsOf(const UpstreamCall& aCall) {
@@ -217,34 +219,12 @@
   return ReplicaOutcome::Failed;
 }
 
-/// \return whether a response belongs to this call
-bool BelongsToCall(const CallRun& aRun, const HttpResponse& aHead) {
-  const std::string* id = aHead.Find(aRun.mNode.mHeaders.mRequestId);
-  if (id == nullptr) {
-    // Replicas echo the identity; a refusal may be sent before it was read.
-    return aHead.Find(aRun.mNode.mHeaders.mNotRun) != nullptr ||
-           aHead.mStatus == kMisdirected;
-  }
-  return *id == aRun.mCall.mId;
-}
-
-bool IsRefusal(const NodeContext& aNode, const HttpResponse& aHead) {
-  return aHead.mStatus == kMisdirected ||
-         aHead.Find(aNode.mHeaders.mNotRun) != nullptr;
-}
-
-/// \return a predicate that closes the connection of a refused non-idempotent
-/// request. The request is sent again with the same identity; a replica that
-/// repeats its refusal on the connection would seem to refuse that one too,
-/// while it runs it.
-HttpClient::ReusePredicate ReuseUnlessRefused(const CallRun& aRun) {
-  if (aRun.mCall.mKind != RequestKind::NonIdempotent) {
-    return nullptr;
-  }
-  // The stream may outlive the call.
-  return [&node = aRun.mNode](const HttpResponse& aHead) {
-    return !IsRefusal(node, aHead);
-  };
+/// \return what becomes of a connection on which the request was refused.
+/// Idempotent requests keep it, as full replicas reset new ones; their next try
+/// at the same replica uses another one.
+AfterRefusal AfterRefusalOf(const CallRun& aRun) {
+  return aRun.mCall.mKind == RequestKind::Idempotent ? AfterRefusal::Keep
+                                                     : AfterRefusal::Close;
 }
 
 /// Reads a response's body, up to the size that is buffered whole.
@@ -300,9 +280,11 @@
   }
   HttpRequest request = MakeTryRequest(aRun, aReplica.mId, left);
   HttpClient::OpenOptions options;
-  options.mMayReuse = ReuseUnlessRefused(aRun);
+  options.mMayReuse =
+      ReuseAfterAnswer(node, aRun.mCall.mId, AfterRefusalOf(aRun));
+  options.mNewConnection = aRun.mRefusedBy.contains(aReplica.mId);
   if (node.mCrashes.HasSuspects()) {
-    options.mNewConnection = NeedsNewConnection(node, DigestOf(aRun));
+    options.mNewConnection |= NeedsNewConnection(node, DigestOf(aRun));
     result.mOrder = node.mCrashes.NextOrder(DigestOf(aRun));
   }
   options.mTrace = &result.mTrace;
@@ -318,13 +300,14 @@
   }
   std::unique_ptr<HttpStream> stream = std::move(*opened);
   const HttpResponse& head = stream->Head();
-  if (!BelongsToCall(aRun, head)) {
+  if (!IsAnswerTo(node, head, aRun.mCall.mId)) {
     result.mEnd = TryOutcome::Lost;
     result.mWhy = "the response belongs to another request";
     co_return result;
   }
   ObserveLoad(node, aReplica.mId, head);
   if (IsRefusal(node, head)) {
+    aRun.mRefusedBy.insert(aReplica.mId);
     result.mEnd = TryOutcome::Refused;
     result.mWhy = "refused with status " + std::to_string(head.mStatus);
     co_return result;
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -15,7 +15,8 @@
   CPPUNIT_TEST(IdempotentGoesToAnotherReplica);
   CPPUNIT_TEST(NonIdempotentIsNotSentTwice);
   CPPUNIT_TEST(RefusedByAllIsNotRun);
-  CPPUNIT_TEST(RefusedNonIdempotentUsesAnotherConnection);
+  CPPUNIT_TEST(RefusedRequestUsesAnotherConnection);
+  CPPUNIT_TEST(ConnectionOfAnotherAnswerIsClosed);
   CPPUNIT_TEST(AnswerOfAnotherRequestIsNotDelivered);
   CPPUNIT_TEST(SilentReplicaCostsOneTry);
   CPPUNIT_TEST(TimeoutIsNotARefusal);
@@ -140,6 +141,44 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, Sent());
   }
 
+  // The connection of a response to another request was reused, while the
+  // replica worked on this one. Also if that response is a refusal.
+  void ConnectionOfAnotherAnswerIsClosed() {
+    mTest.mNode.mReplicas.Update({mOne.Entry("s")}, false);
+    const Endpoint endpoint = *Endpoint::Parse(mOne.Entry("s").mAddress);
+    for (const RequestKind kind :
+         {RequestKind::Idempotent, RequestKind::NonIdempotent,
+          RequestKind::Streaming}) {
+      for (const bool refusal : {false, true}) {
+        CPPUNIT_ASSERT_EQUAL(200, Call(kind, 1)->mHead.mStatus);
+        ReplicaScript script{refusal ? 503 : 200, refusal};
+        script.mWrongId = true;
+        mOne.mScripts = {script};
+        const auto answer = Call(kind, 1);
+        CPPUNIT_ASSERT(!answer.has_value());
+        CPPUNIT_ASSERT(answer.error().Run() == RunState::Unknown);
+        CPPUNIT_ASSERT(!mTest.mNode.mClient.HasIdle(endpoint));
+      }
+    }
+  }
+
+  // A 503 of a replica that may have run the request was passed on, and its
+  // client would have sent it again.
+  void ReplicasFailureIsNoPromise() {
+    for (const int status : {429, 503}) {
+      Both({status, false});
+      for (const RequestKind kind :
+           {RequestKind::NonIdempotent, RequestKind::Streaming}) {
+        const auto answer = Call(kind, 2);
+        CPPUNIT_ASSERT(!answer.has_value());
+        CPPUNIT_ASSERT(answer.error().Run() == RunState::Unknown);
+        CPPUNIT_ASSERT_EQUAL(502, ErrorAnswer(answer.error()).mStatus);
+      }
+      const auto answer = Call(RequestKind::Idempotent, 2);
+      CPPUNIT_ASSERT_EQUAL(status, answer->mHead.mStatus);
+    }
+  }
+
   void SilentReplicaCostsOneTry() {
     mOne.mDefaultScript.mSilent = true;
     const auto answer = Call(RequestKind::Idempotent, 2);
@@ -202,16 +241,18 @@
   /// Guards against a non-idempotent request that runs twice: a replica repeats
   /// its refusal on the connection on which the request is sent again, and the
   /// repeated refusal is taken for the answer to that.
-  void RefusedNonIdempotentUsesAnotherConnection() {
+  // A repeated refusal was taken for the answer to the next try of a request
+  // that the replica had begun to run.
+  void RefusedRequestUsesAnotherConnection() {
     mTest.mNode.mReplicas.Update({mOne.Entry("s")}, false);
     for (const RequestKind kind :
-         {RequestKind::Idempotent, RequestKind::NonIdempotent}) {
+         {RequestKind::Idempotent, RequestKind::NonIdempotent,
+          RequestKind::Streaming}) {
       Call(RequestKind::Idempotent, 1);  // leaves an idle connection
       mOne.mScripts = {{503, true}, {}};
       const uint64_t before = mTest.mNode.mClient.ConnectionsMade();
       CPPUNIT_ASSERT_EQUAL(200, Call(kind, 1)->mHead.mStatus);
-      const uint64_t expected = kind == RequestKind::NonIdempotent ? 1 : 0;
-      CPPUNIT_ASSERT_EQUAL(expected,
+      CPPUNIT_ASSERT_EQUAL(uint64_t{1},
                            mTest.mNode.mClient.ConnectionsMade() - before);
     }
   }
