upstream calls: a replica's 429 or 503 is passed on as a promise only if the replica made it

To the client 408, 421, 429 and 503 promise that the request has not run, and it sends it again.

Change: without the statement that it was not run, such a response to a request that must not run twice counts as lost, and the client gets 502. Idempotent requests get the replica's status as before.

--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -27,6 +27,8 @@
 /// Pause before replicas that refused are tried again.
 constexpr Millis kRefusedPause{25};
 constexpr int kFirstServerError = 500;
+/// Statuses by which a client may conclude that its request has not run.
+constexpr int kNotRunStatuses[] = {408, 421, 429, 503};
 
 /// The state of one call.
 struct CallRun {
@@ -179,6 +181,14 @@
   return aRun.mTicket.MaySend(others);
 }
 
+/// \return whether a client would take the response for the promise that its
+/// request has not run, though the replica has not promised that
+bool LooksNotRun(const CallRun& aRun, const HttpResponse& aHead) {
+  return aRun.mCall.mKind != RequestKind::Idempotent &&
+         std::ranges::find(kNotRunStatuses, aHead.mStatus) !=
+             std::end(kNotRunStatuses);
+}
+
 HttpRequest MakeTryRequest(const CallRun& aRun, const std::string& aReplica,
                            Millis aLeft) {
   HttpRequest request = aRun.mCall.mRequest;
@@ -312,6 +322,12 @@
     result.mWhy = "refused with status " + std::to_string(head.mStatus);
     co_return result;
   }
+  if (LooksNotRun(aRun, head)) {
+    result.mEnd = TryOutcome::Lost;
+    result.mWhy = "status " + std::to_string(head.mStatus) +
+                  " without the statement that the request was not run";
+    co_return result;
+  }
   if (aRun.mCall.mKind == RequestKind::Streaming) {
     result.mEnd = TryOutcome::Answered;
     result.mResponse.mHead = head;
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(RefusedRequestUsesAnotherConnection);
   CPPUNIT_TEST(ConnectionOfAnotherAnswerIsClosed);
   CPPUNIT_TEST(AnswerOfAnotherRequestIsNotDelivered);
+  CPPUNIT_TEST(ReplicasFailureIsNoPromise);
   CPPUNIT_TEST(SilentReplicaCostsOneTry);
   CPPUNIT_TEST(TimeoutIsNotARefusal);
   CPPUNIT_TEST(NoRetryAfterASuspension);
