--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -167,6 +167,9 @@
   void Drain();
   /// \return the number of requests whose handler is running
   size_t Active() const;
+  /// \return the number of open connections. A server that drains gets no more
+  /// requests once there are none.
+  size_t Connections() const;
   /// Stops accepting and closes all connections immediately.
   void Stop();
 
--- a/src/librillwall_transport/http_server.cpp
+++ b/src/librillwall_transport/http_server.cpp
@@ -146,6 +146,11 @@
 
 size_t HttpServer::Active() const { return mImpl->mShared->mActive.load(); }
 
+size_t HttpServer::Connections() const {
+  const std::lock_guard lock(mImpl->mShared->mMutex);
+  return mImpl->mShared->mConnections.size();
+}
+
 void HttpServer::Stop() {
   mImpl->mShared->mDraining.store(true);
   mImpl->CloseAcceptor();
--- a/src/librillwall_transport/http_server_test.cpp
+++ b/src/librillwall_transport/http_server_test.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(TestDetectsPeerDisconnect);
   CPPUNIT_TEST(TestNoResponse);
   CPPUNIT_TEST(TestDrainCompletesRequests);
+  CPPUNIT_TEST(TestIdleConnectionsMayBringRequests);
+  CPPUNIT_TEST(TestResponsesWithoutBody);
   CPPUNIT_TEST(TestMaxConnections);
   CPPUNIT_TEST_SUITE_END();
 
@@ -183,6 +185,39 @@
     CPPUNIT_ASSERT_THROW(RawPeer late(mEndpoint), std::exception);
   }
 
+  // A stopping process exited under a request that came on an idle connection.
+  void TestIdleConnectionsMayBringRequests() {
+    RawPeer idle(mEndpoint);
+    WaitFor([this] { return mServer->Connections() == 1; });
+    mServer->Drain();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mServer->Active());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mServer->Connections());
+    idle.Write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+    WaitFor([this] { return mServer->Active() == 1; });
+    mThreads.Await(Sleep(Millis(500)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mServer->Connections());
+    mReleaseWaiting = true;
+    CPPUNIT_ASSERT(idle.ReadToEnd().find("waited") != std::string::npos);
+    idle.Close();
+    WaitFor([this] { return mServer->Connections() == 0; });
+  }
+
+  // Chunks after a response without a body were taken for the next response.
+  void TestResponsesWithoutBody() {
+    for (const std::string status : {"204", "304"}) {
+      RawPeer peer(mEndpoint);
+      peer.Write("GET /bodiless/" + status + " HTTP/1.1\r\n" + kHost + "\r\n");
+      peer.Write(std::string("GET /next HTTP/1.1\r\n") + kHost +
+                 "Connection: close\r\n\r\n");
+      const std::string responses = peer.ReadToEnd();
+      CPPUNIT_ASSERT_EQUAL("HTTP/1.1 " + status, responses.substr(0, 12));
+      CPPUNIT_ASSERT(responses.find("Transfer-Encoding") == std::string::npos);
+      const size_t end = responses.find("\r\n\r\n") + 4;
+      CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"),
+                           responses.substr(end, 12));
+    }
+  }
+
   void TestMaxConnections() {
     std::vector<std::unique_ptr<RawPeer>> peers;
     for (int i = 0; i < 4; ++i) {
