--- a/src/librillwall_transport/http_server_connection.cpp
+++ b/src/librillwall_transport/http_server_connection.cpp
@@ -18,6 +18,8 @@
 constexpr size_t kMaxDiscardBytes = 64 * 1024 * 1024;
 constexpr Millis kLingerTimeout{1000};
 constexpr Millis kDrainIdleTimeout{300};
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 constexpr int kComplete = 0;
 constexpr int kClose = -1;
 
@@ -64,6 +66,11 @@
            R"("run":"unknown"}})");
 }
 
+/// \return whether responses with this status have no body
+bool IsBodiless(int aStatus) {
+  return aStatus == kNoContent || aStatus == kNotModified;
+}
+
 /// \return the size line of a chunk
 std::string ChunkHead(size_t aSize) {
   std::array<char, 2 * sizeof(size_t)> digits;
@@ -395,8 +402,13 @@
   }
   mChunked = mVersion >= 11;
   mKeepAlive = mKeepAlive && mChunked && !mShared->mDraining.load();
-  const BodyFraming framing =
+  BodyFraming framing =
       mChunked ? BodyFraming::Chunked : BodyFraming::UntilClose;
+  if (IsBodiless(aHead.mStatus)) {
+    // The client would take chunks for the next response.
+    mHeadOnly = true;
+    framing = BodyFraming::UntilClose;
+  }
   const std::string head = ResponseHead(aHead, Framing(aHead, framing));
   mResponseState = ResponseState::Streaming;
   const WriteBuffers buffers{asio::buffer(head)};
--- a/src/librillwall_transport/http_server_test.cpp
+++ b/src/librillwall_transport/http_server_test.cpp
@@ -260,6 +260,13 @@
     if (aRequest.mTarget == "/throw") {
       throw std::runtime_error("thrown by the test");
     }
+    if (aRequest.mTarget.starts_with("/bodiless/")) {
+      response.mStatus = std::stoi(aRequest.mTarget.substr(10));
+      response.mBody.clear();
+      co_await aExchange.Begin(std::move(response));
+      co_await aExchange.End();
+      co_return;
+    }
     if (aRequest.mTarget == "/stream") {
       co_await aExchange.Begin(std::move(response));
       std::string part = "part";
--- a/src/librillwall_transport/http_wire.h
+++ b/src/librillwall_transport/http_wire.h
@@ -22,7 +22,11 @@
 using ResponseParser = http::response_parser<http::string_body>;
 
 /// How the end of a body is marked.
-enum class BodyFraming { Length, Chunked, UntilClose };
+enum class BodyFraming {
+  Length,
+  Chunked,
+  UntilClose,  ///< the head says nothing; also of responses without a body
+};
 
 /// What a response head says about body and connection.
 struct HeadOptions {
