steps: the results of a step that another owner ended are read from the store

A reader then misses results.

Change: if the store says that another owner has ended the step, this node's list is not kept; the next reader loads the store's.

--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -319,15 +319,20 @@
     }
     co_return done.error().WithRunState(RunState::Unknown);
   }
-  const StoreItem* current =
-      done->mApplied ? nullptr : done->Find(StepKey(aId));
-  if (!done->mApplied && current != nullptr) {
-    const Result<StepRecord> now = DecodeStepRecord(current->mValue);
+  if (!done->mApplied) {
+    const StoreItem* current = done->Find(StepKey(aId));
+    const Result<StepRecord> now =
+        current != nullptr
+            ? DecodeStepRecord(current->mValue)
+            : Error(ErrorKind::NotFound, "The step was removed.");
     if (now && !now->mEnded) {
       Drop(step, "another node took the step over before it ended");
       co_return Error(ErrorKind::Unavailable,
                       "Another node serves the step now.");
     }
+    // The owner that has ended it may have listed more results.
+    const bool here = now && now->mRun == record.mRun;
+    step->mWriteUncertain = step->mWriteUncertain || !here;
   }
   CloseEnded(step, record);
   co_return std::nullopt;
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(EndedStepStaysReadable);
   CPPUNIT_TEST(EndDuringAnOutageTakesEffect);
   CPPUNIT_TEST(EndDuringAnOutageStopsTheNextOwner);
+  CPPUNIT_TEST(StepThatAnotherOwnerEndedIsReadFromTheStore);
   CPPUNIT_TEST(RestartedNodeTakesItsStepOver);
   CPPUNIT_TEST(NextOwnerResumesUnfinishedTexts);
   CPPUNIT_TEST(UnreadablePartStopsNothing);
@@ -503,6 +504,30 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Read()->mResults.size());
   }
 
+  // An owner that had been suspended kept its shorter list of results for a
+  // step that another one had completed and ended.
+  void StepThatAnotherOwnerEndedIsReadFromTheStore() {
+    mEngine.mScripts = {{}, {}};
+    mEngine.mScripts[1].mEventTime = Millis(3000);
+    Accept();
+    const std::vector<RolloutResult> before = Listed(1);
+    StepRecord record =
+        *DecodeStepRecord(mWorld.mStore.Items().at(StepKey("s1")).mValue);
+    record.mRun = "next-run";
+    record.mEnded = true;
+    const std::string other = before[0].mItem == "i1" ? "i2" : "i1";
+    const ResultPage page{
+        1, {{other, RolloutEnd::Completed, "e1\ne2\ne3", {5}, "s"}}, 2};
+    mWorld.mStore.Write(PageKey("s1", 1), EncodeResultPage(page));
+    mWorld.mStore.Write(StepKey("s1"), EncodeStepRecord(record));
+    CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
+    CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
+    const std::vector<RolloutResult> read = Read()->mResults;
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, read.size());
+    CPPUNIT_ASSERT(before[0] == read[0]);
+    CPPUNIT_ASSERT(page.mResults[0] == read[1]);
+  }
+
   void RestartedNodeTakesItsStepOver() {
     mEngine.mScripts = {{}, {}};
     mEngine.mScripts[1].mEventTime = Millis(3000);
