--- a/src/include/rillwall/weight_orders.h
+++ b/src/include/rillwall/weight_orders.h
@@ -86,10 +86,15 @@
   /// \return whether runs of the model must finish under the version that they
   /// began with
   bool MustFinishRuns(const std::string& aModel) const;
+  /// Leaves a replica out of the next plans. Only a few replicas load at a
+  /// time, so one that cannot be reached would keep the others from it.
+  void Defer(const std::string& aReplica, const std::string& aWhy);
+  /// \return whether a replica is left out of plans now
+  bool Deferred(const std::string& aReplica, Millis aNow) const;
   /// Orders one load and waits for its end.
   asio::awaitable<void> Load(Replica aReplica, PlannedLoad aPick);
   /// Polls a replica until its load ends.
-  /// \return whether it serves the version
+  /// \return whether the replica answered
   asio::awaitable<bool> AwaitLoaded(Replica aReplica, std::string aModel,
                                     int64_t aVersion);
 
@@ -105,6 +110,13 @@
   /// Most texts of one step, by model.
   std::map<std::string, int64_t> mMaxTexts;
   std::map<std::string, ModelVersion> mLoading;  ///< by replica id
+
+  /// Loads in a row that a replica did not answer for.
+  struct Unanswered {
+    int mLoads = 0;
+    Millis mUntil;  ///< it is left out of plans until then
+  };
+  std::map<std::string, Unanswered> mUnanswered;  ///< by replica id
 };
 
 }  // namespace rillwall
--- a/src/librillwall_rollout/lead_claim_test.cpp
+++ b/src/librillwall_rollout/lead_claim_test.cpp
@@ -16,6 +16,10 @@
  public:
   explicit FakeControl(asio::io_context& aIo) : mIo(aIo) {}
   asio::awaitable<Result<ReplicaReport>> Report(Replica aReplica) override {
+    if (aReplica.mId == mUnreachable) {
+      ++mUnreachableAsked;
+      co_return Error(ErrorKind::ConnectionLost, "refused", RunState::NotRun);
+    }
     ReplicaReport report;
     report.mModels = {{"m", mVersion}};
     report.mSequence = mSequence;
@@ -40,6 +44,8 @@
   int64_t mVersion = 1;
   int64_t mSequence = 3;
   int mLoseOrders = 0;
+  std::string mUnreachable;  ///< id of a replica that does not answer
+  int mUnreachableAsked = 0;
 };
 
 }  // namespace
@@ -67,6 +73,7 @@
   CPPUNIT_TEST(OrdersCarryFenceAndSequence);
   CPPUNIT_TEST(LostOrderIsReadBackAndRepeated);
   CPPUNIT_TEST(NoOrdersWithoutTheClaim);
+  CPPUNIT_TEST(UnreachableReplicaKeepsNoneFromLoading);
   CPPUNIT_TEST_SUITE_END();
 
   TestWorld mWorld;
@@ -345,6 +352,20 @@
     CPPUNIT_ASSERT(mControl.mOrders.empty());
   }
 
+  // The entry of a replica that was gone stayed, and no other one was ordered
+  // to load as long as it did.
+  void UnreachableReplicaKeepsNoneFromLoading() {
+    ScriptedReplica gone(mWorld.mIo, "r0", TestHeaders());
+    gone.mVersion = 1;
+    mControl.mUnreachable = "r0";
+    mTest.Add(gone, "s");
+    RunOrders();
+    CPPUNIT_ASSERT(mControl.mUnreachableAsked > 0);
+    const int before = mControl.mUnreachableAsked;
+    mTest.RunFor(Millis(1500));
+    CPPUNIT_ASSERT(mControl.mUnreachableAsked - before <= 3);
+  }
+
   std::optional<WeightOrders> mOrders;
 };
 
--- a/src/librillwall_rollout/weight_orders.cpp
+++ b/src/librillwall_rollout/weight_orders.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "rillwall/backoff.h"
 #include "rillwall/event_log.h"
 
 namespace rillwall {
@@ -25,6 +26,10 @@
 constexpr Millis kLoadTimeout{8000};
 /// Pause before an order without an answer is sent again.
 constexpr Millis kRetryPause{300};
+/// Longest time for which a replica without an answer is left out.
+constexpr Millis kMaxDeferral{5000};
+/// Records of replicas that are gone are dropped when there are this many.
+constexpr size_t kMaxUnanswered = 64;
 
 size_t LoadsAtOnce(size_t aReplicas) {
   return std::max<size_t>(
@@ -121,6 +126,9 @@
   }
   std::vector<LoadCandidate> candidates;
   for (const Replica* replica : replicas) {
+    if (Deferred(replica->mId, now)) {
+      continue;
+    }
     LoadCandidate candidate;
     candidate.mId = replica->mId;
     candidate.mVersions = replica->mModels;
@@ -237,6 +245,28 @@
   return false;
 }
 
+void WeightOrders::Defer(const std::string& aReplica, const std::string& aWhy) {
+  if (mUnanswered.size() >= kMaxUnanswered) {
+    std::erase_if(mUnanswered, [this](const auto& aEach) {
+      return mNode.mReplicas.Find(aEach.first) == nullptr;
+    });
+  }
+  Unanswered& record = mUnanswered[aReplica];
+  const Millis pause = BackoffDelay(++record.mLoads, kRetryPause, kMaxDeferral);
+  record.mUntil = mNode.Now() + pause;
+  Event("load-deferred")
+      .Text("replica", aReplica)
+      .Number("loads", record.mLoads)
+      .Number("pause_ms", pause.Count())
+      .Text("why", aWhy)
+      .Write();
+}
+
+bool WeightOrders::Deferred(const std::string& aReplica, Millis aNow) const {
+  const auto found = mUnanswered.find(aReplica);
+  return found != mUnanswered.end() && aNow < found->second.mUntil;
+}
+
 asio::awaitable<void> WeightOrders::Load(Replica aReplica, PlannedLoad aPick) {
   const std::string& model = aPick.mModel;
   const int64_t version = aPick.mVersion;
@@ -248,6 +278,7 @@
   order.mHolder = mNode.mIdentity.mName;
   order.mFence = mLead.Fence();
   bool started = false;
+  std::string unanswered = report ? "" : report.error().Detail();
   if (report && report->VersionOf(model) >= version) {
     mNode.mReplicas.UpdateVersion(aReplica.mId, model,
                                   report->VersionOf(model));
@@ -267,9 +298,15 @@
       mNode.mReplicas.UpdateVersion(aReplica.mId, model, version);
     }
   }
-  if (started) {
-    co_await AwaitLoaded(aReplica, model, version);
+  if (started && !co_await AwaitLoaded(aReplica, model, version)) {
+    unanswered = "no report after the order";
+  }
+  if (!unanswered.empty()) {
+    Defer(aReplica.mId, unanswered);
   } else {
+    mUnanswered.erase(aReplica.mId);
+  }
+  if (!started && unanswered.empty()) {
     co_await Sleep(mNode.mIo, kRetryPause);
   }
   mLoading.erase(aReplica.mId);
@@ -283,10 +320,12 @@
                                                 std::string aModel,
                                                 int64_t aVersion) {
   const Millis begun = mNode.Now();
+  bool answered = false;
   co_await Sleep(mNode.mIo, kFirstLoadPoll);
   while (mNode.Now() < begun + kLoadTimeout && !mNode.mStopping) {
     const Result<ReplicaReport> report = co_await mControl.Report(aReplica);
     const int64_t version = report ? report->VersionOf(aModel) : 0;
+    answered = report.has_value();
     if (report && !report->mBusy) {
       mNode.mReplicas.UpdateVersion(aReplica.mId, aModel, version);
       mNode.mReplicas.Resume(aReplica.mId);
@@ -297,13 +336,13 @@
           .Number("wanted", aVersion)
           .Number("took_ms", (mNode.Now() - begun).Count())
           .Write();
-      co_return version >= aVersion;
+      co_return true;
     }
     mNode.mReplicas.PauseModel(aReplica.mId, aModel,
                                mNode.Now() + kLoadPollInterval);
     co_await Sleep(mNode.mIo, kLoadPollInterval);
   }
-  co_return false;
+  co_return answered;
 }
 
 }  // namespace rillwall
