soak: leaving replicas are checked for streams, items and calls for scores, with disturbed entry hosts

`--leaves` checked plain requests of undisturbed entry hosts only. Now engines leave as well; entry hosts are suspended or cut off from the store and count again once they are in touch; streams of clients are checked, and items and calls for scores in a part in which the leads are only killed or stopped.

--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -45,7 +45,7 @@
 
 from ends import CHECKS as END_CHECKS, Ends
 from handover import Handover
-from leaves import CHECKS as LEAVE_CHECKS, Leaves, LeavingService
+from leaves import CHECKS as LEAVE_CHECKS, Leaves, LeavingEngine, LeavingService
 from scaling import Cloud
 from standins import CRASHING, Engine, Service, Store, events_of, text_of
 from storms import CHECKS as STORM_CHECKS, Storms
@@ -179,7 +179,8 @@
         await self.store.server.start()
         if self.cloud:
             await self.cloud.start()
-        self.engines = [Engine(self.store, self.rng, "engine", ZONES[i % 3], {MODEL: 1}, self.event_versions)
+        engine_kind = LeavingEngine if self.args.leaves else Engine
+        self.engines = [engine_kind(self.store, self.rng, "engine", ZONES[i % 3], {MODEL: 1}, self.event_versions)
                         for i in range(4)]
         self.services = [self.service_kind(self.store, self.rng, "plain", ZONES[i % 3], self.runs)
                          for i in range(self.args.services)]
@@ -236,7 +237,7 @@
         if self.step_service:
             routes.append(route("r3", "/steps/", "rollout", self.step_service, **{"due-ms": 7500, "max-wait-s": 60}))
         routes += [self.handover.route(route)] if self.handover else []
-        if self.args.ends:
+        if self.args.ends or self.args.leaves:
             routes.append(route("r5", "/stream/", "streaming", "engine", **{"timeout-ms": 8000}))
         routes += [route(f"x{i}", f"/x{i}/", "idempotent", "plain") for i in range(self.config_version)]
         def engines(name):
