view exchange: what a reader keeps after it was cut off brings no replica back

Cause, the second half of the class "knowledge without an order": a reader that had not reached the store keeps replicas whose entries are missing in its first list, as leases may have lapsed in an outage. If only the reader had been cut off, all others knew that they had left.

Change: - Kept replicas are marked (`lapsed`) in lists.

--- a/src/include/rillwall/registry_table.h
+++ b/src/include/rillwall/registry_table.h
@@ -83,6 +83,8 @@
   bool IsMissing(const std::string& aId) const {
     return mMissing.contains(aId);
   }
+  /// \return whether any entry is kept although it is missing
+  bool KeepsMissing() const { return !mMissing.empty(); }
   /// Removes the entries that were kept although they are missing.
   void DropMissing();
   void Clear();
--- a/src/include/rillwall/replica_pool.h
+++ b/src/include/rillwall/replica_pool.h
@@ -54,6 +54,11 @@
   bool mSpot = false;  ///< the platform may take it away after a notice
   /// Time until it leaves, from its termination notice; 0: no notice.
   Millis mLeavesIn;
+  /// Its entry was missing in the first list that a reader had after it had not
+  /// reached the store for a while. Nodes that know the replica keep it for
+  /// now, as its lease may have lapsed in an outage. Others do not add it: they
+  /// may have learnt meanwhile that it left.
+  bool mLapsed = false;
 
   /// \return the version of a model, 0 if the replica does not serve it
   int64_t VersionOf(std::string_view aModel) const;
@@ -118,7 +123,8 @@
  public:
   /// Applies a complete snapshot of the registry. For a replica that restarted
   /// under its id, all state is reset except the requests that this node still
-  /// has there. An entry of an earlier start is ignored.
+  /// has there. An entry of an earlier start is ignored. A lapsed entry changes
+  /// nothing but Replica::mLapsed, and is not added.
   /// \param aKeepMissing keep entries that are missing for now, because the
   /// registry has just recovered and live replicas register again
   ReplicaChanges Update(const std::vector<Replica>& aReplicas,
--- a/src/include/rillwall/view_exchange.h
+++ b/src/include/rillwall/view_exchange.h
@@ -54,11 +54,18 @@
   bool operator==(const ConfigText&) const = default;
 };
 
+/// Why a list has lapsed replicas (Replica::mLapsed).
+struct LapsedNote {
+  Millis mSince;  ///< when the reader had read the store last before
+  Millis mFor;    ///< time after which it removes them from its list
+};
+
 /// What another node's answer changes here.
 struct ViewUpdate {
   /// The reading of the registry by the node that answered.
   Listing mListing;
   std::string mFrom;  ///< address of that node
+  std::optional<LapsedNote> mLapsed;
   /// All replicas, if they differ from those of the previous answer.
   std::optional<std::vector<Replica>> mReplicas;
   /// The answering node follows the configuration.
@@ -102,9 +109,12 @@
 
   /// Records that this node listed the replicas in the store.
   void Listed(const std::vector<Replica>& aReplicas, const Listing& aListing);
-  /// Records that replicas of the list have lapsed and will be removed from it
-  /// after some time; 0: none. Nodes that are sent the list ask again then.
-  void ListChangesIn(Millis aSpan) { mListChangesAt = mNode.Now() + aSpan; }
+  /// Records whether the list has lapsed replicas. Nodes that are sent it ask
+  /// again when these are removed.
+  void KeepsLapsed(const std::optional<LapsedNote>& aNote) {
+    mListChangesAt = mNode.Now() + (aNote ? aNote->mFor : Millis(0));
+    mLapsedSince = aNote ? aNote->mSince : Millis(0);
+  }
   /// Records that this node updated a table of very many replicas from the
   /// store. From then on others are sent subsets of it.
   /// \param aTable must outlive this object
@@ -189,6 +199,10 @@
   asio::awaitable<std::optional<ViewUpdate>> ApplyView(SharedView aView,
                                                        Endpoint aFrom,
                                                        Listing aListing);
+  /// \return what an answer says of lapsed replicas
+  /// \param aAsked when this node asked
+  std::optional<LapsedNote> LapsedNoteOf(const HttpResponse& aAnswer,
+                                         Millis aAsked) const;
   /// Applies the nodes and the lead that an answer names.
   void ApplyNodes(const SharedView& aView);
   /// \return the candidate of this host's zone that sends it its subset;
@@ -230,7 +244,8 @@
   Millis mListingSince;  ///< start of the listings without a long gap
   /// When the store last failed to answer.
   std::optional<Millis> mListingFailedAt;
-  Millis mListChangesAt;  ///< see ListChangesIn()
+  Millis mListChangesAt;  ///< when lapsed replicas will be removed
+  Millis mLapsedSince;    ///< see LapsedNote
   std::optional<Millis> mHelpAskedAt;
   bool mLookedUp = false;  ///< this process has asked the store for the lead
   std::string mLastLeadAddress;  ///< address of the lead that was asked last
--- a/src/librillwall_coordination/many_replicas_test.cpp
+++ b/src/librillwall_coordination/many_replicas_test.cpp
@@ -233,6 +233,7 @@
     table.Remove("i-5", 7, MissingEntries::Keep);
     table.Remove("i-6", 8, MissingEntries::KeepKnown);
     CPPUNIT_ASSERT(table.IsMissing("i-5"));
+    CPPUNIT_ASSERT(table.Find("i-5")->mReplica->mLapsed);
     CPPUNIT_ASSERT(table.Find("i-6") == nullptr);
     std::vector<RegistryEntry> half;
     for (size_t i = 500; i < 1000; ++i) {
--- a/src/librillwall_coordination/registry_table.cpp
+++ b/src/librillwall_coordination/registry_table.cpp
@@ -70,6 +70,10 @@
                     (aMissing == MissingEntries::KeepKnown && IsMissing(aId));
   if (keep) {
     mMissing.insert(aId);
+    if (at->second.mReplica && !at->second.mReplica->mLapsed) {
+      at->second.mReplica->mLapsed = true;
+      ++mChanges;
+    }
   } else {
     Erase(at);
   }
--- a/src/librillwall_coordination/replica_log.cpp
+++ b/src/librillwall_coordination/replica_log.cpp
@@ -30,6 +30,7 @@
   text += std::to_string(aReplica.mStartedAtMs);
   text += aReplica.mDraining ? '-' : '+';
   text += aReplica.mCold ? "c" : "";
+  text += aReplica.mLapsed ? "l" : "";
   for (const ModelVersion& model : aReplica.mModels) {
     text += model.mModel;
     text += kFieldEnd;
--- a/src/librillwall_coordination/replica_pool.cpp
+++ b/src/librillwall_coordination/replica_pool.cpp
@@ -82,6 +82,14 @@
   std::set<std::string> listed;
   for (const Replica& replica : aReplicas) {
     listed.insert(replica.mId);
+    if (replica.mLapsed) {
+      const auto known = mStates.find(replica.mId);
+      if (known != mStates.end()) {
+        // Its state as known here may be newer than the sender's.
+        known->second.mReplica.mLapsed = true;
+      }
+      continue;
+    }
     auto [at, added] = mStates.try_emplace(replica.mId);
     State& state = at->second;
     if (added) {
--- a/src/librillwall_coordination/replica_pool_test.cpp
+++ b/src/librillwall_coordination/replica_pool_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(OwnZoneIsPreferredUntilBusier);
   CPPUNIT_TEST(DrainingAndRemovedReplicasAreNotChosen);
   CPPUNIT_TEST(MissingEntriesAreKeptIfRequested);
+  CPPUNIT_TEST(LapsedEntriesAreNotAddedAgain);
   CPPUNIT_TEST(ExcludedReplicasAreNotChosen);
   CPPUNIT_TEST(SlotsLimitModelRequests);
   CPPUNIT_TEST(ReplicaWithOldWeightsIsNotChosen);
@@ -135,6 +136,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string("none"), Chosen(mPool, Requirements()));
   }
 
+  // A reader that had been cut off brought back replicas that had left.
+  void LapsedEntriesAreNotAddedAgain() {
+    Replica lapsed = ReplicaOf("a");
+    lapsed.mLapsed = true;
+    mPool.Update({lapsed, ReplicaOf("b")}, false);
+    CPPUNIT_ASSERT(mPool.Find("a") == nullptr);
+    Replica draining = ReplicaOf("a");
+    draining.mDraining = true;
+    mPool.Update({draining, ReplicaOf("b")}, false);
+    // What is known of it is newer than what the reader kept.
+    const ReplicaChanges changes =
+        mPool.Update({lapsed, ReplicaOf("b")}, false);
+    CPPUNIT_ASSERT(changes.mGone.empty() && changes.mAdded.empty());
+    CPPUNIT_ASSERT(mPool.Find("a")->mDraining && mPool.Find("a")->mLapsed);
+    mPool.Update({ReplicaOf("a")}, false);
+    CPPUNIT_ASSERT(!mPool.Find("a")->mLapsed);
+  }
+
   void ExcludedReplicasAreNotChosen() {
     mPool.Update({ReplicaOf("a"), ReplicaOf("b")}, false);
     ReplicaRequirements requirements = Requirements();
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -52,6 +52,9 @@
   if (aReplica.mSpot) {
     object["spot"] = true;
   }
+  if (aReplica.mLapsed) {
+    object["lapsed"] = true;
+  }
   if (aReplica.mLeavesIn > Millis(0)) {
     object["leaves_ms"] = aReplica.mLeavesIn.Count();
   }
@@ -74,6 +77,7 @@
   replica.mDraining = aReader.Bool("draining");
   replica.mCold = aReader.Bool("cold", false);
   replica.mSpot = aReader.Bool("spot", false);
+  replica.mLapsed = aReader.Bool("lapsed", false);
   replica.mLeavesIn = Millis(aReader.Int("leaves_ms", 0));
   replica.mStartedAtMs = aReader.Int("born", 0);
   const json::object* models = aReader.Object("models");
--- a/src/librillwall_protocol/shared_view_test.cpp
+++ b/src/librillwall_protocol/shared_view_test.cpp
@@ -44,6 +44,7 @@
     view.mHosts = 48;
     view.mEvacuated = {"y", "z"};
     view.mReplicas.mChanged.front().mCold = true;
+    view.mReplicas.mChanged.front().mLapsed = true;
     const RequestDigest digest(RequestParts{"POST", "h", "/p", "a", "body"});
     view.mCrashNumber = 4;
     view.mCrashes = {{digest, "i-1", 1000, false, "POST h/p"},
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -41,6 +41,9 @@
 constexpr char kListRevisionHeader[] = "Rillwall-View-Revision";
 /// In answers: time in ms after which replicas will be removed from the list.
 constexpr char kChangesInHeader[] = "Rillwall-View-Changes-In";
+/// In answers with that header: time in ms since the sender had read the store
+/// last before these replicas were missing.
+constexpr char kLapsedSinceHeader[] = "Rillwall-View-Lapsed-Since";
 /// Time for the sender to read the store once more.
 constexpr Millis kReadMargin{50};
 /// In answers: the store does not answer the node.
@@ -196,6 +199,8 @@
   if (mListChangesAt > now) {
     response.mHeaders.push_back(
         {kChangesInHeader, std::to_string((mListChangesAt - now).Count())});
+    response.mHeaders.push_back(
+        {kLapsedSinceHeader, std::to_string((now - mLapsedSince).Count())});
   }
   if (StoreAway()) {
     response.mHeaders.push_back({kStoreAwayHeader, "1"});
@@ -455,7 +460,24 @@
     // The helper gets no answer from the store either.
     ++mHelperIndex;
   }
-  co_return co_await ApplyView(std::move(*view), *endpoint, listing);
+  std::optional<ViewUpdate> update =
+      co_await ApplyView(std::move(*view), *endpoint, listing);
+  if (update) {
+    update->mLapsed = LapsedNoteOf(*answer, asked);
+  }
+  co_return update;
+}
+
+std::optional<LapsedNote> ViewExchange::LapsedNoteOf(
+    const HttpResponse& aAnswer, Millis aAsked) const {
+  const std::optional<int64_t> changesIn =
+      HeaderNumber(aAnswer, kChangesInHeader);
+  const std::optional<int64_t> since =
+      HeaderNumber(aAnswer, kLapsedSinceHeader);
+  if (!changesIn || !since) {
+    return std::nullopt;
+  }
+  return LapsedNote{aAsked - Millis(*since), Millis(*changesIn)};
 }
 
 bool ViewExchange::IsOutdated(const Listing& aListing) const {
--- a/src/librillwall_rollout/view_exchange_test.cpp
+++ b/src/librillwall_rollout/view_exchange_test.cpp
@@ -437,7 +437,7 @@
     const Millis soon(480);
     CPPUNIT_ASSERT(mEntry.Ask());
     CPPUNIT_ASSERT(!mEntry.mView.Plan().Next(contacts, mEntry.Now() + soon));
-    mSource.mView.ListChangesIn(Millis(100));
+    mSource.mView.KeepsLapsed(LapsedNote{Millis(0), Millis(100)});
     CPPUNIT_ASSERT(mEntry.Ask());
     CPPUNIT_ASSERT(mEntry.mView.Plan().Next(contacts, mEntry.Now() + soon) ==
                    ViewSource::Lead);
