sse, utf8, steps: cheaper reading of events and measuring of texts

Cause: each byte of an event was looked up three times. The new parser searched for either end of a line with find_first_of and copied each field; the size of an encoded text was found with a search per character; UTF-8 was checked byte by byte.

Change: two searches for one character, fields without copies; a table of sizes; eight ASCII bytes at a time.

Evidence: the tests of these parts pass unchanged (property test of streams, Utf8Test, EncodedSizeIsKnown).

--- a/src/librillwall_coordination/rollout_tracker.cpp
+++ b/src/librillwall_coordination/rollout_tracker.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
-#include <numeric>
+#include <array>
+#include <cstdint>
 #include <tuple>
 #include <utility>
 
@@ -13,23 +14,29 @@
 constexpr int kRankNew = 1;
 constexpr size_t kQuotes = 2;
 
-/// \return the size of a character in JSON, as far as it is escaped
-size_t EncodedBytes(char aChar) {
-  constexpr std::string_view kShortEscapes = "\"\\\b\f\n\r\t";
-  constexpr size_t kShortEscape = 2;
-  constexpr size_t kLongEscape = 6;
-  if (kShortEscapes.find(aChar) != std::string_view::npos) {
-    return kShortEscape;
+/// \return the size of each character in JSON
+constexpr std::array<uint8_t, 256> EncodedSizes() {
+  constexpr uint8_t kShortEscape = 2;
+  constexpr uint8_t kLongEscape = 6;
+  std::array<uint8_t, 256> sizes{};
+  for (size_t i = 0; i < sizes.size(); ++i) {
+    sizes[i] = i < ' ' ? kLongEscape : 1;
   }
-  return static_cast<unsigned char>(aChar) < ' ' ? kLongEscape : 1;
+  for (const char each : {'"', '\\', '\b', '\f', '\n', '\r', '\t'}) {
+    sizes[static_cast<unsigned char>(each)] = kShortEscape;
+  }
+  return sizes;
 }
+constexpr std::array<uint8_t, 256> kEncodedSizes = EncodedSizes();
 
 }  // namespace
 
 size_t EncodedBytes(std::string_view aText) {
-  return std::accumulate(
-      aText.begin(), aText.end(), kQuotes,
-      [](size_t aSum, char aChar) { return aSum + EncodedBytes(aChar); });
+  size_t bytes = kQuotes;
+  for (const char each : aText) {
+    bytes += kEncodedSizes[static_cast<unsigned char>(each)];
+  }
+  return bytes;
 }
 
 void RolloutText::Append(const std::string& aData, int64_t aVersion) {
--- a/src/librillwall_protocol/sse.cpp
+++ b/src/librillwall_protocol/sse.cpp
@@ -1,5 +1,6 @@
 #include "rillwall/sse.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rillwall {
@@ -9,18 +10,23 @@
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
+struct Field {
+  std::string_view mName;
+  std::string_view mValue;
+};
+
 /// Splits a line into its field's name and value. A line without a colon is a
 /// field with an empty value.
-SseField FieldOf(std::string_view aLine) {
+Field FieldOf(std::string_view aLine) {
   const size_t colon = aLine.find(':');
   if (colon == std::string_view::npos) {
-    return {std::string(aLine), std::string()};
+    return {aLine, {}};
   }
   std::string_view value = aLine.substr(colon + 1);
   if (!value.empty() && value.front() == ' ') {
     value.remove_prefix(1);
   }
-  return {std::string(aLine.substr(0, colon)), std::string(value)};
+  return {aLine.substr(0, colon), value};
 }
 
 }  // namespace
@@ -57,11 +63,16 @@
 
 std::optional<std::string_view> SseParser::NextLine() {
   SkipLineFeed();
-  const size_t end = mBuffer.find_first_of("\r\n", mStart + mScanned);
-  if (end == std::string::npos) {
+  // Two searches for one character are much faster than one for either.
+  const std::string_view rest =
+      std::string_view(mBuffer).substr(mStart + mScanned);
+  const size_t lineFeed = std::min(rest.find('\n'), rest.size());
+  const size_t length = std::min(rest.substr(0, lineFeed).find('\r'), lineFeed);
+  if (length == rest.size()) {
     mScanned = mBuffer.size() - mStart;
     return std::nullopt;
   }
+  const size_t end = mStart + mScanned + length;
   const std::string_view line =
       std::string_view(mBuffer).substr(mStart, end - mStart);
   mAfterCarriageReturn = mBuffer[end] == '\r';
@@ -75,20 +86,21 @@
     return;  // a comment
   }
   mEventBytes += aLine.size() + 1;
-  SseField field = FieldOf(aLine);
+  const Field field = FieldOf(aLine);
   if (field.mName == "data") {
     // A data line may be empty, also the first one.
     mEvent.mData += mHasData ? "\n" : "";
     mEvent.mData += field.mValue;
     mHasData = true;
   } else if (field.mName == "event") {
-    mEvent.mName = std::move(field.mValue);
+    mEvent.mName = field.mValue;
   } else if (field.mName == "id") {
-    if (field.mValue.find('\0') == std::string::npos) {
-      mEvent.mId = std::move(field.mValue);
+    if (field.mValue.find('\0') == std::string_view::npos) {
+      mEvent.mId = field.mValue;
     }
   } else {
-    mEvent.mOthers.push_back(std::move(field));
+    mEvent.mOthers.push_back(
+        {std::string(field.mName), std::string(field.mValue)});
   }
 }
 
--- a/src/librillwall_state/utf8.cpp
+++ b/src/librillwall_state/utf8.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
+#include <cstring>
 
 namespace rillwall {
 
@@ -70,10 +72,30 @@
   return static_cast<unsigned char>(aChar) < 0x20 || aChar == 0x7F;
 }
 
+/// \return number of bytes at the beginning of a text that are ASCII, as far as
+/// whole words show it
+size_t AsciiPrefix(std::string_view aText) {
+  constexpr uint64_t kHighBits = 0x8080808080808080;
+  size_t bytes = 0;
+  uint64_t word = 0;
+  while (aText.size() - bytes >= sizeof(word)) {
+    std::memcpy(&word, aText.data() + bytes, sizeof(word));
+    if ((word & kHighBits) != 0) {
+      break;
+    }
+    bytes += sizeof(word);
+  }
+  return bytes;
+}
+
 }  // namespace
 
 bool IsUtf8(std::string_view aText) {
   while (!aText.empty()) {
+    aText.remove_prefix(AsciiPrefix(aText));
+    if (aText.empty()) {
+      break;
+    }
     const size_t bytes = CharacterBytes(aText);
     if (bytes == 0) {
       return false;
