http server: one memory budget a process, for all that peers make it hold

What callers saw: a few clients with bodies of legal size, or many that stopped half-way, ended an entry host over its machine's memory, and with it every request on the host. 4,000 unfinished heads left half of the ordinary requests without a connection, as past the limit the newest connection was closed.

Cause: each connection had limits of its own and nothing summed them up; a body was read whole before its path was looked at; a body was copied for each try and each hop; the allocator kept what large blocks had taken.

Change: MemoryBudget, charged for connections, heads (by bytes and fields), bodies and unread responses. A body without room waits for its turn, smaller ones first; meanwhile receivers that pause or trickle are evicted, the largest and longest first; after 0.9 s the answer is 503, and the request has not run. Ordinary requests and other hosts have parts of their own. Past the connection limit, connections without a whole head go first, then idle ones. Requests that were sent ahead take turns. A check of the head can settle a request before its body. Bodies are SharedText: all copies are one block, whose charge goes with the last of them.

Why it works: nothing is read for which there is no room, each holder that others wait for must make progress, and a refusal frees its memory before its response is sent.

--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -5,7 +5,8 @@
 /// The server passes each request to one handler, a coroutine, together with an
 /// exchange through which the handler sends a whole or a streamed response. The
 /// server itself responds with a 4xx status to malformed and stalled requests
-/// and to bodies and headers over the limits.
+/// and to bodies and headers over the limits, and with 503 to requests for
+/// which there is no memory (MemoryBudget); none of these has run.
 ///
 /// The client keeps a pool of idle connections per endpoint. A connection
 /// belongs to one call until the response to that call has ended. After a
@@ -33,7 +34,9 @@
 #include <vector>
 
 #include "rillwall/error.h"
+#include "rillwall/memory_budget.h"
 #include "rillwall/millis.h"
+#include "rillwall/shared_text.h"
 #include "rillwall/tls.h"
 
 namespace rillwall {
@@ -70,7 +73,7 @@
   std::string mMethod = "GET";
   std::string mTarget = "/";  ///< path and query
   std::vector<HttpHeader> mHeaders;
-  std::string mBody;
+  SharedText mBody;
 
   /// \return the target without its query
   std::string_view Path() const;
@@ -140,12 +143,41 @@
 struct HttpLimits {
   size_t mMaxHeader = 16 * 1024;
   size_t mMaxBody = 8 * 1024 * 1024;
+  /// Past it, connections without a whole head are closed, oldest first.
   size_t mMaxConnections = 8192;
-  Millis mReadTimeout{10000};   ///< for a whole request, once it has begun
+  Millis mHeadTimeout{10000};   ///< for a head, once it has begun
+  Millis mReadTimeout{10000};   ///< for a body, without waits for memory
   Millis mIdleTimeout{60000};   ///< between two requests on one connection
   Millis mWriteTimeout{10000};  ///< for one write to complete
 };
 
+/// A request or connection that a server turned away by itself.
+struct HttpRefusal {
+  /// Status of the response; 0 if the connection was closed without one.
+  int mStatus = 0;
+  std::string_view mReason;  ///< a few words, for the log
+  std::string mPeer;
+  size_t mBytes = 0;  ///< memory that the request would have needed, if known
+};
+
+/// Parameters of a server that most servers leave as they are.
+struct HttpServerOptions {
+  /// Budget that connections and requests are charged to; null: none.
+  std::shared_ptr<MemoryBudget> mMemory;
+  /// Use that connections and small requests count as.
+  MemoryUse mUse = MemoryUse::Small;
+  /// Returns the limits in force; called for each request. Empty: the limits
+  /// that the server was constructed with.
+  std::function<HttpLimits()> mLimits;
+  /// Checks the head of a request before its body is read, if the body is
+  /// large.
+  /// \return the response that refuses the request, or nothing
+  std::function<std::optional<HttpResponse>(const HttpRequest& aHead)>
+      mCheckHead;
+  /// Called on the thread of the connection; empty: refusals are not reported.
+  std::function<void(const HttpRefusal&)> mOnRefused;
+};
+
 /// Serves HTTP/1.1 with keep-alive on one address.
 class HttpServer {
  public:
@@ -153,7 +185,8 @@
   /// loaded make Listen() fail
   HttpServer(asio::io_context& aContext, HttpLimits aLimits,
              HttpHandler aHandler,
-             std::optional<TlsSettings> aTls = std::nullopt);
+             std::optional<TlsSettings> aTls = std::nullopt,
+             HttpServerOptions aOptions = {});
   ~HttpServer();
   /// Starts to accept connections. Port 0 selects a free port.
   /// \return the endpoint bound; an error if it cannot be bound or a TLS file
--- a/src/include/rillwall/settings.h
+++ b/src/include/rillwall/settings.h
@@ -54,6 +54,9 @@
 
   int64_t mAperture = 16;       ///< approximate number of engines polled
   int64_t mDrainSeconds = 120;  ///< maximum wait for requests in flight
+  /// What requests and connections may hold, in MB; 0: half of the machine's
+  /// memory.
+  int64_t mRequestMemoryMb = 0;
 
   Endpoint AdvertisedHttp() const { return mAdvertiseHttp.value_or(mHttp); }
   Endpoint AdvertisedRpc() const { return mAdvertiseRpc.value_or(mRpc); }
--- a/src/librillwall_rollout/upstream_call_test.cpp
+++ b/src/librillwall_rollout/upstream_call_test.cpp
@@ -130,7 +130,7 @@
     CPPUNIT_ASSERT_EQUAL(answer->mReplica, *sent.Find("Expected"));
     CPPUNIT_ASSERT(std::stoll(*sent.Find("Left")) <= 1500);
     CPPUNIT_ASSERT(std::stoll(*sent.Find("Left")) > 0);
-    CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.mBody);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.mBody.Text());
   }
 
   void IdempotentGoesToAnotherReplica() {
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -35,7 +35,7 @@
     const HttpRequest& aRequest) {
   mHeadOnly = aRequest.mMethod == "HEAD";
   const std::string head = RequestHead(aRequest, mConnection->mEndpoint);
-  WriteBuffers buffers{asio::buffer(head), asio::buffer(aRequest.mBody)};
+  WriteBuffers buffers{asio::buffer(head), asio::buffer(aRequest.mBody.Text())};
   WriteResult result;
   if (!mConnection->mSocket.WriteNow(buffers, result)) {
     co_await mConnection->mSocket.WriteRest(buffers, result);
--- a/src/librillwall_transport/http_server.cpp
+++ b/src/librillwall_transport/http_server.cpp
@@ -16,13 +16,16 @@
 /// Delay after a failed accept, for example when file descriptors run out.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 constexpr int kBacklog = 1024;
+/// Unread input that the kernel keeps for each connection.
+constexpr int kReceiveBuffer = 128 * 1024;
 
 }  // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-  Impl(asio::io_context& aContext, HttpLimits aLimits, HttpHandler aHandler)
-      : mShared(std::make_shared<HttpServerShared>(aContext, aLimits,
-                                                   std::move(aHandler))),
+  Impl(asio::io_context& aContext, HttpLimits aLimits, HttpHandler aHandler,
+       HttpServerOptions aOptions)
+      : mShared(std::make_shared<HttpServerShared>(
+            aContext, aLimits, std::move(aHandler), std::move(aOptions))),
         mStrand(asio::make_strand(aContext)),
         mAcceptor(aContext) {}
 
@@ -56,6 +59,11 @@
   if (!code) {
     mAcceptor.set_option(asio::socket_base::reuse_address(true), code);
   }
+  if (!code) {
+    // Accepted sockets inherit it.
+    mAcceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer),
+                         code);
+  }
   if (!code) {
     mAcceptor.bind(local, code);
   }
@@ -98,16 +106,28 @@
 void HttpServer::Impl::StartConnection(TcpSocket aSocket) {
   error_code code;
   const asio::ip::tcp::endpoint peer = aSocket.remote_endpoint(code);
-  {
-    const std::lock_guard lock(mShared->mMutex);
-    const size_t open = mShared->mConnections.size();
-    if (code || open >= mShared->mLimits.mMaxConnections) {
+  if (code) {
+    return;
+  }
+  const HttpServerOptions& options = mShared->mOptions;
+  MemoryCharge charge(options.mMemory, options.mUse);
+  const bool full =
+      mShared->Connections() >= mShared->Limits().mMaxConnections ||
+      !charge.TryGrow(kConnectionBytes);
+  const Endpoint name{peer.address().to_string(), peer.port()};
+  if (full) {
+    const std::optional<std::string> evicted = mShared->EvictWithoutRequest();
+    mShared->Refused({0,
+                      evicted ? "closed for a newer connection"
+                              : "all connections have requests",
+                      evicted.value_or(name.Text()), kConnectionBytes});
+    if (!evicted) {
       return;
     }
+    charge.Grow(kConnectionBytes);
   }
-  const Endpoint name{peer.address().to_string(), peer.port()};
   HttpServerConnection::Start(std::make_shared<HttpServerConnection>(
-      mShared, std::move(aSocket), name.Text()));
+      mShared, std::move(aSocket), name.Text(), std::move(charge)));
 }
 
 void HttpServer::Impl::CloseAcceptor() {
@@ -142,8 +162,10 @@
 }
 
 HttpServer::HttpServer(asio::io_context& aContext, HttpLimits aLimits,
-                       HttpHandler aHandler, std::optional<TlsSettings> aTls)
-    : mImpl(std::make_shared<Impl>(aContext, aLimits, std::move(aHandler))) {
+                       HttpHandler aHandler, std::optional<TlsSettings> aTls,
+                       HttpServerOptions aOptions)
+    : mImpl(std::make_shared<Impl>(aContext, aLimits, std::move(aHandler),
+                                   std::move(aOptions))) {
   if (aTls) {
     mImpl->mShared->mKeys.emplace(std::move(*aTls), TlsRole::Server);
   }
@@ -165,10 +187,7 @@
 
 size_t HttpServer::Active() const { return mImpl->mShared->mActive.load(); }
 
-size_t HttpServer::Connections() const {
-  const std::lock_guard lock(mImpl->mShared->mMutex);
-  return mImpl->mShared->mConnections.size();
-}
+size_t HttpServer::Connections() const { return mImpl->mShared->Connections(); }
 
 void HttpServer::Stop() {
   mImpl->mShared->mDraining.store(true);
--- a/src/librillwall_transport/http_server_connection.cpp
+++ b/src/librillwall_transport/http_server_connection.cpp
@@ -13,6 +13,27 @@
 
 constexpr size_t kReadSize = 4096;
 constexpr size_t kLargeReadSize = 64 * 1024;
+/// Largest body and head that the charge of a connection covers.
+constexpr size_t kCoveredBody = 4 * 1024;
+constexpr size_t kCoveredHead = 8 * 1024;
+/// What a head takes while its request is forwarded: its bytes are held in the
+/// input buffer, in the request and in the copies for its tries, and each field
+/// takes some list nodes besides.
+constexpr size_t kHeadCopies = 4;
+constexpr size_t kFieldBytes = 400;
+/// A body of unknown length is charged in steps, each so many times as large.
+constexpr size_t kFirstBodyStep = 16 * 1024;
+constexpr size_t kBodyStepFactor = 4;
+/// Longest wait for memory. Clients give up a request that nobody reads after a
+/// second.
+constexpr Millis kRoomTimeout{900};
+/// How often a waiting connection has slow receivers evicted.
+constexpr Millis kEvictInterval{100};
+/// Retry-After of requests without memory, in seconds; other hosts may have it.
+constexpr char kNoRoomRetryAfter[] = "0.2";
+constexpr int kNoRoom = 503;
+/// Requests that were sent ahead and run at once.
+constexpr size_t kMaxTurns = 8;
 /// Bytes of a refused request that are read and discarded, so that the response
 /// reaches the peer.
 constexpr size_t kMaxDiscardBytes = 64 * 1024 * 1024;
@@ -39,6 +60,10 @@
       return R"({"error":{"kind":"timeout","message":"The request did not )"
              R"(arrive in time.","remedy":"Send it without pauses.",)"
              R"("run":"not-run"}})";
+    case kNoRoom:
+      return R"({"error":{"kind":"unavailable","message":"This host has no )"
+             R"(memory for the request now.","remedy":"Send it again, or to )"
+             R"(another host.","run":"not-run"}})";
     case 413:
       return R"({"error":{"kind":"too-large","message":"The body is over the )"
              R"(limit.","remedy":"Send less at once.","run":"not-run"}})";
@@ -56,9 +81,28 @@
 HttpResponse ErrorResponse(int aStatus) {
   HttpResponse response = HttpResponse::Json(aStatus, ErrorBody(aStatus));
   response.mHeaders.push_back({"Rillwall-Run", RunStateName(RunState::NotRun)});
+  if (aStatus == kNoRoom) {
+    response.mHeaders.push_back({"Retry-After", kNoRoomRetryAfter});
+  }
   return response;
 }
 
+/// \return why the server itself refuses a request, for the log
+std::string_view ReasonFor(int aStatus) {
+  switch (aStatus) {
+    case 408:
+      return "the request did not arrive in time";
+    case 413:
+      return "the body is over the limit";
+    case 431:
+      return "the head is over the limit";
+    case kNoRoom:
+      return "there is no memory for the request";
+    default:
+      return "the request is not valid";
+  }
+}
+
 HttpResponse NoResponseError() {
   return HttpResponse::Json(
       500, R"({"error":{"kind":"internal","message":"The request's handler )"
@@ -80,24 +124,104 @@
   return std::string(begin, end) + "\r\n";
 }
 
+/// \return bytes to charge for a body of unknown length that has this many
+size_t BodyStep(size_t aBytes, size_t aMax) {
+  size_t step = kFirstBodyStep;
+  while (step < aBytes && step < aMax) {
+    step *= kBodyStepFactor;
+  }
+  return std::min(step, std::max(aBytes, aMax));
+}
+
 }  // namespace
 
+size_t HttpServerShared::Connections() const {
+  const std::lock_guard lock(mMutex);
+  return mConnections.size();
+}
+
+std::optional<std::string> HttpServerShared::EvictWithoutRequest() {
+  const std::lock_guard lock(mMutex);
+  ConnectionList& list = mWithoutHead.empty() ? mIdle : mWithoutHead;
+  if (list.empty()) {
+    return std::nullopt;
+  }
+  HttpServerConnection& evicted = *list.front();
+  evicted.mNode.splice(evicted.mNode.end(), list, list.begin());
+  evicted.mList = &evicted.mNode;
+  evicted.Stop();
+  return evicted.mPeer;
+}
+
+void HttpServerShared::AwaitTurn(std::function<void()> aResume) {
+  {
+    const std::lock_guard lock(mMutex);
+    if (mTurns >= kMaxTurns) {
+      mAwaitTurn.push_back(std::move(aResume));
+      return;
+    }
+    ++mTurns;
+  }
+  aResume();
+}
+
+void HttpServerShared::EndTurn() {
+  std::function<void()> next;
+  {
+    const std::lock_guard lock(mMutex);
+    if (mAwaitTurn.empty()) {
+      --mTurns;
+      return;
+    }
+    next = std::move(mAwaitTurn.front());
+    mAwaitTurn.pop_front();
+  }
+  next();
+}
+
+void HttpServerShared::Refused(const HttpRefusal& aRefusal) const {
+  if (mOptions.mMemory) {
+    mOptions.mMemory->CountRefusal();
+  }
+  if (mOptions.mOnRefused) {
+    mOptions.mOnRefused(aRefusal);
+  }
+}
+
 HttpServerConnection::HttpServerConnection(
     std::shared_ptr<HttpServerShared> aShared, TcpSocket aSocket,
-    std::string aPeer)
+    std::string aPeer, MemoryCharge aCharge)
     : mShared(std::move(aShared)),
       mStrand(asio::make_strand(mShared->mContext.get_executor())),
       mPeer(std::move(aPeer)),
-      mSocket(mShared->mContext, std::move(aSocket)) {
-  const std::lock_guard lock(mShared->mMutex);
-  mShared->mConnections.insert(this);
+      mSocket(mShared->mContext, std::move(aSocket)),
+      mNode{this},
+      mConnectionCharge(std::move(aCharge)) {
+  {
+    const std::lock_guard lock(mShared->mMutex);
+    mShared->mConnections.insert(this);
+  }
+  MoveTo(&mShared->mWithoutHead);
 }
 
 HttpServerConnection::~HttpServerConnection() {
+  DropRequest();
+  MoveTo(nullptr);
   const std::lock_guard lock(mShared->mMutex);
   mShared->mConnections.erase(this);
 }
 
+void HttpServerConnection::MoveTo(HttpServerShared::ConnectionList* aList) {
+  const std::lock_guard lock(mShared->mMutex);
+  HttpServerShared::ConnectionList* const target =
+      aList == nullptr ? &mNode : aList;
+  if (mList != target) {
+    // The list is searched by its node, which no other list shares.
+    target->splice(target->end(), *mList, mPlace);
+    mList = target;
+  }
+}
+
 void HttpServerConnection::Start(
     std::shared_ptr<HttpServerConnection> aConnection) {
   const Strand strand = aConnection->mStrand;
@@ -130,6 +254,7 @@
   }
   while (more) {
     more = co_await ServeRequest();
+    mSentAhead = mInput.size() > 0;
   }
   if (mResponseState == ResponseState::Aborted) {
     // Without chunks, only a reset tells the peer that the response is
@@ -145,20 +270,24 @@
   if (!mShared->mKeys) {
     co_return true;
   }
-  mSocket.Deadline().Set(mShared->mLimits.mReadTimeout);
+  mSocket.Deadline().Set(mShared->Limits().mHeadTimeout);
   const error_code code = co_await mSocket.HandshakeTls(
       TlsRole::Server, mShared->mKeys->Current(), std::string());
   co_return mSocket.Deadline().Clear() && !code;
 }
 
 asio::awaitable<bool> HttpServerConnection::ServeRequest() {
+  mLimits = mShared->Limits();
   mParser.emplace();
-  mParser->eager(true);
-  mParser->header_limit(mShared->mLimits.mMaxHeader);
-  mParser->body_limit(mShared->mLimits.mMaxBody);
+  mParser->header_limit(mLimits.mMaxHeader);
+  mParser->body_limit(mLimits.mMaxBody);
+  mHeadCost = 0;
   mResponseState = ResponseState::None;
   mChunked = false;
   const int status = co_await ReadRequest();
+  if (status != kComplete) {
+    DropRequest();
+  }
   if (status == kClose) {
     co_return false;
   }
@@ -168,19 +297,58 @@
   }
   mKeepAlive = mParser->get().keep_alive();
   mVersion = mParser->get().version();
-  const HttpRequest request = TakeRequest(*mParser);
+  const HttpRequest request = TakeRequest(*mParser, std::move(mBodyCharge));
   mParser.reset();
+  ShrinkInput();
   mHeadOnly = request.mMethod == "HEAD";
-  co_await RunHandler(request);
+  co_await RunInTurn(request);
+  mHeadCharge.Shrink(0);
   co_return mResponseState == ResponseState::Done&& mKeepAlive;
 }
 
+asio::awaitable<void> HttpServerConnection::RunInTurn(
+    const HttpRequest& aRequest) {
+  const bool inTurn = mSentAhead;
+  if (inTurn) {
+    co_await asio::async_initiate<const asio::use_awaitable_t<>&, void()>(
+        [this](auto aHandler) {
+          auto shared =
+              std::make_shared<decltype(aHandler)>(std::move(aHandler));
+          mShared->AwaitTurn([shared, strand = mStrand] {
+            asio::post(strand, [shared] { std::move (*shared)(); });
+          });
+        },
+        asio::use_awaitable);
+  }
+  co_await RunHandler(aRequest);
+  if (inTurn) {
+    mShared->EndTurn();
+  }
+}
+
+void HttpServerConnection::DropRequest() {
+  if (mReceiver) {
+    mShared->mOptions.mMemory->RemoveReceiver(*mReceiver);
+    mReceiver.reset();
+  }
+  mParser.reset();
+  mHeadCharge.Shrink(0);
+  mBodyCharge.Shrink(0);
+}
+
+void HttpServerConnection::ShrinkInput() {
+  // A pending read writes into the buffer.
+  if (mPending == nullptr && mInput.size() == 0 &&
+      mInput.capacity() > kReadSize) {
+    mInput = boost::beast::flat_buffer();
+  }
+}
+
 asio::awaitable<int> HttpServerConnection::ReadRequest() {
-  const HttpLimits& limits = mShared->mLimits;
   if (mInput.size() == 0) {
     mIdle = true;
     const bool draining = mShared->mDraining.load();
-    mSocket.Deadline().Set(draining ? kDrainIdleTimeout : limits.mIdleTimeout,
+    mSocket.Deadline().Set(draining ? kDrainIdleTimeout : mLimits.mIdleTimeout,
                            DeadlineEffect::StopReading);
     const bool received = co_await ReadMore();
     mIdle = false;
@@ -188,47 +356,217 @@
       co_return kClose;
     }
   }
-  int status = Parse();
+  int status = co_await ReadHead();
+  if (status != kComplete) {
+    co_return status;
+  }
+  MoveTo(nullptr);
+  status = CheckRequest();
   if (status == kComplete && !mParser->is_done()) {
-    mSocket.Deadline().Set(limits.mReadTimeout, DeadlineEffect::StopReading);
-    status = co_await ReadRest();
+    status = co_await ReadBody();
   }
+  co_return status;
+}
+
+asio::awaitable<int> HttpServerConnection::ReadHead() {
+  int status = Parse();
+  if (status == kComplete && !mParser->is_header_done()) {
+    MoveTo(&mShared->mWithoutHead);
+    mSocket.Deadline().Set(std::min(mLimits.mHeadTimeout, mLimits.mReadTimeout),
+                           DeadlineEffect::StopReading);
+  }
+  while (status == kComplete && !mParser->is_header_done()) {
+    if (!co_await ReadMore()) {
+      co_return mSocket.Deadline().Expired() ? 408 : kClose;
+    }
+    status = Parse();
+  }
+  const bool inTime = mSocket.Deadline().Clear();
+  co_return status == kComplete && !inTime ? 408 : status;
+}
+
+asio::awaitable<int> HttpServerConnection::ReadBody() {
+  const bool roomNow = mParser->content_length().value_or(0) <= kCoveredBody &&
+                       !mParser->chunked();
+  if (!roomNow && !MayReadBody()) {
+    co_return mRefusal->mStatus;
+  }
+  if (!roomNow && !co_await AwaitBodyRoom()) {
+    co_return mInputEnded ? kClose : kNoRoom;
+  }
+  mParser->eager(true);
+  co_await SendContinue();
+  mSocket.Deadline().Set(mLimits.mReadTimeout, DeadlineEffect::StopReading);
+  int status = co_await ReadBodyParts();
   const bool inTime = mSocket.Deadline().Clear();
-  if (status == kComplete && !inTime) {
-    co_return 408;
+  if (mReceiver) {
+    mShared->mOptions.mMemory->RemoveReceiver(*mReceiver);
+    mReceiver.reset();
   }
-  co_return status == kComplete ? CheckRequest() : status;
+  status = status == kComplete && !inTime ? 408 : status;
+  if (status == kComplete) {
+    mBodyCharge.Shrink(mParser->get().body().size());
+  }
+  co_return status;
 }
 
-asio::awaitable<int> HttpServerConnection::ReadRest() {
-  bool continueSent = false;
-  while (!mParser->is_done()) {
-    if (mParser->is_header_done() && !continueSent) {
-      continueSent = true;
-      co_await SendContinue();
-    }
+asio::awaitable<int> HttpServerConnection::ReadBodyParts() {
+  int status = Parse();
+  while (status == kComplete && !mParser->is_done()) {
     if (!co_await ReadMore()) {
-      co_return mSocket.Deadline().Expired() ? 408 : kClose;
+      co_return mSocket.Deadline().Expired() || mEvicted ? 408 : kClose;
     }
-    const int status = Parse();
-    if (status != kComplete) {
-      co_return status;
+    if (mReceiver) {
+      mShared->mOptions.mMemory->Received(*mReceiver, mInput.size(),
+                                          SteadyClock().Now());
     }
+    if (mParser->chunked() && !co_await AwaitBodyRoom()) {
+      co_return mInputEnded ? kClose : kNoRoom;
+    }
+    status = Parse();
   }
-  co_return kComplete;
+  co_return status;
+}
+
+asio::awaitable<bool> HttpServerConnection::AwaitBodyRoom() {
+  if (!mShared->mOptions.mMemory) {
+    co_return true;
+  }
+  std::string& body = mParser->get().body();
+  size_t wanted = 0;
+  if (mParser->chunked()) {
+    const size_t held = body.size() + mInput.size();
+    wanted = held <= kCoveredBody ? 0 : BodyStep(held, mLimits.mMaxBody);
+  } else {
+    // A body that is sent in the input buffer's full size fills it, too.
+    wanted = mParser->content_length().value_or(0) + kLargeReadSize;
+  }
+  if (wanted <= mBodyCharge.Bytes()) {
+    co_return true;
+  }
+  if (!mBodyCharge.Budget()) {
+    mBodyCharge =
+        MemoryCharge(mShared->mOptions.mMemory, mShared->mOptions.mUse);
+  }
+  if (!mBodyCharge.TryGrow(wanted)) {
+    const bool granted = co_await AwaitRoom(wanted);
+    if (!granted) {
+      co_return false;
+    }
+  }
+  if (mParser->chunked()) {
+    // Without it, the body would be copied into ever larger blocks.
+    body.reserve(wanted);
+  }
+  MemoryBudget& budget = *mShared->mOptions.mMemory;
+  if (mReceiver) {
+    budget.RemoveReceiver(*mReceiver);
+  }
+  const Millis now = SteadyClock().Now();
+  mReceiver = budget.AddReceiver(
+      {wanted, 0, now, now, [weak = weak_from_this()] {
+         const std::shared_ptr<HttpServerConnection> self = weak.lock();
+         if (self) {
+           asio::post(self->mStrand, [self] { self->Evict(); });
+         }
+       }});
+  co_return true;
+}
+
+asio::awaitable<bool> HttpServerConnection::AwaitRoom(size_t aBytes) {
+  struct Grant {
+    explicit Grant(asio::io_context& aContext) : mTimer(aContext) {}
+    bool mGranted = false;
+    asio::steady_timer mTimer;
+  };
+  MemoryBudget& budget = *mShared->mOptions.mMemory;
+  const auto grant = std::make_shared<Grant>(mShared->mContext);
+  const std::optional<MemoryBudget::Ticket> ticket =
+      budget.Wait(aBytes, mBodyCharge.UseOf(aBytes), [grant, strand = mStrand] {
+        asio::post(strand, [grant] {
+          grant->mGranted = true;
+          grant->mTimer.cancel();
+        });
+      });
+  if (!ticket) {
+    co_return false;
+  }
+  // The wait for memory is not the sender's delay.
+  mSocket.Deadline().Clear();
+  const Millis until = SteadyClock().Now() + kRoomTimeout;
+  while (!grant->mGranted && SteadyClock().Now() < until) {
+    budget.EvictSlowReceiver(SteadyClock().Now());
+    grant->mTimer.expires_after(
+        std::chrono::milliseconds(kEvictInterval.Count()));
+    co_await grant->mTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (!grant->mGranted && budget.StopWaiting(*ticket)) {
+    co_return false;
+  }
+  mBodyCharge.Adopt(aBytes);
+  mSocket.Deadline().Set(mLimits.mReadTimeout, DeadlineEffect::StopReading);
+  co_return true;
+}
+
+void HttpServerConnection::Evict() {
+  if (mReceiver) {
+    mEvicted = true;
+    mSocket.StopReceiving();
+  }
+}
+
+bool HttpServerConnection::MayReadBody() {
+  if (!mShared->mOptions.mCheckHead) {
+    return true;
+  }
+  mRefusal = mShared->mOptions.mCheckHead(CopyHead(*mParser));
+  return !mRefusal;
+}
+
+bool HttpServerConnection::ChargeHead(std::string_view aPart) {
+  if (!mShared->mOptions.mMemory) {
+    return true;
+  }
+  const auto fields = std::count(aPart.begin(), aPart.end(), '\n');
+  mHeadCost +=
+      aPart.size() * kHeadCopies + static_cast<size_t>(fields) * kFieldBytes;
+  if (mHeadCost <= kCoveredHead + kConnectionBytes / 2) {
+    return true;
+  }
+  if (!mHeadCharge.Budget()) {
+    mHeadCharge =
+        MemoryCharge(mShared->mOptions.mMemory, mShared->mOptions.mUse);
+  }
+  if (mHeadCharge.TryGrow(mHeadCost)) {
+    return true;
+  }
+  // Connections that have no whole head go before this one.
+  return mHeadCost <= kMaxSmallCharge && mShared->EvictWithoutRequest() &&
+         (mHeadCharge.Grow(mHeadCost), true);
 }
 
 int HttpServerConnection::Parse() {
   while (mInput.size() > 0 && !mParser->is_done()) {
+    const bool inHead = !mParser->is_header_done();
     error_code code;
-    const size_t parsed = mParser->put(mInput.data(), code);
+    const asio::const_buffer input = mInput.data();
+    const size_t parsed = mParser->put(input, code);
+    if (inHead &&
+        !ChargeHead({static_cast<const char*>(input.data()), parsed})) {
+      return kNoRoom;
+    }
     mInput.consume(parsed);
     if (code == http::error::need_more) {
-      return kComplete;
+      // The parser limits the head, but not the line of a chunk's length.
+      return mInput.size() > mLimits.mMaxHeader + kLargeReadSize ? 400
+                                                                 : kComplete;
     }
     if (code) {
       return StatusFor(code);
     }
+    if (inHead && mParser->is_header_done()) {
+      return kComplete;
+    }
   }
   return kComplete;
 }
@@ -278,12 +616,18 @@
     mResponseState = ResponseState::Aborted;
   }
   mShared->mActive.fetch_sub(1);
+  MoveTo(&mShared->mIdle);
 }
 
 asio::awaitable<void> HttpServerConnection::RespondWithError(int aStatus) {
   mKeepAlive = false;
   mHeadOnly = false;
-  HttpResponse response = ErrorResponse(aStatus);
+  mShared->Refused(
+      {aStatus, mRefusal ? "the head settles the request" : ReasonFor(aStatus),
+       mPeer, 0});
+  HttpResponse response =
+      mRefusal ? std::move(*mRefusal) : ErrorResponse(aStatus);
+  mRefusal.reset();
   co_await Respond(std::move(response));
 }
 
@@ -302,10 +646,17 @@
 
 void HttpServerConnection::StartRead() {
   const bool large = mParser && mParser->is_header_done();
+  size_t size = kReadSize;
+  if (large) {
+    // No more than the body, so that a small one gets a small buffer.
+    const uint64_t rest =
+        mParser->content_length_remaining().value_or(kLargeReadSize);
+    size = std::clamp<size_t>(rest, kReadSize, kLargeReadSize);
+  }
   auto pending = std::make_shared<PendingRead>();
   mPending = pending.get();
   mSocket.ReadSome(
-      mInput.prepare(large ? kLargeReadSize : kReadSize),
+      mInput.prepare(size),
       asio::bind_executor(
           mStrand, [self = shared_from_this(), pending = std::move(pending)](
                        const error_code& aCode, size_t aBytes) {
@@ -350,7 +701,14 @@
     WriteBuffers aBuffers) {
   WriteResult result;
   if (!mSocket.WriteNow(aBuffers, result)) {
-    const Millis limit = mShared->mLimits.mWriteTimeout;
+    const Millis limit = mLimits.mWriteTimeout;
+    MemoryCharge unread(mShared->mOptions.mMemory, mShared->mOptions.mUse);
+    if (!unread.TryGrow(asio::buffer_size(aBuffers))) {
+      mShared->Refused({0, "the response is not read and there is no memory",
+                        mPeer, asio::buffer_size(aBuffers)});
+      mPeerDisconnected.store(true);
+      co_return make_error_code(ErrorKind::ConnectionLost);
+    }
     mSocket.Deadline().Set(limit);
     co_await mSocket.WriteRest(aBuffers, result);
     if (!mSocket.Deadline().Clear()) {
--- a/src/librillwall_transport/http_socket.cpp
+++ b/src/librillwall_transport/http_socket.cpp
@@ -170,6 +170,11 @@
   mSocket.shutdown(asio::socket_base::shutdown_send, ignored);
 }
 
+void HttpSocket::StopReceiving() {
+  error_code ignored;
+  mSocket.shutdown(asio::socket_base::shutdown_receive, ignored);
+}
+
 void HttpSocket::Reset() {
   error_code ignored;
   mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/src/librillwall_transport/http_socket.h
+++ b/src/librillwall_transport/http_socket.h
@@ -94,6 +94,8 @@
     }
     ShutdownTcp();
   }
+  /// Ends a pending read; a response can still be written.
+  void StopReceiving();
   /// Closes with a TCP reset, so that the peer sees the response as truncated.
   void Reset();
   void Close();
--- a/src/librillwall_transport/http_wire.cpp
+++ b/src/librillwall_transport/http_wire.cpp
@@ -135,13 +135,19 @@
          std::all_of(target.begin(), target.end(), visible);
 }
 
-HttpRequest TakeRequest(RequestParser& aParser) {
-  auto& message = aParser.get();
+HttpRequest CopyHead(const RequestParser& aParser) {
+  const auto& message = aParser.get();
   HttpRequest request;
   request.mMethod = std::string(message.method_string());
   request.mTarget = std::string(message.target());
   request.mHeaders = CopyHeaders(message);
-  request.mBody = std::move(message.body());
+  return request;
+}
+
+HttpRequest TakeRequest(RequestParser& aParser, MemoryCharge aCharge) {
+  HttpRequest request = CopyHead(aParser);
+  request.mBody =
+      SharedText(std::move(aParser.get().body()), std::move(aCharge));
   return request;
 }
 
--- a/src/librillwall_transport/http_wire.h
+++ b/src/librillwall_transport/http_wire.h
@@ -46,7 +46,10 @@
 bool ValidRequestLine(const HttpRequest& aRequest);
 
 /// Moves a parsed request out of its parser.
-HttpRequest TakeRequest(RequestParser& aParser);
+/// \param aCharge for the body
+HttpRequest TakeRequest(RequestParser& aParser, MemoryCharge aCharge);
+/// \return the head of a request whose body is not parsed yet
+HttpRequest CopyHead(const RequestParser& aParser);
 /// \return status and headers of a parsed response, without its body
 HttpResponse TakeHead(ResponseParser& aParser);
 
--- a/src/rillwall/serve.cpp
+++ b/src/rillwall/serve.cpp
@@ -1,5 +1,7 @@
 #include "serve.h"
 
+#include <unistd.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <thread>
@@ -21,6 +23,17 @@
 constexpr Millis kNotReadyRetry{1000};
 constexpr int64_t kMillisPerSecond = 1000;
 
+HttpServerOptions CallerOptions(const NodeSettings& aSettings) {
+  constexpr size_t kBytesPerMb = 1000 * 1000;
+  const size_t machine = static_cast<size_t>(::sysconf(_SC_PHYS_PAGES)) *
+                         static_cast<size_t>(::sysconf(_SC_PAGESIZE));
+  const size_t set =
+      static_cast<size_t>(aSettings.mRequestMemoryMb) * kBytesPerMb;
+  HttpServerOptions options;
+  options.mMemory = std::make_shared<MemoryBudget>(set > 0 ? set : machine / 2);
+  return options;
+}
+
 std::string KvMetrics(const KvCounts& aCounts) {
   const std::pair<const char*, uint64_t> rows[] = {
       {"rillwall_kv_reads_total", aCounts.mReads},
@@ -71,7 +84,7 @@
           [this](const HttpRequest& aRequest, HttpExchange& aExchange) {
             return Handle(aRequest, aExchange);
           },
-          CallerTls(mNode.Settings())),
+          CallerTls(mNode.Settings()), CallerOptions(mNode.Settings())),
       mPeerServer(
           aContext,
           [this](wire::PeerRequest aRequest) {
--- a/src/rillwall/settings.cpp
+++ b/src/rillwall/settings.cpp
@@ -31,6 +31,7 @@
 
 constexpr int64_t kMaxThreads = 64;
 constexpr int64_t kMaxAperture = 1024;
+constexpr int64_t kMaxRequestMemoryMb = 1024 * 1024;
 constexpr int64_t kMaxDrainSeconds = 3600;
 constexpr size_t kMinKeyBytes = 16;
 constexpr size_t kMaxNameLength = 64;
@@ -205,6 +206,11 @@
      "a whole number of seconds from 0 to 3600", "120", false,
      &ParseWholeNumber<&S::mDrainSeconds, 0, kMaxDrainSeconds>,
      "Longest wait for requests in flight at a shutdown."},
+    {"request-memory-mb", "RILLWALL_REQUEST_MEMORY_MB",
+     "a whole number of MB from 0 to 1048576", "0", false,
+     &ParseWholeNumber<&S::mRequestMemoryMb, 0, kMaxRequestMemoryMb>,
+     "What callers' connections and requests may hold. Without room, requests "
+     "wait or are answered 503. 0: half of the machine's memory."},
 };
 
 std::string Title(const Setting& aSetting) {
