steps: decoded item by item; bodies of large submissions stay in the store

What callers saw: a step of 20 to 32 MB was never accepted in calm; it ended the entry host and the lead (a lead with room took 509 MB). A step of 20 MB of short items ended both, too.

Cause: a submission was held up to eight times: as sent, as a tree of JSON values, as items, in the store's change, in that change's copy for the call, as base64, as JSON and as the request. A change of over 32 entries or values can't be written at all by the platform's page.

Over 4 MiB, the parts are written before the record, 24 of 64 KB at a time, guarded by the record's absence; items keep their place in the submission (ItemPlace), and their bodies are read back when they run, are scored or are asked for, from the text while the store does not have it. A takeover reads the submission page by page under the budget. Smaller steps are written as before, in one change.

Why it works: what is held is the submission once, the items without their bodies, and one change of 1.5 MB at a time.

Price: such a step costs one write for each 1.5 MB and a stale read for each 64 KB of bodies that are not among the last 32 read.

--- a/src/include/rillwall/json.h
+++ b/src/include/rillwall/json.h
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,6 +35,22 @@
 Result<json::object> ParseJsonObject(std::string_view aText,
                                      const JsonLimits& aLimits = {});
 
+/// Called for each value of an array, with the value's text.
+/// \return an error to end the reading, or nothing
+using JsonValueReader = std::function<std::optional<Error>(
+    const json::value& aValue, std::string_view aText)>;
+
+/// Parses a JSON text whose top-level value has to be an object, one of whose
+/// fields is a long array. The array's values are passed on one by one and are
+/// not kept.
+/// \param aArray name of the field; it must not be there twice
+/// \return the object, in which the array is empty; an error of aRead, or as
+/// ParseJson() returns it
+Result<json::object> ReadJsonObject(std::string_view aText,
+                                    const JsonLimits& aLimits,
+                                    std::string_view aArray,
+                                    const JsonValueReader& aRead);
+
 /// Reads fields of an object by name and type. The reader keeps the first
 /// error, so that callers read a whole message and check Failed() once at the
 /// end. A field whose value is null counts as missing.
--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -20,6 +20,7 @@
 #include "rillwall/crash_table.h"
 #include "rillwall/hedge_plan.h"
 #include "rillwall/http.h"
+#include "rillwall/memory_budget.h"
 #include "rillwall/millis.h"
 #include "rillwall/rcu.h"
 #include "rillwall/replica_pool.h"
@@ -100,6 +101,9 @@
   RcuCell<RouteTable> mRoutes;
   Millis mConfigConfirmedAt;  ///< when mRoutes were last confirmed to be the
                               ///< newest
+  /// What all servers of the process, and the steps here, are charged to.
+  const std::shared_ptr<MemoryBudget> mMemory =
+      std::make_shared<MemoryBudget>();
   ReplicaPool mReplicas;
   HedgePlan mHedges;
   LoadCounts mLoadCounts;
--- a/src/include/rillwall/rollout.h
+++ b/src/include/rillwall/rollout.h
@@ -37,6 +37,14 @@
   bool operator==(const ScorerCall&) const = default;
 };
 
+/// Where an item stands in the text of its submission. The bodies of a large
+/// submission are not kept in memory; they are read from there.
+struct ItemPlace {
+  size_t mAt = 0;    ///< of the item's first byte
+  size_t mSize = 0;  ///< in bytes
+  bool operator==(const ItemPlace&) const = default;
+};
+
 /// One text to generate, with the request that generates it.
 struct RolloutItem {
   std::string mId;
@@ -47,6 +55,8 @@
   int64_t mTokens = 0;      ///< prompt and longest possible output together
   int64_t mLengthHint = 0;  ///< expected output tokens; 0: unknown
   std::optional<ScorerCall> mScorer;
+  /// Set if the bodies of the item and of its scorer are left out.
+  std::optional<ItemPlace> mPlace;
   bool operator==(const RolloutItem&) const = default;
 };
 
--- a/src/include/rillwall/rollout_record.h
+++ b/src/include/rillwall/rollout_record.h
@@ -69,6 +69,12 @@
 /// \return prefix of the keys of all parts of a submission
 std::string BodyPrefix(std::string_view aId);
 std::string BodyKey(std::string_view aId, size_t aPart);
+/// Submissions up to this size are kept in memory and written to the store
+/// together with their record. The parts of larger ones are written before, and
+/// the bodies of their items are read back from them.
+inline constexpr size_t kMaxKeptSubmission = 4 * 1024 * 1024;
+/// \return bytes of each part of a submission but the last
+size_t SubmissionPartBytes(size_t aSubmission);
 /// \return prefix of the keys of all result pages of a step
 std::string PagePrefix(std::string_view aId);
 std::string PageKey(std::string_view aId, int64_t aFirst);
--- a/src/include/rillwall/rollout_service.h
+++ b/src/include/rillwall/rollout_service.h
@@ -75,9 +75,17 @@
   /// Decodes a submission from its body in the store.
   using SpecDecoder = std::function<Result<RolloutSpec>(
       const std::string& aId, const StepRecord& aRecord,
-      const std::string& aBody)>;
+      const std::string& aBody, MemoryCharge& aCharge)>;
 
-  RolloutService(NodeContext& aNode, SpecDecoder aDecoder);
+  /// Bytes of ended steps that are kept in memory by default.
+  static constexpr size_t kMaxArchiveBytes = 40 * 1024 * 1024;
+
+  /// \param aArchiveBytes of ended steps that are kept in memory
+  RolloutService(NodeContext& aNode, SpecDecoder aDecoder,
+                 size_t aArchiveBytes = kMaxArchiveBytes);
+
+  /// Decodes one item of a submission from its text.
+  std::function<Result<RolloutItem>(std::string_view)> mItemDecoder;
   ~RolloutService();
 
   /// Keeps texts on the local disk while the store does not answer; unused
@@ -101,8 +109,10 @@
   /// \param aBody the submission as received, to be kept in the store
   /// \return nothing once the step is accepted; an error whose Run() is Unknown
   /// if the step may still be accepted
+  /// \param aCharge for the decoded step, held as long as the step is open
   asio::awaitable<std::optional<Error>> Accept(RolloutSpec aSpec, Route aRoute,
-                                               std::string aBody);
+                                               SharedText aBody,
+                                               MemoryCharge aCharge = {});
   /// Finds the node that serves a step. Takes the step over if its record names
   /// this node's address.
   /// \param aAdopt take the step over if its owner does not answer
@@ -123,9 +133,9 @@
   asio::awaitable<Result<RolloutRead>> Read(std::string aId, int64_t aAfter,
                                             Millis aWait);
   /// \return the request body of an item, or nothing if the step is not here or
-  /// has no such item
-  std::optional<std::string> Body(const std::string& aId,
-                                  const std::string& aItem) const;
+  /// has no such item; an error if the body can't be read from the store now
+  asio::awaitable<Result<std::optional<std::string>>> Body(std::string aId,
+                                                           std::string aItem);
   /// Ends a step: stops its runs and marks its record as ended. If the store
   /// does not answer, the record is marked later.
   /// \return nothing once the record says so; an error whose Run() is Unknown
@@ -178,7 +188,21 @@
 
   /// \param aRoute null if the configuration has no route for the step
   StepPtr MakeStep(RolloutSpec aSpec, const Route* aRoute, StepRecord aRecord,
-                   int64_t aRevision);
+                   int64_t aRevision, MemoryCharge aCharge);
+  /// The bodies of an item's request and of its scorer call.
+  struct ItemBodies {
+    std::string mBody;
+    std::string mScorerBody;
+  };
+  /// \return an item's bodies, read from its submission if they were left out
+  asio::awaitable<Result<ItemBodies>> LoadBodies(StepPtr aStep, size_t aItem);
+  /// \return a piece of a step's submission
+  asio::awaitable<Result<std::string>> ReadSubmission(StepPtr aStep,
+                                                      ItemPlace aPlace);
+  /// \return one part of a step's submission, from the store or from the parts
+  /// that were read last
+  asio::awaitable<Result<SharedText>> ReadSubmissionPart(StepPtr aStep,
+                                                         size_t aPart);
   /// Sets until when a step waits, by its route and the time of its acceptance.
   void SetTimeLimits(RolloutStep& aStep) const;
   /// Gives a step without a route the one of the present configuration, if
@@ -202,7 +226,13 @@
   struct Acceptance;
   using AcceptancePtr = std::shared_ptr<Acceptance>;
   AcceptancePtr MakeAcceptance(RolloutSpec aSpec, Route aRoute,
-                               const std::string& aBody);
+                               SharedText aBody, MemoryCharge aCharge);
+  /// Writes the parts of a large submission that the store does not have yet,
+  /// before its record.
+  /// \return whether all of them are there
+  asio::awaitable<bool> UploadBody(AcceptancePtr aAcceptance);
+  /// Removes the parts of a submission that was not accepted.
+  asio::awaitable<void> RemoveUpload(AcceptancePtr aAcceptance);
   /// Starts the step if the store has not answered after a short delay, and no
   /// other node runs it.
   asio::awaitable<void> StartAfterDelay(AcceptancePtr aAcceptance);
@@ -233,7 +263,14 @@
   /// \return results of an ended step; Unavailable for a position that no
   /// readable page holds
   Result<RolloutRead> ReadArchived(const std::string& aId, int64_t aAfter);
-  asio::awaitable<Result<std::string>> LoadBody(std::string aId);
+  /// A submission as the store holds it.
+  struct StoredSubmission {
+    std::string mText;
+    size_t mPartBytes = 0;  ///< of each part but the last
+  };
+  /// \param aCharge grows with the submission
+  asio::awaitable<Result<StoredSubmission>> LoadSubmission(
+      std::string aId, MemoryCharge& aCharge);
   /// Reads the unfinished texts that earlier owners kept.
   asio::awaitable<Result<StoredTexts>> LoadParts(std::string aId);
   /// Removes takeover marks whose former owners are long gone.
@@ -359,6 +396,7 @@
   void Tick();
 
   NodeContext& mNode;
+  bool mUploading = false;  ///< parts of a submission are being written
   const SpecDecoder mDecoder;
   std::map<std::string, StepPtr> mSteps;
   /// All results of ended steps.
--- a/src/librillwall_protocol/json.cpp
+++ b/src/librillwall_protocol/json.cpp
@@ -23,6 +23,12 @@
   return code ? std::nullopt : std::optional<Number>(number);
 }
 
+Error TooLong(std::string_view aText, const JsonLimits& aLimits) {
+  return {ErrorKind::TooLarge,
+          "The JSON text has " + std::to_string(aText.size()) + " bytes; " +
+              std::to_string(aLimits.mMaxBytes) + " are allowed."};
+}
+
 std::optional<int64_t> ParseDecimal(std::string_view aText) {
   int64_t number = 0;
   const char* end = aText.data() + aText.size();
@@ -36,10 +42,7 @@
 Result<json::value> ParseJson(std::string_view aText,
                               const JsonLimits& aLimits) {
   if (aText.size() > aLimits.mMaxBytes) {
-    return Error(ErrorKind::TooLarge,
-                 "The JSON text has " + std::to_string(aText.size()) +
-                     " bytes; " + std::to_string(aLimits.mMaxBytes) +
-                     " are allowed.");
+    return TooLong(aText, aLimits);
   }
   json::parse_options options;
   options.max_depth = aLimits.mMaxDepth;
@@ -64,6 +67,144 @@
   return std::move(value->get_object());
 }
 
+namespace {
+
+/// Reads the values of a text one after another.
+class JsonValues {
+ public:
+  JsonValues(std::string_view aText, size_t aMaxDepth) : mText(aText) {
+    json::parse_options options;
+    options.max_depth = aMaxDepth;
+    mParser.emplace(json::storage_ptr(), options);
+  }
+
+  /// Skips white space, and the character if it is the next one.
+  /// \return whether it was
+  bool Take(char aChar) {
+    SkipSpace();
+    const bool found = mAt < mText.size() && mText[mAt] == aChar;
+    mAt += found ? 1 : 0;
+    return found;
+  }
+  bool AtEnd() {
+    SkipSpace();
+    return mAt == mText.size();
+  }
+  /// \return the next value; nothing if there is none that is valid
+  std::optional<json::value> Next() {
+    SkipSpace();
+    mBegin = mAt;
+    json::error_code code;
+    mParser->reset();
+    mAt += mParser->write_some(mText.substr(mAt), code);
+    if (!code && !mParser->done()) {
+      // A number ends with the text.
+      mParser->finish(code);
+    }
+    if (code) {
+      mFailure = code;
+      return std::nullopt;
+    }
+    return mParser->release();
+  }
+  /// \return the text of the last value, behind which the parser has skipped
+  /// white space
+  std::string_view Text() const {
+    const std::string_view text = mText.substr(mBegin, mAt - mBegin);
+    return text.substr(0, text.find_last_not_of(kSpace) + 1);
+  }
+  const json::error_code& Failure() const { return mFailure; }
+
+ private:
+  static constexpr std::string_view kSpace = " \t\r\n";
+
+  void SkipSpace() {
+    const size_t next = mText.find_first_not_of(kSpace, mAt);
+    mAt = std::min(next, mText.size());
+  }
+
+  const std::string_view mText;
+  std::optional<json::stream_parser> mParser;
+  size_t mAt = 0;
+  size_t mBegin = 0;
+  json::error_code mFailure = json::error::syntax;
+};
+
+Error InvalidJson(const json::error_code& aCode) {
+  return {ErrorKind::BadRequest,
+          "The body is not valid JSON: " + aCode.message() + "."};
+}
+
+/// Passes the values of an array on, after its opening bracket.
+std::optional<Error> ReadArray(JsonValues& aValues,
+                               const JsonValueReader& aRead) {
+  if (aValues.Take(']')) {
+    return std::nullopt;
+  }
+  do {
+    const std::optional<json::value> value = aValues.Next();
+    if (!value) {
+      return InvalidJson(aValues.Failure());
+    }
+    std::optional<Error> failed = aRead(*value, aValues.Text());
+    if (failed) {
+      return failed;
+    }
+  } while (aValues.Take(','));
+  return aValues.Take(']') ? std::nullopt
+                           : std::optional(InvalidJson(json::error::syntax));
+}
+
+}  // namespace
+
+Result<json::object> ReadJsonObject(std::string_view aText,
+                                    const JsonLimits& aLimits,
+                                    std::string_view aArray,
+                                    const JsonValueReader& aRead) {
+  if (aText.size() > aLimits.mMaxBytes) {
+    return TooLong(aText, aLimits);
+  }
+  // The object and the array are two levels.
+  JsonValues values(aText, aLimits.mMaxDepth - 2);
+  json::object object;
+  if (!values.Take('{')) {
+    return Error(ErrorKind::BadRequest, "The body has to be a JSON object.");
+  }
+  bool more = !values.Take('}');
+  while (more) {
+    const std::optional<json::value> name = values.Next();
+    if (!name || !name->is_string() || !values.Take(':')) {
+      return InvalidJson(name ? json::error::syntax : values.Failure());
+    }
+    const std::string key(name->get_string());
+    if (key == aArray && object.contains(key)) {
+      return Error(ErrorKind::BadRequest,
+                   "Field '" + key + "' is there twice; send it once.");
+    }
+    if (key == aArray && values.Take('[')) {
+      object[key] = json::array();
+      std::optional<Error> failed = ReadArray(values, aRead);
+      if (failed) {
+        return std::move(*failed);
+      }
+    } else {
+      std::optional<json::value> value = values.Next();
+      if (!value) {
+        return InvalidJson(values.Failure());
+      }
+      object[key] = std::move(*value);
+    }
+    more = values.Take(',');
+    if (!more && !values.Take('}')) {
+      return InvalidJson(json::error::syntax);
+    }
+  }
+  if (!values.AtEnd()) {
+    return InvalidJson(json::error::extra_data);
+  }
+  return object;
+}
+
 JsonReader::JsonReader(const json::object& aObject, std::string aPath)
     : mObject(aObject), mPath(std::move(aPath)) {}
 
--- a/src/librillwall_protocol/json_test.cpp
+++ b/src/librillwall_protocol/json_test.cpp
@@ -14,9 +14,52 @@
   CPPUNIT_TEST(TestReadsFields);
   CPPUNIT_TEST(TestNamesTheFirstWrongField);
   CPPUNIT_TEST(TestBounds);
+  CPPUNIT_TEST(TestReadsLongArrays);
+  CPPUNIT_TEST(TestRefusesWhatParsingRefuses);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void TestReadsLongArrays() {
+    const std::string text =
+        R"( { "a" : 1 , "rows" : [ {"x":"]"} , 7, "\"" ,[] ],"b":"z"} )";
+    std::string values;
+    const Result<json::object> object = ReadJsonObject(
+        text, {}, "rows",
+        [&](const json::value& aValue, std::string_view aText) {
+          values += json::serialize(aValue) + "=" + std::string(aText) + ";";
+          return std::optional<Error>();
+        });
+    CPPUNIT_ASSERT(object.has_value());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"x":"]"}={"x":"]"};7=7;"\""="\"";[]=[];)"), values);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"a":1,"rows":[],"b":"z"})"),
+                         json::serialize(*object));
+    const Result<json::object> ended = ReadJsonObject(
+        text, {}, "rows", [](const json::value&, std::string_view) {
+          return std::optional(Error(ErrorKind::TooLarge, "enough"));
+        });
+    CPPUNIT_ASSERT(ended.error().Kind() == ErrorKind::TooLarge);
+  }
+
+  void TestRefusesWhatParsingRefuses() {
+    const std::string deep(12, '[');
+    for (const std::string& text : std::vector<std::string>{
+             "", "{", "[]", "{}x", "{\"a\"}", "{\"a\":1,}", "{\"rows\":[1,]}",
+             "{\"rows\":[1 2]}", "{\"rows\":[1", "{\"rows\":[1}", "{a:1}",
+             "{1:1}", "{\"a\":1 \"b\":2}", "{\"rows\":[\"\xff\"]}",
+             "{\"rows\":[" + deep, "{\"rows\":[{]}]}", "{,}"}) {
+      JsonLimits limits;
+      limits.mMaxDepth = 8;
+      CPPUNIT_ASSERT(!ParseJsonObject(text, limits));
+      const Result<json::object> object = ReadJsonObject(
+          text, limits, "rows", [](const json::value&, std::string_view) {
+            return std::optional<Error>();
+          });
+      CPPUNIT_ASSERT_MESSAGE(text, !object);
+      CPPUNIT_ASSERT(object.error().Kind() == ErrorKind::BadRequest);
+    }
+  }
+
   void TestReadsFields() {
     const json::object object =
         ParseJsonObject(R"({"s":"x","i":-3,"u":18446744073709551615,"d":2,)"
--- a/src/librillwall_protocol/rollout_record.cpp
+++ b/src/librillwall_protocol/rollout_record.cpp
@@ -200,6 +200,14 @@
   return BodyPrefix(aId) + Padded(static_cast<int64_t>(aPart), kDigits);
 }
 
+size_t SubmissionPartBytes(size_t aSubmission) {
+  // The store takes values up to 1 MiB. Items of large submissions are read one
+  // by one, in any order.
+  constexpr size_t kFewParts = 700 * 1000;
+  constexpr size_t kManyParts = 64 * 1024;
+  return aSubmission > kMaxKeptSubmission ? kManyParts : kFewParts;
+}
+
 std::string PagePrefix(std::string_view aId) {
   return "rillwall/page/" + std::string(aId) + "/";
 }
--- a/src/librillwall_rollout/item_leave_test.cpp
+++ b/src/librillwall_rollout/item_leave_test.cpp
@@ -21,8 +21,8 @@
   TestNode mTest{mWorld};
   RolloutService mService{
       mTest.mNode,
-      [](const std::string&, const StepRecord&,
-         const std::string&) -> Result<RolloutSpec> { return Spec(); }};
+      [](const std::string&, const StepRecord&, const std::string&,
+         MemoryCharge&) -> Result<RolloutSpec> { return Spec(); }};
 
  public:
   void setUp() override {
--- a/src/librillwall_rollout/item_run.cpp
+++ b/src/librillwall_rollout/item_run.cpp
@@ -41,7 +41,10 @@
 RequestParts PartsOf(const RolloutStep& aStep, size_t aItem) {
   const RolloutSpec& spec = aStep.mTracker.Spec();
   const RolloutItem& item = aStep.mTracker.Item(aItem);
-  return {"POST", spec.mHost, item.mPath, spec.mAccount, item.mBody};
+  // A body that is left out is represented by the id, which an item keeps in
+  // every step and at every host.
+  return {"POST", spec.mHost, item.mPath, spec.mAccount,
+          item.mPlace ? item.mId : item.mBody};
 }
 
 /// \return the digest of an item, which is the same in every step that contains
@@ -65,13 +68,14 @@
 }
 
 HttpRequest MakeRequest(const NodeContext& aNode, RolloutStep& aStep,
-                        size_t aItem, const Replica& aReplica) {
+                        size_t aItem, std::string aBody,
+                        const Replica& aReplica) {
   const RolloutItem& item = aStep.mTracker.Item(aItem);
   const HeaderNames& names = aNode.mHeaders;
   HttpRequest request;
   request.mMethod = "POST";
   request.mTarget = item.mPath;
-  request.mBody = item.mBody;
+  request.mBody = std::move(aBody);
   request.mHeaders.push_back({"Host", aStep.mRecord.mHost});
   const auto priority = aStep.mPriorities.find(aItem);
   const bool ordered = priority != aStep.mPriorities.end();
@@ -277,7 +281,8 @@
 }  // namespace
 
 asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode, RolloutStep& aStep,
-                                         size_t aItem, Replica aReplica,
+                                         size_t aItem, std::string aBody,
+                                         Replica aReplica,
                                          ItemRunDetails& aDetails) {
   std::string& why = aDetails.mWhy;
   const Result<Endpoint> endpoint = Endpoint::Parse(aReplica.mAddress);
@@ -285,7 +290,8 @@
     why = endpoint.error().Detail();
     co_return ItemRunEnd::NotSent;
   }
-  HttpRequest request = MakeRequest(aNode, aStep, aItem, aReplica);
+  HttpRequest request =
+      MakeRequest(aNode, aStep, aItem, std::move(aBody), aReplica);
   HttpClient::OpenOptions options;
   options.mNewConnection = NeedsLiveReplica(aNode, aStep, aItem);
   options.mTrace = &aDetails.mTrace;
--- a/src/librillwall_rollout/item_run.h
+++ b/src/librillwall_rollout/item_run.h
@@ -33,8 +33,10 @@
 
 /// Sends the item and reads its events until the stream ends. Text that is
 /// already there is not generated again.
+/// \param aBody of the item's request
 asio::awaitable<ItemRunEnd> GenerateText(NodeContext& aNode, RolloutStep& aStep,
-                                         size_t aItem, Replica aReplica,
+                                         size_t aItem, std::string aBody,
+                                         Replica aReplica,
                                          ItemRunDetails& aDetails);
 
 /// \return whether an operator holds an item
--- a/src/librillwall_rollout/rollout_accept.cpp
+++ b/src/librillwall_rollout/rollout_accept.cpp
@@ -40,18 +40,32 @@
 /// A node that ran the step is considered gone after this many questions in a
 /// row without an answer. A busy node may be late for one of them.
 constexpr int kMaxHolderMisses = 4;
-/// Stays below the store's limit of 1 MiB for a value.
-constexpr size_t kPartBytes = 700 * 1000;
+/// Parts of a large submission in one change of the store, which takes 32
+/// entries.
+constexpr size_t kMaxPartsPerChange = 24;
+constexpr Millis kUploadPoll{5};
+constexpr int kMaxRemoveTries = 20;
 
-/// \return the change that accepts a step
+/// Adds parts of a submission to a change, from part aFirst on.
+void AddParts(StoreChange& aChange, const std::string& aId,
+              const std::string& aBody, size_t aFirst, size_t aMost) {
+  const size_t size = SubmissionPartBytes(aBody.size());
+  for (size_t part = aFirst;
+       part < aFirst + aMost && part * size < aBody.size(); ++part) {
+    aChange.mPuts.push_back(
+        {BodyKey(aId, part), aBody.substr(part * size, size), 0});
+  }
+}
+
+/// \return the change that accepts a step, with its submission unless that is
+/// large
 StoreChange AcceptingChange(const std::string& aId, const StepRecord& aRecord,
                             const std::string& aBody) {
   StoreChange change;
   change.mGuards.push_back({StepKey(aId), 0});
   change.mPuts.push_back({StepKey(aId), EncodeStepRecord(aRecord), 0});
-  for (size_t at = 0, part = 0; at < aBody.size(); at += kPartBytes, ++part) {
-    change.mPuts.push_back(
-        {BodyKey(aId, part), aBody.substr(at, kPartBytes), 0});
+  if (aBody.size() <= kMaxKeptSubmission) {
+    AddParts(change, aId, aBody, 0, kMaxPartsPerChange);
   }
   return change;
 }
@@ -60,17 +74,27 @@
 
 struct RolloutService::Acceptance {
   Acceptance(asio::io_context& aIo, RolloutSpec aSpec, Route aRoute,
-             StepRecord aRecord)
-      : mSpec(std::move(aSpec)),
+             StepRecord aRecord, SharedText aBody, MemoryCharge aCharge)
+      : mId(aSpec.mId),
+        mSpec(std::move(aSpec)),
+        mCharge(std::move(aCharge)),
         mRoute(std::move(aRoute)),
         mRecord(std::move(aRecord)),
+        mBody(std::move(aBody)),
         mDoneSignal(aIo) {
     mDoneSignal.expires_at(asio::steady_timer::time_point::max());
   }
 
-  const RolloutSpec mSpec;
+  /// \return whether the submission is written before the record
+  bool IsLarge() const { return mBody.size() > kMaxKeptSubmission; }
+
+  const std::string mId;
+  RolloutSpec mSpec;     ///< moved into mStep once the step runs
+  MemoryCharge mCharge;  ///< for mSpec
   const Route mRoute;
   const StepRecord mRecord;
+  const SharedText mBody;  ///< the submission
+  size_t mUploaded = 0;    ///< parts of a large one that the store has
   StoreChange mChange;
   StepPtr mStep;                 ///< set once the step runs
   bool mMayBeCommitted = false;  ///< an earlier write may have been applied
@@ -82,7 +106,7 @@
 };
 
 asio::awaitable<std::optional<Error>> RolloutService::Accept(
-    RolloutSpec aSpec, Route aRoute, std::string aBody) {
+    RolloutSpec aSpec, Route aRoute, SharedText aBody, MemoryCharge aCharge) {
   const std::string id = aSpec.mId;
   // Wait for the outcome of a takeover of the step.
   while (mTakeovers.contains(id)) {
@@ -96,7 +120,8 @@
     Event("step-known").Id(id).Write();
     co_return std::nullopt;
   } else {
-    acceptance = MakeAcceptance(std::move(aSpec), std::move(aRoute), aBody);
+    acceptance = MakeAcceptance(std::move(aSpec), std::move(aRoute),
+                                std::move(aBody), std::move(aCharge));
     Launch(mNode.mIo, "accept", CommitAcceptance(acceptance));
     Launch(mNode.mIo, "begin", StartAfterDelay(acceptance));
   }
@@ -129,7 +154,7 @@
 }
 
 RolloutService::AcceptancePtr RolloutService::MakeAcceptance(
-    RolloutSpec aSpec, Route aRoute, const std::string& aBody) {
+    RolloutSpec aSpec, Route aRoute, SharedText aBody, MemoryCharge aCharge) {
   const NodeIdentity& self = mNode.mIdentity;
   const std::string id = aSpec.mId;
   const auto items = static_cast<int64_t>(aSpec.mItems.size());
@@ -137,8 +162,10 @@
                     aSpec.mHost, aSpec.mPath,   WallClockMs(),
                     items,       false,         aSpec.mAccount};
   const auto acceptance = std::make_shared<Acceptance>(
-      mNode.mIo, std::move(aSpec), std::move(aRoute), std::move(record));
-  acceptance->mChange = AcceptingChange(id, acceptance->mRecord, aBody);
+      mNode.mIo, std::move(aSpec), std::move(aRoute), std::move(record),
+      std::move(aBody), std::move(aCharge));
+  acceptance->mChange =
+      AcceptingChange(id, acceptance->mRecord, acceptance->mBody);
   acceptance->mLastAskedAt = mNode.Now();
   mAcceptances[id] = acceptance;
   return acceptance;
@@ -146,7 +173,7 @@
 
 asio::awaitable<void> RolloutService::StartAfterDelay(
     AcceptancePtr aAcceptance) {
-  const std::string id = aAcceptance->mSpec.mId;
+  const std::string id = aAcceptance->mId;
   co_await Sleep(mNode.mIo, kStartDelay);
   std::string known;
   int misses = 0;
@@ -170,7 +197,7 @@
 
 asio::awaitable<void> RolloutService::CommitAcceptance(
     AcceptancePtr aAcceptance) {
-  const std::string id = aAcceptance->mSpec.mId;
+  const std::string id = aAcceptance->mId;
   const Millis asked = mNode.Now();
   Millis pause = kFirstPause;
   while (true) {
@@ -186,6 +213,9 @@
     if (forgotten || mNode.mStopping) {
       aAcceptance->mAbandoned = true;
       Discard(aAcceptance, "it was not submitted again");
+      if (aAcceptance->mUploaded > 0) {
+        Launch(mNode.mIo, "remove-upload", RemoveUpload(aAcceptance));
+      }
       break;
     }
     co_await Sleep(mNode.mIo, pause);
@@ -196,9 +226,73 @@
   aAcceptance->mDoneSignal.cancel();
 }
 
+asio::awaitable<bool> RolloutService::UploadBody(AcceptancePtr aAcceptance) {
+  const std::string& id = aAcceptance->mId;
+  while (true) {
+    // One at a time, as an encoded change takes several MB.
+    while (mUploading) {
+      co_await Sleep(mNode.mIo, kUploadPoll);
+    }
+    StoreChange change;
+    // Parts of an accepted step never change.
+    change.mGuards.push_back({StepKey(id), 0});
+    AddParts(change, id, aAcceptance->mBody, aAcceptance->mUploaded,
+             kMaxPartsPerChange);
+    const size_t parts = change.mPuts.size();
+    if (parts == 0) {
+      co_return true;
+    }
+    mUploading = true;
+    const Result<StoreCommit> done =
+        co_await mNode.mStore.Commit(std::move(change));
+    mUploading = false;
+    if (!done) {
+      Event("upload-retry").Id(id).Text("why", done.error().Detail()).Write();
+      co_return false;
+    }
+    if (!done->mApplied) {
+      // The record exists; CommitOnce() finds out whose it is.
+      co_return true;
+    }
+    aAcceptance->mUploaded += parts;
+  }
+}
+
+asio::awaitable<void> RolloutService::RemoveUpload(AcceptancePtr aAcceptance) {
+  const std::string& id = aAcceptance->mId;
+  size_t removed = 0;
+  int failures = 0;
+  while (removed < aAcceptance->mUploaded) {
+    StoreChange change;
+    change.mGuards.push_back({StepKey(id), 0});
+    for (size_t i = 0; i < kMaxPartsPerChange; ++i) {
+      change.mRemoves.push_back(BodyKey(id, removed + i));
+    }
+    const Result<StoreCommit> done =
+        co_await mNode.mStore.Commit(std::move(change));
+    failures += done ? 0 : 1;
+    if ((done && !done->mApplied) || failures >= kMaxRemoveTries) {
+      Event("upload-left")
+          .Id(id)
+          .Text("why", done ? "the step was accepted" : done.error().Detail())
+          .Write();
+      co_return;
+    }
+    if (done) {
+      removed += kMaxPartsPerChange;
+    } else {
+      co_await Sleep(mNode.mIo, kLongestPause);
+    }
+  }
+}
+
 asio::awaitable<std::optional<Result<int64_t>>> RolloutService::CommitOnce(
     AcceptancePtr aAcceptance) {
-  const std::string key = StepKey(aAcceptance->mSpec.mId);
+  const std::string key = StepKey(aAcceptance->mId);
+  if (aAcceptance->IsLarge() && !co_await UploadBody(aAcceptance)) {
+    RecordUnsettled();
+    co_return std::nullopt;
+  }
   const Result<StoreCommit> done =
       co_await mNode.mStore.Commit(aAcceptance->mChange);
   if (done && done->mApplied) {
@@ -221,7 +315,7 @@
       aAcceptance->mMayBeCommitted || error.Kind() != ErrorKind::KvUnavailable;
   RecordUnsettled();
   Event("accept-retry")
-      .Id(aAcceptance->mSpec.mId)
+      .Id(aAcceptance->mId)
       .Text("why", error.Detail())
       .Write();
   co_return std::nullopt;
@@ -232,8 +326,13 @@
   if (aAcceptance->mStep) {
     return;
   }
-  const StepPtr step = MakeStep(aAcceptance->mSpec, &aAcceptance->mRoute,
-                                aAcceptance->mRecord, 0);
+  const StepPtr step =
+      MakeStep(std::move(aAcceptance->mSpec), &aAcceptance->mRoute,
+               aAcceptance->mRecord, 0, std::move(aAcceptance->mCharge));
+  if (aAcceptance->IsLarge()) {
+    step->mSubmission = aAcceptance->mBody;
+  }
+  step->mPartBytes = SubmissionPartBytes(aAcceptance->mBody.size());
   step->mAccepted = false;
   step->mAwaitsTexts = aAwaitsTexts;
   aAcceptance->mStep = step;
@@ -260,7 +359,7 @@
 
 void RolloutService::FinishAcceptance(const AcceptancePtr& aAcceptance,
                                       int64_t aRevision, Millis aTook) {
-  const std::string& id = aAcceptance->mSpec.mId;
+  const std::string& id = aAcceptance->mId;
   if (aRevision == 0) {
     Event("step-known").Id(id).Text("why", "already in the store").Write();
     Discard(aAcceptance, "another node has accepted it");
@@ -272,6 +371,7 @@
   const StepPtr& step = aAcceptance->mStep;
   step->mRevision = aRevision;
   step->mAccepted = true;
+  step->mSubmission = {};
   step->mVerifiedAt = mNode.Now();
   const RolloutSpec& spec = step->mTracker.Spec();
   Event("step-accepted")
--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -26,6 +26,11 @@
 /// Results must stay readable for a while after they were requested, so ended
 /// steps are kept this many times ServingBounds::mStatus.
 constexpr int64_t kRetentionFactor = 5;
+constexpr Millis kPartPoll{5};
+/// Largest submission that can be decoded.
+constexpr size_t kMaxSubmission = 64 * 1024 * 1024;
+/// Parts of a large submission that a step keeps after reading them.
+constexpr size_t kMaxCachedParts = 32;
 /// Keys of one change of the store; the platform takes 32 entries.
 constexpr size_t kMaxRemovesPerChange = 30;
 
@@ -199,17 +204,120 @@
   co_return stored;
 }
 
-asio::awaitable<Result<std::string>> RolloutService::LoadBody(std::string aId) {
-  const Result<StoreList> parts =
-      co_await ListAll(mNode.mStore, BodyPrefix(aId));
-  if (!parts) {
-    co_return parts.error();
+asio::awaitable<Result<RolloutService::StoredSubmission>>
+RolloutService::LoadSubmission(std::string aId, MemoryCharge& aCharge) {
+  StoredSubmission stored;
+  std::string& body = stored.mText;
+  std::string after;
+  bool more = true;
+  while (more) {
+    const Result<StoreList> page =
+        co_await mNode.mStore.List(BodyPrefix(aId), after);
+    if (!page) {
+      co_return page.error();
+    }
+    for (const StoreItem& item : page->mItems) {
+      const size_t size = body.size() + item.mValue.size();
+      stored.mPartBytes = std::max(stored.mPartBytes, item.mValue.size());
+      if (size > kMaxKeptSubmission) {
+        // A text that grows is copied. Only the bytes in use take memory.
+        body.reserve(kMaxSubmission);
+      }
+      if (size > kMaxKeptSubmission && !aCharge.TryGrow(size)) {
+        co_return Error(ErrorKind::Unavailable,
+                        "This host has no memory for the step's submission "
+                        "now; ask again.",
+                        RunState::NotRun);
+      }
+      body += item.mValue;
+    }
+    more = page->mMore && !page->mItems.empty();
+    after = more ? page->mItems.back().mKey : std::string();
+  }
+  co_return stored;
+}
+
+asio::awaitable<Result<SharedText>> RolloutService::ReadSubmissionPart(
+    StepPtr aStep, size_t aPart) {
+  while (aStep->mReadingPart) {
+    co_await Sleep(mNode.mIo, kPartPoll);
+  }
+  std::map<size_t, SharedText>& parts = aStep->mSubmissionParts;
+  const auto found = parts.find(aPart);
+  if (found != parts.end()) {
+    co_return found->second;
+  }
+  aStep->mReadingPart = true;
+  const std::string key = BodyKey(aStep->Id(), aPart);
+  // Parts never change, so that an old value is as good, once it is there.
+  Result<std::optional<StoreItem>> item = co_await mNode.mStore.GetStale(key);
+  if (item && !*item) {
+    item = co_await mNode.mStore.Get(key);
+  }
+  aStep->mReadingPart = false;
+  if (!item) {
+    co_return item.error();
+  }
+  if (!*item) {
+    co_return Error(ErrorKind::NotFound,
+                    "The store has no part " + std::to_string(aPart) +
+                        " of the submission of step " + aStep->Id() + ".");
   }
-  std::string body;
-  for (const StoreItem& item : parts->mItems) {
-    body += item.mValue;
+  while (parts.size() >= kMaxCachedParts) {
+    parts.erase(parts.begin());
   }
-  co_return body;
+  co_return parts.emplace(aPart, SharedText(std::move((*item)->mValue)))
+      .first->second;
+}
+
+asio::awaitable<Result<std::string>> RolloutService::ReadSubmission(
+    StepPtr aStep, ItemPlace aPlace) {
+  if (!aStep->mSubmission.empty()) {
+    co_return aStep->mSubmission.Text().substr(aPlace.mAt, aPlace.mSize);
+  }
+  const size_t size = aStep->mPartBytes;
+  std::string text;
+  for (size_t at = aPlace.mAt; text.size() < aPlace.mSize;
+       at = aPlace.mAt + text.size()) {
+    const Result<SharedText> part =
+        co_await ReadSubmissionPart(aStep, at / size);
+    if (!part) {
+      co_return part.error();
+    }
+    if (part->size() <= at % size) {
+      co_return Error(ErrorKind::NotFound,
+                      "The store's submission of step " + aStep->Id() +
+                          " is shorter than the one that was accepted.");
+    }
+    text += part->Text().substr(at % size, aPlace.mSize - text.size());
+  }
+  co_return text;
+}
+
+asio::awaitable<Result<RolloutService::ItemBodies>> RolloutService::LoadBodies(
+    StepPtr aStep, size_t aItem) {
+  const RolloutItem& item = aStep->mTracker.Item(aItem);
+  if (!item.mPlace) {
+    co_return ItemBodies{item.mBody,
+                         item.mScorer ? item.mScorer->mBody : std::string()};
+  }
+  const Result<std::string> text = co_await ReadSubmission(aStep, *item.mPlace);
+  if (!text) {
+    co_return text.error();
+  }
+  Result<RolloutItem> whole = mItemDecoder(*text);
+  if (!whole) {
+    co_return whole.error();
+  }
+  if (whole->mId != item.mId) {
+    co_return Error(ErrorKind::NotFound,
+                    "The store holds another submission than the one that was "
+                    "accepted as step " +
+                        aStep->Id() + ".");
+  }
+  co_return ItemBodies{
+      std::move(whole->mBody),
+      whole->mScorer ? std::move(whole->mScorer->mBody) : std::string()};
 }
 
 struct RolloutService::ArchiveLoad {
@@ -347,9 +455,11 @@
     HandoverRequest request{aId, takenFrom, done->mRevision, self.mAddress};
     handedOver = co_await FetchTexts(mNode, formerAddress, std::move(request));
   }
-  Result<std::string> body = co_await LoadBody(aId);
-  if (!body) {
-    co_return body.error();
+  MemoryCharge bodyCharge(mNode.mMemory, MemoryUse::Small);
+  Result<StoredSubmission> submission =
+      co_await LoadSubmission(aId, bodyCharge);
+  if (!submission) {
+    co_return submission.error();
   }
   Result<ResultList> listed = co_await LoadPages(aId, aRecord.mTotal);
   if (!listed) {
@@ -360,12 +470,16 @@
     co_return stored.error();
   }
   const std::vector<RolloutPart> spooled = co_await mSpool.Load(aId);
-  Result<RolloutSpec> spec = mDecoder(aId, aRecord, *body);
+  MemoryCharge charge(mNode.mMemory, MemoryUse::Small);
+  Result<RolloutSpec> spec = mDecoder(aId, aRecord, submission->mText, charge);
   if (!spec) {
     co_return spec.error();
   }
-  const StepPtr step =
-      MakeStep(std::move(*spec), route, aRecord, done->mRevision);
+  const StepPtr step = MakeStep(std::move(*spec), route, aRecord,
+                                done->mRevision, std::move(charge));
+  step->mPartBytes = submission->mPartBytes;
+  submission->mText = std::string();
+  bodyCharge.Shrink(0);
   step->mTracker.Restore(listed->All());
   step->mListed = std::move(*listed);
   step->mNextPart = stored->mNext;
--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -24,6 +24,8 @@
 constexpr Millis kScorerTimeout{600};
 constexpr int64_t kScorerTimeoutFactor = 4;
 constexpr Millis kScorerPause{50};
+/// Pause after an item's body could not be read from the store.
+constexpr Millis kBodyPause{200};
 constexpr int kServerError = 500;
 /// Shortest time between two moves of one text: a replica's pace is known after
 /// some 400 ms.
@@ -228,8 +230,15 @@
   const int64_t before = tracker.Text(aItem).mEvents;
   ItemRunDetails details;
   details.mListing = mNode.mReplicas.LastListing();
-  const ItemRunEnd end =
-      co_await GenerateText(mNode, *aStep, aItem, aReplica, details);
+  Result<ItemBodies> bodies = co_await LoadBodies(aStep, aItem);
+  ItemRunEnd end = ItemRunEnd::Stopped;
+  if (!bodies) {
+    details.mWhy = bodies.error().Detail();
+    co_await Sleep(mNode.mIo, kBodyPause);
+  } else if (aStep->mRunning) {
+    end = co_await GenerateText(mNode, *aStep, aItem, std::move(bodies->mBody),
+                                aReplica, details);
+  }
   use.End(OutcomeOf(end), true);
   run.reset();
   const int64_t events = tracker.Text(aItem).mEvents - before;
@@ -318,7 +327,16 @@
   RolloutTracker& tracker = aStep->mTracker;
   const std::optional<ScorerCall>& scorer = tracker.Item(aItem).mScorer;
   int failures = 0;
+  std::optional<SharedText> body;
   while (aStep->mRunning && scorer) {
+    if (!body) {
+      Result<ItemBodies> bodies = co_await LoadBodies(aStep, aItem);
+      if (!bodies) {
+        co_await Sleep(mNode.mIo, kBodyPause);
+        continue;
+      }
+      body = SharedText(std::move(bodies->mScorerBody));
+    }
     const auto routes = mNode.mRoutes.Read();
     const Route* route = routes->Find(scorer->mHost, scorer->mPath);
     const std::string* service =
@@ -333,7 +351,7 @@
     call.mId = scorer->mId;
     call.mRequest.mMethod = "POST";
     call.mRequest.mTarget = scorer->mPath;
-    call.mRequest.mBody = scorer->mBody;
+    call.mRequest.mBody = *body;
     call.mRequest.mHeaders.push_back({"Host", scorer->mHost});
     call.mRequest.mHeaders.push_back({mNode.mHeaders.mRequestId, scorer->mId});
     call.mService = *service;
--- a/src/librillwall_rollout/rollout_service.cpp
+++ b/src/librillwall_rollout/rollout_service.cpp
@@ -31,11 +31,6 @@
 constexpr size_t kMaxCarried = 2000;
 /// Bytes of text in one response, which holds 1 MB at most.
 constexpr size_t kMaxResponseBytes = 900 * 1000;
-/// Text of ended steps kept in memory; the least recently read leave first. It
-/// holds some 40 steps of 200 texts of 5 KB, and is a sixth of the memory of
-/// the smallest host that has that many steps and a disk. Older steps are read
-/// from the store again.
-constexpr size_t kArchiveBytes = 40 * 1024 * 1024;
 constexpr size_t kMaxRemoteOwners = 4096;
 /// One change of the platform's store takes 32 entries.
 constexpr int64_t kMaxPartRemoves = 28;
@@ -91,11 +86,12 @@
   return read;
 }
 
-RolloutService::RolloutService(NodeContext& aNode, SpecDecoder aDecoder)
+RolloutService::RolloutService(NodeContext& aNode, SpecDecoder aDecoder,
+                               size_t aArchiveBytes)
     : mSpool(aNode.mIo),
       mNode(aNode),
       mDecoder(std::move(aDecoder)),
-      mArchives(kArchiveBytes),
+      mArchives(aArchiveBytes),
       mSchedule(std::make_unique<StepSchedule>(aNode)) {}
 
 RolloutService::~RolloutService() = default;
@@ -110,13 +106,15 @@
 RolloutService::StepPtr RolloutService::MakeStep(RolloutSpec aSpec,
                                                  const Route* aRoute,
                                                  StepRecord aRecord,
-                                                 int64_t aRevision) {
+                                                 int64_t aRevision,
+                                                 MemoryCharge aCharge) {
   const Route route = aRoute != nullptr ? *aRoute : Route();
   RolloutTracker tracker(std::move(aSpec), route.mAttempts,
                          route.mSingleVersion);
   const std::string id = tracker.Spec().mId;
-  auto step = std::make_shared<RolloutStep>(
-      mNode.mIo, std::move(tracker), route, std::move(aRecord), aRevision);
+  auto step = std::make_shared<RolloutStep>(mNode.mIo, std::move(tracker),
+                                            route, std::move(aRecord),
+                                            aRevision, std::move(aCharge));
   SetTimeLimits(*step);
   step->mVerifiedAt = mNode.Now();
   mSteps[id] = step;
@@ -260,15 +258,22 @@
   co_return ReadFrom(step->mListed.All(), 0, total, aAfter);
 }
 
-std::optional<std::string> RolloutService::Body(
-    const std::string& aId, const std::string& aItem) const {
+asio::awaitable<Result<std::optional<std::string>>> RolloutService::Body(
+    std::string aId, std::string aItem) {
   const auto found = mSteps.find(aId);
   if (found == mSteps.end()) {
-    return std::nullopt;
+    co_return std::optional<std::string>();
   }
-  const RolloutTracker& tracker = found->second->mTracker;
-  const std::optional<size_t> index = tracker.IndexOf(aItem);
-  return index ? std::optional(tracker.Item(*index).mBody) : std::nullopt;
+  const StepPtr step = found->second;
+  const std::optional<size_t> index = step->mTracker.IndexOf(aItem);
+  if (!index) {
+    co_return std::optional<std::string>();
+  }
+  Result<ItemBodies> bodies = co_await LoadBodies(step, *index);
+  if (!bodies) {
+    co_return bodies.error();
+  }
+  co_return std::optional<std::string>(std::move(bodies->mBody));
 }
 
 void RolloutService::StopRuns(RolloutStep& aStep) {
--- a/src/librillwall_rollout/rollout_service_test.cpp
+++ b/src/librillwall_rollout/rollout_service_test.cpp
@@ -112,8 +112,8 @@
     TestNode mNode;
     RolloutService mService{
         mNode.mNode,
-        [](const std::string&, const StepRecord&,
-           const std::string& aBody) -> Result<RolloutSpec> {
+        [](const std::string&, const StepRecord&, const std::string& aBody,
+           MemoryCharge&) -> Result<RolloutSpec> {
           CPPUNIT_ASSERT_EQUAL(std::string(kBody), aBody);
           return Spec();
         }};
@@ -724,7 +724,7 @@
     const std::vector<RolloutResult> before = RestartWithoutRoute();
     CPPUNIT_ASSERT(LocationKind() == RolloutLocation::Kind::Local);
     CPPUNIT_ASSERT(before == Read()->mResults);
-    CPPUNIT_ASSERT(Service().Body("s1", "i2").has_value());
+    CPPUNIT_ASSERT(Test().Run(Service().Body("s1", "i2"))->has_value());
     Test().RunFor(Millis(300));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, mEngine.mRequests.size());
     CPPUNIT_ASSERT(!Test().Run(Service().End("s1")));
--- a/src/librillwall_rollout/rollout_step.h
+++ b/src/librillwall_rollout/rollout_step.h
@@ -12,6 +12,7 @@
 
 #include "result_list.h"
 #include "rillwall/http.h"
+#include "rillwall/memory_budget.h"
 #include "rillwall/request_digest.h"
 #include "rillwall/rollout.h"
 #include "rillwall/rollout_record.h"
@@ -45,8 +46,9 @@
 /// A step that this node owns or is accepting.
 struct RolloutStep {
   RolloutStep(asio::io_context& aIo, RolloutTracker aTracker, Route aRoute,
-              StepRecord aRecord, int64_t aRevision)
-      : mTracker(std::move(aTracker)),
+              StepRecord aRecord, int64_t aRevision, MemoryCharge aCharge)
+      : mCharge(std::move(aCharge)),
+        mTracker(std::move(aTracker)),
         mRoute(std::move(aRoute)),
         mRecord(std::move(aRecord)),
         mRevision(aRevision),
@@ -61,7 +63,14 @@
   /// Wakes all readers that wait for a result.
   void Notify() { mChanged.cancel(); }
 
+  MemoryCharge mCharge;  ///< for what the step takes in memory
   RolloutTracker mTracker;
+  /// Text of a large submission, until the store has it.
+  SharedText mSubmission;
+  /// Parts of the submission that were read from the store last.
+  std::map<size_t, SharedText> mSubmissionParts;
+  size_t mPartBytes = 0;      ///< see SubmissionPartBytes()
+  bool mReadingPart = false;  ///< a part is being read from the store
   /// As it was when the step was accepted or taken over. Without targets if the
   /// configuration had no route for the step then.
   Route mRoute;
--- a/src/librillwall_rollout/step_handover_test.cpp
+++ b/src/librillwall_rollout/step_handover_test.cpp
@@ -145,8 +145,8 @@
   NodeContext mNode{mIo, mPath};
   RolloutService mService{
       mNode,
-      [](const std::string&, const StepRecord&,
-         const std::string&) -> Result<RolloutSpec> { return Spec(); }};
+      [](const std::string&, const StepRecord&, const std::string&,
+         MemoryCharge&) -> Result<RolloutSpec> { return Spec(); }};
   HostFault mFault = HostFault::None;
   int mAsked = 0;  ///< number of requests of other hosts
   HttpServer mServer{
--- a/src/librillwall_rollout/step_schedule_test.cpp
+++ b/src/librillwall_rollout/step_schedule_test.cpp
@@ -56,8 +56,8 @@
     mNode = std::make_unique<TestNode>(mWorld);
     mService = std::make_unique<RolloutService>(
         mNode->mNode,
-        [](const std::string& aId, const StepRecord&,
-           const std::string&) -> Result<RolloutSpec> { return Spec(aId, 0); });
+        [](const std::string& aId, const StepRecord&, const std::string&,
+           MemoryCharge&) -> Result<RolloutSpec> { return Spec(aId, 0); });
     mEngine.mSlots = 1;
     mNode->Add(mEngine, "engine");
     Launch(mNode->mIo, "steps", mService->Run());
--- a/src/librillwall_rollout/unframed_response_test.cpp
+++ b/src/librillwall_rollout/unframed_response_test.cpp
@@ -203,8 +203,8 @@
         std::make_shared<const RouteTable>(StepRoutes()));
     RolloutService service(
         mTest.mNode,
-        [aId](const std::string&, const StepRecord&,
-              const std::string&) -> Result<RolloutSpec> { return Spec(aId); });
+        [aId](const std::string&, const StepRecord&, const std::string&,
+              MemoryCharge&) -> Result<RolloutSpec> { return Spec(aId); });
     Launch(mTest.mIo, "steps", service.Run());
     const Route route = *mTest.mNode.mRoutes.Read()->Find("h", "/r/");
     CPPUNIT_ASSERT(!mTest.Run(service.Accept(Spec(aId), route, "body")));
