--- a/testsuite/platform/cases.sh
+++ b/testsuite/platform/cases.sh
@@ -1,5 +1,5 @@
-# Sourced by the cases that run testsuite/platform/soak.py. Sets root, and sums the
-# checks of the runs in passed and failed.
+# Sourced by the cases that run testsuite/platform/soak.py, or another program there
+# (program). Sets root, and sums the checks of the runs in passed and failed.
 root=$(cd "$(dirname "$0")/../.." && pwd)
 build=${RILLWALL_BUILD:-$root/build}
 [[ -n ${RILLWALL_SKIP_BUILD:-} ]] || "$root/scripts/build" rillwall || exit 1
@@ -10,7 +10,7 @@
 soak() {
   local name=$1 out line
   shift
-  out=$(python3 "$root/testsuite/platform/soak.py" \
+  out=$(python3 "$root/testsuite/platform/${program:-soak.py}" \
     --binary "$build/src/rillwall/rillwall" "$@" 2>&1)
   line=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' <<<"$out" | tail -n 1)
   if [[ $line =~ ^([0-9]+)" passed, "([0-9]+) ]]; then
--- a/testsuite/platform/web.py
+++ b/testsuite/platform/web.py
@@ -31,14 +31,16 @@
 
 async def read_head(reader):
     """Returns the first line and the headers, whose names are in lower case."""
-    first = (await reader.readline()).decode("latin-1").strip()
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return "", {}
+    first, *lines = head.decode("latin-1").strip().split("\r\n")
     headers = {}
-    while True:
-        line = (await reader.readline()).decode("latin-1").strip()
-        if not line:
-            return first, headers
+    for line in lines:
         name, _, value = line.partition(":")
         headers[name.lower()] = value.strip()
+    return first, headers
 
 
 async def read_body(reader, headers):
