http server: what the head settles is logged with its id; fewer calls to the system

A request that CheckHead refused had no `refused` line with its id, so that `rillwall explain` did not find it: RefuseRequest() counts and logs it as the handler would. `memory_refusals` counted each 4xx; it counts what got no memory now, and `server-refused` gives the bytes. A small body was charged 64 KB for a read buffer that it does not get. A refused body was discarded in reads of 4 KB; 16 KB are within the connection's charge. Blocks are mapped by themselves from 1 MiB on (before: 128 KiB), and 4 MiB stay with the allocator, as each mapping costs a call.

--- a/src/include/rillwall/relay.h
+++ b/src/include/rillwall/relay.h
@@ -30,7 +30,11 @@
 /// nothing ran only if the error says so.
 HttpResponse ErrorAnswer(const Error& aError);
 
-/// Responds with an error of rillwall itself, counts it and logs it.
+/// Counts and logs an error of rillwall itself.
+/// \return its response, as ErrorAnswer() makes it
+HttpResponse RefuseRequest(NodeContext& aNode, const std::string& aId,
+                           const Error& aError);
+/// As RefuseRequest(), and sends the response.
 asio::awaitable<void> RespondWithError(NodeContext& aNode, std::string aId,
                                        Error aError, HttpExchange& aExchange);
 
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -224,8 +224,8 @@
   return response;
 }
 
-asio::awaitable<void> RespondWithError(NodeContext& aNode, std::string aId,
-                                       Error aError, HttpExchange& aExchange) {
+HttpResponse RefuseRequest(NodeContext& aNode, const std::string& aId,
+                           const Error& aError) {
   HttpResponse response = ErrorAnswer(aError);
   const std::string labels = "status=\"" + std::to_string(response.mStatus) +
                              "\",reason=\"" + ErrorName(aError.Kind()) + "\"";
@@ -242,6 +242,12 @@
       .Number("retry_after_ms", aError.RetryAfter().Count())
       .Number("config", aNode.mRoutes.Read()->Version())
       .Write();
+  return response;
+}
+
+asio::awaitable<void> RespondWithError(NodeContext& aNode, std::string aId,
+                                       Error aError, HttpExchange& aExchange) {
+  HttpResponse response = RefuseRequest(aNode, aId, aError);
   co_await aExchange.Respond(std::move(response));
 }
 
--- a/src/librillwall_transport/http_server_connection.cpp
+++ b/src/librillwall_transport/http_server_connection.cpp
@@ -13,9 +13,12 @@
 
 constexpr size_t kReadSize = 4096;
 constexpr size_t kLargeReadSize = 64 * 1024;
-/// Largest body and head that the charge of a connection covers.
+/// Within the charge of a connection.
+constexpr size_t kLingerReadSize = 16 * 1024;
+/// Largest body, and most that a head may cost, that the charge of a connection
+/// covers.
 constexpr size_t kCoveredBody = 4 * 1024;
-constexpr size_t kCoveredHead = 8 * 1024;
+constexpr size_t kCoveredHead = 16 * 1024;
 /// What a head takes while its request is forwarded: its bytes are held in the
 /// input buffer, in the request and in the copies for its tries, and each field
 /// takes some list nodes besides.
@@ -180,7 +183,7 @@
 }
 
 void HttpServerShared::Refused(const HttpRefusal& aRefusal) const {
-  if (mOptions.mMemory) {
+  if (mOptions.mMemory && aRefusal.mBytes > 0) {
     mOptions.mMemory->CountRefusal();
   }
   if (mOptions.mOnRefused) {
@@ -216,7 +219,6 @@
   HttpServerShared::ConnectionList* const target =
       aList == nullptr ? &mNode : aList;
   if (mList != target) {
-    // The list is searched by its node, which no other list shares.
     target->splice(target->end(), *mList, mPlace);
     mList = target;
   }
@@ -438,12 +440,13 @@
     const size_t held = body.size() + mInput.size();
     wanted = held <= kCoveredBody ? 0 : BodyStep(held, mLimits.mMaxBody);
   } else {
-    // A body that is sent in the input buffer's full size fills it, too.
-    wanted = mParser->content_length().value_or(0) + kLargeReadSize;
+    const size_t length = mParser->content_length().value_or(0);
+    wanted = length + std::min(length, kLargeReadSize);
   }
   if (wanted <= mBodyCharge.Bytes()) {
     co_return true;
   }
+  mWanted = wanted;
   if (!mBodyCharge.Budget()) {
     mBodyCharge =
         MemoryCharge(mShared->mOptions.mMemory, mShared->mOptions.mUse);
@@ -454,6 +457,7 @@
       co_return false;
     }
   }
+  mWanted = 0;
   if (mParser->chunked()) {
     // Without it, the body would be copied into ever larger blocks.
     body.reserve(wanted);
@@ -530,7 +534,7 @@
   const auto fields = std::count(aPart.begin(), aPart.end(), '\n');
   mHeadCost +=
       aPart.size() * kHeadCopies + static_cast<size_t>(fields) * kFieldBytes;
-  if (mHeadCost <= kCoveredHead + kConnectionBytes / 2) {
+  if (mHeadCost <= kCoveredHead) {
     return true;
   }
   if (!mHeadCharge.Budget()) {
@@ -540,6 +544,7 @@
   if (mHeadCharge.TryGrow(mHeadCost)) {
     return true;
   }
+  mWanted = mHeadCost;
   // Connections that have no whole head go before this one.
   return mHeadCost <= kMaxSmallCharge && mShared->EvictWithoutRequest() &&
          (mHeadCharge.Grow(mHeadCost), true);
@@ -624,7 +629,7 @@
   mHeadOnly = false;
   mShared->Refused(
       {aStatus, mRefusal ? "the head settles the request" : ReasonFor(aStatus),
-       mPeer, 0});
+       mPeer, std::exchange(mWanted, 0)});
   HttpResponse response =
       mRefusal ? std::move(*mRefusal) : ErrorResponse(aStatus);
   mRefusal.reset();
@@ -637,6 +642,7 @@
   mSocket.ShutdownSend(asio::bind_executor(
       mStrand, [self = shared_from_this()](const error_code&) {}));
   mSocket.Deadline().Set(kLingerTimeout);
+  mLingers = true;
   size_t discarded = 0;
   do {
     discarded += mInput.size();
@@ -646,7 +652,7 @@
 
 void HttpServerConnection::StartRead() {
   const bool large = mParser && mParser->is_header_done();
-  size_t size = kReadSize;
+  size_t size = mLingers ? kLingerReadSize : kReadSize;
   if (large) {
     // No more than the body, so that a small one gets a small buffer.
     const uint64_t rest =
--- a/src/librillwall_transport/http_server_connection.h
+++ b/src/librillwall_transport/http_server_connection.h
@@ -190,6 +190,8 @@
   std::function<void()> mOnPeerDisconnected;  ///< set by the current handler
   bool mIdle = false;                         ///< between two requests
   bool mEvicted = false;                      ///< see Evict()
+  bool mLingers = false;                      ///< only discards input
+  size_t mWanted = 0;       ///< bytes that there is no memory for
   bool mSentAhead = false;  ///< the request came before the last response
 
   friend struct HttpServerShared;
--- a/src/librillwall_transport/memory_budget.cpp
+++ b/src/librillwall_transport/memory_budget.cpp
@@ -22,8 +22,8 @@
 /// Blocks from this size on are mapped by themselves and unmapped when freed.
 /// Without a fixed size, the allocator raises it to 32 MB after the first large
 /// block, and keeps later ones.
-constexpr int kMapThreshold = 128 * 1024;
-constexpr int kTrimThreshold = 256 * 1024;
+constexpr int kMapThreshold = 1024 * 1024;
+constexpr int kTrimThreshold = 4 * 1024 * 1024;
 
 }  // namespace
 
