memory budget: hosts may use what is free, so that a lead has room for all of them

Found in reading: a host's own calls had a tenth of the budget and no more. A lead of 140 MB has 8 MB then, 410 connections of 20 KB; all hosts of a fleet connect to it, with more than one call each, and past its room the server closes idle connections and then refuses new ones. A fleet of 300 hosts would have met a limit in calm. Hosts may use half of the budget while it is free; a tenth stays theirs, and a tenth is left to ordinary requests by both hosts and large bodies. Calculated, not measured: 2,050 connections at 140 MB.

A system without the socket option for the receive buffer would not have listened.

--- a/src/librillwall_transport/http_server.cpp
+++ b/src/librillwall_transport/http_server.cpp
@@ -60,9 +60,10 @@
     mAcceptor.set_option(asio::socket_base::reuse_address(true), code);
   }
   if (!code) {
-    // Accepted sockets inherit it.
+    // Accepted sockets inherit it. The server works without it, too.
+    error_code ignored;
     mAcceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer),
-                         code);
+                         ignored);
   }
   if (!code) {
     mAcceptor.bind(local, code);
--- a/src/librillwall_transport/memory_budget.cpp
+++ b/src/librillwall_transport/memory_budget.cpp
@@ -9,9 +9,12 @@
 
 namespace {
 
-/// Host's part, and the part that Large leaves to Small, are each one in so
-/// many of the budget.
+/// Host's own part, and the part that is left to Small, are each one in so many
+/// of the budget.
 constexpr size_t kPartDivisor = 10;
+/// All hosts of a fleet connect to the lead, which may use this much for them
+/// while others do not need it.
+constexpr size_t kHostDivisor = 2;
 /// Each waiter keeps its unread input in the kernel's buffers.
 constexpr size_t kMaxWaiters = 32;
 /// A receiver below this rate, in bytes per ms, yields to those that wait. The
@@ -43,7 +46,7 @@
   const size_t part = mCapacity / kPartDivisor;
   switch (aUse) {
     case MemoryUse::Host:
-      return part;
+      return mCapacity / kHostDivisor;
     case MemoryUse::Small:
       return mCapacity - part;
     case MemoryUse::Large:
@@ -56,11 +59,20 @@
   const auto fits = [aBytes](size_t aHeld, size_t aLimit) {
     return aHeld <= aLimit && aBytes <= aLimit - aHeld;
   };
-  if (aUse == MemoryUse::Host) {
-    return fits(mHost, LimitLocked(aUse));
+  const size_t part = mCapacity / kPartDivisor;
+  // What leaves the last part free can't take it from ordinary requests.
+  const bool leavesPart = fits(mCharged, mCapacity - part);
+  switch (aUse) {
+    case MemoryUse::Host:
+      return (fits(mHost, part) && fits(mCharged, mCapacity)) ||
+             (fits(mHost, LimitLocked(aUse)) && leavesPart);
+    case MemoryUse::Small:
+      return fits(mCharged - mHost, LimitLocked(aUse)) &&
+             fits(mCharged, mCapacity);
+    case MemoryUse::Large:
+      return fits(mLarge, LimitLocked(aUse)) && leavesPart;
   }
-  return fits(mCharged - mHost, LimitLocked(MemoryUse::Small)) &&
-         (aUse == MemoryUse::Small || fits(mLarge, LimitLocked(aUse)));
+  return false;
 }
 
 void MemoryBudget::ChargeLocked(size_t aBytes, MemoryUse aUse) {
