memory: a chunked body and a decoded step hold no second copy

Found with a body of 32 MiB in chunks of 64 KiB, in calm: an entry host of 88 MB went to 84 MB (52 MB with a length), and the lead to 88 MB for a step of 32 MiB. No process was over its machine's memory, but each was near it.

Causes, by sampling the resident memory: the heads of chunks in the input buffer brought the last step of the charge some bytes over the largest body, so that the text was reserved anew, doubled, and copied (+33 MB as the last chunk came). And an assigned empty string keeps the memory of the one before, so that the decoded bodies of a large step's items stayed (+25 MB while it was decoded); so would the submission that a takeover had read.

Change: a step of the charge is at most the largest body; from 1 MiB on the largest body's addresses are reserved once, of which only the bytes in use take memory; texts are swapped out.

--- a/src/librillwall_rollout/rollout_recovery.cpp
+++ b/src/librillwall_rollout/rollout_recovery.cpp
@@ -478,7 +478,8 @@
   const StepPtr step = MakeStep(std::move(*spec), route, aRecord,
                                 done->mRevision, std::move(charge));
   step->mPartBytes = submission->mPartBytes;
-  submission->mText = std::string();
+  // An assignment would keep the text's memory.
+  std::string().swap(submission->mText);
   bodyCharge.Shrink(0);
   step->mTracker.Restore(listed->All());
   step->mListed = std::move(*listed);
--- a/src/librillwall_transport/http_server_connection.cpp
+++ b/src/librillwall_transport/http_server_connection.cpp
@@ -27,6 +27,7 @@
 /// A body of unknown length is charged in steps, each so many times as large.
 constexpr size_t kFirstBodyStep = 16 * 1024;
 constexpr size_t kBodyStepFactor = 4;
+constexpr size_t kMaxCopiedBody = 1024 * 1024;
 /// Longest wait for memory. Clients give up a request that nobody reads after a
 /// second.
 constexpr Millis kRoomTimeout{900};
@@ -127,13 +128,14 @@
   return std::string(begin, end) + "\r\n";
 }
 
-/// \return bytes to charge for a body of unknown length that has this many
+/// \return bytes to charge for a body of unknown length that has this many,
+/// some of which may be the heads of chunks
 size_t BodyStep(size_t aBytes, size_t aMax) {
   size_t step = kFirstBodyStep;
   while (step < aBytes && step < aMax) {
     step *= kBodyStepFactor;
   }
-  return std::min(step, std::max(aBytes, aMax));
+  return std::min(step, aMax);
 }
 
 }  // namespace
@@ -459,8 +461,9 @@
   }
   mWanted = 0;
   if (mParser->chunked()) {
-    // Without it, the body would be copied into ever larger blocks.
-    body.reserve(wanted);
+    // Growth copies the body. A large block is mapped, so that the bytes of it
+    // that are not in use take no memory.
+    body.reserve(wanted > kMaxCopiedBody ? mLimits.mMaxBody : wanted);
   }
   MemoryBudget& budget = *mShared->mOptions.mMemory;
   if (mReceiver) {
--- a/testsuite/platform/floods.py
+++ b/testsuite/platform/floods.py
@@ -11,7 +11,7 @@
   served     ordinary requests are served while the attack lasts, with one retry, within their time limit
   ready      the host stays in rotation: no two readiness checks in a row fail
   truth      a request that was answered 408, 429 or 503 did not run
-  calm       after the attack, the largest plain body that the operator allows is served
+  calm       after the attack, the largest plain body that the operator allows is served, whole and in chunks
   step       after the attack, a large step is accepted and its first results are read
   stops      with stop: the attacked host ends within its grace period
 
@@ -35,7 +35,7 @@
 import time
 
 from standins import Engine, Service, Store, events_of, text_of
-from web import call
+from web import call, read_head
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 HOST, MODEL, ZONES = "soak.example", "model1", ["z1", "z2", "z3"]
@@ -266,6 +266,23 @@
             await asyncio.sleep(1.0)
         return False
 
+    async def largest_in_chunks(self):
+        name = f"{self.rng.getrandbits(64):016x}"
+        reader, writer = await asyncio.open_connection(self.entry.ip, 8161, limit=1 << 22)
+        try:
+            writer.write((f"POST /large/a HTTP/1.1\r\nHost: {HOST}\r\nX-Rillwall-Request-Id: {name}\r\n"
+                          "X-Rillwall-Deadline-Ms: 8000\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+            for _ in range(LARGEST // 65536):
+                writer.write(b"10000\r\n" + b"x" * 65536 + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            self.last = (await asyncio.wait_for(read_head(reader), 9))[0]
+        except OSError as error:
+            self.last = str(error)
+        finally:
+            writer.transport.abort()
+        return self.last.startswith("HTTP/1.1 200")
+
     async def large_step(self, size):
         """Submits a step of a size and reads its first results."""
         text = base64.b64encode(b"y" * 15000).decode()
@@ -337,6 +354,7 @@
         if beside != "stop":
             await asyncio.sleep(1.0)
             self.check("calm", await self.largest_body(), f"a body of {LARGEST} bytes was answered {self.last}")
+            self.check("calm", await self.largest_in_chunks(), f"a body in chunks was answered {self.last}")
             step = self.args.step_mb * MB if self.args.step_mb else LARGEST
             self.check("step", await self.large_step(step), f"a step of {step} bytes: {self.last}")
         await self.conclude(result, beside)
