--- a/src/include/rillwall/memory_budget.h
+++ b/src/include/rillwall/memory_budget.h
@@ -111,8 +111,7 @@
   mutable std::mutex mMutex;  ///< guards all members
   size_t mCapacity;
   size_t mCharged = 0;
-  size_t mLarge = 0;  ///< part of mCharged
-  size_t mHost = 0;   ///< part of mCharged
+  size_t mHost = 0;  ///< part of mCharged
   MemoryCounts mCounts;
   Ticket mNextTicket = 1;
   std::multimap<size_t, Waiter> mWaiters;  ///< by bytes
--- a/src/librillwall_transport/memory_budget.cpp
+++ b/src/librillwall_transport/memory_budget.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-/// Host's own part, and the part that is left to Small, are each one in so many
-/// of the budget.
-constexpr size_t kPartDivisor = 10;
+/// Host's own part, and the part that Large and Host leave to Small, are one in
+/// so many of the budget.
+constexpr size_t kHostPartDivisor = 10;
+constexpr size_t kSmallPartDivisor = 16;
 /// All hosts of a fleet connect to the lead, which may use this much for them
 /// while others do not need it.
 constexpr size_t kHostDivisor = 2;
@@ -43,14 +44,14 @@
 }
 
 size_t MemoryBudget::LimitLocked(MemoryUse aUse) const {
-  const size_t part = mCapacity / kPartDivisor;
+  const size_t hostPart = mCapacity / kHostPartDivisor;
   switch (aUse) {
     case MemoryUse::Host:
       return mCapacity / kHostDivisor;
     case MemoryUse::Small:
-      return mCapacity - part;
+      return mCapacity - hostPart;
     case MemoryUse::Large:
-      return mCapacity - 2 * part;
+      return mCapacity - hostPart - mCapacity / kSmallPartDivisor;
   }
   return 0;
 }
@@ -59,25 +60,25 @@
   const auto fits = [aBytes](size_t aHeld, size_t aLimit) {
     return aHeld <= aLimit && aBytes <= aLimit - aHeld;
   };
-  const size_t part = mCapacity / kPartDivisor;
-  // What leaves the last part free can't take it from ordinary requests.
-  const bool leavesPart = fits(mCharged, mCapacity - part);
+  const bool leavesSmallPart =
+      fits(mCharged, mCapacity - mCapacity / kSmallPartDivisor);
   switch (aUse) {
     case MemoryUse::Host:
-      return (fits(mHost, part) && fits(mCharged, mCapacity)) ||
-             (fits(mHost, LimitLocked(aUse)) && leavesPart);
+      return (fits(mHost, mCapacity / kHostPartDivisor) &&
+              fits(mCharged, mCapacity)) ||
+             (fits(mHost, LimitLocked(aUse)) && leavesSmallPart);
     case MemoryUse::Small:
       return fits(mCharged - mHost, LimitLocked(aUse)) &&
              fits(mCharged, mCapacity);
     case MemoryUse::Large:
-      return fits(mLarge, LimitLocked(aUse)) && leavesPart;
+      // Counts what Small has, too, or else both would end at one limit.
+      return fits(mCharged - mHost, LimitLocked(aUse)) && leavesSmallPart;
   }
   return false;
 }
 
 void MemoryBudget::ChargeLocked(size_t aBytes, MemoryUse aUse) {
   mCharged += aBytes;
-  mLarge += aUse == MemoryUse::Large ? aBytes : 0;
   mHost += aUse == MemoryUse::Host ? aBytes : 0;
   mCounts.mPeak = std::max(mCounts.mPeak, mCharged);
 }
@@ -101,7 +102,6 @@
   {
     const std::lock_guard lock(mMutex);
     mCharged -= aBytes;
-    mLarge -= aUse == MemoryUse::Large ? aBytes : 0;
     mHost -= aUse == MemoryUse::Host ? aBytes : 0;
     for (auto each = mWaiters.begin(); each != mWaiters.end();) {
       if (!FitsLocked(each->first, each->second.mUse)) {
--- a/testsuite/platform/floods.py
+++ b/testsuite/platform/floods.py
@@ -15,6 +15,9 @@
   step       after the attack, a large step is accepted and its first results are read
   stops      with stop: the attacked host ends within its grace period
 
+A case KIND@SERVER plays a kind of client of attack.py against a server: clients, readiness, nodes, metrics, or
+"lead-nodes" and "lead-metrics" of a lead.
+
 usage: floods.py --binary PATH [--cases NAME,...] [--seconds S] [--seed N] [--entry-mb MB] [--lead-mb MB] [--keep DIR]
 Prints a line per case with the most memory of each process and how the ordinary requests fared, and ends with
 "N passed, N failed". The logs of failed cases stay in their folder.
@@ -71,8 +74,8 @@
     "ready-unfinished": ("unfinished", "readiness", None),
     "metrics-halves": ("small-halves", "metrics", None),
     "nodes-halves": ("small-halves", "nodes", None),
-    "lead-halves": ("small-halves", "lead nodes", None),
-    "lead-bodies": ("bodies", "lead nodes", None),
+    "lead-halves": ("small-halves", "lead-nodes", None),
+    "lead-bodies": ("bodies", "lead-nodes", None),
     "reload": ("small-halves", "clients", "reload"),
     "stop": ("halves", "clients", "stop"),
     "takeover": ("item-bodies", "clients", "takeover"),
@@ -327,7 +330,7 @@
 
     async def attack(self, kind, server):
         target = self.nodes[1] if server.startswith("lead") else self.entry
-        port = PORTS[server.split()[-1]]
+        port = PORTS[server.removeprefix("lead-")]
         process = await asyncio.create_subprocess_exec(
             sys.executable, str(FOLDER / "attack.py"), kind, f"{target.ip}:{port}", str(self.args.seconds),
             str(self.args.seed), stdout=asyncio.subprocess.PIPE)
@@ -341,7 +344,7 @@
         return result
 
     async def run(self):
-        kind, server, beside = CASES[self.name]
+        kind, server, beside = CASES.get(self.name) or (*self.name.split("@"), None)
         await self.build()
         self.quiet = False
         ordinary = [asyncio.create_task(self.client()) for _ in range(CLIENTS)]
