memory: a charge that fits by now is granted; the own interface returns memory, too

On several threads, as the own interface has, memory may be released between a connection's try and its wait; nothing then granted the charge until the next release, and the request could be answered 503 after 0.9 s with memory free. Wait() looks again. The own interface did not call LimitRetainedMemory(), which the platform's process calls at its start: by hand it took 73 MB with a budget of 40 MB and some 20 MB in calm (not measured again).

Test: TestRoomIsGrantedAtOnce (the code before grants nothing there; it was not run on it).

--- a/src/librillwall_transport/memory_budget.cpp
+++ b/src/librillwall_transport/memory_budget.cpp
@@ -125,12 +125,19 @@
 
 std::optional<MemoryBudget::Ticket> MemoryBudget::Wait(
     size_t aBytes, MemoryUse aUse, std::function<void()> aGranted) {
-  const std::lock_guard lock(mMutex);
+  std::unique_lock lock(mMutex);
   if (mWaiters.size() >= kMaxWaiters || aBytes > LimitLocked(aUse)) {
     return std::nullopt;
   }
-  ++mCounts.mWaits;
   const Ticket ticket = mNextTicket++;
+  if (FitsLocked(aBytes, aUse)) {
+    // Another thread has made room since the caller tried.
+    ChargeLocked(aBytes, aUse);
+    lock.unlock();
+    aGranted();
+    return ticket;
+  }
+  ++mCounts.mWaits;
   mWaiters.emplace(aBytes, Waiter{ticket, aUse, std::move(aGranted)});
   return ticket;
 }
--- a/src/librillwall_transport/memory_budget_test.cpp
+++ b/src/librillwall_transport/memory_budget_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(TestHostsUseWhatIsFree);
   CPPUNIT_TEST(TestSmallerChargesAreGrantedFirst);
   CPPUNIT_TEST(TestChargesThatNeverFitDoNotWait);
+  CPPUNIT_TEST(TestRoomIsGrantedAtOnce);
   CPPUNIT_TEST(TestStoppedWaiterGetsNothing);
   CPPUNIT_TEST(TestSlowReceiverThatHeldMostForLongestIsEvicted);
   CPPUNIT_TEST(TestFastReceiversStay);
@@ -90,6 +91,14 @@
     CPPUNIT_ASSERT(mBudget->Wait(837'500, MemoryUse::Large, [] {}));
   }
 
+  void TestRoomIsGrantedAtOnce() {
+    std::string granted;
+    const auto ticket = Wait(100'000, granted, 'a');
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), granted);
+    CPPUNIT_ASSERT(!mBudget->StopWaiting(ticket));
+    CPPUNIT_ASSERT_EQUAL(size_t{100'000}, mBudget->Counts().mCharged);
+  }
+
   void TestStoppedWaiterGetsNothing() {
     CPPUNIT_ASSERT(mBudget->TryCharge(800'000, MemoryUse::Large));
     std::string granted;
--- a/src/rillwall/serve.cpp
+++ b/src/rillwall/serve.cpp
@@ -246,6 +246,7 @@
 
 int Serve(const NodeSettings& aSettings) {
   std::signal(SIGPIPE, SIG_IGN);
+  LimitRetainedMemory();
   asio::io_context context(static_cast<int>(aSettings.mThreads));
   Server server(context, aSettings);
   const std::optional<Error> failed = server.Start();
