http client: a status that HTTP does not have is no response

An item of a step whose engine answered so was given up after its attempts, as if these were answers of 500.

Cause: the parser takes any three digits, and the client took what the parser took. Only 100 to 199 without 101 were treated apart, as interim.

Why it works: KindOf() (http_wire.h) alone decides whether a parsed head is one of a response: 200 to 599 is final, 100 to 199 without 101 interim, all else invalid. Every reader of answers uses this client: replicas, streams, items, scorers, probes, orders, hosts, the store, and the own interface's engines, services and store. An invalid head is an error before anybody reads its headers, so that it says nothing about load, health, weights or a refusal; the try counts as lost and is repeated as far as the kind of request allows.

--- a/src/librillwall_rollout/rollout_support_test.cpp
+++ b/src/librillwall_rollout/rollout_support_test.cpp
@@ -460,7 +460,7 @@
   const std::string length =
       mWithLength ? "Content-Length: " + std::to_string(body.size()) + "\r\n"
                   : std::string();
-  return "HTTP/1.1 200 OK\r\n" + names.mRequestId + ": " + *id + "\r\n" +
+  return mStatusLine + "\r\n" + names.mRequestId + ": " + *id + "\r\n" +
          length + names.mSignature + ": signed-" + *id + "\r\n" +
          names.mWeightVersion + ": 5\r\n\r\n" + body;
 }
--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -166,6 +166,7 @@
   /// Bytes after which it stops its next response, and closes.
   std::optional<size_t> mStopAfter;
   bool mWithLength = false;  ///< its responses have a length
+  std::string mStatusLine = "HTTP/1.1 200 OK";  ///< of its responses
   /// Bytes of the response to a request that resumes after an event.
   std::string mBodyAfterEvent;
   std::vector<HttpRequest> mRequests;  ///< that it ran
--- a/src/librillwall_rollout/unframed_response_test.cpp
+++ b/src/librillwall_rollout/unframed_response_test.cpp
@@ -1,6 +1,7 @@
 /// \file
-/// Tests of responses without a length whose replicas end: the kernel closes
-/// the connections of a killed process in order.
+/// Tests of bytes that are no whole response: those without a length whose
+/// replicas end, as the kernel closes the connections of a killed process in
+/// order, and those whose status is none of HTTP.
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -33,12 +34,18 @@
   CPPUNIT_TEST(ScorerCallIsRepeatedAfterATruncatedHead);
   CPPUNIT_TEST(EmptySignatureIsNotTaken);
   CPPUNIT_TEST(TextThatNoRecordCanHoldBeginsAnew);
+  CPPUNIT_TEST(OtherStatusIsTriedAgain);
+  CPPUNIT_TEST(OtherStatusIsNotDelivered);
+  CPPUNIT_TEST(ItemGoesOnAfterAnotherStatus);
+  CPPUNIT_TEST(ScorerCallIsRepeatedAfterAnotherStatus);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kEvents[] = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
   static constexpr char kThirdEvent[] = "id: 3\ndata: e3\n\n";
   static constexpr UnframedEnd kUnproven[] = {
       UnframedEnd::Ends, UnframedEnd::Reborn, UnframedEnd::Mute};
+  static constexpr const char* kOtherStatuses[] = {"000", "001", "099",
+                                                   "101", "600", "999"};
 
   TestWorld mWorld;
   UnframedReplica mUnframed{mWorld.mIo, "unframed"};
@@ -394,6 +401,77 @@
     CPPUNIT_ASSERT(RolloutEnd::Completed == result.mEnd);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, mScorer.mRequests.size());
   }
+
+  // Statuses that HTTP does not have.
+
+  /// Lets a replica answer with a whole body and a status.
+  static void AnswerWith(UnframedReplica& aReplica, const char* aStatus) {
+    aReplica.mStatusLine = std::string("HTTP/1.1 ") + aStatus + " Odd";
+    aReplica.mBody = "a part of the answer";
+    aReplica.mWithLength = true;
+  }
+
+  void OtherStatusIsTriedAgain() {
+    for (const char* status : kOtherStatuses) {
+      for (const size_t size : {size_t{0}, size_t{512 * 1024}}) {
+        UnframedReplica first(mWorld.mIo, "first");
+        AnswerWith(first, status);
+        Use({first.Entry("s")});
+        Launch(mTest.mIo, "other", AddOther(first));
+        UpstreamCall call = CallOf(RequestKind::Idempotent);
+        call.mRequest.mBody = std::string(size, 'x');
+        const auto answer = mTest.Run(CallUpstream(mTest.mNode, call));
+        CPPUNIT_ASSERT_MESSAGE(status, answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(200, answer->mHead.mStatus);
+        CPPUNIT_ASSERT_EQUAL(std::string("answer of other"),
+                             answer->mHead.mBody);
+      }
+    }
+  }
+
+  void OtherStatusIsNotDelivered() {
+    for (const char* status : kOtherStatuses) {
+      for (const RequestKind kind :
+           {RequestKind::NonIdempotent, RequestKind::Streaming}) {
+        UnframedReplica replica(mWorld.mIo, "first");
+        AnswerWith(replica, status);
+        Use({replica.Entry("s"), mOther.Entry("s")});
+        mOther.mRequests.clear();
+        const auto answer = Call(kind);
+        const bool sent = !replica.mRequests.empty();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(status, !sent, answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(
+            size_t{1}, replica.mRequests.size() + mOther.mRequests.size());
+        CPPUNIT_ASSERT(!sent || answer.error().Run() == RunState::Unknown);
+      }
+    }
+  }
+
+  void ItemGoesOnAfterAnotherStatus() {
+    UnframedReplica first(mWorld.mIo, "first");
+    AnswerWith(first, "000");
+    mOther.mStreams = true;
+    Use({first.Entry("engine"), mScorer.Entry("scorer")});
+    const RolloutResult result = RunItem("i1", [&] {
+      mTest.RunUntil([&] { return first.mRequests.size() >= 3; });
+      Use({mOther.Entry("engine"), mScorer.Entry("scorer")});
+    });
+    CPPUNIT_ASSERT(RolloutEnd::Completed == result.mEnd);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1\ne2\ne3"), result.mOutput);
+  }
+
+  void ScorerCallIsRepeatedAfterAnotherStatus() {
+    UnframedReplica scorer(mWorld.mIo, "first");
+    AnswerWith(scorer, "000");
+    mOther.mStreams = true;
+    Use({mOther.Entry("engine"), scorer.Entry("scorer")});
+    const RolloutResult result = RunItem("i1", [&] {
+      mTest.RunUntil([&] { return scorer.mRequests.size() >= 3; });
+      Use({mOther.Entry("engine"), mScorer.Entry("scorer")});
+    });
+    CPPUNIT_ASSERT(RolloutEnd::Completed == result.mEnd);
+    CPPUNIT_ASSERT_EQUAL(std::string("signed-i1-score"), result.mScore);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnframedResponseTest);
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -12,13 +12,6 @@
 /// Largest body that the client accepts, in bytes.
 constexpr uint64_t kMaxBodyBytes = 256ull * 1024 * 1024;
 
-/// After this status the connection no longer carries HTTP.
-constexpr unsigned kSwitchingProtocols = 101;
-
-constexpr bool IsInformational(unsigned aStatus) {
-  return aStatus >= 100 && aStatus < 200 && aStatus != kSwitchingProtocols;
-}
-
 }  // namespace
 
 HttpClientCall::HttpClientCall(
@@ -70,11 +63,16 @@
   while (!error && !mParser->is_header_done()) {
     error = co_await ReadMore();
     while (!error && mParser->is_header_done() &&
-           IsInformational(mParser->get().result_int())) {
+           KindOf(*mParser) == HeadKind::Interim) {
       ResetParser();
       error = Parse();
     }
   }
+  if (!error && KindOf(*mParser) == HeadKind::Invalid) {
+    error = Fail(ErrorKind::UpstreamFailed,
+                 "sent status " + std::to_string(mParser->get().result_int()) +
+                     ", which is none of an HTTP response");
+  }
   if (!error) {
     mHead = TakeHead(*mParser);
     ReleaseWhenDone();
@@ -227,10 +225,9 @@
   std::unique_ptr<HttpClientConnection> connection = std::move(mConnection);
   // Bytes after the end of the response could be taken for the response to the
   // next call.
-  const bool reusable =
-      !mWriteFailed && mParser->get().result_int() != kSwitchingProtocols &&
-      mParser->keep_alive() && connection->mInput.size() == 0 &&
-      (!mMayReuse || mMayReuse(mHead));
+  const bool reusable = !mWriteFailed && mParser->keep_alive() &&
+                        connection->mInput.size() == 0 &&
+                        (!mMayReuse || mMayReuse(mHead));
   if (connection->mSocket.Deadline().Clear() && reusable) {
     mPool->Release(std::move(connection));
   }
--- a/src/librillwall_transport/http_wire.cpp
+++ b/src/librillwall_transport/http_wire.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastFinalStatus = 599;
+
 /// \return whether the header describes the connection or the framing; each
 /// hop sets such headers itself
 bool IsConnectionHeader(http::field aField) {
@@ -151,6 +156,15 @@
   return request;
 }
 
+HeadKind KindOf(const ResponseParser& aParser) {
+  const unsigned status = aParser.get().result_int();
+  if (status < kFirstInterimStatus || status == kSwitchingProtocols ||
+      status > kLastFinalStatus) {
+    return HeadKind::Invalid;
+  }
+  return status < kFirstFinalStatus ? HeadKind::Interim : HeadKind::Final;
+}
+
 HttpResponse TakeHead(ResponseParser& aParser) {
   HttpResponse response;
   response.mStatus = static_cast<int>(aParser.get().result_int());
--- a/src/librillwall_transport/http_wire.h
+++ b/src/librillwall_transport/http_wire.h
@@ -50,6 +50,15 @@
 HttpRequest TakeRequest(RequestParser& aParser, MemoryCharge aCharge);
 /// \return the head of a request whose body is not parsed yet
 HttpRequest CopyHead(const RequestParser& aParser);
+/// What a parsed head of a response is.
+enum class HeadKind {
+  Final,    ///< of a response
+  Interim,  ///< informational; another one follows
+  /// Of no response: HTTP has no such status, or it is one that only a request
+  /// for another protocol gets (101). The client sends no such requests.
+  Invalid,
+};
+HeadKind KindOf(const ResponseParser& aParser);
 /// \return status and headers of a parsed response, without its body
 HttpResponse TakeHead(ResponseParser& aParser);
 
