http client: tests of heads and framings that were refused already

Names of fields with blanks, control bytes, NUL or nothing, lines without a colon, control bytes in values, odd lengths and chunks, and versions other than HTTP/1.x: each is a failed try that may have run, on the code of as now, for whole responses and for streams. Only the tests are new.

--- a/src/librillwall_transport/http_answer_test.cpp
+++ b/src/librillwall_transport/http_answer_test.cpp
@@ -11,6 +11,10 @@
   CPPUNIT_TEST_SUITE(HttpAnswerTest);
   CPPUNIT_TEST(TestOtherStatusesAreNoAnswers);
   CPPUNIT_TEST(TestAllHttpStatusesAreAnswers);
+  CPPUNIT_TEST(TestOtherVersionsAreNoAnswers);
+  CPPUNIT_TEST(TestFieldNamesAreTokens);
+  CPPUNIT_TEST(TestControlBytesInValues);
+  CPPUNIT_TEST(TestOddLengthsAndChunks);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kBody[] = "Content-Length: 2\r\n\r\nok";
@@ -73,6 +77,55 @@
     CPPUNIT_ASSERT(
         Send(std::string("HTTP/1.0 200 OK\r\n") + kBody, {}).has_value());
   }
+
+  void TestOtherVersionsAreNoAnswers() {
+    for (const char* version :
+         {"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/0.0", "http/1.1", "ICY"}) {
+      CheckNoAnswer(std::string(version) + " 200 OK\r\n" + kBody);
+    }
+  }
+
+  void TestFieldNamesAreTokens() {
+    using std::string_literals::operator""s;
+    for (const std::string& name :
+         {"X Odd"s, "X-Odd "s, "X\x01Odd"s, "X\x7fOdd"s, "X\0Odd"s, "X\tOdd"s,
+          "X(Odd"s, "X\xe9Odd"s, ""s}) {
+      CheckNoAnswer("HTTP/1.1 200 OK\r\n" + name + ": 1\r\n" + kBody);
+      CheckNoAnswer("HTTP/1.1 200 OK\r\nX-A: 1\r\n" + name + ": 1\r\n" + kBody);
+    }
+    CheckNoAnswer("HTTP/1.1 200 OK\r\n X-Odd: 1\r\n"s + kBody);
+    CheckNoAnswer("HTTP/1.1 200 OK\r\nno colon\r\n"s + kBody);
+  }
+
+  void TestControlBytesInValues() {
+    using std::string_literals::operator""s;
+    for (const std::string& value :
+         {"a\x01z"s, "a\0z"s, "a\x7fz"s, "a\rz"s, "a\x1bz"s}) {
+      CheckNoAnswer("HTTP/1.1 200 OK\r\nX-Odd: " + value + "\r\n" + kBody);
+    }
+  }
+
+  void TestOddLengthsAndChunks() {
+    for (const char* length :
+         {"-2", "+2", "0x2", "2x", "2 2", "2, 3", "", "99999999999999999999"}) {
+      CheckNoAnswer(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") +
+                    length + "\r\n\r\nok");
+    }
+    CheckNoAnswer(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok");
+    CheckNoAnswer(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    for (const char* chunk :
+         {"-2", "+2", "0x2", "z", "", "fffffffffffffffff"}) {
+      CheckNoAnswer(
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") +
+          chunk + "\r\nok\r\n0\r\n\r\n");
+    }
+    CheckNoAnswer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0"
+        "\r\n\r\n");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpAnswerTest);
