--- a/src/librillwall_transport/http_answer_test.cpp
+++ b/src/librillwall_transport/http_answer_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(TestFieldNamesAreTokens);
   CPPUNIT_TEST(TestControlBytesInValues);
   CPPUNIT_TEST(TestOddLengthsAndChunks);
+  CPPUNIT_TEST(TestConnectionThatEndsWithinAnUpload);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kBody[] = "Content-Length: 2\r\n\r\nok";
@@ -126,6 +127,41 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0"
         "\r\n\r\n");
   }
+
+  /// Guards against a part of a body that looks whole: the upstream answers
+  /// before it has read the upload, and closes the connection, which the write
+  /// notices first.
+  void TestConnectionThatEndsWithinAnUpload() {
+    HttpRequest upload = Upload();
+    upload.mBody = std::string(16 * 1024 * 1024, 'x');
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    for (const bool reset : {false, true}) {
+      for (const std::string& cut :
+           {std::string("HTTP/1.1 200 OK\r\n\r\npart"),
+            std::string("HTTP/1.0 200 OK\r\n\r\npart"),
+            std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"),
+            chunked}) {
+        const RawUpstream upstream({cut, cut}, false, reset);
+        HttpClient::OpenOptions options;
+        options.mEndCheck = AnyEnd();
+        const auto whole = mThreads.Await(mClient.Send(
+            upstream.ListeningEndpoint(), upload, kTestTimeout, options));
+        CPPUNIT_ASSERT_MESSAGE(cut, !whole.has_value());
+        CPPUNIT_ASSERT(ErrorKind::ConnectionLost == whole.error().Kind());
+        CPPUNIT_ASSERT(RunState::NotRun != whole.error().Run());
+        auto opened = mThreads.Await(mClient.Open(
+            upstream.ListeningEndpoint(), upload, kTestTimeout, options));
+        while (opened) {
+          const auto part = mThreads.Await((*opened)->Read(kTestTimeout));
+          if (!part) {
+            break;
+          }
+          CPPUNIT_ASSERT_MESSAGE(cut, !part->empty());
+        }
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpAnswerTest);
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -162,6 +162,11 @@
 
 asio::awaitable<std::optional<Error>> HttpClientCall::ConfirmEnd() {
   mEndedByClose = true;
+  if (mWriteFailed) {
+    co_return Fail(ErrorKind::ConnectionLost,
+                   "ended the connection within the request, so that its "
+                   "response without a length may have been truncated");
+  }
   const bool confirmed = mEndCheck && co_await mEndCheck();
   if (mAborted) {
     co_return FailDisconnected(asio::error::eof);
--- a/src/librillwall_transport/http_client_connection.h
+++ b/src/librillwall_transport/http_client_connection.h
@@ -78,8 +78,9 @@
   /// \return an error if the connection was closed early, the syntax is invalid
   /// or the deadline passed
   asio::awaitable<std::optional<Error>> ReadMore();
-  /// Checks that the peer itself closed the connection at the end of a body
-  /// without a length.
+  /// Checks that the peer itself closed the connection in order at the end of a
+  /// body without a length. A write that fails takes the socket's error, so
+  /// that the end of the input looks orderly after it.
   /// \return an error if that is not certain
   asio::awaitable<std::optional<Error>> ConfirmEnd();
   /// Parses the bytes in the input buffer.
