steps: a scorer that does not answer is called less and less often

Cause: the pause after a call was 50 ms, however many calls had failed before.

Evidence: UnframedResponseTest::ScorerWithoutAnswersIsCalledLessOften has one item and a scorer that answers each call with status 000. In 3 s it got 60 calls before this change, and gets at most the 12 that the test allows now; the item is scored as soon as another scorer is listed.

Why it works: the pause doubles with each call that may have run and failed, up to 0.4 s. After a call that no scorer has accepted it stays at 50 ms, as that one waits for a free slot. Such an item is not given up: only attempts that were answered 500, or the end of its time, may do that, so that a step whose scorers all answer so still waits for one that does not.

--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -8,6 +8,7 @@
 
 #include "crash_guard.h"
 #include "item_run.h"
+#include "rillwall/backoff.h"
 #include "rillwall/event_log.h"
 #include "rillwall/move_plan.h"
 #include "rillwall/rollout_service.h"
@@ -23,7 +24,10 @@
 /// Time limit of one scorer call if its route sets no target latency.
 constexpr Millis kScorerTimeout{600};
 constexpr int64_t kScorerTimeoutFactor = 4;
+/// Pause after a call that no scorer accepted, or a first one that failed.
 constexpr Millis kScorerPause{50};
+/// Longest pause between two calls that fail one after another.
+constexpr Millis kMaxScorerPause{400};
 /// Pause after an item's body could not be read from the store.
 constexpr Millis kBodyPause{200};
 constexpr int kServerError = 500;
@@ -327,6 +331,7 @@
   RolloutTracker& tracker = aStep->mTracker;
   const std::optional<ScorerCall>& scorer = tracker.Item(aItem).mScorer;
   int failures = 0;
+  int failedCalls = 0;
   std::optional<SharedText> body;
   while (aStep->mRunning && scorer) {
     if (!body) {
@@ -389,6 +394,8 @@
       continue;
     }
     failures += status == kServerError ? 1 : 0;
+    const bool mayHaveRun = answer || answer.error().Run() != RunState::NotRun;
+    failedCalls += mayHaveRun ? 1 : 0;
     if (failures >= most) {
       Event("item-terminated")
           .Id(tracker.Item(aItem).mId)
@@ -400,7 +407,10 @@
       ScheduleFlush(aStep);
       co_return;
     }
-    co_await Sleep(mNode.mIo, kScorerPause);
+    co_await Sleep(
+        mNode.mIo,
+        mayHaveRun ? BackoffDelay(failedCalls, kScorerPause, kMaxScorerPause)
+                   : kScorerPause);
   }
   if (aStep->mRunning) {
     tracker.Finished(aItem);
--- a/src/librillwall_rollout/unframed_response_test.cpp
+++ b/src/librillwall_rollout/unframed_response_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(OtherStatusIsNotDelivered);
   CPPUNIT_TEST(ItemGoesOnAfterAnotherStatus);
   CPPUNIT_TEST(ScorerCallIsRepeatedAfterAnotherStatus);
+  CPPUNIT_TEST(ScorerWithoutAnswersIsCalledLessOften);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kEvents[] = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
@@ -472,6 +473,23 @@
     CPPUNIT_ASSERT(RolloutEnd::Completed == result.mEnd);
     CPPUNIT_ASSERT_EQUAL(std::string("signed-i1-score"), result.mScore);
   }
+
+  // Each item called such a scorer 20 times a second.
+  void ScorerWithoutAnswersIsCalledLessOften() {
+    constexpr size_t kMaxCalls = 12;
+    UnframedReplica scorer(mWorld.mIo, "first");
+    AnswerWith(scorer, "000");
+    mOther.mStreams = true;
+    Use({mOther.Entry("engine"), scorer.Entry("scorer")});
+    const RolloutResult result = RunItem("i1", [&] {
+      mTest.RunUntil([&] { return !scorer.mRequests.empty(); });
+      mTest.RunFor(Millis(3000));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(scorer.mRequests.size()),
+                             scorer.mRequests.size() <= kMaxCalls);
+      Use({mOther.Entry("engine"), mScorer.Entry("scorer")});
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("signed-i1-score"), result.mScore);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnframedResponseTest);
