http client: each call bounds the answer that it holds

Cause: Send() held up to 256 MB of any answer, whatever the call was for, and nothing of it was charged.

HttpAnswerTest:: TestBodiesOverTheLimit has the bound itself, with a length, in chunks and up to the end of the connection.

Why it works: Send() takes the largest body as a parameter, 16 KB if the call names none: health checks, probes, scores, orders of the own interface, duties, reach and load reports. An answer over its bound is no answer (UpstreamFailed, before: TooLarge, by which the own interface told its callers 413, that their own request was too large).

Some tests and stand-ins receive larger bodies and now say so; no check of theirs has changed.

--- a/src/include/rillwall/http.h
+++ b/src/include/rillwall/http.h
@@ -258,6 +258,10 @@
 /// they use the head only or a format in which truncation is an error
 EndCheck AnyEnd();
 
+/// Largest body, in bytes, of a response that says little more than its status,
+/// such as those to orders and health checks.
+inline constexpr size_t kMaxShortBody = 16 * 1024;
+
 /// Sends requests over pooled connections. Thread-safe.
 class HttpClient {
  public:
@@ -270,12 +274,16 @@
   /// retried. A pooled connection that is found closed before the first byte is
   /// written is replaced by another one.
   /// \param aTimeout for the whole call, connecting included
+  /// \param aMaxBody largest body of the response, in bytes; all of it is held
   /// \return the response, or an error whose Run() is NotRun only if no byte of
-  /// the request was written to the upstream
+  /// the request was written to the upstream; UpstreamFailed if what the
+  /// upstream sent is no response, or a larger one
   asio::awaitable<Result<HttpResponse>> Send(const Endpoint& aEndpoint,
                                              HttpRequest aRequest,
-                                             Millis aTimeout) {
-    return Send(aEndpoint, std::move(aRequest), aTimeout, OpenOptions());
+                                             Millis aTimeout,
+                                             size_t aMaxBody = kMaxShortBody) {
+    return Send(aEndpoint, std::move(aRequest), aTimeout, aMaxBody,
+                OpenOptions());
   }
   /// Decides by the head of a response whether its connection may carry another
   /// call.
@@ -296,9 +304,10 @@
   /// As Send() above, with further parameters.
   asio::awaitable<Result<HttpResponse>> Send(const Endpoint& aEndpoint,
                                              HttpRequest aRequest,
-                                             Millis aTimeout,
+                                             Millis aTimeout, size_t aMaxBody,
                                              OpenOptions aOptions);
   /// Sends a request and returns once the headers of the response have arrived.
+  /// The caller decides how much of the body it reads, and holds.
   /// \param aTimeout for connecting, sending and receiving the headers
   /// \return the response, whose body is read part by part; errors as of Send()
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
--- a/src/include/rillwall/shared_view.h
+++ b/src/include/rillwall/shared_view.h
@@ -83,6 +83,10 @@
 /// Path of the request that asks a node whether it can reach another node.
 inline constexpr char kReachPath[] = "/node/reach";
 
+/// Largest encoded view, in bytes. Allows for several thousand replicas of 200
+/// bytes each.
+inline constexpr size_t kMaxViewBytes = 16 * 1024 * 1024;
+
 /// \return path and query string of the request
 std::string EncodeViewRequest(const ViewRequest& aRequest);
 /// \param aField returns a field of the query string; empty if missing
--- a/src/librillwall_protocol/shared_view.cpp
+++ b/src/librillwall_protocol/shared_view.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-/// Allows for several thousand replicas of 200 bytes each.
-constexpr JsonLimits kViewLimits{16 * 1024 * 1024, 16};
+constexpr JsonLimits kViewLimits{kMaxViewBytes, 16};
 
 json::object ToJson(const LeadHolder& aHolder) {
   json::object object;
--- a/src/librillwall_rollout/load_probe.cpp
+++ b/src/librillwall_rollout/load_probe.cpp
@@ -62,8 +62,9 @@
   options.mEndCheck = AnyEnd();  // only the head is used
   options.mMayReuse = ReuseAfterAnswer(aNode, {}, AfterRefusal::Keep);
   const Millis begun = aNode.Now();
-  const Result<HttpResponse> answer = co_await aNode.mClient.Send(
-      aEndpoint, std::move(request), kProbeTimeout, std::move(options));
+  const Result<HttpResponse> answer =
+      co_await aNode.mClient.Send(aEndpoint, std::move(request), kProbeTimeout,
+                                  kMaxShortBody, std::move(options));
   --aRound->mOpen;
   const bool valid =
       answer && RecordAnswer(aNode, aId, *answer, aNode.Now() - begun);
--- a/src/librillwall_rollout/replica_end.cpp
+++ b/src/librillwall_rollout/replica_end.cpp
@@ -13,6 +13,8 @@
 constexpr Millis kConnectTimeout{100};
 /// A replica rejects the request without a slot, but may be slow or frozen.
 constexpr Millis kAnswerTimeout{400};
+/// Largest answer, in bytes; it may be the report of a replica.
+constexpr size_t kMaxAnswer = 64 * 1024;
 /// Any path serves, as the request is rejected for its headers.
 constexpr char kRejectedPath[] = "/";
 constexpr int kMisdirected = 421;
@@ -42,8 +44,9 @@
   HttpClient::OpenOptions options;
   options.mNewConnection = true;
   options.mEndCheck = AnyEnd();
-  const Result<HttpResponse> answer = co_await aNode.mClient.Send(
-      aEndpoint, std::move(request), kAnswerTimeout, std::move(options));
+  const Result<HttpResponse> answer =
+      co_await aNode.mClient.Send(aEndpoint, std::move(request), kAnswerTimeout,
+                                  kMaxAnswer, std::move(options));
   if (!answer && answer.error().Run() == RunState::NotRun) {
     const Listening listening =
         co_await aNode.mClient.Probe(aEndpoint, kConnectTimeout);
--- a/src/librillwall_rollout/step_handover.cpp
+++ b/src/librillwall_rollout/step_handover.cpp
@@ -31,6 +31,10 @@
 /// Texts in one answer. The largest step of the planned deployments has some
 /// 3 MB of them; the answer stays below the limit of DecodeParts(), 16 MB.
 constexpr size_t kMaxHandoverBytes = 4 * 1024 * 1024;
+/// Largest answer with them, in bytes.
+constexpr size_t kMaxTextsAnswer = 16 * 1024 * 1024;
+/// Largest answer, in bytes, that names all steps of a host.
+constexpr size_t kMaxStateAnswer = 1024 * 1024;
 /// How long a lost step's texts are kept for its new owner, which asks for them
 /// right after it has changed the record. An owner may detect the loss first.
 constexpr Millis kFormerStepAge{5000};
@@ -157,8 +161,8 @@
   }
   HttpRequest request;
   request.mTarget = kHandoverPath;
-  const Result<HttpResponse> answer =
-      co_await aNode.mClient.Send(*endpoint, std::move(request), kStateTimeout);
+  const Result<HttpResponse> answer = co_await aNode.mClient.Send(
+      *endpoint, std::move(request), kStateTimeout, kMaxStateAnswer);
   if (!answer) {
     co_return std::nullopt;
   }
@@ -192,7 +196,7 @@
     request.mHeaders.push_back({"Content-Type", "application/json"});
     request.mBody = EncodeRequest(aRequest);
     answer = co_await aNode.mClient.Send(*endpoint, std::move(request),
-                                         kFetchTimeout);
+                                         kFetchTimeout, kMaxTextsAnswer);
   }
   std::string why;
   Parts parts;
--- a/src/librillwall_rollout/view_exchange.cpp
+++ b/src/librillwall_rollout/view_exchange.cpp
@@ -26,6 +26,9 @@
 constexpr Millis kConfigTimeout{1000};
 /// Far above real configurations, which have some thousand routes and accounts.
 constexpr size_t kMaxConfigBytes = 64 * 1024 * 1024;
+/// Largest configuration as it is sent, in bytes. It is compressed, and one
+/// value of the store.
+constexpr size_t kMaxSentConfigBytes = 4 * 1024 * 1024;
 /// Time limit for one node to reach another.
 constexpr Millis kReachTimeout{250};
 /// Nodes that are asked whether they reach a node that this one does not.
@@ -424,7 +427,7 @@
       Leads(*address) ? mLead.Known()->mRun : std::string();
   const Millis asked = mNode.Now();
   const Result<HttpResponse> answer = co_await mNode.mClient.Send(
-      *endpoint, std::move(request), mPlan.RequestTimeout());
+      *endpoint, std::move(request), mPlan.RequestTimeout(), kMaxViewBytes);
   if (!answer || answer->mStatus != kOk) {
     HandleMiss(aSource, *address, answer);
     co_return std::nullopt;
@@ -570,8 +573,8 @@
     Endpoint aFrom, int64_t aRevision) {
   HttpRequest request;
   request.mTarget = kViewConfigPath;
-  Result<HttpResponse> answer =
-      co_await mNode.mClient.Send(aFrom, std::move(request), kConfigTimeout);
+  Result<HttpResponse> answer = co_await mNode.mClient.Send(
+      aFrom, std::move(request), kConfigTimeout, kMaxSentConfigBytes);
   if (!answer || answer->mStatus != kOk) {
     Event("config-unfetched")
         .Text("node", aFrom.Text())
--- a/src/librillwall_rollout/view_subset.cpp
+++ b/src/librillwall_rollout/view_subset.cpp
@@ -129,7 +129,7 @@
   HttpRequest request;
   request.mTarget = EncodeViewRequest(viewRequest);
   const Result<HttpResponse> answer = co_await mNode.mClient.Send(
-      *endpoint, std::move(request), mPlan.RequestTimeout());
+      *endpoint, std::move(request), mPlan.RequestTimeout(), kMaxViewBytes);
   const Result<SharedView> view =
       answer && answer->mStatus == kOk
           ? DecodeView(answer->mBody)
--- a/src/librillwall_transport/http_answer_test.cpp
+++ b/src/librillwall_transport/http_answer_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdio>
+
 #include "http_test_support.h"
 
 namespace rillwall {
@@ -16,6 +18,7 @@
   CPPUNIT_TEST(TestControlBytesInValues);
   CPPUNIT_TEST(TestOddLengthsAndChunks);
   CPPUNIT_TEST(TestConnectionThatEndsWithinAnUpload);
+  CPPUNIT_TEST(TestBodiesOverTheLimit);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kBody[] = "Content-Length: 2\r\n\r\nok";
@@ -145,8 +148,9 @@
         const RawUpstream upstream({cut, cut}, false, reset);
         HttpClient::OpenOptions options;
         options.mEndCheck = AnyEnd();
-        const auto whole = mThreads.Await(mClient.Send(
-            upstream.ListeningEndpoint(), upload, kTestTimeout, options));
+        const auto whole =
+            mThreads.Await(mClient.Send(upstream.ListeningEndpoint(), upload,
+                                        kTestTimeout, kMaxShortBody, options));
         CPPUNIT_ASSERT_MESSAGE(cut, !whole.has_value());
         CPPUNIT_ASSERT(ErrorKind::ConnectionLost == whole.error().Kind());
         CPPUNIT_ASSERT(RunState::NotRun != whole.error().Run());
@@ -162,6 +166,31 @@
       }
     }
   }
+
+  void TestBodiesOverTheLimit() {
+    constexpr size_t kLimit = 100 * 1000;
+    for (const size_t size : {kLimit, kLimit + 1}) {
+      const std::string body(size, 'x');
+      char digits[16];
+      std::snprintf(digits, sizeof(digits), "%zx", size);
+      const std::string length =
+          "Content-Length: " + std::to_string(size) + "\r\n\r\n" + body;
+      const std::string chunked =
+          std::string("Transfer-Encoding: chunked\r\n\r\n") + digits + "\r\n" +
+          body + "\r\n0\r\n\r\n";
+      for (const std::string& rest : {length, chunked, "\r\n" + body}) {
+        const RawUpstream upstream({"HTTP/1.1 200 OK\r\n" + rest});
+        HttpClient::OpenOptions options;
+        options.mEndCheck = AnyEnd();
+        const auto answer = mThreads.Await(
+            mClient.Send(upstream.ListeningEndpoint(), {}, kTestTimeout, kLimit,
+                         std::move(options)));
+        CPPUNIT_ASSERT_EQUAL(size <= kLimit, answer.has_value());
+        CPPUNIT_ASSERT(answer ||
+                       ErrorKind::UpstreamFailed == answer.error().Kind());
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpAnswerTest);
--- a/src/librillwall_transport/http_client.cpp
+++ b/src/librillwall_transport/http_client.cpp
@@ -19,6 +19,8 @@
 /// connection before this client does.
 constexpr std::chrono::seconds kMaxIdleTime{20};
 constexpr std::chrono::seconds kSweepInterval{5};
+/// Largest body of a response that is read part by part, in bytes.
+constexpr uint64_t kMaxStreamedBody = 256ull * 1024 * 1024;
 
 TimePoint DeadlineIn(Millis aSpan) {
   return std::chrono::steady_clock::now() +
@@ -72,10 +74,10 @@
   /// response.
   asio::awaitable<Result<std::unique_ptr<HttpClientCall>>> Begin(
       const Endpoint& aEndpoint, const HttpRequest& aRequest, Millis aTimeout,
-      OpenOptions aOptions);
+      uint64_t aMaxBody, OpenOptions aOptions);
   asio::awaitable<Result<HttpResponse>> Send(Endpoint aEndpoint,
                                              HttpRequest aRequest,
-                                             Millis aTimeout,
+                                             Millis aTimeout, size_t aMaxBody,
                                              OpenOptions aOptions);
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(
       Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout,
@@ -238,7 +240,8 @@
 
 asio::awaitable<Result<std::unique_ptr<HttpClientCall>>>
 HttpClient::Impl::Begin(const Endpoint& aEndpoint, const HttpRequest& aRequest,
-                        Millis aTimeout, OpenOptions aOptions) {
+                        Millis aTimeout, uint64_t aMaxBody,
+                        OpenOptions aOptions) {
   if (!ValidRequestLine(aRequest)) {
     co_return Error(ErrorKind::BadRequest,
                     "The request's method or target is not valid.");
@@ -258,8 +261,8 @@
     connection = std::move(*made);
   }
   auto call = std::make_unique<HttpClientCall>(
-      shared_from_this(), std::move(connection), std::move(aOptions.mMayReuse),
-      std::move(aOptions.mEndCheck));
+      shared_from_this(), std::move(connection), aMaxBody,
+      std::move(aOptions.mMayReuse), std::move(aOptions.mEndCheck));
   const Millis unsent = SteadyClock().Now() - began;
   std::optional<Error> error = co_await call->WriteRequest(aRequest);
   if (!error) {
@@ -278,11 +281,11 @@
 }
 
 asio::awaitable<Result<HttpResponse>> HttpClient::Impl::Send(
-    Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout,
+    Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout, size_t aMaxBody,
     OpenOptions aOptions) {
   const std::shared_ptr<Impl> self = shared_from_this();
-  Result<std::unique_ptr<HttpClientCall>> call =
-      co_await Begin(aEndpoint, aRequest, aTimeout, std::move(aOptions));
+  Result<std::unique_ptr<HttpClientCall>> call = co_await Begin(
+      aEndpoint, aRequest, aTimeout, aMaxBody, std::move(aOptions));
   if (!call) {
     co_return call.error();
   }
@@ -293,8 +296,8 @@
     Endpoint aEndpoint, HttpRequest aRequest, Millis aTimeout,
     OpenOptions aOptions) {
   const std::shared_ptr<Impl> self = shared_from_this();
-  Result<std::unique_ptr<HttpClientCall>> call =
-      co_await Begin(aEndpoint, aRequest, aTimeout, std::move(aOptions));
+  Result<std::unique_ptr<HttpClientCall>> call = co_await Begin(
+      aEndpoint, aRequest, aTimeout, kMaxStreamedBody, std::move(aOptions));
   if (!call) {
     co_return call.error();
   }
@@ -314,8 +317,8 @@
 
 asio::awaitable<Result<HttpResponse>> HttpClient::Send(
     const Endpoint& aEndpoint, HttpRequest aRequest, Millis aTimeout,
-    OpenOptions aOptions) {
-  return mImpl->Send(aEndpoint, std::move(aRequest), aTimeout,
+    size_t aMaxBody, OpenOptions aOptions) {
+  return mImpl->Send(aEndpoint, std::move(aRequest), aTimeout, aMaxBody,
                      std::move(aOptions));
 }
 
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -9,17 +9,16 @@
 constexpr size_t kReadSize = 4096;
 constexpr size_t kLargeReadSize = 64 * 1024;
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
-/// Largest body that the client accepts, in bytes.
-constexpr uint64_t kMaxBodyBytes = 256ull * 1024 * 1024;
 
 }  // namespace
 
 HttpClientCall::HttpClientCall(
     std::shared_ptr<HttpConnectionPool> aPool,
-    std::unique_ptr<HttpClientConnection> aConnection,
+    std::unique_ptr<HttpClientConnection> aConnection, uint64_t aMaxBody,
     HttpClient::ReusePredicate aMayReuse, EndCheck aEndCheck)
     : mPool(std::move(aPool)),
       mConnection(std::move(aConnection)),
+      mMaxBody(aMaxBody),
       mMayReuse(std::move(aMayReuse)),
       mEndCheck(std::move(aEndCheck)),
       mPeer(mConnection->mEndpoint.Text()) {}
@@ -54,7 +53,7 @@
   mParser->eager(true);
   mParser->skip(mHeadOnly);
   mParser->header_limit(kMaxHeaderBytes);
-  mParser->body_limit(kMaxBodyBytes);
+  mParser->body_limit(mMaxBody);
 }
 
 asio::awaitable<std::optional<Error>> HttpClientCall::ReadHead() {
@@ -188,12 +187,14 @@
     if (code == http::error::need_more) {
       // The parser limits the head, but not the line of a chunk's length.
       return input.size() > kMaxHeaderBytes
-                 ? std::optional(Fail(ErrorKind::TooLarge,
+                 ? std::optional(Fail(ErrorKind::UpstreamFailed,
                                       "sent a line over the size limit"))
                  : std::nullopt;
     }
     if (code == http::error::body_limit) {
-      return Fail(ErrorKind::TooLarge, "sent a response over the size limit");
+      return Fail(ErrorKind::UpstreamFailed,
+                  "sent a body over " + std::to_string(mMaxBody) +
+                      " bytes, the limit for this call");
     }
     if (code) {
       return Fail(ErrorKind::UpstreamFailed, "sent malformed HTTP");
--- a/src/librillwall_transport/http_client_connection.h
+++ b/src/librillwall_transport/http_client_connection.h
@@ -48,9 +48,11 @@
 /// One call: writes the request and reads the response.
 class HttpClientCall final : public HttpStream {
  public:
+  /// \param aMaxBody largest body of the response, in bytes
   HttpClientCall(std::shared_ptr<HttpConnectionPool> aPool,
                  std::unique_ptr<HttpClientConnection> aConnection,
-                 HttpClient::ReusePredicate aMayReuse, EndCheck aEndCheck);
+                 uint64_t aMaxBody, HttpClient::ReusePredicate aMayReuse,
+                 EndCheck aEndCheck);
 
   /// Writes the request.
   /// \return an error only if no byte of it was written; after a partial write
@@ -97,6 +99,7 @@
 
   const std::shared_ptr<HttpConnectionPool> mPool;
   std::unique_ptr<HttpClientConnection> mConnection;
+  const uint64_t mMaxBody;
   const HttpClient::ReusePredicate mMayReuse;
   const EndCheck mEndCheck;
   std::string mPeer;
--- a/src/librillwall_transport/http_client_test.cpp
+++ b/src/librillwall_transport/http_client_test.cpp
@@ -102,9 +102,9 @@
           request.mMethod = method;
           HttpClient::OpenOptions options;
           options.mEndCheck = AnyEnd();
-          const auto result =
-              Await(mClient.Send(upstream.ListeningEndpoint(), request,
-                                 kTestTimeout, std::move(options)));
+          const auto result = Await(
+              mClient.Send(upstream.ListeningEndpoint(), request, kTestTimeout,
+                           kMaxShortBody, std::move(options)));
           CPPUNIT_ASSERT_MESSAGE(response, !result.has_value());
           CPPUNIT_ASSERT(RunState::NotRun != result.error().Run());
         }
@@ -139,7 +139,7 @@
     options.mEndCheck = std::move(aEndCheck);
     Result<HttpResponse> response =
         Await(mClient.Send(upstream.ListeningEndpoint(), HttpRequest(),
-                           kTestTimeout, std::move(options)));
+                           kTestTimeout, kMaxShortBody, std::move(options)));
     CPPUNIT_ASSERT_EQUAL(size_t{0}, mClient.Connections());
     return response;
   }
@@ -293,6 +293,7 @@
   void TestCallsReceiveOwnResponses() {
     constexpr int kCallers = 24;
     constexpr int kCalls = 40;
+    constexpr size_t kMaxBody = 32 * 1024;
     HttpServer server(mThreads.Context(), HttpLimits(),
                       [](const HttpRequest& aRequest,
                          HttpExchange& aExchange) -> asio::awaitable<void> {
@@ -317,8 +318,8 @@
         request.mBody = std::string(random() % 20000, 'x');
         const std::string expected = request.mTarget + request.mBody;
         const Millis timeout = slow ? Millis(20) : kTestTimeout;
-        const Result<HttpResponse> response =
-            co_await mClient.Send(endpoint, std::move(request), timeout);
+        const Result<HttpResponse> response = co_await mClient.Send(
+            endpoint, std::move(request), timeout, kMaxBody);
         timeouts += !response && response.error().Kind() == ErrorKind::Timeout;
         mismatches += response ? response->mBody != expected : !slow;
       }
--- a/src/librillwall_transport/http_tls_test.cpp
+++ b/src/librillwall_transport/http_tls_test.cpp
@@ -220,8 +220,8 @@
         request.mMethod = "POST";
         request.mBody = std::string(aCaller * 1000 + i, 'x');
         const std::string expected = "/" + request.mBody;
-        const Result<HttpResponse> response =
-            co_await client.Send(mEndpoint, std::move(request), kTestTimeout);
+        const Result<HttpResponse> response = co_await client.Send(
+            mEndpoint, std::move(request), kTestTimeout, 32 * 1024);
         mismatches += !response || response->mBody != expected;
       }
     };
@@ -276,7 +276,9 @@
     }
   }
   Result<HttpResponse> Send(HttpClient& aClient, const HttpRequest& aRequest) {
-    return mThreads.Await(aClient.Send(mEndpoint, aRequest, kTestTimeout));
+    constexpr size_t kMaxBody = 8 * 1024 * 1024;
+    return mThreads.Await(
+        aClient.Send(mEndpoint, aRequest, kTestTimeout, kMaxBody));
   }
   void AssertNotRun(const TlsSettings& aTls) {
     HttpClient client(mThreads.Context(), aTls);
--- a/src/librillwall_transport/kv_client.cpp
+++ b/src/librillwall_transport/kv_client.cpp
@@ -10,8 +10,10 @@
 namespace {
 
 constexpr size_t kMaxValueBytes = 1024 * 1024;
+/// Largest answer, in bytes, which holds all keys of a prefix.
+constexpr size_t kMaxAnswer = 16 * 1024 * 1024;
 /// A line of a watch contains the changes of one revision.
-constexpr size_t kMaxWatchLineBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxWatchLineBytes = kMaxAnswer;
 /// The gateway's gRPC status code UNAVAILABLE, sent for calls that may or may
 /// not have been applied.
 constexpr int64_t kGrpcUnavailable = 14;
@@ -136,8 +138,9 @@
   }
   const size_t endpoint = mEndpoint.load();
   HttpRequest request = Post(aTarget, std::move(aBody));
-  const Result<HttpResponse> response = co_await mClient.Send(
-      mSettings.mEndpoints[endpoint], std::move(request), mSettings.mTimeout);
+  const Result<HttpResponse> response =
+      co_await mClient.Send(mSettings.mEndpoints[endpoint], std::move(request),
+                            mSettings.mTimeout, kMaxAnswer);
   if (!response) {
     co_return RotateEndpoint(endpoint,
                              LostResponseError(aKind, response.error()));
@@ -203,7 +206,7 @@
   }
   aText.erase(0, begin);
   if (aText.size() > kMaxWatchLineBytes) {
-    return Unavailable("The key-value service sent a watch line over 64 MB.");
+    return Unavailable("The key-value service sent a watch line over 16 MB.");
   }
   return std::nullopt;
 }
--- a/src/rillwall/cli_client.cpp
+++ b/src/rillwall/cli_client.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int64_t kMillisPerSecond = 1000;
+/// Largest answer, in bytes; it may be the dump of a node.
+constexpr size_t kMaxAnswer = 256 * 1024 * 1024;
 constexpr int kFirstErrorStatus = 400;
 
 std::optional<ErrorKind> KindByName(std::string_view aName) {
@@ -101,7 +103,8 @@
   HttpClient client(context, Tls());
   const Millis timeout(mOptions.mTimeoutSeconds * kMillisPerSecond);
   Result<HttpResponse> result = Error(ErrorKind::Internal, "Nothing was run.");
-  asio::co_spawn(context, client.Send(aNode, std::move(aRequest), timeout),
+  asio::co_spawn(context,
+                 client.Send(aNode, std::move(aRequest), timeout, kMaxAnswer),
                  [&](std::exception_ptr, Result<HttpResponse> aResult) {
                    result = std::move(aResult);
                    // An idle connection of the pool would keep the context
--- a/src/rillwall/service_call.cpp
+++ b/src/rillwall/service_call.cpp
@@ -10,6 +10,8 @@
 
 constexpr int kServerError = 500;
 constexpr Millis kNoUpstreamRetry{1000};
+/// Largest answer of a service, in bytes; as large as a body of a request.
+constexpr size_t kMaxAnswer = 8 * 1024 * 1024;
 
 // Hop-by-hop headers, and headers that the framing of the relayed message sets
 // again.
@@ -44,7 +46,7 @@
   }
   InFlightCall inFlight(upstream->mLoad);
   Result<HttpResponse> response = co_await aNode.Http().Send(
-      upstream->mEndpoint, aCall.mRequest, aCall.mTimeout);
+      upstream->mEndpoint, aCall.mRequest, aCall.mTimeout, kMaxAnswer);
   const bool failed = !response || response->mStatus >= kServerError;
   inFlight.End(failed, aNode.Now());
   co_return response;
--- a/src/rillwall/upstream_keeper.cpp
+++ b/src/rillwall/upstream_keeper.cpp
@@ -12,6 +12,8 @@
 constexpr Millis kListPeriod{1000};
 constexpr Millis kLoadPeriod{500};
 constexpr Millis kPollTimeout{2000};
+/// Largest host list, in bytes; an upstream takes some hundred.
+constexpr size_t kMaxHostList = 4 * 1024 * 1024;
 constexpr const char* kLeavingPrefix = "leaving/";
 constexpr int kNotModified = 304;
 constexpr int kOk = 200;
@@ -75,8 +77,9 @@
   if (!mListTag.empty()) {
     request.mHeaders.push_back({"If-None-Match", mListTag});
   }
-  const Result<HttpResponse> response = co_await mNode.Http().Send(
-      mNode.Settings().mHostList, std::move(request), kPollTimeout);
+  const Result<HttpResponse> response =
+      co_await mNode.Http().Send(mNode.Settings().mHostList, std::move(request),
+                                 kPollTimeout, kMaxHostList);
   if (!response || response->mStatus == kNotModified) {
     co_return;
   }
--- a/src/standin/driver_journals.cpp
+++ b/src/standin/driver_journals.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis kJournalTimeout{30000};
+/// Largest journal, in bytes.
+constexpr size_t kMaxJournal = 256 * 1024 * 1024;
 
 bool ReadJournal(const std::string& aBody, EngineJournals& aJournals) {
   const auto journal = ParseObject(aBody);
@@ -51,7 +53,8 @@
   HttpRequest request;
   request.mTarget = "/journal";
   for (const Endpoint& engine : aEngines) {
-    const auto answer = co_await aClient.Send(engine, request, kJournalTimeout);
+    const auto answer =
+        co_await aClient.Send(engine, request, kJournalTimeout, kMaxJournal);
     if (!answer.has_value() || !ReadJournal(answer.value().mBody, journals)) {
       ++journals.mUnreadable;
     }
--- a/src/standin/driver_nodes.cpp
+++ b/src/standin/driver_nodes.cpp
@@ -11,6 +11,8 @@
 
 constexpr Millis kRetryDelay{100};
 constexpr Millis kMaxRetryAfter{5000};
+/// Largest answer, in bytes; it may hold the samples of a step.
+constexpr size_t kMaxAnswer = 256 * 1024 * 1024;
 constexpr int kTooMany = 429;
 constexpr int kServerError = 500;
 constexpr int64_t kMillisPerSecond = 1000;
@@ -96,7 +98,7 @@
   NodeResponse answer;
   while (true) {
     const Endpoint node = Pick();
-    auto sent = co_await mClient.Send(node, aRequest, aTimeout);
+    auto sent = co_await mClient.Send(node, aRequest, aTimeout, kMaxAnswer);
     Millis pause = kRetryDelay;
     if (!sent.has_value()) {
       ++mRetries.mLost;
--- a/src/standin/engine_loader.cpp
+++ b/src/standin/engine_loader.cpp
@@ -23,8 +23,8 @@
   request.mTarget = aSource.mPath;
   request.mHeaders.push_back({"Range", "bytes=" + std::to_string(aBegin) + "-" +
                                            std::to_string(last)});
-  const auto answer =
-      co_await aClient.Send(aSource.mStore, request, kRangeTimeout);
+  const auto answer = co_await aClient.Send(aSource.mStore, request,
+                                            kRangeTimeout, kRangeBytes);
   if (!answer.has_value()) {
     co_return answer.error();
   }
