stop: requests without a response get one before the process ends

What arrives after SIGTERM was answered.

Cause: only requests that arrive after SIGTERM got a deadline before the end of the process. Those already taken kept their own, and ended with the process.

Why it works: requests without a response are listed from their arrival until the response begins. When the last responses are due, 0.2 s before the process ends, all that are left are ended: 504 if a replica may have run them, 503 with a Retry-After if none can have (UpstreamCall::mMayHaveRun, set by what counts usage, so that it is right for a try that is cancelled, too). The list costs one node a request, and no timer. A response that has begun is not touched: a stream that outlasts the process is still cut near its end.

--- a/src/include/rillwall/node_context.h
+++ b/src/include/rillwall/node_context.h
@@ -22,6 +22,7 @@
 #include "rillwall/http.h"
 #include "rillwall/memory_budget.h"
 #include "rillwall/millis.h"
+#include "rillwall/open_requests.h"
 #include "rillwall/rcu.h"
 #include "rillwall/replica_pool.h"
 #include "rillwall/route_table.h"
@@ -118,6 +119,7 @@
   bool mStopping = false;  ///< the stop signal has arrived
   /// Once the stop signal has arrived: when all responses must have been sent.
   std::optional<Millis> mRespondsUntil;
+  OpenRequests mOpenRequests;  ///< ended at mRespondsUntil
   /// This node stops, and the load balancer sends it no new connections.
   bool mOutOfRotation = false;
 
--- a/src/include/rillwall/upstream_call.h
+++ b/src/include/rillwall/upstream_call.h
@@ -34,6 +34,9 @@
   /// Whether replicas may be asked for their load first. Not for scorer calls,
   /// whose sender sees enough responses.
   bool mProbes = false;
+  /// Set once a replica may have run the request, also if the call is
+  /// cancelled. Has to outlive the call; may be null.
+  bool* mMayHaveRun = nullptr;
 };
 
 /// \return the digest of a call's request, which is the same whoever sends it
--- a/src/librillwall_rollout/relay.cpp
+++ b/src/librillwall_rollout/relay.cpp
@@ -107,6 +107,20 @@
       .WithRetryAfter(kOtherHostRetryAfter);
 }
 
+/// \return the error of a request that has no response when this node must
+/// have responded
+Error StoppedError(bool aMayHaveRun) {
+  if (aMayHaveRun) {
+    return {ErrorKind::Timeout,
+            "This host stops, and no response has arrived yet.",
+            RunState::Unknown};
+  }
+  return Error(ErrorKind::Draining,
+               "This host stops; send the request to another one.",
+               RunState::NotRun)
+      .WithRetryAfter(kOtherHostRetryAfter);
+}
+
 /// Forwards the rest of a response as it arrives.
 asio::awaitable<void> ForwardStream(std::unique_ptr<HttpStream> aRest,
                                     const std::string& aId,
@@ -152,12 +166,17 @@
   co_await ForwardStream(std::move(aResponse.mRest), aId, aExchange);
 }
 
+/// \param aOpen if it has been ended, nothing is sent
 asio::awaitable<void> CallAndRespond(NodeContext& aNode, UpstreamCall aCall,
                                      const Route& aRoute, Millis aStarted,
+                                     OpenRequests::Entry& aOpen,
                                      HttpExchange& aExchange) {
   const std::string id = aCall.mId;
   Result<UpstreamResponse> answer =
       co_await CallUpstream(aNode, std::move(aCall));
+  if (!aOpen.BeginResponse()) {
+    co_return;
+  }
   if (!answer) {
     co_await RespondWithError(aNode, id, answer.error(), aExchange);
     co_return;
@@ -285,17 +304,27 @@
     // A response that says that the time is over is better than none.
     call.mDeadline = std::min(call.mDeadline, *aNode.mRespondsUntil);
   }
-  asio::steady_timer peerGone(aNode.mIo);
-  peerGone.expires_at(asio::steady_timer::time_point::max());
-  aExchange.OnPeerDisconnected([&peerGone] { peerGone.cancel(); });
+  bool mayHaveRun = false;
+  call.mMayHaveRun = &mayHaveRun;
+  // Cancelled when the client disconnects, or when this node must respond.
+  asio::steady_timer interrupt(aNode.mIo);
+  interrupt.expires_at(asio::steady_timer::time_point::max());
+  OpenRequests::Entry open(aNode.mOpenRequests,
+                           [&interrupt] { interrupt.cancel(); });
+  aExchange.OnPeerDisconnected([&interrupt] { interrupt.cancel(); });
   if (aExchange.PeerDisconnected()) {
-    peerGone.cancel();
+    interrupt.cancel();
   }
-  const auto ended = co_await (
-      CallAndRespond(aNode, std::move(call), aRoute, started, aExchange) ||
-      peerGone.async_wait(asio::as_tuple(asio::use_awaitable)));
+  const auto ended =
+      co_await (CallAndRespond(aNode, std::move(call), aRoute, started, open,
+                               aExchange) ||
+                interrupt.async_wait(asio::as_tuple(asio::use_awaitable)));
   aExchange.OnPeerDisconnected(nullptr);
-  if (ended.index() == 1) {
+  if (open.Ended() && !aExchange.PeerDisconnected()) {
+    co_await RespondWithError(aNode, *id, StoppedError(mayHaveRun), aExchange);
+    co_return;
+  }
+  if (ended.index() == 1 || open.Ended()) {
     Event("client-left").Bounded(bounded).Id(*id).Write();
     aNode.mMetrics.Count("clients_left_total");
     aExchange.Abort();
--- a/src/librillwall_rollout/upstream_call.cpp
+++ b/src/librillwall_rollout/upstream_call.cpp
@@ -82,13 +82,16 @@
 }
 
 /// Counts a request for its account, once, at the time when it was first sent
-/// to a replica that ran it. Also counts it if the client disconnects
-/// meanwhile.
+/// to a replica that ran it, and sets UpstreamCall::mMayHaveRun. Also does so
+/// if the call is cancelled meanwhile.
 class UsageCount {
  public:
   explicit UsageCount(CallRun& aRun)
       : mRun(aRun), mSentMs(aRun.mNode.mTimeOfDay()) {}
   ~UsageCount() {
+    if (mMayRun && mRun.mCall.mMayHaveRun != nullptr) {
+      *mRun.mCall.mMayHaveRun = true;
+    }
     if (mMayRun && !mRun.mCounted) {
       mRun.mCounted = true;
       mRun.mNode.mUsage.Count(mRun.mCall.mAccount, mSentMs);
--- a/testsuite/platform/soak.py
+++ b/testsuite/platform/soak.py
@@ -25,10 +25,11 @@
   streams, live, complete, released   with --ends: see ends.py
   left, served   with --leaves: see leaves.py
   cut, unanswered, refused, stops, started   with --stops: see stops.py
+  late       with --long: see stops.py
 
 usage: soak.py --binary PATH [--seed N] [--seconds S] [--entries N] [--leads N] [--services N]
                [--faults none|all|NAME,...] [--handover] [--surge] [--scaling] [--storms]
-               [--ends] [--leaves] [--stops] [--keep DIR]
+               [--ends] [--leaves] [--stops [--long]] [--keep DIR]
 Ends with "N passed, N failed". The logs of a failed run stay in its folder.
 """
 
@@ -51,7 +52,7 @@
 from leaves import CHECKS as LEAVE_CHECKS, Leaves, LeavingEngine, LeavingService
 from scaling import Cloud
 from standins import CRASHING, Engine, Service, Store, events_of, text_of
-from stops import CHECKS as STOP_CHECKS, SlowEngine, SlowService, Stops
+from stops import CHECKS as STOP_CHECKS, LONG_ROUTE, SlowEngine, SlowService, Stops
 from storms import CHECKS as STORM_CHECKS, Storms
 from surge import CHECKS as SURGE_CHECKS, LoadedService, Surge
 from web import Proxy, call
@@ -246,6 +247,8 @@
         routes += [self.handover.route(route)] if self.handover else []
         if self.args.ends or self.args.leaves or self.args.stops:
             routes.append(route("r5", "/stream/", "streaming", "engine", **{"timeout-ms": 8000}))
+        if self.args.long:
+            routes.append(route("r6", "/long/", "idempotent", "plain", **LONG_ROUTE))
         routes += [route(f"x{i}", f"/x{i}/", "idempotent", "plain") for i in range(self.config_version)]
         def engines(name):
             return {"name": name, "max-conns": 100, "engine": {"slots": 6, "models": [{"name": MODEL}]}}
@@ -667,6 +670,7 @@
     parser.add_argument("--ends", action="store_true", help="replicas end under answers without a length; see ends.py")
     parser.add_argument("--leaves", action="store_true", help="replicas leave while the lead changes; see leaves.py")
     parser.add_argument("--stops", action="store_true", help="hosts are stopped and started in turn; see stops.py")
+    parser.add_argument("--long", action="store_true", help="with --stops: requests that outlast a stop; see stops.py")
     parser.add_argument("--keep", help="folder for the logs")
     args = parser.parse_args()
     lock = take_addresses(args.seed)
@@ -683,7 +687,7 @@
     checks += STORM_CHECKS if args.storms else []
     checks += END_CHECKS if args.ends else []
     checks += LEAVE_CHECKS if args.leaves else []
-    checks += STOP_CHECKS if args.stops else []
+    checks += (STOP_CHECKS if args.stops else []) + ["late"] * args.long
     conclude(soak, "soak", checks)
 
 
--- a/testsuite/platform/stops.py
+++ b/testsuite/platform/stops.py
@@ -1,12 +1,13 @@
 """Hosts that are stopped and started in turn, for the soak.
 
 Clients keep using their connections until the process is gone: streams of up to some seconds, plain requests that are
-slow, requests whose bytes arrive in two pieces, and pairs of requests sent at once. A host is stopped with SIGTERM, at
-times twice. In a second part processes get signals right after their start, and a lead is stopped while the store
+slow, requests whose bytes arrive in two pieces, and pairs of requests sent at once; with --long also requests that last
+longer than a host takes to stop. A host is stopped with SIGTERM, at times twice. In a second part processes get signals right after their start, and a lead is stopped while the store
 is silent.
 
   cut       a request that has reached a replica gets a complete answer, though its host stops; only one that was sent
             early and that the replica was still running near the end of the grace period may be cut
+  late      with --long: a request that may be sent again gets an answer, though its replica was at work to the end
   unanswered  a request that was read is answered, or its connection is closed at once
   refused   a request that was refused has not run
   stops     a stopped process ends by itself within its grace period, with status 0
@@ -26,7 +27,10 @@
 EVENT_S = 0.1
 STREAM_EVENTS = (1, 75)
 PLAIN_MS = (5, 900)
-TIMEOUTS_S = {"stream": 8.0, "status": 1.5}
+TIMEOUTS_S = {"stream": 8.0, "status": 1.5, "long": 20.0}
+LONG_MS = 6000
+LONG_ROUTE = {"timeout-ms": 20000, "target-latency-ms": 4000}
+LONG_CALLERS = ("long",) * 4  # at each entry host
 PAUSE_S = (0.0, 0.4)
 PIECE_PAUSE_S = (0.05, 3.0)
 SECOND_SIGNAL_S = (0.0, 3.0)
@@ -112,13 +116,14 @@
         work = [asyncio.create_task(self.watch(node)) for node in soak.entries]
         while len(self.rotation) < len(soak.entries):
             await asyncio.sleep(0.1)
-        callers = [asyncio.create_task(self.caller(node, kind)) for node in soak.entries for kind in CALLERS]
+        kinds = CALLERS + (LONG_CALLERS if soak.args.long else ())
+        callers = [asyncio.create_task(self.caller(node, kind)) for node in soak.entries for kind in kinds]
         end = time.monotonic() + soak.args.seconds
         while time.monotonic() < end:
             for node in self.rng.sample(soak.nodes, len(soak.nodes)):
                 await self.stop(node)
         self.ending = True
-        await asyncio.wait(callers, timeout=12)
+        await asyncio.wait(callers, timeout=22 if soak.args.long else 12)
         self.judge()
         await self.signals_after_start()
         await self.stop_without_store()
@@ -183,8 +188,8 @@
     def make(self, node, kind):
         """Returns the bytes of a request."""
         name = f"{self.rng.getrandbits(64):016x}"
-        service = "stream" if kind == "stream" else "status"
-        size = self.rng.randint(*(STREAM_EVENTS if service == "stream" else PLAIN_MS))
+        service = kind if kind in ("stream", "long") else "status"
+        size = LONG_MS if kind == "long" else self.rng.randint(*(STREAM_EVENTS if service == "stream" else PLAIN_MS))
         Slow.log[name] = Sent(node, service)
         model = "X-Rillwall-Model: model1\r\nX-Rillwall-Token-Usage: 10,10\r\n" if service == "stream" else ""
         body = b"y" * self.rng.choice([0, 100, 9000])
@@ -219,7 +224,7 @@
     @staticmethod
     async def receive(sent, reader):
         """Reads one answer. Returns whether another one may follow."""
-        first, headers = await asyncio.wait_for(read_head(reader), 12)
+        first, headers = await asyncio.wait_for(read_head(reader), 21 if sent.kind == "long" else 12)
         if not first:
             sent.closed = time.monotonic()
             return False
@@ -244,6 +249,9 @@
             if sent.reached is None:
                 self.soak.check("unanswered", sent.complete or lasted <= LOSS_SLACK_S, what)
                 continue
+            if sent.kind == "long":
+                self.soak.check("late", sent.complete, what)
+                continue
             excused = (after <= EARLY_S and (sent.ended or sent.closed) >= stops[-1] + GRACE_S * LAST_PART
                        or lasted > TIMEOUTS_S[sent.kind])
             self.soak.check("cut", sent.complete or excused, what)
