own interface: a draining node waits for its connections, not for requests

What callers saw: a request that reached a draining node on a connection that was idle when the port closed got 503, "This node has no confirmed policies yet", though the node could have served it.

Cause: Server::RunDrain ended its wait at once when no request was active. Idle connections stay open for 0.3 s after the port has closed, and the node counted as drained meanwhile; a request that came in that time could also be cut by the end of the process, 0.5 s later.

Evidence: testsuite/drain opens connections, sends SIGTERM, and sends requests on them 1.6 to 1.7 s later to a service that takes 1.5 s.

Why it works: the node waits until no connection is open, which the server brings about within 0.3 s of the last request, and looks for the first time after the acceptor has taken in what the kernel had accepted.

--- a/src/librillwall_rollout/rollout_test_support.h
+++ b/src/librillwall_rollout/rollout_test_support.h
@@ -165,7 +165,7 @@
   std::string mEndless;
   /// Bytes after which it stops its next response, and closes.
   std::optional<size_t> mStopAfter;
-  bool mWithLength = false;  ///< its responses have a length
+  bool mWithLength = false;                     ///< its responses have a length
   std::string mStatusLine = "HTTP/1.1 200 OK";  ///< of its responses
   /// Bytes of the response to a request that resumes after an event.
   std::string mBodyAfterEvent;
--- a/src/rillwall/serve.cpp
+++ b/src/rillwall/serve.cpp
@@ -206,10 +206,11 @@
   mHttpServer.Drain();
   const Millis end =
       mNode.Now() + Millis(mNode.Settings().mDrainSeconds * kMillisPerSecond);
-  while (mNode.Now() < end &&
-         (mHttpServer.Active() > 0 || mRunner.Running() > 0)) {
+  // Idle connections stay open for a moment and may bring another request.
+  do {
     co_await Node::Sleep(kDrainPollPeriod);
-  }
+  } while (mNode.Now() < end &&
+           (mHttpServer.Connections() > 0 || mRunner.Running() > 0));
   co_await HandOverHeldGroups();
   mNode.Lifecycle().Drained();
   mNode.PublishPhase();
