own interface: an engine that sends more than was asked for is left

A completion whose engine never ends its chunks grew the memory of the node for as long as each chunk came in time.

Cause: ModelCalls::ReadStream kept the text of every chunk, whatever the request's max_tokens said; only single events were bounded (1 MB).

Evidence: testsuite/endless has an engine (fault extra_chunks of the stand-in) that sends 4,000 chunks of 64 KB behind a completion of 8 tokens.

Why it works: a chunk with which the answer would have more tokens than the request allows, or over 16 MB, is not kept. The attempt has failed then, as with any malformed chunk, and goes on at another engine from what was in order.

--- a/src/rillwall/model_calls.cpp
+++ b/src/rillwall/model_calls.cpp
@@ -12,6 +12,9 @@
 constexpr Millis kChunkTimeout{4000};
 constexpr int kMaxAttempts = 8;
 constexpr Millis kRefusalPause{100};
+/// Largest text of an answer, in bytes. The most tokens that a caller may ask
+/// for have some 5 MB.
+constexpr size_t kMaxTextBytes = 16 * 1024 * 1024;
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
 
@@ -19,6 +22,14 @@
   return aFlag != nullptr && aFlag->load(std::memory_order_relaxed);
 }
 
+/// \return whether an answer may go on with a chunk: an engine that never ends
+/// would otherwise take the memory of this node
+bool Fits(const ModelAnswer& aAnswer, const ModelChunk& aChunk,
+          int64_t aMaxTokens) {
+  return aChunk.mTokens <= aMaxTokens - aAnswer.mLabel.Tokens() &&
+         aChunk.mText.size() + aAnswer.mText.size() <= kMaxTextBytes;
+}
+
 }  // namespace
 
 /// Progress of a call across its attempts.
@@ -239,6 +250,13 @@
                   " sent a chunk of another request; the stream is dropped.");
         co_return CallOutcome::Failed;
       }
+      if (!Fits(answer, *chunk, aRequest.mCompletion.mMaxTokens)) {
+        Log(Part::Call)
+            .Request(aRequest.mCompletion.mRequestId)
+            .Warn("Engine " + aDecision.mUpstream +
+                  " sent more than was asked for; the stream is dropped.");
+        co_return CallOutcome::Failed;
+      }
       if (answer.mLabel.Tokens() == 0 && chunk->mTokens > 0) {
         answer.mFirstToken = mNode.Now();
       }
--- a/src/standin/engine_server.cpp
+++ b/src/standin/engine_server.cpp
@@ -54,6 +54,7 @@
       mCross(aControl.Add("cross")),
       mCutAfter(aControl.Add("cut_after_tokens")),
       mLeaving(aControl.Add("leaving")),
+      mExtraChunks(aControl.Add("extra_chunks")),
       mCore(aOptions.mSettings, aOptions.mVersion) {}
 
 void EngineServer::Start(asio::io_context& aContext) {
--- a/src/standin/engine_server.h
+++ b/src/standin/engine_server.h
@@ -84,6 +84,7 @@
   Fault& mCross;
   Fault& mCutAfter;
   Fault& mLeaving;
+  Fault& mExtraChunks;
   EngineCore mCore;
   EngineJournal mJournal;
   asio::io_context* mContext = nullptr;
--- a/src/standin/engine_stream.cpp
+++ b/src/standin/engine_stream.cpp
@@ -60,6 +60,18 @@
   return SseData(json::serialize(chunk));
 }
 
+/// \return a chunk of one token with a long text, which no completion has
+std::string ExtraChunkText(const EngineStream& aStream) {
+  constexpr size_t kTextBytes = 64 * 1024;
+  json::object chunk;
+  chunk["id"] = aStream.mRequest.mRequestId;
+  chunk["choices"] = json::array{Choice(std::string(kTextBytes, 'x'), nullptr)};
+  chunk["weight_version"] =
+      aStream.mSpans.empty() ? 0 : aStream.mSpans.back().mVersion;
+  chunk["tokens"] = 1;
+  return SseData(json::serialize(chunk));
+}
+
 HttpResponse StreamHead() {
   HttpResponse head;
   head.mHeaders.push_back({"Content-Type", "text/event-stream"});
@@ -193,6 +205,12 @@
     }
   }
   EndStream(aStream, completed ? "crossed" : aStream->Finish());
+  for (int64_t i = 0; i < mExtraChunks.Count(); ++i) {
+    std::string chunk = ExtraChunkText(textSource);
+    if (co_await aExchange.Write(std::move(chunk))) {
+      co_return;
+    }
+  }
   if (!co_await aExchange.Write(SseData(kSseDone))) {
     co_await aExchange.End();
   }
