--- a/src/librillwall_rollout/unframed_response_test.cpp
+++ b/src/librillwall_rollout/unframed_response_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(ItemGoesOnAfterAnotherStatus);
   CPPUNIT_TEST(ScorerCallIsRepeatedAfterAnotherStatus);
   CPPUNIT_TEST(ScorerWithoutAnswersIsCalledLessOften);
+  CPPUNIT_TEST(ItemIsScoredBesideAScorerWithoutAnswers);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kEvents[] = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
@@ -490,6 +491,19 @@
     });
     CPPUNIT_ASSERT_EQUAL(std::string("signed-i1-score"), result.mScore);
   }
+
+  void ItemIsScoredBesideAScorerWithoutAnswers() {
+    constexpr size_t kMaxCalls = 3;
+    UnframedReplica scorer(mWorld.mIo, "first");
+    AnswerWith(scorer, "000");
+    mOther.mStreams = true;
+    Use({mOther.Entry("engine"), scorer.Entry("scorer"),
+         mScorer.Entry("scorer")});
+    const RolloutResult result = RunItem("i1", [] {});
+    CPPUNIT_ASSERT(RolloutEnd::Completed == result.mEnd);
+    CPPUNIT_ASSERT_EQUAL(std::string("signed-i1-score"), result.mScore);
+    CPPUNIT_ASSERT(scorer.mRequests.size() <= kMaxCalls);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnframedResponseTest);
