http client: a body in another transfer coding than "chunked" is no answer

A replica that answers with "Transfer-Encoding: gzip, chunked" has its chunks removed and the coded bytes passed on under a head that names no coding: a body that is not the replica's.

Cause: the parser removes the last coding and leaves the others, and heads drop Transfer-Encoding at each hop. The server checks this for requests (CheckRequest); nothing did so for answers.

Evidence: HttpAnswerTest::TestOtherTransferCodings, on the code before: "assertion failed, !answer.has_value() - gzip, chunked".

Why it works: KindOf(), which decides what a head is, takes one field of Transfer-Encoding with the value "chunked" or none.

--- a/src/librillwall_transport/http_answer_test.cpp
+++ b/src/librillwall_transport/http_answer_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(TestOddLengthsAndChunks);
   CPPUNIT_TEST(TestConnectionThatEndsWithinAnUpload);
   CPPUNIT_TEST(TestBodiesOverTheLimit);
+  CPPUNIT_TEST(TestOtherTransferCodings);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kBody[] = "Content-Length: 2\r\n\r\nok";
@@ -191,6 +192,26 @@
       }
     }
   }
+
+  /// Guards against a body that is passed on in a coding that its new head does
+  /// not name.
+  void TestOtherTransferCodings() {
+    for (const char* coding : {"gzip", "identity", "gzip, chunked",
+                               "chunked, gzip", "chunked, chunked", "x"}) {
+      for (const char* body : {"2\r\nok\r\n0\r\n\r\n", "ok"}) {
+        const RawUpstream upstream(
+            {std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") + coding +
+             "\r\n\r\n" + body});
+        HttpClient::OpenOptions options;
+        options.mEndCheck = AnyEnd();
+        const auto answer = mThreads.Await(
+            mClient.Send(upstream.ListeningEndpoint(), Upload(), kTestTimeout,
+                         kMaxShortBody, std::move(options)));
+        CPPUNIT_ASSERT_MESSAGE(coding, !answer.has_value());
+        CPPUNIT_ASSERT(RunState::NotRun != answer.error().Run());
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpAnswerTest);
--- a/src/librillwall_transport/http_client_connection.cpp
+++ b/src/librillwall_transport/http_client_connection.cpp
@@ -69,8 +69,9 @@
   }
   if (!error && KindOf(*mParser) == HeadKind::Invalid) {
     error = Fail(ErrorKind::UpstreamFailed,
-                 "sent status " + std::to_string(mParser->get().result_int()) +
-                     ", which is none of an HTTP response");
+                 "sent a head that is none of an HTTP/1.1 response, with "
+                 "status " +
+                     std::to_string(mParser->get().result_int()));
   }
   if (!error) {
     mHead = TakeHead(*mParser);
--- a/src/librillwall_transport/http_wire.cpp
+++ b/src/librillwall_transport/http_wire.cpp
@@ -83,6 +83,15 @@
   return bytes;
 }
 
+/// \return whether a body is in a coding that the parser does not remove, so
+/// that it could not be passed on
+bool HasOtherCoding(const ResponseParser& aParser) {
+  const auto& message = aParser.get();
+  const auto [begin, end] = message.equal_range(http::field::transfer_encoding);
+  return begin != end && (std::next(begin) != end ||
+                          !boost::beast::iequals(begin->value(), "chunked"));
+}
+
 template <class Fields>
 std::vector<HttpHeader> CopyHeaders(const Fields& aFields) {
   std::vector<HttpHeader> headers;
@@ -159,7 +168,7 @@
 HeadKind KindOf(const ResponseParser& aParser) {
   const unsigned status = aParser.get().result_int();
   if (status < kFirstInterimStatus || status == kSwitchingProtocols ||
-      status > kLastFinalStatus) {
+      status > kLastFinalStatus || HasOtherCoding(aParser)) {
     return HeadKind::Invalid;
   }
   return status < kFirstFinalStatus ? HeadKind::Interim : HeadKind::Final;
--- a/src/librillwall_transport/http_wire.h
+++ b/src/librillwall_transport/http_wire.h
@@ -54,8 +54,9 @@
 enum class HeadKind {
   Final,    ///< of a response
   Interim,  ///< informational; another one follows
-  /// Of no response: HTTP has no such status, or it is one that only a request
-  /// for another protocol gets (101). The client sends no such requests.
+  /// Of no response that the client may have asked for: HTTP has no such
+  /// status, only a request for another protocol gets it (101), or the body is
+  /// in another transfer coding than "chunked".
   Invalid,
 };
 HeadKind KindOf(const ResponseParser& aParser);
--- a/testsuite/platform/stops.py
+++ b/testsuite/platform/stops.py
@@ -2,8 +2,8 @@
 
 Clients keep using their connections until the process is gone: streams of up to some seconds, plain requests that are
 slow, requests whose bytes arrive in two pieces, and pairs of requests sent at once; with --long also requests that last
-longer than a host takes to stop. A host is stopped with SIGTERM, at times twice. In a second part processes get signals right after their start, and a lead is stopped while the store
-is silent.
+longer than a host takes to stop. A host is stopped with SIGTERM, at times twice. In a second part processes get signals
+right after their start, and a lead is stopped while the store is silent.
 
   cut       a request that has reached a replica gets a complete answer, though its host stops; only one that was sent
             early and that the replica was still running near the end of the grace period may be cut
