steps: the pause between scorer calls grows only after three that fail

Change: the pause stays at 50 ms for the first three calls that fail, and doubles from then on, up to 0.4 s as before. UnframedResponseTest:: ScorerWithoutAnswersIsCalledLessOften holds with its bound unchanged (12 calls in 3 s; 60 on the code of before).

--- a/src/librillwall_rollout/rollout_run.cpp
+++ b/src/librillwall_rollout/rollout_run.cpp
@@ -28,6 +28,8 @@
 constexpr Millis kScorerPause{50};
 /// Longest pause between two calls that fail one after another.
 constexpr Millis kMaxScorerPause{400};
+/// Failed calls before the pause grows: a scorer that was reset is soon back.
+constexpr int kPromptScorerCalls = 3;
 /// Pause after an item's body could not be read from the store.
 constexpr Millis kBodyPause{200};
 constexpr int kServerError = 500;
@@ -407,10 +409,11 @@
       ScheduleFlush(aStep);
       co_return;
     }
-    co_await Sleep(
-        mNode.mIo,
-        mayHaveRun ? BackoffDelay(failedCalls, kScorerPause, kMaxScorerPause)
-                   : kScorerPause);
+    const int persistent = failedCalls - kPromptScorerCalls;
+    co_await Sleep(mNode.mIo, mayHaveRun && persistent > 0
+                                  ? BackoffDelay(persistent + 1, kScorerPause,
+                                                 kMaxScorerPause)
+                                  : kScorerPause);
   }
   if (aStep->mRunning) {
     tracker.Finished(aItem);
