--- a/src/librillwall_transport/http_wire.h
+++ b/src/librillwall_transport/http_wire.h
@@ -50,6 +50,7 @@
 HttpRequest TakeRequest(RequestParser& aParser, MemoryCharge aCharge);
 /// \return the head of a request whose body is not parsed yet
 HttpRequest CopyHead(const RequestParser& aParser);
+
 /// What a parsed head of a response is.
 enum class HeadKind {
   Final,    ///< of a response
@@ -59,6 +60,8 @@
   /// in another transfer coding than "chunked".
   Invalid,
 };
+/// Decides alone, for all that read answers, what counts as one.
+/// \param aParser has parsed a whole head
 HeadKind KindOf(const ResponseParser& aParser);
 /// \return status and headers of a parsed response, without its body
 HttpResponse TakeHead(ResponseParser& aParser);
