--- a/testsuite/crashing/crashing.py
+++ b/testsuite/crashing/crashing.py
@@ -130,7 +130,7 @@
     parser.add_argument("--keep", help="folder in which the logs are kept")
     args = parser.parse_args()
     args.seed, args.entries, args.leads, args.services, args.faults = SEED, 3, 3, 3, "none"
-    args.handover = args.surge = args.scaling = args.storms = args.ends = args.leaves = args.stops = False
+    args.handover = args.surge = args.scaling = args.storms = args.ends = args.leaves = args.stops = args.long = False
     lock = take_addresses(SEED)
     scenario = Scenario(args)
     asyncio.run(scenario.go())
